--- /dev/null
+++ b/pkg/workload/workload.go
@@ -0,0 +1,316 @@
+// Package workload holds the types of the callers' interface: what a caller
+// submits, what it gets back, and how a refusal is worded.
+//
+// The package has no input or output of its own, so that clients, the
+// scheduler and tests share one definition of every field.
+//
+// # Usage
+//
+// A caller builds a Request with a new Key, sends it to any entry VM, and
+// repeats it with the same Key and a higher Attempt if the connection breaks:
+//
+//	request := workload.Request{
+//		Key:       workload.NewKey(),
+//		Team:      "ledger",
+//		Kind:      "balance-check",
+//		Resources: workload.Resources{MilliCPU: 500, MemoryMB: 256},
+//		Payload:   []byte(`{"employer":"E-17"}`),
+//	}
+//	if findings := request.Validate(time.Now()); len(findings) > 0 {
+//		return findings
+//	}
+//
+// Durations in JSON are integers in milliseconds and their names end in -ms.
+package workload
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+)
+
+// Limits on what a single request may declare.
+const (
+	MaxPayloadBytes    = 1 << 20
+	MaxNameLength      = 64
+	MaxGangSize        = 1024
+	MaxMilliCPU        = 1 << 20
+	MaxMemoryMB        = 1 << 24
+	MaxAccelerators    = 64
+	MaxDeclaredRunTime = 30 * 24 * time.Hour
+)
+
+// Key identifies a request for its whole life, across retries. It is a UUIDv7,
+// so it carries its time of issue.
+type Key string
+
+// NewKey returns a key issued at the current time.
+func NewKey() Key {
+	return Key(uuid.Must(uuid.NewV7()).String())
+}
+
+// IssuedAt returns the time of issue carried by the key, with a resolution of
+// one millisecond. It reports false if the key is not a UUIDv7.
+func (k Key) IssuedAt() (time.Time, bool) {
+	id, err := uuid.Parse(string(k))
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	milliseconds := int64(id[0])<<40 | int64(id[1])<<32 | int64(id[2])<<24 |
+		int64(id[3])<<16 | int64(id[4])<<8 | int64(id[5])
+	return time.UnixMilli(milliseconds), true
+}
+
+// Resources is an amount of a worker's room. The zero value is no room at all.
+type Resources struct {
+	MilliCPU     int64 `json:"milli-cpu" cbor:"1,keyasint,omitempty"`
+	MemoryMB     int64 `json:"memory-mb" cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `json:"accelerators" cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns the sum of both amounts.
+func (r Resources) Add(other Resources) Resources {
+	return Resources{r.MilliCPU + other.MilliCPU, r.MemoryMB + other.MemoryMB, r.Accelerators + other.Accelerators}
+}
+
+// Sub returns r less other; fields may become negative.
+func (r Resources) Sub(other Resources) Resources {
+	return Resources{r.MilliCPU - other.MilliCPU, r.MemoryMB - other.MemoryMB, r.Accelerators - other.Accelerators}
+}
+
+// Times returns n times the amount.
+func (r Resources) Times(n int64) Resources {
+	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// Fits reports whether r fits within room in every dimension.
+func (r Resources) Fits(room Resources) bool {
+	return r.MilliCPU <= room.MilliCPU && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
+}
+
+// Mode says how long a piece of work lives and who waits for it.
+type Mode string
+
+// The modes of work.
+const (
+	// ModeRequest is a service call; the caller's open connection holds it.
+	ModeRequest Mode = "request"
+	// ModeJob is batch work that is recorded in the log before it is accepted.
+	ModeJob Mode = "job"
+	// ModeService is a long-running service, restarted when it ends.
+	ModeService Mode = "service"
+)
+
+// Request is one piece of work as its caller submits it.
+type Request struct {
+	Key     Key    `json:"key" cbor:"1,keyasint"`
+	Attempt int    `json:"attempt" cbor:"2,keyasint,omitempty"`
+	Team    string `json:"team" cbor:"3,keyasint"`
+	Kind    string `json:"kind" cbor:"4,keyasint"`
+	Mode    Mode   `json:"mode" cbor:"5,keyasint,omitempty"`
+	// Class names work of similar size and run time; estimates are learned per
+	// class. Empty means the kind.
+	Class string `json:"class,omitempty" cbor:"6,keyasint,omitempty"`
+	// NonIdempotent work runs at most once, also when its outcome is unknown.
+	NonIdempotent bool      `json:"non-idempotent,omitempty" cbor:"7,keyasint,omitempty"`
+	Resources     Resources `json:"resources" cbor:"8,keyasint"`
+	// GangSize is the number of tasks that start all at once; 0 and 1 are a
+	// single task.
+	GangSize int `json:"gang-size,omitempty" cbor:"9,keyasint,omitempty"`
+	// RunTimeMS is the declared run time in milliseconds; 0 if not known.
+	RunTimeMS int64 `json:"run-time-ms,omitempty" cbor:"10,keyasint,omitempty"`
+	// StartWithinMS is the longest wait before the start, in milliseconds from
+	// acceptance; 0 takes the kind's deadline.
+	StartWithinMS int64 `json:"start-within-ms,omitempty" cbor:"11,keyasint,omitempty"`
+	// HoldInOutage keeps a durable job waiting on the connection while the log
+	// is down, in place of a refusal.
+	HoldInOutage bool   `json:"hold-in-outage,omitempty" cbor:"12,keyasint,omitempty"`
+	Payload      []byte `json:"payload,omitempty" cbor:"13,keyasint,omitempty"`
+}
+
+// Tasks returns the number of tasks that the request starts.
+func (r *Request) Tasks() int {
+	return max(r.GangSize, 1)
+}
+
+// RunTime returns the declared run time; 0 if it is not known.
+func (r *Request) RunTime() time.Duration {
+	return time.Duration(r.RunTimeMS) * time.Millisecond
+}
+
+// EstimateClass returns the class under which estimates are learned.
+func (r *Request) EstimateClass() string {
+	if r.Class != "" {
+		return r.Class
+	}
+	return r.Kind
+}
+
+// Digest returns a hash over everything but the attempt number. Two requests
+// with one key and different digests are a caller's mistake.
+func (r *Request) Digest() uint64 {
+	hash := xxhash.New()
+	fmt.Fprintf(hash, "%s|%s|%s|%s|%s|%t|%+v|%d|%d|%d|", r.Key, r.Team, r.Kind, r.Mode, r.Class,
+		r.NonIdempotent, r.Resources, r.GangSize, r.RunTimeMS, r.StartWithinMS)
+	_, _ = hash.Write(r.Payload)
+	return hash.Sum64()
+}
+
+// Finding is one fault in a piece of input, with its place.
+type Finding struct {
+	Place   string `json:"place"`
+	Message string `json:"message"`
+}
+
+// Findings collects all faults of one input, so that they are reported together.
+type Findings []Finding
+
+// Add appends a finding.
+func (f *Findings) Add(place, format string, arguments ...any) {
+	*f = append(*f, Finding{Place: place, Message: fmt.Sprintf(format, arguments...)})
+}
+
+// Error joins the findings, one a line.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.Place + ": " + finding.Message
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Validate returns every fault of the request that can be seen without the
+// scheduler's state; none means that the request is well formed.
+func (r *Request) Validate(now time.Time) Findings {
+	var findings Findings
+	r.validateIdentity(now, &findings)
+	r.validateSizes(&findings)
+	return findings
+}
+
+func (r *Request) validateIdentity(now time.Time, findings *Findings) {
+	if issued, ok := r.Key.IssuedAt(); !ok {
+		findings.Add("key", "must be a UUIDv7, got %q", r.Key)
+	} else if issued.After(now.Add(time.Minute)) {
+		findings.Add("key", "its time of issue %s is in the future", issued.UTC().Format(time.RFC3339))
+	}
+	for _, name := range []struct{ place, value string }{{"team", r.Team}, {"kind", r.Kind}} {
+		if name.value == "" || len(name.value) > MaxNameLength {
+			findings.Add(name.place, "must have 1 to %d characters, got %d", MaxNameLength, len(name.value))
+		}
+	}
+	if len(r.Class) > MaxNameLength {
+		findings.Add("class", "must have at most %d characters, got %d", MaxNameLength, len(r.Class))
+	}
+	switch r.Mode {
+	case "", ModeRequest, ModeJob, ModeService:
+	default:
+		findings.Add("mode", "must be %q, %q or %q, got %q", ModeRequest, ModeJob, ModeService, r.Mode)
+	}
+}
+
+func (r *Request) validateSizes(findings *Findings) {
+	for _, field := range []struct {
+		place          string
+		value, minimum int64
+		maximum        int64
+	}{
+		{"resources.milli-cpu", r.Resources.MilliCPU, 0, MaxMilliCPU},
+		{"resources.memory-mb", r.Resources.MemoryMB, 0, MaxMemoryMB},
+		{"resources.accelerators", r.Resources.Accelerators, 0, MaxAccelerators},
+		{"gang-size", int64(r.GangSize), 0, MaxGangSize},
+		{"run-time-ms", r.RunTimeMS, 0, MaxDeclaredRunTime.Milliseconds()},
+		{"start-within-ms", r.StartWithinMS, 0, MaxDeclaredRunTime.Milliseconds()},
+		{"attempt", int64(r.Attempt), 0, 1 << 20},
+		{"payload", int64(len(r.Payload)), 0, MaxPayloadBytes},
+	} {
+		if field.value < field.minimum || field.value > field.maximum {
+			findings.Add(field.place, "must be from %d to %d, got %d", field.minimum, field.maximum, field.value)
+		}
+	}
+	if r.Resources == (Resources{}) {
+		findings.Add("resources", "must ask for some milli-cpu, memory-mb or accelerators")
+	}
+}
+
+// State is where a piece of work is in its life.
+type State string
+
+// The states of a request or job.
+const (
+	StateQueued   State = "queued"
+	StateAssigned State = "assigned"
+	StateRunning  State = "running"
+	StateEnded    State = "ended"
+	StateRefused  State = "refused"
+	StateCanceled State = "canceled"
+	StateUnknown  State = "unknown"
+)
+
+// Answer is the whole outcome of a request that ran.
+type Answer struct {
+	Key Key `json:"key" cbor:"1,keyasint"`
+	// Failed is set when the task itself ended with an error; Body then holds
+	// what it reported.
+	Failed bool   `json:"failed,omitempty" cbor:"2,keyasint,omitempty"`
+	Body   []byte `json:"body,omitempty" cbor:"3,keyasint,omitempty"`
+	Worker string `json:"worker" cbor:"4,keyasint,omitempty"`
+	// WaitedMS is the time from acceptance to the start, in milliseconds.
+	WaitedMS int64 `json:"waited-ms" cbor:"5,keyasint,omitempty"`
+	RanMS    int64 `json:"ran-ms" cbor:"6,keyasint,omitempty"`
+}
+
+// Run says whether a refused request may have run.
+type Run string
+
+// The values of a refusal's run field.
+const (
+	NotRun     Run = "not-run"
+	MayHaveRun Run = "may-have-run"
+)
+
+// Code names the reason of a refusal.
+type Code string
+
+// The codes of refusals.
+const (
+	CodeBadRequest    Code = "bad-request"
+	CodeUnknownTeam   Code = "unknown-team"
+	CodeUnknownKind   Code = "unknown-kind"
+	CodeForbidden     Code = "forbidden"
+	CodeKeyReused     Code = "key-reused"
+	CodeNeverRunnable Code = "never-runnable"
+	CodeQueueFull     Code = "queue-full"
+	CodeTooLate       Code = "too-late"
+	CodeLogDown       Code = "log-down"
+	CodeLeaving       Code = "leaving"
+	CodeNoHome        Code = "no-home"
+	CodeCanceled      Code = "canceled"
+	CodeOutcome       Code = "outcome-unknown"
+	CodeNotFound      Code = "not-found"
+	CodeInternal      Code = "internal"
+)
+
+// Refusal is the body of every error answer.
+type Refusal struct {
+	Code    Code   `json:"code" cbor:"1,keyasint"`
+	Message string `json:"message" cbor:"2,keyasint"`
+	Run     Run    `json:"run" cbor:"3,keyasint"`
+	// RetryAfterMS says when to try again, in milliseconds; 0 means that a
+	// retry of the same request can't succeed.
+	RetryAfterMS int64    `json:"retry-after-ms,omitempty" cbor:"4,keyasint,omitempty"`
+	Findings     Findings `json:"findings,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// Error returns the code and the message.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Run, r.Message)
+}
+
+// Refuse returns a refusal of a request that was not run.
+func Refuse(code Code, retryAfter time.Duration, format string, arguments ...any) *Refusal {
+	return &Refusal{Code: code, Message: fmt.Sprintf(format, arguments...), Run: NotRun, RetryAfterMS: retryAfter.Milliseconds()}
+}
