Replace first fit by queues, shares, gangs and reservations

Cause: the first-fit engine scans every worker and every waiting task, and has no shares, gangs, reservations or preemption.

Change: the engine is split by policy. Queues by kind, team and shape cancel in constant time; start-by times are kept in a wheel; workers are found by a tree of largest free amounts; shapes that did not fit are tried again only after room was freed. Lent room is reclaimed through claims on single workers, and the oldest gang that could run holds workers for a planned start.

Ruled out: a sorted list of workers by free room, because it has no order for several dimensions; a plan of the gang's start that moves with every change, because a steady stream then delays it without end.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -18,11 +18,20 @@
 //		// Carry out the decision on the worker that it names.
 //	}
 //	engine.TaskEnded(now, task.ID, placement.Completed)
+//
+// A gang that starts counts as one decision towards the limit of Schedule, so
+// that its tasks always start in one call.
+//
+// # Order of work
+//
+// Kinds below their guaranteed share go first, by urgency. The other kinds
+// follow by their share above the guarantee, divided by their weight. Inside a
+// kind the team with the smallest share for its weight goes first, and inside
+// a team the oldest task whose shape can fit.
 package placement
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"yuccalanding.example/yuccalanding/pkg/workload"
@@ -161,6 +170,13 @@
 type Options struct {
 	// Seed starts the engine's random source.
 	Seed uint64
+	// Estimate returns the expected run time of a task and 0 if it is not
+	// known; nil takes the declared run time.
+	Estimate func(Task) time.Duration
+	// Excluded reports that a worker must get no new task, for example while
+	// it is quarantined; nil excludes none. Call FitnessChanged when the result
+	// for a worker changes.
+	Excluded func(worker string) bool
 }
 
 // Summary is the compact view of an engine that homes choose owners by.
@@ -174,187 +190,7 @@
 	LargestTotal workload.Resources `json:"largest-total" cbor:"7,keyasint"`
 }
 
-type workerState struct {
-	worker  Worker
-	free    workload.Resources
-	slots   int
-	leaving bool
-	running map[TaskID]Running
-}
-
-// Engine decides placements for the workers of one owner. It is not safe for
-// use by several goroutines.
-type Engine struct {
-	workers map[string]*workerState
-	order   []string
-	waiting []Task
-	place   map[TaskID]string
-}
-
-// New returns an engine without workers.
-func New(Options) *Engine {
-	return &Engine{workers: map[string]*workerState{}, place: map[TaskID]string{}}
-}
-
-// SetPolicy replaces the policy; it applies from the next call of Schedule.
-func (e *Engine) SetPolicy(Policy) {}
-
-// AddWorker adds a worker with the tasks that it listed as running.
-func (e *Engine) AddWorker(_ time.Time, worker Worker, running []Running) {
-	state := &workerState{worker: worker, free: worker.Capacity, slots: worker.Slots, running: map[TaskID]Running{}}
-	for _, r := range running {
-		state.running[r.Task.ID] = r
-		state.free = state.free.Sub(r.Task.Resources)
-		state.slots--
-		e.place[r.Task.ID] = worker.Name
-	}
-	e.workers[worker.Name] = state
-	e.order = append(e.order, worker.Name)
-	slices.Sort(e.order)
-}
-
-// RemoveWorker removes a worker and returns the tasks that were on it, in the
-// order of their identity. It does not say whether they still run.
-func (e *Engine) RemoveWorker(_ time.Time, name string) []Task {
-	state := e.workers[name]
-	if state == nil {
-		return nil
-	}
-	var tasks []Task
-	for id, r := range state.running {
-		tasks = append(tasks, r.Task)
-		delete(e.place, id)
-	}
-	slices.SortFunc(tasks, func(a, b Task) int { return CompareTaskIDs(a.ID, b.ID) })
-	delete(e.workers, name)
-	e.order = slices.DeleteFunc(e.order, func(other string) bool { return other == name })
-	return tasks
-}
-
 // CompareTaskIDs orders identities by key, index and attempt.
 func CompareTaskIDs(a, b TaskID) int {
 	return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Attempt, b.Attempt))
 }
-
-// SetLeaving says whether a worker is leaving; a leaving worker gets no new task.
-func (e *Engine) SetLeaving(name string, leaving bool) {
-	if state := e.workers[name]; state != nil {
-		state.leaving = leaving
-	}
-}
-
-// Enqueue takes a waiting task, or says why it does not.
-func (e *Engine) Enqueue(_ time.Time, task Task) *Rejection {
-	e.waiting = append(e.waiting, task)
-	return nil
-}
-
-// Cancel removes a waiting task and reports whether it was waiting.
-func (e *Engine) Cancel(id TaskID) bool {
-	before := len(e.waiting)
-	e.waiting = slices.DeleteFunc(e.waiting, func(task Task) bool { return task.ID == id })
-	return len(e.waiting) < before
-}
-
-// Schedule makes up to limit decisions.
-func (e *Engine) Schedule(now time.Time, limit int) []Decision {
-	var decisions []Decision
-	kept := e.waiting[:0]
-	for i, task := range e.waiting {
-		switch name := e.firstFit(task); {
-		case len(decisions) >= limit:
-			kept = append(kept, e.waiting[i])
-		case !task.StartBy.IsZero() && now.After(task.StartBy):
-			decisions = append(decisions, Decision{Verb: VerbExpire, Task: task})
-		case name == "":
-			kept = append(kept, task)
-		default:
-			e.start(now, task, name)
-			decisions = append(decisions, Decision{Verb: VerbStart, Task: task, Worker: name})
-		}
-	}
-	e.waiting = kept
-	return decisions
-}
-
-func (e *Engine) firstFit(task Task) string {
-	for _, name := range e.order {
-		state := e.workers[name]
-		if !state.leaving && state.slots > 0 && task.Resources.Fits(state.free) {
-			return name
-		}
-	}
-	return ""
-}
-
-func (e *Engine) start(now time.Time, task Task, name string) {
-	state := e.workers[name]
-	state.slots--
-	state.free = state.free.Sub(task.Resources)
-	state.running[task.ID] = Running{Task: task, StartedAt: now}
-	e.place[task.ID] = name
-}
-
-// TaskEnded returns a running task's room to its worker.
-func (e *Engine) TaskEnded(_ time.Time, id TaskID, _ Outcome) {
-	state := e.workers[e.place[id]]
-	if state == nil {
-		return
-	}
-	state.slots++
-	state.free = state.free.Add(state.running[id].Task.Resources)
-	delete(state.running, id)
-	delete(e.place, id)
-}
-
-// ReportUsage records what a running task was seen to use. Reports lag.
-func (e *Engine) ReportUsage(time.Time, TaskID, workload.Resources) {}
-
-// Reserve holds room for up to count tasks like the given one until the given
-// time and returns for how many it holds room. It is how a gang over several
-// owners collects commitments.
-func (e *Engine) Reserve(time.Time, workload.Key, Task, int, time.Time) int { return 0 }
-
-// Confirm starts tasks in the room that was reserved under their key and drops
-// the rest of the reservation. Without a reservation for all of them, it starts none.
-func (e *Engine) Confirm(time.Time, workload.Key, []Task) []Decision { return nil }
-
-// ReleaseReservation drops the reservation under the key.
-func (e *Engine) ReleaseReservation(workload.Key) {}
-
-// NeverRunnable says why the task can't run on this engine's workers even if
-// they were empty; it is empty if the task could run.
-func (e *Engine) NeverRunnable(task Task) string {
-	for _, name := range e.order {
-		if task.Resources.Fits(e.workers[name].worker.Capacity) {
-			return ""
-		}
-	}
-	return "no worker is large enough"
-}
-
-// Summary returns the engine's present free room.
-func (e *Engine) Summary(time.Time) Summary {
-	summary := Summary{Waiting: len(e.waiting)}
-	for _, name := range e.order {
-		state := e.workers[name]
-		if state.leaving {
-			continue
-		}
-		summary.Workers++
-		summary.FreeSlots += state.slots
-		summary.Free = summary.Free.Add(state.free)
-		summary.Capacity = summary.Capacity.Add(state.worker.Capacity)
-		summary.LargestFree = largest(summary.LargestFree, state.free)
-		summary.LargestTotal = largest(summary.LargestTotal, state.worker.Capacity)
-	}
-	return summary
-}
-
-func largest(a, b workload.Resources) workload.Resources {
-	return workload.Resources{
-		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
-		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
-		Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
--- /dev/null
+++ b/internal/placement/shapes.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// runTimeBits is the precision with which run times are told apart: 4 bits are
+// steps of 6 to 12 percent.
+const runTimeBits = 4
+
+// shapeKey names tasks that fit the same workers. It includes the run time,
+// because a gap before a gang's start admits only work that ends in time, and
+// a long task must not stand in the queue before a short one.
+type shapeKey struct {
+	demand   amount
+	service  bool
+	runTime  int64
+	gangSize int
+}
+
+// searchMode separates failures of searches that follow different rules.
+type searchMode int
+
+const (
+	modeEntitled searchMode = 1 << iota
+	modeKeepAccelerators
+	searchModes = 1 << iota
+)
+
+// failure is a search that found no worker.
+type failure struct {
+	set     bool
+	demand  amount
+	runTime time.Duration
+}
+
+// shape is shared by all queues whose tasks fit the same workers.
+type shape struct {
+	key      shapeKey
+	position int
+	buckets  int
+	failures [searchModes]failure
+}
+
+// shapeTable holds the shapes of the waiting tasks.
+type shapeTable struct {
+	byKey map[shapeKey]*shape
+	list  []*shape
+}
+
+// of returns the entry's shape. When half of the table is in use, new shapes
+// are rounded up to powers of two; when it is full, they share one shape. A
+// shared shape is still exact: each search uses the task's own demand.
+func (t *shapeTable) of(en *entry) *shape {
+	key := shapeKey{demand: taskDemand(&en.task), service: en.task.Service, runTime: en.runTime.Milliseconds()}
+	key.runTime &= -1 << max(bits.Len64(uint64(key.runTime))-runTimeBits, 0)
+	if en.gang != nil {
+		key.gangSize = en.gang.size
+	}
+	if t.byKey == nil {
+		t.byKey = map[shapeKey]*shape{}
+	}
+	if s := t.byKey[key]; s != nil {
+		return s
+	}
+	if len(t.list) >= MaxShapes/2 {
+		key = key.rounded()
+	}
+	if t.byKey[key] == nil && len(t.list) >= MaxShapes-2 {
+		key = shapeKey{runTime: -1, gangSize: min(key.gangSize, 2)}
+	}
+	s := t.byKey[key]
+	if s == nil {
+		s = &shape{key: key, position: len(t.list)}
+		t.byKey[key] = s
+		t.list = append(t.list, s)
+	}
+	return s
+}
+
+func (k shapeKey) rounded() shapeKey {
+	for d := range k.demand {
+		if k.demand[d] > 0 {
+			k.demand[d] = 1 << bits.Len64(uint64(k.demand[d]-1))
+		}
+	}
+	k.runTime = 1 << bits.Len64(uint64(k.runTime))
+	if k.gangSize > 0 {
+		k.gangSize = 1 << bits.Len(uint(k.gangSize-1))
+	}
+	return k
+}
+
+func (t *shapeTable) release(s *shape) {
+	if s.buckets--; s.buckets > 0 {
+		return
+	}
+	last := t.list[len(t.list)-1]
+	t.list[s.position], last.position = last, s.position
+	t.list = t.list[:len(t.list)-1]
+	delete(t.byKey, s.key)
+}
+
+// longest orders run times: an unknown one counts as the longest.
+func longest(runTime time.Duration) time.Duration {
+	if runTime <= 0 {
+		return math.MaxInt64
+	}
+	return runTime
+}
+
+// failed reports whether a search at most as demanding has failed since room
+// was freed.
+func (s *shape) failed(mode searchMode, demand *amount, runTime time.Duration) bool {
+	f := &s.failures[mode]
+	return f.set && f.demand.fits(demand) && longest(f.runTime) <= longest(runTime)
+}
+
+func (s *shape) fail(mode searchMode, demand amount, runTime time.Duration) {
+	s.failures[mode] = failure{true, demand, runTime}
+}
+
+// retry forgets the failures that the freed workers may have room for.
+func (e *Engine) retryShapes() {
+	if len(e.freed) == 0 {
+		return
+	}
+	room := unavailable
+	for _, w := range e.freed {
+		w.freed = false
+		room = room.highest(w.offered())
+	}
+	e.freed = e.freed[:0]
+	for _, s := range e.shapes.list {
+		for mode := range s.failures {
+			if f := &s.failures[mode]; f.set && f.demand.fits(&room) {
+				f.set = false
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/shares.go
@@ -0,0 +1,287 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// shareTolerance absorbs rounding when shares are compared.
+	shareTolerance = 1e-9
+	// guaranteeMemory is how long after its last work a kind's unused guarantee
+	// is withheld from work that can't be reclaimed.
+	guaranteeMemory = 10 * time.Minute
+)
+
+// kindState is the account of one kind of work.
+type kindState struct {
+	policy     KindPolicy
+	guaranteed float64
+	ceiling    float64
+	weight     float64
+
+	used  amount
+	share float64
+	// reclaiming is the part of used that is about to end by preemption.
+	reclaiming amount
+	running    int
+	waiting    int
+	activeAt   time.Time
+	// profile marks the dimensions that the kind's work asks for; reserve is
+	// the unused part of the guarantee in them.
+	profile [dimensions]bool
+	reserve amount
+
+	lanes  []*lane
+	byTeam map[*teamState]*lane
+	dryAt  uint64
+	// short is a queue whose head is inside the guarantee and found no room.
+	short *bucket
+	// reclaimAgainAt limits how often workers are looked through in vain.
+	reclaimAgainAt time.Time
+}
+
+// teamState is the account of one team.
+type teamState struct {
+	name    string
+	weight  float64
+	used    amount
+	load    float64
+	running int
+	waiting int
+}
+
+// SetPolicy replaces the policy; it applies from the next call of Schedule.
+// Guarantees that add up to more than 1 are scaled down to 1.
+func (e *Engine) SetPolicy(policy Policy) {
+	e.policy = Policy{Kinds: slices.Clone(policy.Kinds), Teams: slices.Clone(policy.Teams)}
+	for _, kind := range policy.Kinds {
+		e.kindNamed(kind.Name)
+	}
+	for _, k := range e.kinds {
+		e.applyKindPolicy(k)
+	}
+	for _, t := range e.teams { // Each team is changed on its own; the order has no effect.
+		t.weight = e.teamWeight(t.name)
+	}
+	e.capacityChanged()
+}
+
+func (e *Engine) applyKindPolicy(k *kindState) {
+	total := 0.0
+	policy := KindPolicy{Name: k.policy.Name}
+	for _, kind := range e.policy.Kinds {
+		total += max(kind.Guaranteed, 0)
+		if kind.Name == k.policy.Name {
+			policy = kind
+		}
+	}
+	k.policy = policy
+	k.weight = float64(max(policy.Weight, 1))
+	k.guaranteed = max(policy.Guaranteed, 0) / max(total, 1)
+	k.ceiling = policy.Ceiling
+	if k.ceiling <= 0 {
+		k.ceiling = 1
+	}
+}
+
+func (e *Engine) teamWeight(name string) float64 {
+	for _, team := range e.policy.Teams {
+		if team.Name == name {
+			return float64(max(team.Weight, 1))
+		}
+	}
+	return 1
+}
+
+func compareKindName(k *kindState, name string) int {
+	switch {
+	case k.policy.Name < name:
+		return -1
+	case k.policy.Name > name:
+		return 1
+	}
+	return 0
+}
+
+// kindNamed returns the kind's account. When the table is full, accounts
+// without work are dropped; failing that, new kinds share the unnamed one.
+func (e *Engine) kindNamed(name string) *kindState {
+	at, found := slices.BinarySearchFunc(e.kinds, name, compareKindName)
+	if found {
+		return e.kinds[at]
+	}
+	if len(e.kinds) >= MaxKinds {
+		e.kinds = slices.DeleteFunc(e.kinds, func(k *kindState) bool {
+			return k.running == 0 && k.waiting == 0 && k.guaranteed == 0
+		})
+		if len(e.kinds) >= MaxKinds-1 {
+			name = ""
+		}
+		at, found = slices.BinarySearchFunc(e.kinds, name, compareKindName)
+		if found {
+			return e.kinds[at]
+		}
+	}
+	k := &kindState{policy: KindPolicy{Name: name}, byTeam: map[*teamState]*lane{}}
+	e.applyKindPolicy(k)
+	e.kinds = slices.Insert(e.kinds, at, k)
+	return k
+}
+
+// teamNamed returns the team's account, with the same rule for a full table.
+func (e *Engine) teamNamed(name string) *teamState {
+	if t := e.teams[name]; t != nil {
+		return t
+	}
+	if len(e.teams) >= MaxTeams {
+		for other, t := range e.teams { // All idle teams are dropped; the order has no effect.
+			if t.running == 0 && t.waiting == 0 {
+				delete(e.teams, other)
+			}
+		}
+		if len(e.teams) >= MaxTeams-1 {
+			name = ""
+		}
+		if t := e.teams[name]; t != nil {
+			return t
+		}
+	}
+	t := &teamState{name: name, weight: e.teamWeight(name)}
+	e.teams[name] = t
+	return t
+}
+
+func (k *kindState) laneOf(t *teamState) *lane {
+	l := k.byTeam[t]
+	if l == nil {
+		l = &lane{kind: k, team: t, position: len(k.lanes), byShape: map[*shape]*bucket{}}
+		k.byTeam[t] = l
+		k.lanes = append(k.lanes, l)
+	}
+	return l
+}
+
+func (k *kindState) removeLane(l *lane) {
+	last := k.lanes[len(k.lanes)-1]
+	k.lanes[l.position], last.position = last, l.position
+	k.lanes = k.lanes[:len(k.lanes)-1]
+	delete(k.byTeam, l.team)
+}
+
+// charge changes what a kind and a team use.
+func (e *Engine) charge(k *kindState, t *teamState, demand amount) {
+	k.used = k.used.plus(demand)
+	e.kindChanged(k)
+	t.used = t.used.plus(demand)
+	t.load = t.used.dominantShare(&e.capacity) / t.weight
+}
+
+// kindChanged recomputes what follows from a kind's use and policy.
+func (e *Engine) kindChanged(k *kindState) {
+	k.share = k.used.dominantShare(&e.capacity)
+	if k.guaranteed == 0 && k.reserve == (amount{}) {
+		return
+	}
+	e.reserved = e.reserved.minus(k.reserve)
+	k.reserve = amount{}
+	for d, asked := range k.profile {
+		if asked {
+			k.reserve[d] = max(0, int64(k.guaranteed*float64(e.capacity[d]))-k.used[d])
+		}
+	}
+	e.reserved = e.reserved.plus(k.reserve)
+}
+
+func (e *Engine) widenProfile(k *kindState, demand amount) {
+	changed := false
+	for d := range demand {
+		if demand[d] > 0 && !k.profile[d] {
+			k.profile[d], changed = true, true
+		}
+	}
+	if changed {
+		e.kindChanged(k)
+	}
+}
+
+// lendIdleGuarantees ends the reserve of kinds that had no work for long.
+func (e *Engine) lendIdleGuarantees(now time.Time) {
+	for _, k := range e.kinds {
+		if k.running+k.waiting > 0 {
+			k.activeAt = now
+		} else if k.reserve != (amount{}) && now.Sub(k.activeAt) > guaranteeMemory {
+			k.profile = [dimensions]bool{}
+			e.kindChanged(k)
+			e.wake++
+		}
+	}
+}
+
+// reclaimable reports whether room lent to such work comes back promptly, by
+// preemption or because the work is short.
+func (k *kindState) reclaimable(runTime time.Duration) bool {
+	return k.preempted() || runTime > 0 && runTime <= shortRunTime
+}
+
+func (k *kindState) preempted() bool {
+	return k.policy.Preemption == VerbCheckpoint || k.policy.Preemption == VerbStop
+}
+
+// entitlement reports whether the demand is inside the kind's guarantee, and
+// whether the kind may take it at all.
+func (e *Engine) entitlement(k *kindState, demand *amount, runTime time.Duration) (entitled, allowed bool) {
+	after := k.used.plus(*demand)
+	share := after.dominantShare(&e.capacity)
+	if k.guaranteed > 0 && share <= k.guaranteed+shareTolerance {
+		return true, true
+	}
+	if share > k.ceiling+shareTolerance {
+		return false, false
+	}
+	if k.reclaimable(runTime) {
+		return false, true
+	}
+	for d := range demand {
+		others := e.reserved[d] - k.reserve[d]
+		if demand[d] > 0 && others > 0 && e.free[d]-demand[d] < others {
+			return false, false
+		}
+	}
+	return false, true
+}
+
+// mayHold reports whether workers may be held for the demand: it stays below
+// the ceiling and leaves what others are guaranteed and don't use.
+func (e *Engine) mayHold(k *kindState, demand *amount) bool {
+	after := k.used.plus(*demand)
+	if after.dominantShare(&e.capacity) > max(k.ceiling, k.guaranteed)+shareTolerance {
+		return false
+	}
+	for d := range after {
+		if demand[d] > 0 && after[d] > e.capacity[d]-(e.reserved[d]-k.reserve[d]) {
+			return false
+		}
+	}
+	return true
+}
+
+// precedes orders kinds: those below their guarantee by urgency, then the
+// others by their share above the guarantee for their weight.
+func (k *kindState) precedes(other *kindState) bool {
+	below, otherBelow := k.share < k.guaranteed-shareTolerance, other.share < other.guaranteed-shareTolerance
+	if below != otherBelow {
+		return below
+	}
+	if below && k.policy.Urgency != other.policy.Urgency {
+		return k.policy.Urgency > other.policy.Urgency
+	}
+	mine, theirs := (k.share-k.guaranteed)/k.weight, (other.share-other.guaranteed)/other.weight
+	if below {
+		mine, theirs = k.share/k.guaranteed, other.share/other.guaranteed
+	}
+	if mine != theirs {
+		return mine < theirs
+	}
+	return k.policy.Urgency > other.policy.Urgency
+}
