--- /dev/null
+++ b/internal/journal/append.go
@@ -0,0 +1,202 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+
+	"github.com/google/uuid"
+)
+
+// pending is a record that has no result yet.
+type pending struct {
+	identity string
+	data     []byte
+	result   chan Result
+}
+
+// batch is one append. Its identity and records stay the same over all its
+// attempts, because the look-up is by the append's identity.
+type batch struct {
+	identity string
+	items    []*pending
+}
+
+// Append buffers a record for the next grouped append. The channel gets one
+// result. ErrBufferFull and ErrStopped mean that the record was not taken.
+func (c *Client) Append(record Record) (<-chan Result, error) {
+	data, err := record.encode()
+	if err != nil {
+		return nil, err
+	}
+	item := &pending{identity: record.Identity, data: data, result: make(chan Result, 1)}
+	if err := c.push(item); err != nil {
+		return nil, err
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return item.result, nil
+}
+
+func (c *Client) push(item *pending) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return ErrStopped
+	}
+	if len(c.buffer) >= c.options.BufferRecords || c.bufferedBytes+len(item.data) > c.options.BufferBytes {
+		return ErrBufferFull
+	}
+	c.buffer = append(c.buffer, item)
+	c.bufferedBytes += len(item.data)
+	return nil
+}
+
+// Withdraw takes a record back that has not been sent yet and reports whether
+// it did. After true the record will never be in the log, so that its job can
+// be refused as not run.
+func (c *Client) Withdraw(identity string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.buffer, func(item *pending) bool { return item.identity == identity })
+	if i < 0 {
+		return false
+	}
+	c.buffer[i].result <- Result{Err: ErrWithdrawn}
+	c.bufferedBytes -= len(c.buffer[i].data)
+	c.buffer = slices.Delete(c.buffer, i, i+1)
+	return true
+}
+
+// Start runs the appends until the context ends; the channel then gets the
+// context's error. It is called once.
+func (c *Client) Start(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() { ended <- c.runAppends(ctx) }()
+	return ended
+}
+
+func (c *Client) runAppends(ctx context.Context) error {
+	defer c.failBuffer()
+	delays := c.newBackoff()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.wake:
+		}
+		for c.buffered() {
+			// The batch is taken after the wait, so that it holds all records
+			// that came during the wait.
+			if err := c.limiter.Wait(ctx); err != nil {
+				return ctx.Err()
+			}
+			if next := c.takeBatch(); len(next.items) > 0 {
+				c.write(ctx, delays, next)
+			}
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+func (c *Client) buffered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.buffer) > 0
+}
+
+func (c *Client) takeBatch() batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count, size := 0, 0
+	for count < len(c.buffer) && count < maxRecordsPerAppend {
+		size += len(c.buffer[count].data)
+		if size > maxBytesPerAppend && count > 0 {
+			break
+		}
+		c.bufferedBytes -= len(c.buffer[count].data)
+		count++
+	}
+	taken := batch{identity: uuid.NewString(), items: slices.Clone(c.buffer[:count])}
+	c.buffer = slices.Delete(c.buffer, 0, count)
+	return taken
+}
+
+// write appends the batch and answers all its records. It retries until the
+// append is known to be in the log, the log refuses it for good, or the
+// context ends.
+func (c *Client) write(ctx context.Context, delays *backoff, b batch) {
+	request := appendRequest{Identity: b.identity}
+	for _, item := range b.items {
+		request.Records = append(request.Records, item.data)
+	}
+	// mayExist is set while an attempt could have taken effect.
+	mayExist := false
+	delays.failures = 0
+	for {
+		first, err := c.attempt(ctx, request, mayExist)
+		if err == nil {
+			b.answer(func(i int) Result { return Result{Offset: first + int64(i)} })
+			return
+		}
+		var refusal *RefusedError
+		definite := errors.As(err, &refusal) && refusal.Status != http.StatusServiceUnavailable
+		if definite && refusal.Status != http.StatusTooManyRequests && refusal.Status < http.StatusInternalServerError {
+			b.answer(func(int) Result { return Result{Err: err} })
+			return
+		}
+		mayExist = mayExist || !definite || refusal.Status != http.StatusTooManyRequests
+		if sleep(ctx, delays.next()) != nil || c.limiter.Wait(ctx) != nil {
+			b.answer(func(int) Result { return Result{Err: outcome(mayExist)} })
+			return
+		}
+	}
+}
+
+func outcome(mayExist bool) error {
+	if mayExist {
+		return ErrOutcomeUnknown
+	}
+	return ErrStopped
+}
+
+// attempt returns the offset of the first record. It looks the append up
+// first if an earlier attempt may have taken effect.
+func (c *Client) attempt(ctx context.Context, request appendRequest, mayExist bool) (int64, error) {
+	start := c.options.Now()
+	first, err := c.findOrAppend(ctx, request, mayExist)
+	c.health.observeAppend(start, c.options.Now(), err)
+	return first, err
+}
+
+func (c *Client) findOrAppend(ctx context.Context, request appendRequest, mayExist bool) (int64, error) {
+	if mayExist {
+		found, err := c.find(ctx, request.Identity)
+		if err != nil || found.Found {
+			return found.First, err
+		}
+	}
+	answer, err := c.postAppend(ctx, request)
+	return answer.First, err
+}
+
+func (b batch) answer(result func(i int) Result) {
+	for i, item := range b.items {
+		item.result <- result(i)
+	}
+}
+
+func (c *Client) failBuffer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	for _, item := range c.buffer {
+		item.result <- Result{Err: ErrStopped}
+	}
+	c.buffer, c.bufferedBytes = nil, 0
+}
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,270 @@
+package journal
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/standin/logservice"
+)
+
+var seedFlag = flag.Uint64("journal.seed", 0, "seed of the random delays; 0 draws one from the clock")
+
+const patience = 20 * time.Second
+
+// bench is a log service with a client, and a count of the append requests.
+type bench struct {
+	service *logservice.Service
+	server  *httptest.Server
+	client  *Client
+	appends atomic.Int64
+}
+
+func newBench(t *testing.T, options Options) *bench {
+	seed := *seedFlag
+	if seed == 0 {
+		seed = uint64(time.Now().UnixNano())
+	}
+	t.Logf("repeat with -journal.seed=%d", seed)
+	b := &bench{service: logservice.New(logservice.Options{})}
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/append" {
+			b.appends.Add(1)
+		}
+		b.service.ServeHTTP(w, r)
+	}))
+	t.Cleanup(b.server.Close)
+	options.Address = netip.MustParseAddrPort(b.server.Listener.Addr().String())
+	options.Seed = seed
+	b.client = New(options)
+	return b
+}
+
+// start runs f until the test ends and requires that it reports its end.
+func start(t *testing.T, f func(ctx context.Context) <-chan error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := f(ctx)
+	t.Cleanup(func() {
+		cancel()
+		require.ErrorIs(t, receive(t, ended), context.Canceled)
+	})
+}
+
+func follow(t *testing.T, client *Client, from int64) <-chan Delivery {
+	var follower *Follower
+	start(t, func(ctx context.Context) <-chan error {
+		follower = client.Follow(ctx, from)
+		return follower.Ended
+	})
+	return follower.Deliveries
+}
+
+func receive[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case value := <-from:
+		return value
+	case <-time.After(patience):
+		require.FailNow(t, "nothing came within the time of the test")
+		panic("not reached")
+	}
+}
+
+func (b *bench) append(t *testing.T, count int) []<-chan Result {
+	var results []<-chan Result
+	for i := range count {
+		record, err := NewRecord(KindJobAccepted, "node-1", time.Now(), i)
+		require.NoError(t, err)
+		result, err := b.client.Append(record)
+		require.NoError(t, err)
+		results = append(results, result)
+	}
+	return results
+}
+
+// requireSequence reads count entries and requires the bodies 0, 1, 2 and so
+// on at offsets without holes.
+func requireSequence(t *testing.T, deliveries <-chan Delivery, count int) {
+	t.Helper()
+	for next := 0; next < count; {
+		delivery := receive(t, deliveries)
+		require.Nil(t, delivery.Lost)
+		for _, entry := range delivery.Entries {
+			var body int
+			require.NoError(t, entry.Fault)
+			require.NoError(t, entry.Record.Decode(&body))
+			require.Equal(t, next, body)
+			require.Equal(t, int64(next), entry.Offset)
+			next++
+		}
+	}
+}
+
+// Guards against a second append of records whose first append took effect and
+// lost its answer, and against results that name the wrong offsets.
+func TestLostAnswerIsNotAppendedTwice(t *testing.T) {
+	b := newBench(t, Options{})
+	b.service.SetFault(logservice.Fault{LoseAnswers: 2})
+	results := b.append(t, 20)
+	start(t, b.client.Start)
+	for i, result := range results {
+		require.Equal(t, Result{Offset: int64(i)}, receive(t, result))
+	}
+	more := b.append(t, 1)
+	require.Equal(t, Result{Offset: 20}, receive(t, more[0]), "the log holds a record twice")
+	require.Equal(t, int64(2), b.appends.Load())
+}
+
+// Guards against records lost, reordered or repeated over an outage, against a
+// follower that never comes back, and against an outage that is not reported.
+func TestOutageAndCatchUp(t *testing.T) {
+	b := newBench(t, Options{BackoffMax: 300 * time.Millisecond})
+	start(t, b.client.Start)
+	var followers []<-chan Delivery
+	for range 4 {
+		followers = append(followers, follow(t, b.client, 0))
+	}
+	for _, deliveries := range followers {
+		require.True(t, receive(t, deliveries).CaughtUp)
+	}
+	b.service.SetFault(logservice.Fault{Outage: true})
+	results := b.append(t, 1500)
+	for receive(t, b.client.States()) != StateDown {
+	}
+	began := time.Now()
+	b.service.SetFault(logservice.Fault{})
+	for _, deliveries := range followers {
+		requireSequence(t, deliveries, 1500)
+	}
+	t.Logf("4 followers caught up with 1500 records %v after the outage", time.Since(began))
+	for _, result := range results {
+		require.NoError(t, receive(t, result).Err)
+	}
+	for receive(t, b.client.States()) != StateUp {
+	}
+}
+
+// Guards against a slow log that is reported as up or down.
+func TestSlowLog(t *testing.T) {
+	b := newBench(t, Options{})
+	start(t, b.client.Start)
+	b.service.SetFault(logservice.Fault{AppendDelayMS: 1000})
+	require.NoError(t, receive(t, b.append(t, 1)[0]).Err)
+	require.Equal(t, StateSlow, receive(t, b.client.States()))
+}
+
+// Guards against a buffer that grows without bound while the log is down, and
+// against a withdrawn record that is written all the same.
+func TestBufferBound(t *testing.T) {
+	for name, options := range map[string]Options{
+		"by records": {BufferRecords: 3},
+		"by bytes":   {BufferBytes: 3600},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, options)
+			var results []<-chan Result
+			var records []Record
+			for i := range 4 {
+				record, err := NewRecord(KindJobEnded, "node-1", time.Now(), bytes.Repeat([]byte{byte(i)}, 1000))
+				require.NoError(t, err)
+				result, err := b.client.Append(record)
+				if i == 3 {
+					require.ErrorIs(t, err, ErrBufferFull)
+					break
+				}
+				require.NoError(t, err)
+				results, records = append(results, result), append(records, record)
+			}
+			require.True(t, b.client.Withdraw(records[1].Identity))
+			require.False(t, b.client.Withdraw(records[1].Identity))
+			require.ErrorIs(t, receive(t, results[1]).Err, ErrWithdrawn)
+			start(t, b.client.Start)
+			require.Equal(t, Result{Offset: 0}, receive(t, results[0]))
+			require.Equal(t, Result{Offset: 1}, receive(t, results[2]))
+		})
+	}
+}
+
+// Guards against records dropped by retention that go unreported, and against
+// an unreadable record that blocks the ones behind it.
+func TestRetentionGapAndUnreadableRecord(t *testing.T) {
+	b := newBench(t, Options{})
+	b.append(t, 10)
+	start(t, b.client.Start)
+	requireSequence(t, follow(t, b.client, 0), 10)
+	body, err := json.Marshal(logservice.AppendRequest{Identity: "x", Records: [][]byte{[]byte("no record")}})
+	require.NoError(t, err)
+	answer, err := http.Post(b.server.URL+"/append", "application/json", bytes.NewReader(body))
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.NoError(t, receive(t, b.append(t, 1)[0]).Err)
+	b.service.SetFault(logservice.Fault{CutBefore: 9})
+	delivery := receive(t, follow(t, b.client, 4))
+	require.Equal(t, &Gap{From: 4, To: 9}, delivery.Lost)
+	require.Len(t, delivery.Entries, 3)
+	require.NoError(t, delivery.Entries[0].Fault)
+	require.Error(t, delivery.Entries[1].Fault)
+	require.Equal(t, int64(11), delivery.Entries[2].Offset)
+	require.NoError(t, delivery.Entries[2].Fault)
+	require.Equal(t, int64(12), delivery.Next)
+}
+
+// Guards against more appends a second than the nodes together may make.
+func TestAppendsAreGroupedAndLimited(t *testing.T) {
+	b := newBench(t, Options{})
+	start(t, b.client.Start)
+	began, records := time.Now(), 0
+	var last <-chan Result
+	for time.Since(began) < time.Second {
+		last = b.append(t, 1)[0]
+		records++
+		time.Sleep(time.Millisecond)
+	}
+	require.NoError(t, receive(t, last).Err)
+	elapsed, appends := time.Since(began), b.appends.Load()
+	t.Logf("%d records in %d appends over %v", records, appends, elapsed)
+	require.LessOrEqual(t, float64(appends), 1+DefaultAppendsPerSecond*elapsed.Seconds())
+}
+
+// Guards against records without a result when the client stops, and against a
+// record reported as not written that may have been.
+func TestStop(t *testing.T) {
+	b := newBench(t, Options{AppendsPerSecond: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	b.service.SetFault(logservice.Fault{Outage: true})
+	sent := b.append(t, 1)[0]
+	ended := b.client.Start(ctx)
+	require.Eventually(t, func() bool { return b.appends.Load() > 0 }, patience, time.Millisecond)
+	waiting := b.append(t, 1)[0]
+	cancel()
+	require.ErrorIs(t, receive(t, ended), context.Canceled)
+	require.ErrorIs(t, receive(t, sent).Err, ErrOutcomeUnknown)
+	require.ErrorIs(t, receive(t, waiting).Err, ErrStopped)
+	_, err := b.client.Append(Record{})
+	require.ErrorIs(t, err, ErrStopped)
+}
+
+// Guards against delays that bunch the nodes together after an outage, and
+// against delays above the bound.
+func TestBackoffIsSpread(t *testing.T) {
+	delays := newBench(t, Options{}).client.newBackoff()
+	delays.failures = 20
+	lowest, highest := DefaultBackoffMax, time.Duration(0)
+	for range 200 {
+		delay := delays.next()
+		lowest, highest = min(lowest, delay), max(highest, delay)
+	}
+	require.Less(t, lowest, DefaultBackoffMax/5, fmt.Sprint("seed of the delays: ", delays))
+	require.Greater(t, highest, DefaultBackoffMax*4/5)
+	require.LessOrEqual(t, highest, DefaultBackoffMax)
+}
--- /dev/null
+++ b/internal/journal/record.go
@@ -0,0 +1,102 @@
+// Package journal is the client of the platform's append-only log. It groups
+// records into few appends, never writes an append twice after a lost answer,
+// and follows the log from an offset.
+//
+// # Usage
+//
+//	client := journal.New(journal.Options{Address: address})
+//	ended := client.Start(ctx)
+//	record, err := journal.NewRecord(journal.KindJobAccepted, "node-3", time.Now(), job)
+//	written, err := client.Append(record) // ErrBufferFull if the log can't keep up
+//	result := <-written
+//
+//	follower := client.Follow(ctx, offset)
+//	for delivery := range follower.Deliveries {
+//		// delivery.Lost, then delivery.Entries in the order of their offsets.
+//	}
+//	err = <-follower.Ended
+//
+// The log can hold a record twice if an append took effect after its look-up
+// had already found nothing, so readers have to ignore an identity that they
+// have seen. The state of the log (up, slow, down) is on Client.States.
+package journal
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+)
+
+// Kind names what the body of a record is.
+type Kind string
+
+// The kinds of records.
+const (
+	KindPolicyChange Kind = "policy-change"
+	KindJobAccepted  Kind = "job-accepted"
+	KindJobEnded     Kind = "job-ended"
+	KindSnapshot     Kind = "snapshot"
+)
+
+// MaxRecordBytes bounds an encoded record. A job's payload is at most 1 MiB.
+const MaxRecordBytes = 2 << 20
+
+// Record is one entry of the log.
+type Record struct {
+	// Identity is random and names the record for its whole life.
+	Identity string          `cbor:"1,keyasint"`
+	Kind     Kind            `cbor:"2,keyasint"`
+	Writer   string          `cbor:"3,keyasint"`
+	Time     time.Time       `cbor:"4,keyasint"`
+	Body     cbor.RawMessage `cbor:"5,keyasint"`
+}
+
+// encodeMode keeps nanoseconds of times, which the default mode drops.
+var encodeMode = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic, Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// NewRecord returns a record with a new identity and the body in CBOR.
+func NewRecord(kind Kind, writer string, now time.Time, body any) (Record, error) {
+	encoded, err := encodeMode.Marshal(body)
+	if err != nil {
+		return Record{}, fmt.Errorf("encode the body of a %s record: %w", kind, err)
+	}
+	return Record{Identity: uuid.NewString(), Kind: kind, Writer: writer, Time: now, Body: encoded}, nil
+}
+
+// Decode reads the body into a pointer to the type that the kind implies.
+func (r *Record) Decode(body any) error {
+	if err := cbor.Unmarshal(r.Body, body); err != nil {
+		return fmt.Errorf("decode the body of %s record %s: %w", r.Kind, r.Identity, err)
+	}
+	return nil
+}
+
+func (r *Record) encode() ([]byte, error) {
+	encoded, err := encodeMode.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s record %s: %w", r.Kind, r.Identity, err)
+	}
+	if len(encoded) > MaxRecordBytes {
+		return nil, fmt.Errorf("%s record %s has %d bytes, more than %d", r.Kind, r.Identity, len(encoded), MaxRecordBytes)
+	}
+	return encoded, nil
+}
+
+func decodeRecord(data []byte) (Record, error) {
+	var record Record
+	if err := cbor.Unmarshal(data, &record); err != nil {
+		return Record{}, fmt.Errorf("decode a record: %w", err)
+	}
+	if record.Identity == "" || record.Kind == "" {
+		return record, fmt.Errorf("decode a record: it has no identity or no kind")
+	}
+	return record, nil
+}
--- /dev/null
+++ b/internal/journal/state.go
@@ -0,0 +1,108 @@
+package journal
+
+import (
+	"sync"
+	"time"
+)
+
+// State is how well the log answers.
+type State string
+
+// The states of the log.
+const (
+	StateUp   State = "up"
+	StateSlow State = "slow"
+	StateDown State = "down"
+)
+
+// SlowAfter and DownAfter divide the states: the log is slow when its last
+// append took longer than SlowAfter or a call has just failed, and down when
+// calls have failed for DownAfter. A single lost answer is therefore not an
+// outage.
+const (
+	SlowAfter = 500 * time.Millisecond
+	DownAfter = time.Second
+)
+
+// path is the view of one direction, so that working reads don't hide failing
+// appends.
+type path struct {
+	state State
+	// failingSince is the start of the first of the calls that failed in a row.
+	failingSince time.Time
+}
+
+func (p *path) observe(start, end time.Time, failed, slow bool) {
+	switch {
+	case failed:
+		if p.failingSince.IsZero() {
+			p.failingSince = start
+		}
+		p.state = StateSlow
+		if end.Sub(p.failingSince) >= DownAfter {
+			p.state = StateDown
+		}
+		return
+	case slow:
+		p.state = StateSlow
+	default:
+		p.state = StateUp
+	}
+	p.failingSince = time.Time{}
+}
+
+type health struct {
+	mu            sync.Mutex
+	appends       path
+	reads         path
+	reported      State
+	notifications chan State
+}
+
+func newHealth() *health {
+	return &health{
+		appends:       path{state: StateUp},
+		reads:         path{state: StateUp},
+		reported:      StateUp,
+		notifications: make(chan State, 1),
+	}
+}
+
+func (h *health) observeAppend(start, end time.Time, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.appends.observe(start, end, err != nil, end.Sub(start) > SlowAfter)
+	h.report()
+}
+
+// observeRead ignores how long a read took, because a read waits for records.
+func (h *health) observeRead(start, end time.Time, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reads.observe(start, end, err != nil, false)
+	h.report()
+}
+
+// report replaces an unread notification, so that the channel holds the newest
+// state and never blocks a call to the log.
+func (h *health) report() {
+	state := h.state()
+	if state == h.reported {
+		return
+	}
+	h.reported = state
+	select {
+	case <-h.notifications:
+	default:
+	}
+	h.notifications <- state
+}
+
+func (h *health) state() State {
+	for _, state := range []State{StateDown, StateSlow} {
+		if h.appends.state == state || h.reads.state == state {
+			return state
+		}
+	}
+	return StateUp
+}
