Add the adapter to workers and a stand-in of a worker VM

Cause: owners need an exact, fenced interface to workers, and tests need workers with faults, without any platform.

Ruled out: results redelivered until acknowledged (a watch would return at once in a loop while the layer above has not acknowledged; a cursor avoids this); start-by times relative to arrival (a late delivery would extend them; they are converted to the worker's clock, early by the delay of its last answer); default HTTP headers.

--- /dev/null
+++ b/internal/worker/client_test.go
@@ -0,0 +1,298 @@
+package worker_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/internal/standin/workervm"
+	"yuccalanding.example/yuccalanding/internal/worker"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+const sessionLength = 3 * time.Second
+
+var size = workload.Resources{MilliCPU: 1000, MemoryMB: 1024}
+
+func serveOne(t *testing.T, lease time.Duration) (*workervm.VM, netip.AddrPort) {
+	ctx, cancel := context.WithCancel(context.Background())
+	fleet, err := workervm.Serve(ctx, []workervm.Options{{TaskLease: lease, Worker: placement.Worker{
+		Name: "w-1", Region: "punjab", FailureDomain: "lahore", Rack: "r-1",
+		Capacity: size.Times(2), Slots: 8, Connections: 64,
+	}}})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-fleet.Done)
+	})
+	return fleet.VMs[0], fleet.Addresses[0]
+}
+
+func newClient(t *testing.T, address netip.AddrPort) *worker.Client {
+	client := worker.New(worker.Options{Address: address, Timeout: 300 * time.Millisecond})
+	t.Cleanup(client.Close)
+	return client
+}
+
+func open(t *testing.T, client *worker.Client, holder string, length time.Duration) worker.Session {
+	session, err := client.OpenSession(t.Context(), holder, length)
+	require.NoError(t, err)
+	return session
+}
+
+func newTask(key, payload string) worker.StartTask {
+	return worker.StartTask{
+		ID: placement.TaskID{Key: workload.Key(key)}, Resources: size, Connections: 1,
+		Label: []byte("label of " + key), Payload: []byte(payload),
+	}
+}
+
+func start(t *testing.T, client *worker.Client, token worker.Token, tasks ...worker.StartTask) []worker.StartResult {
+	results, err := client.Start(t.Context(), token, tasks)
+	require.NoError(t, err)
+	return results
+}
+
+// Guards against a paused owner that starts work, acknowledges results or
+// closes the session after another holder took over.
+func TestOldTokenIsRefused(t *testing.T) {
+	vm, address := serveOne(t, 0)
+	client := newClient(t, address)
+	paused := open(t, client, "node-1", 300*time.Millisecond)
+	_, err := client.OpenSession(t.Context(), "node-2", sessionLength)
+	var held *worker.HeldError
+	require.ErrorAs(t, err, &held)
+	require.Equal(t, "node-1", held.Holder)
+	time.Sleep(320 * time.Millisecond)
+	require.Greater(t, open(t, client, "node-2", sessionLength).Token, paused.Token)
+	for name, call := range map[string]func() error{
+		"start": func() error {
+			_, err := client.Start(t.Context(), paused.Token, []worker.StartTask{newTask("a", "")})
+			return err
+		},
+		"watch": func() error {
+			_, err := client.Watch(t.Context(), worker.WatchRequest{Token: paused.Token})
+			return err
+		},
+		"close": func() error { return client.CloseSession(t.Context(), paused.Token) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var old *worker.TokenError
+			require.ErrorAs(t, call(), &old)
+			require.Equal(t, paused.Token, old.Used)
+		})
+	}
+	require.Empty(t, vm.State().Started)
+	require.Equal(t, 3, vm.State().OldTokens)
+}
+
+// Guards against an answer that is lost with its owner, is another task's or
+// is not whole.
+func TestResultSurvivesOwnerChange(t *testing.T) {
+	vm, address := serveOne(t, 0)
+	client := newClient(t, address)
+	first := open(t, client, "node-1", sessionLength)
+	payload := `{"run-ms":10}`
+	require.True(t, start(t, client, first.Token, newTask("a", payload))[0].Accepted)
+	require.NoError(t, client.CloseSession(t.Context(), first.Token))
+	require.Eventually(t, func() bool { return vm.State().Unacked == 1 }, time.Second, time.Millisecond)
+
+	second := open(t, client, "node-2", sessionLength)
+	require.Len(t, second.Tasks, 1)
+	require.Equal(t, worker.Finished, second.Tasks[0].State)
+	require.Equal(t, "label of a", string(second.Tasks[0].Label))
+	report, err := client.Watch(t.Context(), worker.WatchRequest{Token: second.Token})
+	require.NoError(t, err)
+	require.Len(t, report.Finished, 1)
+	var echo workervm.Echo
+	require.NoError(t, json.Unmarshal(report.Finished[0].Body, &echo))
+	require.Equal(t, workervm.Echo{
+		ID: second.Tasks[0].ID, PayloadDigest: workervm.Digest([]byte(payload)), Worker: "w-1",
+	}, echo)
+
+	// A result that was seen is not sent again, but is kept until acknowledged.
+	report, err = client.Watch(t.Context(), worker.WatchRequest{Token: second.Token, Seen: report.Seen})
+	require.NoError(t, err)
+	require.Empty(t, report.Finished)
+	require.Equal(t, 1, vm.State().Unacked)
+	_, err = client.Watch(t.Context(), worker.WatchRequest{
+		Token: second.Token, Acknowledge: []placement.TaskID{second.Tasks[0].ID},
+	})
+	require.NoError(t, err)
+	require.Zero(t, vm.State().Unacked)
+}
+
+// Guards against a task that runs twice after a repeated start, that starts
+// after its start-by time, and against a worker that holds more than it can.
+func TestStartResults(t *testing.T) {
+	vm, address := serveOne(t, 0)
+	client := newClient(t, address)
+	token := open(t, client, "node-1", sessionLength).Token
+	late := newTask("late", "")
+	late.StartBy = time.Now().Add(-time.Second)
+	results := start(t, client, token, newTask("a", `{"run-ms":-1}`), newTask("a", `{"run-ms":-1}`), late,
+		newTask("b", `{"run-ms":-1}`), newTask("c", ""))
+	var reasons []worker.StartReason
+	for _, result := range results {
+		reasons = append(reasons, result.Reason)
+	}
+	require.Equal(t, []worker.StartReason{"", worker.ReasonKnown, worker.ReasonTooLate, "", worker.ReasonOverCapacity}, reasons)
+	state := vm.State()
+	require.Len(t, state.Started, 2)
+	require.Equal(t, []int{1, 1, 1, 0}, []int{state.RepeatStarts, state.TooLate, state.OverCapacity, state.DoubleStarts})
+	require.Equal(t, size.Times(2), state.MaxUsed)
+}
+
+// Guards against a task that runs on without an owner, and against a renewed
+// session that does not renew the leases of its tasks.
+func TestLeaseExpiryStopsTask(t *testing.T) {
+	vm, address := serveOne(t, 300*time.Millisecond)
+	client := newClient(t, address)
+	token := open(t, client, "node-1", sessionLength).Token
+	start(t, client, token, newTask("a", `{"run-ms":-1}`))
+	for range 4 {
+		_, err := client.Watch(t.Context(), worker.WatchRequest{Token: token, Wait: 120 * time.Millisecond})
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, vm.State().Running)
+	require.Eventually(t, func() bool { return vm.State().Running == 0 }, time.Second, time.Millisecond)
+	require.Equal(t, workervm.ReasonLeaseExpired, vm.State().Started[0].Reason)
+}
+
+// Guards against faults that the stand-in does not inject, or that the client
+// does not see.
+func TestFaultsAndActions(t *testing.T) {
+	for name, test := range map[string]struct {
+		fault   workervm.Fault
+		payload string
+		request worker.WatchRequest
+		check   func(t *testing.T, report worker.Report)
+	}{
+		"fail all": {workervm.Fault{FailAll: true}, "", worker.WatchRequest{}, func(t *testing.T, r worker.Report) {
+			require.Equal(t, placement.Failed, r.Finished[0].Outcome)
+		}},
+		"task fails": {workervm.Fault{}, `{"fail":true}`, worker.WatchRequest{}, func(t *testing.T, r worker.Report) {
+			require.Equal(t, placement.Failed, r.Finished[0].Outcome)
+		}},
+		"stall": {workervm.Fault{Stall: true}, "", worker.WatchRequest{}, func(t *testing.T, r worker.Report) {
+			require.Empty(t, r.Finished)
+		}},
+		"leave": {workervm.Fault{Leave: true}, "", worker.WatchRequest{}, func(t *testing.T, r worker.Report) {
+			require.True(t, r.Leaving)
+		}},
+		"usage factor": {workervm.Fault{UsageFactor: 2}, `{"run-ms":-1}`, worker.WatchRequest{}, func(t *testing.T, r worker.Report) {
+			require.Equal(t, int64(2000), r.Usage[0].Used.MilliCPU)
+		}},
+		"usage lag": {workervm.Fault{UsageLagMS: 60000}, `{"run-ms":-1}`, worker.WatchRequest{}, func(t *testing.T, r worker.Report) {
+			require.Empty(t, r.Usage)
+		}},
+		"checkpoint": {
+			workervm.Fault{}, `{"run-ms":-1}`, worker.WatchRequest{Checkpoint: []placement.TaskID{{Key: "a"}}},
+			func(t *testing.T, r worker.Report) {
+				require.Equal(t, placement.Checkpointed, r.Finished[0].Outcome)
+			},
+		},
+		"throttle": {
+			workervm.Fault{UsageFactor: 3}, `{"run-ms":-1}`, worker.WatchRequest{Throttle: []placement.TaskID{{Key: "a"}}},
+			func(t *testing.T, r worker.Report) { require.Equal(t, size, r.Usage[0].Used) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm, address := serveOne(t, 0)
+			client := newClient(t, address)
+			token := open(t, client, "node-1", sessionLength).Token
+			vm.SetFault(test.fault)
+			start(t, client, token, newTask("a", test.payload))
+			test.request.Token, test.request.Wait = token, 50*time.Millisecond
+			report, err := client.Watch(t.Context(), test.request)
+			require.NoError(t, err)
+			test.check(t, report)
+		})
+	}
+}
+
+// Guards against an owner that waits forever on a connection that stopped
+// delivering data, and that does not open a new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	vm, address := serveOne(t, 0)
+	client := newClient(t, address)
+	token := open(t, client, "node-1", sessionLength).Token
+	vm.SetFault(workervm.Fault{Silent: true})
+	_, err := client.Watch(t.Context(), worker.WatchRequest{Token: token})
+	var unknown *worker.OutcomeUnknownError
+	require.ErrorAs(t, err, &unknown)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	_, err = client.Watch(t.Context(), worker.WatchRequest{Token: token})
+	require.NoError(t, err)
+}
+
+// Guards against a paused worker that, once it resumes, renews leases which
+// ended during the pause.
+func TestFrozenWorkerStopsTasksWhenItResumes(t *testing.T) {
+	vm, address := serveOne(t, 200*time.Millisecond)
+	client := newClient(t, address)
+	token := open(t, client, "node-1", sessionLength).Token
+	start(t, client, token, newTask("a", `{"run-ms":-1}`))
+	vm.SetFault(workervm.Fault{Freeze: true})
+	_, err := client.Watch(t.Context(), worker.WatchRequest{Token: token})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	vm.SetFault(workervm.Fault{})
+	report, err := client.Watch(t.Context(), worker.WatchRequest{Token: token})
+	require.NoError(t, err)
+	require.Equal(t, workervm.ReasonLeaseExpired, report.Finished[0].Reason)
+}
+
+// Guards against a call that is reported as not sent although the worker may
+// have carried it out, and the reverse.
+func TestOutcomeOfBrokenCalls(t *testing.T) {
+	answering := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status); _, _ = w.Write([]byte(body)) }
+	}
+	refuseDial := func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") }
+	for name, test := range map[string]struct {
+		handler http.HandlerFunc
+		dial    func(context.Context, string, string) (net.Conn, error)
+		target  any
+	}{
+		"dial fails":        {answering(200, ""), refuseDial, new(*worker.NotSentError)},
+		"connection closed": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, nil, new(*worker.OutcomeUnknownError)},
+		"server error":      {answering(500, `{"code":"held"}`), nil, new(*worker.OutcomeUnknownError)},
+		"not a refusal":     {answering(404, "page"), nil, new(*worker.OutcomeUnknownError)},
+		"bad answer":        {answering(200, "{"), nil, new(*worker.OutcomeUnknownError)},
+		"other results":     {answering(200, "{}"), nil, new(*worker.OutcomeUnknownError)},
+		"refusal":           {answering(400, `{"code":"bad-request"}`), nil, new(*worker.RefusedError)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(test.handler)
+			defer server.Close()
+			address := netip.MustParseAddrPort(server.Listener.Addr().String())
+			client := worker.New(worker.Options{Address: address, Dial: test.dial})
+			defer client.Close()
+			_, err := client.Start(t.Context(), 1, []worker.StartTask{newTask("a", "")})
+			require.ErrorAs(t, err, test.target)
+		})
+	}
+}
+
+// Guards against headers that exceed the traffic allowed for a node: one that
+// owns 108 workers renews each of them every second.
+func TestIdleWatchIsSmall(t *testing.T) {
+	_, address := serveOne(t, 0)
+	client := newClient(t, address)
+	token := open(t, client, "node-1", sessionLength).Token
+	sentBefore, receivedBefore := client.Bytes()
+	_, err := client.Watch(t.Context(), worker.WatchRequest{Token: token, Wait: 20 * time.Millisecond})
+	require.NoError(t, err)
+	sent, received := client.Bytes()
+	t.Logf("one idle watch: %d bytes sent, %d received", sent-sentBefore, received-receivedBefore)
+	require.Less(t, sent-sentBefore+received-receivedBefore, int64(300))
+}
