Add the QUIC transport between nodes

Cause: the control thread needs frames between nodes that arrive at most once, from nodes of its own cluster only, over connections that may stop delivering data without an error.

Change: internal/peer keeps one QUIC connection per pair with a stream per purpose, bounded queues that never block the sender, application heartbeats, replacement of silent connections from a new socket, and counters per peer, purpose and region.

Ruled out: certificate checks alone for refusals (the accepting side of a QUIC handshake is not told that the dialing side refused its certificate; the offered TLS protocol therefore names the version and a fingerprint of the secret); dialing from the listening socket (a path that is dead for one pair of addresses would stay dead); sending queued frames again.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,304 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/stretchr/testify/require"
+)
+
+const patience = 5 * time.Second
+
+var secret = []byte("a secret of the test cluster")
+
+// node is a transport with what it received.
+type node struct {
+	*Transport
+	mu     sync.Mutex
+	frames []string
+}
+
+func (n *node) received() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.frames)
+}
+
+func newNode(t *testing.T, name string, change func(*Options)) *node {
+	n := &node{}
+	options := Options{
+		Self: name, Region: "punjab", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Secret: secret, Seed: 1,
+		Heartbeat: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
+		Receive: func(from string, purpose Purpose, frame []byte) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.frames = append(n.frames, fmt.Sprintf("%s %s %.20s", from, purpose, frame))
+		},
+	}
+	if change != nil {
+		change(&options)
+	}
+	var err error
+	n.Transport, err = New(options)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	return n
+}
+
+func introduce(t *testing.T, nodes ...*node) {
+	var members []Member
+	for i, n := range nodes {
+		region := []string{"punjab", "sindh"}[i%2]
+		members = append(members, Member{Name: n.options.Self, Address: n.Address(), Region: region})
+	}
+	for _, n := range nodes {
+		require.NoError(t, n.SetMembers(members))
+	}
+}
+
+func pair(t *testing.T, changeA, changeB func(*Options)) (a, b *node) {
+	a, b = newNode(t, "a", changeA), newNode(t, "b", changeB)
+	introduce(t, a, b)
+	require.Eventually(t, func() bool { return a.Connected("b") && b.Connected("a") }, patience, time.Millisecond)
+	return a, b
+}
+
+// Guards against frames that are lost, reordered, cut or charged to the wrong
+// purpose or region on a sound connection.
+func TestFramesArriveInOrder(t *testing.T) {
+	a, b := pair(t, nil, nil)
+	large := bytes.Repeat([]byte("x"), MaxFrameBytes)
+	require.True(t, a.Send("b", Bulk, large))
+	for _, frame := range []string{"1", "2", "3"} {
+		require.True(t, a.Send("b", Control, []byte(frame)))
+		require.True(t, b.Send("a", Control, []byte(frame)))
+	}
+	require.Eventually(t, func() bool { return len(b.received()) == 4 && len(a.received()) == 3 }, patience, time.Millisecond)
+	require.Equal(t, []string{"b control 1", "b control 2", "b control 3"}, a.received())
+	require.Contains(t, b.received(), "a bulk xxxxxxxxxxxxxxxxxxxx")
+	require.Equal(t, uint64(MaxFrameBytes+frameHeader), b.Counters().Peers[0].Bulk.BytesReceived)
+	require.Greater(t, a.Counters().OtherRegions.Sent, uint64(MaxFrameBytes))
+	require.Zero(t, b.Counters().OtherRegions)
+	require.False(t, a.Send("b", Bulk, append(large, 'x')))
+}
+
+// Guards against a node of another cluster or version that connects, has an
+// effect, or is refused without a trace on the sound node.
+func TestOtherClusterIsRefused(t *testing.T) {
+	otherSecret := func(o *Options) { o.Secret = []byte("a secret of another cluster") }
+	otherVersion := func(o *Options) { o.Version = ProtocolVersion + 1 }
+	for name, test := range map[string]struct {
+		self  string
+		other func(*Options)
+		kind  Kind
+	}{
+		"other secret dials":      {"b", otherSecret, RefusedSecret},
+		"other secret is dialed":  {"Z", otherSecret, RefusedByPeer},
+		"other version dials":     {"b", otherVersion, RefusedVersion},
+		"other version is dialed": {"Z", otherVersion, RefusedByPeer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sound, other := newNode(t, test.self, nil), newNode(t, "a", test.other)
+			introduce(t, sound, other)
+			require.Eventually(t, func() bool { return sound.Events()[test.kind] > 0 }, patience, time.Millisecond)
+			require.False(t, sound.Connected("a"))
+			require.False(t, other.Send(test.self, Control, []byte("x")))
+			require.Zero(t, sound.Events()[Connected])
+			require.Empty(t, sound.received())
+		})
+	}
+}
+
+// Guards against a process that knows the fingerprint of the secret, which is
+// sent in the clear, but not the secret itself.
+func TestForgedCertificateIsRefused(t *testing.T) {
+	sound := newNode(t, "b", nil)
+	forger := newNode(t, "a", func(o *Options) { o.Secret = []byte("a secret of another cluster") })
+	require.NoError(t, sound.SetMembers([]Member{{Name: "a", Address: forger.Address()}}))
+	config := forger.clientTLS("b")
+	config.NextProtos, config.VerifyConnection = []string{sound.identity.protocol}, nil
+	conn, err := quic.DialAddr(t.Context(), sound.Address().String(), config, forger.quicConfig())
+	if err == nil {
+		<-conn.Context().Done()
+	}
+	require.Eventually(t, func() bool { return sound.Events()[RefusedSecret] == 1 }, patience, time.Millisecond)
+	require.Zero(t, sound.Events()[Connected])
+}
+
+// lossySocket drops packets of one or both directions while it is silent.
+type lossySocket struct {
+	net.PacketConn
+	mu                       sync.Mutex
+	dropReads, dropWrites    bool
+	silenceReads, silentSend bool
+}
+
+func (s *lossySocket) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropReads, s.dropWrites = s.silenceReads, s.silentSend
+}
+
+func (s *lossySocket) drops() (reads, writes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dropReads, s.dropWrites
+}
+
+func (s *lossySocket) ReadFrom(data []byte) (int, net.Addr, error) {
+	for {
+		n, from, err := s.PacketConn.ReadFrom(data)
+		if drop, _ := s.drops(); err != nil || !drop {
+			return n, from, err
+		}
+	}
+}
+
+func (s *lossySocket) WriteTo(data []byte, to net.Addr) (int, error) {
+	if _, drop := s.drops(); drop {
+		return len(data), nil
+	}
+	return s.PacketConn.WriteTo(data, to)
+}
+
+// Guards against a connection that permanently stops delivering data in one
+// or both directions and is kept, and against frames of the old connection
+// that are sent on the new one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for name, lossy := range map[string]*lossySocket{
+		"both directions": {silenceReads: true, silentSend: true},
+		"towards dialer":  {silenceReads: true},
+		"from dialer":     {silentSend: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sockets := make(chan *lossySocket, 100)
+			a, b := pair(t, func(o *Options) {
+				o.Socket = func(socket net.PacketConn) net.PacketConn {
+					wrapped := &lossySocket{PacketConn: socket, silenceReads: lossy.silenceReads, silentSend: lossy.silentSend}
+					sockets <- wrapped
+					return wrapped
+				}
+				o.Delay = func(string) time.Duration { return time.Minute }
+			}, nil)
+			require.True(t, a.Send("b", Control, []byte("queued")))
+			for len(sockets) > 0 {
+				(<-sockets).silence()
+			}
+			began := time.Now()
+			require.Eventually(t, func() bool {
+				return a.Events()[Connected] == 2 && b.Events()[Connected] == 2 && b.Connected("a")
+			}, patience, time.Millisecond)
+			t.Logf("replaced after %s, with a silence limit of %s", time.Since(began).Round(time.Millisecond), a.options.Silence)
+			require.NotZero(t, a.Events()[Silent]+b.Events()[Silent])
+			require.Equal(t, uint64(1), a.Counters().Peers[0].Control.DroppedBroken)
+			require.True(t, b.Send("a", Control, []byte("after")))
+			require.Eventually(t, func() bool { return len(a.received()) == 1 }, patience, time.Millisecond)
+			require.Empty(t, b.received())
+		})
+	}
+}
+
+// Guards against a queue that grows without limit while a peer is slow, and
+// against drops that are not counted.
+func TestQueueIsBounded(t *testing.T) {
+	for name, test := range map[string]struct {
+		frames, bytes, size, fit int
+	}{
+		"frames": {frames: 3, bytes: 1000, size: 1, fit: 3},
+		"bytes":  {frames: 1000, bytes: 100, size: 40, fit: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, _ := pair(t, func(o *Options) {
+				o.QueueFrames, o.QueueBytes = test.frames, test.bytes
+				o.Delay = func(string) time.Duration { return time.Minute }
+			}, nil)
+			sent := 0
+			for range 5 {
+				if a.Send("b", Bulk, make([]byte, test.size)) {
+					sent++
+				}
+			}
+			require.Equal(t, test.fit, sent)
+			require.Equal(t, uint64(5-test.fit), a.Counters().Peers[0].Bulk.DroppedFull)
+		})
+	}
+}
+
+// Guards against a delay that is not applied, or that is applied once for each
+// queued frame.
+func TestDelayImitatesDistance(t *testing.T) {
+	const delay = 100 * time.Millisecond
+	a, b := pair(t, func(o *Options) { o.Delay = func(string) time.Duration { return delay } }, nil)
+	began := time.Now()
+	for range 20 {
+		require.True(t, a.Send("b", Control, []byte("x")))
+	}
+	require.Eventually(t, func() bool { return len(b.received()) == 20 }, patience, time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(began), delay)
+	require.Less(t, time.Since(began), 10*delay)
+}
+
+// Guards against a node that goes on reading after a break of the protocol,
+// or reserves memory for a frame beyond the bound.
+func TestMalformedInputIsCounted(t *testing.T) {
+	for name, streams := range map[string][][]byte{
+		"unknown purpose": {{9}, {9}},
+		"purpose twice":   {{0}, {0}},
+		"frame too large": {binary.BigEndian.AppendUint32([]byte{0}, MaxFrameBytes+1), {1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, a := newNode(t, "b", nil), newNode(t, "a", nil)
+			require.NoError(t, b.SetMembers([]Member{{Name: "a", Address: a.Address()}}))
+			conn, err := quic.DialAddr(t.Context(), b.Address().String(), a.clientTLS("b"), a.quicConfig())
+			require.NoError(t, err)
+			for _, data := range streams {
+				stream, err := conn.OpenStreamSync(t.Context())
+				require.NoError(t, err)
+				_, err = stream.Write(data)
+				require.NoError(t, err)
+			}
+			<-conn.Context().Done()
+			require.Eventually(t, func() bool { return b.Events()[Malformed] == 1 }, patience, time.Millisecond)
+			require.Empty(t, b.received())
+		})
+	}
+}
+
+// Guards against a reader that panics, loops, accepts a frame beyond the bound
+// or reads a frame differently from how it was written.
+func FuzzReadFrame(f *testing.F) {
+	f.Add(appendFrame(appendFrame(nil, []byte("frame")), nil))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 9, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := bytes.NewReader(data)
+		var written []byte
+		for {
+			consumed := len(data) - reader.Len()
+			frame, err := readFrame(reader)
+			if err != nil {
+				require.Equal(t, data[:consumed], append([]byte{}, written...))
+				require.True(t, err != io.EOF || consumed == len(data))
+				return
+			}
+			require.LessOrEqual(t, len(frame), MaxFrameBytes)
+			written = appendFrame(written, frame)
+		}
+	})
+}
