Add callers' interface, client, settings and events

Cause: callers, operators and the node need one agreed boundary before the scheduler's state is joined to it. Change: internal/front serves /v1 and /healthz over function fields, with bounds, findings with line and column, and keep-alive bytes on long waits. pkg/caller repeats requests under the at-most-once rule and resolves broken connections by key. internal/settings reports every fault with file and line. internal/event holds the catalogue, from which docs/events.md is generated. internal/access has the roles; its token file follows. Ruled out: "not-run" from a front for a retry, since an earlier attempt may have run through another node; a keep-alive from the first second, since quick answers would lose their HTTP status; chunked trailers for the late status, since few clients read them.

--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,62 @@
+package event_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/event"
+)
+
+var update = flag.Bool("update", false, "write docs/events.md from the catalogue")
+
+const page = "../../docs/events.md"
+
+// Guards against a page of events that differs from what nodes log.
+func TestPageMatchesCatalogue(t *testing.T) {
+	if *update {
+		require.NoError(t, os.WriteFile(page, []byte(event.Markdown()), 0o644))
+	}
+	content, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Equal(t, event.Markdown(), string(content), "run: go test ./internal/event -update")
+}
+
+// Guards against two events with one number or name, and against gaps in the page.
+func TestCatalogueIsComplete(t *testing.T) {
+	numbers, names := map[int]bool{}, map[string]bool{}
+	for _, definition := range event.Catalogue() {
+		require.False(t, numbers[definition.Number], "number %d twice", definition.Number)
+		require.False(t, names[definition.Name], "name %s twice", definition.Name)
+		require.NotEmpty(t, definition.Meaning, definition.Name)
+		require.NotEmpty(t, definition.Action, definition.Name)
+		numbers[definition.Number], names[definition.Name] = true, true
+	}
+}
+
+// Guards against log lines in a loop without a bound, and against the loss of
+// the count of suppressed lines.
+func TestRateLimitCountsSuppressedLines(t *testing.T) {
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(context.Background())
+	now := time.Unix(1000, 0)
+	recorder := event.New(ctx, event.Options{Out: &out, Node: "entry-1", Now: func() time.Time { return now }, PerSecond: 1, Burst: 2})
+	for range 10 {
+		recorder.Record(event.SessionLost, "worker", "w-1")
+	}
+	now = now.Add(time.Second)
+	recorder.Record(event.SessionLost, "worker", "w-1")
+	recorder.Record(event.SessionOpened, "worker", func() {})
+	cancel()
+	<-recorder.Done()
+	require.Equal(t, 2, strings.Count(out.String(), "event=202 name=session-lost node=entry-1 worker=w-1\n"))
+	require.Contains(t, out.String(), "suppressed=8 worker=w-1")
+	require.Contains(t, out.String(), "event=200")
+	require.EqualValues(t, 11, recorder.Total(event.SessionLost))
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,197 @@
+// Package settings reads a process's own settings: who it is, where it
+// listens, which members it knows and how it reaches the platform.
+//
+// Settings are one INI file, or a folder whose *.ini files are merged in name
+// order, so that a later file overrides single keys of an earlier one. They
+// are checked as a whole, and all faults are reported at once with file, line,
+// section and key.
+//
+// # Usage
+//
+//	[node]
+//	name           = entry-1
+//	region         = punjab
+//	failure-domain = lahore
+//	[addresses]
+//	callers   = 10.0.1.1:8080
+//	operators = 10.0.1.1:8081
+//	peers     = 10.0.1.1:8082
+//	[cluster]
+//	secret-file = cluster.secret
+//	[member entry-2]
+//	peers          = 10.0.2.1:8082
+//	callers        = 10.0.2.1:8080
+//	region         = sindh
+//	failure-domain = karachi
+//	[platform]
+//	log     = 10.0.9.1:7000
+//	vm-list = 10.0.9.1:7001
+//
+//	settings, err := settings.Load("/etc/yuccalanding")
+//	var findings settings.Findings
+//	if errors.As(err, &findings) {
+//		// One line for each fault.
+//	}
+//
+// Durations are written as in Go ("250ms", "3s"). A comment starts with "#" or
+// ";" at the start of a line or after a space. Relative file names are relative
+// to the folder of the settings.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	Node      Node
+	Addresses Addresses
+	Cluster   Cluster
+	// Members are the other entry VMs and possibly this one, in name order.
+	Members  []Member
+	Platform Platform
+	Limits   Limits
+	Timing   Timing
+	Access   Access
+	TLS      TLS
+}
+
+// Node says who the process is.
+type Node struct {
+	Name          string
+	Region        string
+	FailureDomain string
+}
+
+// Addresses are where the process listens.
+type Addresses struct {
+	Callers   netip.AddrPort
+	Operators netip.AddrPort
+	Peers     netip.AddrPort
+}
+
+// Cluster holds what all nodes share.
+type Cluster struct {
+	Secret Secret
+}
+
+// Secret is a value that does not print itself.
+type Secret string
+
+// String hides the secret.
+func (Secret) String() string { return "(secret)" }
+
+// GoString hides the secret.
+func (Secret) GoString() string { return "(secret)" }
+
+// MarshalText hides the secret in dumps.
+func (Secret) MarshalText() ([]byte, error) { return []byte("(secret)"), nil }
+
+// Member is an entry VM that the process knows from its settings.
+type Member struct {
+	Name          string
+	Peers         netip.AddrPort
+	Callers       netip.AddrPort
+	Region        string
+	FailureDomain string
+}
+
+// Platform says where the outside services are.
+type Platform struct {
+	Log    netip.AddrPort
+	VMList netip.AddrPort
+}
+
+// Limits bound what the process holds and sends.
+type Limits struct {
+	OpenRequests        int
+	OpenRequestsPerTeam int
+	Connections         int
+	// AppendsPerSecond bounds the node's appends to the log.
+	AppendsPerSecond int
+}
+
+// Timing holds intervals. All nodes of a cluster must use the same values.
+type Timing struct {
+	Session          time.Duration
+	SessionRenewal   time.Duration
+	TaskLease        time.Duration
+	HomeLease        time.Duration
+	HomeLeaseRenewal time.Duration
+	Heartbeat        time.Duration
+	SuspectAfter     time.Duration
+	// KeepAliveAfter and KeepAliveEvery time the spaces on callers' long waits.
+	KeepAliveAfter time.Duration
+	KeepAliveEvery time.Duration
+	// DrainBound is how long a planned stop waits for open requests.
+	DrainBound time.Duration
+}
+
+// Access says who may call.
+type Access struct {
+	// TokenFile is empty for open access from loopback only.
+	TokenFile string
+}
+
+// TLS names the certificate of the callers' and operators' addresses. Both
+// fields are empty or both are set.
+type TLS struct {
+	CertificateFile string
+	KeyFile         string
+}
+
+// Defaults returns the settings that a file may leave out, with the intervals
+// of the design page.
+func Defaults() Settings {
+	return Settings{
+		Limits: Limits{OpenRequests: 20_000, OpenRequestsPerTeam: 5_000, Connections: 25_000, AppendsPerSecond: 10},
+		Timing: Timing{
+			Session: 3 * time.Second, SessionRenewal: time.Second, TaskLease: 20 * time.Second,
+			HomeLease: 2 * time.Second, HomeLeaseRenewal: 500 * time.Millisecond,
+			Heartbeat: 250 * time.Millisecond, SuspectAfter: 1500 * time.Millisecond,
+			KeepAliveAfter: 10 * time.Second, KeepAliveEvery: 5 * time.Second, DrainBound: time.Minute,
+		},
+	}
+}
+
+// Finding is one fault of the settings with its place. Line is 0 if the fault
+// has no line, such as a missing key.
+type Finding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line,omitempty"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Message string `json:"message"`
+}
+
+// String returns the finding as "file:line: [section] key: message".
+func (f Finding) String() string {
+	var text strings.Builder
+	text.WriteString(f.File)
+	if f.Line > 0 {
+		fmt.Fprintf(&text, ":%d", f.Line)
+	}
+	text.WriteString(": ")
+	if f.Section != "" {
+		fmt.Fprintf(&text, "[%s] ", f.Section)
+	}
+	if f.Key != "" {
+		text.WriteString(f.Key + ": ")
+	}
+	return text.String() + f.Message
+}
+
+// Findings are all faults of the settings in the order of files and lines.
+type Findings []Finding
+
+// Error returns one line for each finding.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
