--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -1,18 +1,19 @@
 // Package access decides what the holder of a token may do.
 //
-// Tokens come from an INI file with one section for each token. The file is
-// read again when it changes; a changed file with faults leaves the tokens in
-// force as they are. Without a file, access is open to loopback addresses and
-// closed to all others.
+// Tokens come from a file with one token a line: role, name, team and token,
+// separated by spaces. The file is read again when its content changes; a
+// changed file with faults leaves the tokens in force as they are. Without a
+// file, access is open to loopback addresses and closed to all others.
 //
 // # Usage
 //
-//	[token ledger-frontend]
-//	secret = 2f6b...
-//	role   = caller
-//	team   = ledger
+//	# role    name             team    token
+//	caller    ledger-frontend  ledger  6f1c0b8e2f7d4a5b9c3e8d7f6a5b4c3d
+//	support   desk             -       0a9b8c7d6e5f4a3b2c1d0e9f8a7b6c5d
+//	operator  operations       -       1f2e3d4c5b6a79880716253443526170
 //
-//	list, err := access.Open("tokens.ini")
+//	list, err := access.Open(access.Options{File: "tokens"})
+//	stopped := list.Watch(ctx)
 //	grant, err := list.Authorize(token, remote)
 //	if err != nil || !grant.MaySubmit("ledger") {
 //		// Refuse with code forbidden.
--- /dev/null
+++ b/internal/access/access_test.go
@@ -0,0 +1,101 @@
+package access_test
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/access"
+	"yuccalanding.example/yuccalanding/internal/event"
+)
+
+var (
+	ledger  = strings.Repeat("a", 32)
+	support = strings.Repeat("b", 32)
+	far     = netip.MustParseAddrPort("10.0.0.1:9")
+)
+
+// Guards against a token that does more than its role, and against one team
+// that reaches another's work.
+func TestGrants(t *testing.T) {
+	type rights struct{ submit, submitOther, readOther, cancelOther, inspect, operate bool }
+	cases := map[string]struct {
+		grant access.Grant
+		want  rights
+	}{
+		"caller":   {access.Grant{Role: access.RoleCaller, Team: "ledger"}, rights{submit: true}},
+		"support":  {access.Grant{Role: access.RoleSupport}, rights{readOther: true, inspect: true}},
+		"operator": {access.Grant{Role: access.RoleOperator}, rights{readOther: true, cancelOther: true, inspect: true, operate: true}},
+		"open":     {access.Grant{Role: access.RoleOpen}, rights{true, true, true, true, true, true}},
+		"none":     {access.Grant{}, rights{}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := test.grant
+			require.Equal(t, test.want, rights{g.MaySubmit("ledger"), g.MaySubmit("oven"), g.MayRead("oven"), g.MayCancel("oven"), g.MayInspect(), g.MayOperate()})
+		})
+	}
+}
+
+// Guards against an open node on the network and against faults in the file
+// that are passed over or that print a token.
+func TestOpen(t *testing.T) {
+	list, err := access.Open(access.Options{})
+	require.NoError(t, err)
+	_, err = list.Authorize("", far)
+	require.ErrorIs(t, err, access.ErrLoopback)
+	grant, err := list.Authorize("", netip.MustParseAddrPort("[::ffff:127.0.0.1]:9"))
+	require.NoError(t, err)
+	require.Equal(t, access.RoleOpen, grant.Role)
+
+	file := filepath.Join(t.TempDir(), "tokens")
+	require.NoError(t, os.WriteFile(file, []byte("caller a - "+ledger+"\nsupport b oven "+ledger+"\nroot c - short\ncaller d\n"), 0o600))
+	_, err = access.Open(access.Options{File: file})
+	require.Equal(t, `:1: role caller needs a team of 1 to 64 characters
+:2: role support is for all teams: write - in place of team "oven"
+:2: the token is that of line 1
+:3: the role must be caller, support or operator, got "root"
+:3: the token must have at least 32 characters, got 5
+:4: must have 4 fields (role, name, team or -, token), got 2`, strings.ReplaceAll(err.Error(), file, ""))
+}
+
+// Guards against a revoked token that stays valid, and against a faulty edit
+// that locks everybody out.
+func TestWatchReloads(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "tokens")
+	write := func(content string) { require.NoError(t, os.WriteFile(file, []byte(content), 0o600)) }
+	write("caller front ledger " + ledger + "\n")
+	var lock sync.Mutex
+	recorded := map[string]int{}
+	list, err := access.Open(access.Options{File: file, PollEvery: time.Millisecond, Record: func(definition event.Definition, _ ...any) {
+		lock.Lock()
+		defer lock.Unlock()
+		recorded[definition.Name]++
+	}})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := list.Watch(ctx)
+	seen := func(name string) func() bool {
+		return func() bool { lock.Lock(); defer lock.Unlock(); return recorded[name] > 0 }
+	}
+	write("caller front")
+	require.Eventually(t, seen("tokens-bad"), 5*time.Second, time.Millisecond)
+	grant, err := list.Authorize(ledger, far)
+	require.NoError(t, err)
+	require.Equal(t, "ledger", grant.Team)
+	write("support desk - " + support + "\n")
+	require.Eventually(t, func() bool { _, err := list.Authorize(support, far); return err == nil }, 5*time.Second, time.Millisecond)
+	_, err = list.Authorize(ledger, far)
+	require.ErrorIs(t, err, access.ErrToken)
+	_, err = list.Authorize("", far)
+	require.ErrorIs(t, err, access.ErrNoToken)
+	cancel()
+	<-stopped
+}
