Bound the transport's memory and tell acknowledged tasks apart

Ruled out: refusing an acknowledged task (the refusal would say "not run").

Figures: worst case for unread and queued frames with 8 peers, computed from the bounds: 104 MB, before 248 MB.

Conclusion: the bounds fit the node's memory.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,9 +47,10 @@
 	// suspects the node, which it does after 1.5 s.
 	DefaultSilence = 1250 * time.Millisecond
 	// DefaultQueueFrames and DefaultQueueBytes bound the queue of each peer
-	// and purpose.
+	// and purpose. With 8 peers that read nothing, both purposes together hold
+	// 80 MB of the 256 MB of a node, and one largest frame always fits.
 	DefaultQueueFrames = 4096
-	DefaultQueueBytes  = 8 << 20
+	DefaultQueueBytes  = 5 << 20
 	// MaxMembers is far above the 9 nodes of the design.
 	MaxMembers = 64
 
@@ -61,6 +62,10 @@
 	lastRetry  = time.Second
 	// udpOverhead is the size of the IPv4 and UDP headers of one packet.
 	udpOverhead = 28
+	// The receive windows bound the memory for unread data to 24 MB with 8
+	// peers. A link of 30 Mbit/s and 60 ms both ways has 225 KB in flight.
+	maxStreamWindow     = 2 << 20
+	maxConnectionWindow = 3 << 20
 )
 
 // Purpose names a stream of a connection.
@@ -98,7 +103,8 @@
 	Secret  []byte
 	Members []Member
 	// Receive takes a frame, which belongs to it. It must not block: it runs
-	// on the goroutine that reads the stream.
+	// on the goroutine that reads the stream, and so on several goroutines at
+	// once for different peers and purposes.
 	Receive func(from string, purpose Purpose, frame []byte)
 	// Event takes events; nil drops them. It must not block.
 	Event func(Event)
@@ -356,6 +362,9 @@
 		MaxIdleTimeout:        3 * t.options.Silence,
 		MaxIncomingStreams:    int64(purposes),
 		MaxIncomingUniStreams: -1,
+
+		MaxStreamReceiveWindow:     maxStreamWindow,
+		MaxConnectionReceiveWindow: maxConnectionWindow,
 	}
 }
 
--- a/internal/standin/workervm/workervm.go
+++ b/internal/standin/workervm/workervm.go
@@ -12,7 +12,8 @@
 //
 // A payload may be JSON such as {"run-ms":50,"fail":false,"use":{"milli-cpu":100}};
 // a negative run-ms runs until the task is stopped. The result body is an Echo.
-// GET /state returns a worker.State, POST /fault takes a Fault.
+// GET /state returns a worker.State, POST /fault takes a Fault. No fault affects
+// these two.
 package workervm
 
 import (
@@ -254,6 +255,9 @@
 	if v.known[request.ID] {
 		v.state.RepeatStarts++
 		result.Accepted, result.Reason = true, worker.ReasonKnown
+		if v.tasks[request.ID] == nil {
+			result.Reason = worker.ReasonAcknowledged
+		}
 		return result
 	}
 	held, running, connections := v.used()
--- a/internal/worker/client_test.go
+++ b/internal/worker/client_test.go
@@ -129,6 +129,7 @@
 	})
 	require.NoError(t, err)
 	require.Zero(t, vm.State().Unacked)
+	require.Equal(t, worker.ReasonAcknowledged, start(t, client, second.Token, newTask("a", payload))[0].Reason)
 }
 
 // Guards against a task that runs twice after a repeated start, that starts
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -150,7 +150,10 @@
 
 // The reasons in start results.
 const (
+	// ReasonKnown and ReasonAcknowledged go with accepted tasks that were
+	// started before. The result of an acknowledged task is gone.
 	ReasonKnown        StartReason = "known"
+	ReasonAcknowledged StartReason = "acknowledged"
 	ReasonTooLate      StartReason = "too-late"
 	ReasonOverCapacity StartReason = "over-capacity"
 	ReasonLeaving      StartReason = "leaving"
@@ -158,7 +161,7 @@
 )
 
 // StartResult says what became of one task. A task that the worker knew before
-// is accepted with ReasonKnown and was not started again.
+// is accepted with ReasonKnown or ReasonAcknowledged and was not started again.
 type StartResult struct {
 	ID       placement.TaskID `json:"id"`
 	Accepted bool             `json:"accepted"`
