--- /dev/null
+++ b/internal/policy/history_test.go
@@ -0,0 +1,321 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"yuccalanding.example/yuccalanding/internal/journal"
+)
+
+func changeOf(identity string, base int64, sections ...SectionChange) Change {
+	return Change{Identity: identity, Base: base, Sections: sections, Who: "op", Why: "test", When: time.Unix(0, 0).UTC()}
+}
+
+func team(name, text string) SectionChange { return SectionChange{Name: "team " + name, Text: text} }
+
+// Guards against a wrong version rule: lost updates, half applied changes,
+// changes applied twice, and refusals that hide some of their findings.
+func TestApply(t *testing.T) {
+	removal := SectionChange{Name: "team a", Remove: true}
+	long := make([]byte, MaxTextBytes+1)
+	for name, test := range map[string]struct {
+		changes []Change
+		// want holds the findings of each change; an empty one is accepted.
+		want []string
+	}{
+		"racing changes of one section": {
+			[]Change{changeOf("1", 0, team("a", "weight = 1")), changeOf("2", 0, team("a", "weight = 2")), changeOf("3", 1, team("a", "weight = 2"))},
+			[]string{"", "change [team a]: version 1 by op touched the section after version 0, which the change was made against", ""},
+		},
+		"racing changes of two sections": {
+			[]Change{changeOf("1", 0, team("a", "")), changeOf("2", 0, team("b", ""))},
+			[]string{"", ""},
+		},
+		"racing removal": {
+			[]Change{changeOf("1", 0, team("a", "")), changeOf("2", 1, removal), changeOf("3", 1, team("a", "weight = 2")), changeOf("4", 2, removal)},
+			[]string{"", "", "change [team a]: version 2 by op touched the section after version 1, which the change was made against",
+				"change [team a]: there is no such section to remove"},
+		},
+		"a valid pair that is invalid together": {
+			[]Change{changeOf("1", 0, team("a", "guarantee = 0.6")), changeOf("2", 0, team("b", "weight = 2\nguarantee = 0.6"))},
+			[]string{"", "change:2 [team b] guarantee: the sum over all sections is 1.2, more than 1: a 0.6, b 0.6"},
+		},
+		"refused as a whole": {
+			[]Change{
+				changeOf("1", 0, team("a", ""), team("b", "\nweigt = 1\nmemory-mb = -1"), team("c", "[team d]"), SectionChange{Name: "kin x"}),
+				changeOf("2", 0, team("a", ""), team("a", ""), SectionChange{Name: "team b", Text: "x", Remove: true}, team("c", string(long))),
+				{Identity: "3"},
+			},
+			[]string{
+				"change:2 [team b] weigt: unknown key; did you mean weight?\n" +
+					`change:3 [team b] memory-mb: must be a whole number from 0 to 1000000000, got "-1"` + "\n" +
+					"change [team c]: the text of a section has no header\nchange [kin x]: unknown type of section; did you mean kind?",
+				"change [team a]: the change names the section twice\nchange [team b]: a removed section has no text\n" +
+					"change [team c]: a section's text has at most 4096 bytes, got 4097",
+				"change who: must have 1 to 256 bytes, got 0\nchange why: must have 1 to 256 bytes, got 0\n" +
+					"change sections: must have 1 to 1024 sections, got 0",
+			},
+		},
+		"base and copies": {
+			[]Change{changeOf("1", 1, team("a", "")), changeOf("2", 0, team("a", "")), changeOf("1", 1, team("b", ""))},
+			[]string{"change base: must be a version from 0 to 0, got 1", "", "change identity: the log holds this change twice; its first copy counts"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			history := NewHistory()
+			for i, change := range test.changes {
+				before := history.Version()
+				accepted, findings := history.Apply(int64(i), change)
+				require.Equal(t, test.want[i], findings.Error())
+				require.Equal(t, test.want[i] == "", accepted)
+				if !accepted {
+					require.Equal(t, before, history.Version())
+				}
+			}
+		})
+	}
+}
+
+// Guards against a Diff that does not lead to the folder's set, or that touches
+// sections which are equal.
+func TestDiff(t *testing.T) {
+	effective, findings := Read([]File{{"a.ini", "[team a]\nweight = 1\n[team b]\nweight = 2\n[kind c]\n"}})
+	require.Empty(t, findings)
+	folder, findings := Read([]File{{"a.ini", "[team a]\nweight = 01\n[team b]\nweight = 3\n[team d]\n"}})
+	require.Empty(t, findings)
+	change := Diff(folder, effective, 4)
+	require.Equal(t, []SectionChange{team("b", "weight = 3\n"), team("d", ""), {Name: "kind c", Remove: true}}, change.Sections)
+	change.Identity, change.Who, change.Why = "i", "op", "test"
+	result, findings := effective.With(change)
+	require.Empty(t, findings)
+	require.Equal(t, folder.Digest(), result.Digest())
+	require.Equal(t, "[kind c]\n\n[team a]\nweight = 1\n\n[team b]\nweight = 2\n", effective.Text(), "the old set was modified")
+}
+
+// Guards against bookkeeping without bounds, and against a change that is
+// judged by versions which were forgotten.
+func TestBounds(t *testing.T) {
+	history := NewHistory()
+	for i := range int64(2 * (MaxRemoved + 10)) {
+		change := changeOf(fmt.Sprint(i), i, team(fmt.Sprint(i/2), ""))
+		change.Sections[0].Remove = i%2 == 1
+		accepted, findings := history.Apply(i, change)
+		require.True(t, accepted, findings.Error())
+	}
+	snapshot, complete := history.Snapshot()
+	require.True(t, complete)
+	require.Len(t, snapshot.Removed, MaxRemoved)
+	require.Len(t, snapshot.Accepted, MaxAccepted)
+	require.Len(t, snapshot.Seen, MaxSeen)
+	_, findings := history.Apply(snapshot.Through+1, changeOf("late", 19, team("0", "")))
+	require.Equal(t, "change base: must be a version from 20 to 532, got 19", findings.Error())
+	accepted, _ := history.Apply(snapshot.Through+2, changeOf("in time", 20, team("0", "")))
+	require.True(t, accepted)
+}
+
+// Guards against the adoption of a snapshot that would lower the version,
+// spread a damaged copy, or hide that two nodes have diverged.
+func TestAdoptRefuses(t *testing.T) {
+	history := NewHistory()
+	history.Apply(0, changeOf("1", 0, team("a", "weight = 2")))
+	for name, test := range map[string]struct {
+		spoil func(snapshot *Snapshot)
+		want  string
+	}{
+		"lower version":  {func(s *Snapshot) { s.Version.Number = 0 }, "snapshot version: is 0, lower than the effective version 1"},
+		"damaged":        {func(s *Snapshot) { s.Version.Digest = 1 }, "snapshot digest: is 1, but the sections have"},
+		"unreadable":     {func(s *Snapshot) { s.Sections[0].Text = "x" }, "snapshot:1 [team a]: a line has the form key = value"},
+		"too long":       {func(s *Snapshot) { s.Seen = make([]uint64, MaxSeen+1) }, "snapshot: a list is longer than a history keeps"},
+		"diverged":       {func(s *Snapshot) { s.Sections, s.Version.Digest = nil, NewHistory().Set().Digest() }, "at version 1, but the effective set has"},
+		"older, ignored": {func(s *Snapshot) { s.Through, s.Version.Digest = 0, 1 }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			snapshot, _ := history.Snapshot()
+			snapshot.Through++
+			test.spoil(&snapshot)
+			before := history.Version()
+			adopted, findings := history.Adopt(snapshot)
+			require.False(t, adopted)
+			require.Contains(t, findings.Error(), test.want)
+			require.Equal(t, test.want == "", len(findings) == 0)
+			require.Equal(t, before, history.Version())
+		})
+	}
+}
+
+// Guards against a history that forgets to hold changes while it waits for a
+// snapshot, or that holds them without bound.
+func TestHeldChanges(t *testing.T) {
+	full, late := NewHistory(), NewHistory()
+	late.Lost(2)
+	var snapshots []Snapshot
+	for i := range int64(MaxHeld + 10) {
+		change := changeOf(fmt.Sprint(i), i, team("a", fmt.Sprint("weight = ", i+1)))
+		accepted, _ := full.Apply(i, change)
+		require.True(t, accepted)
+		if i < 2 {
+			continue
+		}
+		accepted, _ = late.Apply(i, change)
+		require.False(t, accepted)
+		snapshot, _ := full.Snapshot()
+		snapshots = append(snapshots, snapshot)
+	}
+	require.Len(t, late.held, MaxHeld)
+	// The changes at offsets 2 to 9 were dropped.
+	adopted, _ := late.Adopt(snapshots[8-2])
+	require.False(t, adopted)
+	adopted, _ = late.Adopt(snapshots[9-2])
+	require.True(t, adopted)
+	require.Equal(t, full.Version(), late.Version())
+}
+
+// event is one record of a generated log.
+type event struct {
+	change   *Change
+	snapshot *Snapshot
+}
+
+// drawChange makes changes collide in few sections, with bases near the present
+// version, invalid texts, sums above 1, and copies of earlier changes.
+func drawChange(t *rapid.T, version int64, earlier []Change) Change {
+	if len(earlier) > 0 && rapid.IntRange(0, 5).Draw(t, "copy") == 5 {
+		return rapid.SampledFrom(earlier).Draw(t, "earlier change")
+	}
+	change := changeOf(fmt.Sprint("change-", len(earlier)), max(0, version-rapid.SampledFrom([]int64{0, 1, 2, 4, -1}).Draw(t, "age")))
+	for range rapid.IntRange(1, 2).Draw(t, "sections") {
+		name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "team")
+		text := rapid.SampledFrom([]string{"", "weight = 2", "guarantee = 0.3", "guarantee = 0.6", "weight = x"}).Draw(t, "text")
+		section := team(name, text)
+		if rapid.IntRange(0, 3).Draw(t, "remove") == 3 {
+			section.Text, section.Remove = "", true
+		}
+		change.Sections = append(change.Sections, section)
+	}
+	return change
+}
+
+// drawLog returns a log and the state of a node that read it from the start
+// after each offset. Nodes write snapshots some time after they took them.
+func drawLog(t *rapid.T) (log []event, states []Snapshot) {
+	history := NewHistory()
+	var changes []Change
+	for offset := range int64(rapid.IntRange(1, 40).Draw(t, "records")) {
+		var next event
+		switch record := rapid.IntRange(0, 9).Draw(t, "record"); {
+		case record == 0 && offset > 0:
+			next.snapshot = &states[rapid.IntRange(0, int(offset)-1).Draw(t, "age of the snapshot")]
+		case record == 1:
+			// A record of another kind.
+		default:
+			change := drawChange(t, history.Version().Number, changes)
+			changes = append(changes, change)
+			next.change = &change
+			history.Apply(offset, change)
+		}
+		history.Advance(offset)
+		state, _ := history.Snapshot()
+		log, states = append(log, next), append(states, state)
+	}
+	return log, states
+}
+
+// node replays the log and requires that its version never goes down.
+type node struct {
+	t       *rapid.T
+	history *History
+	last    Version
+}
+
+func newNode(t *rapid.T) *node {
+	history := NewHistory()
+	return &node{t: t, history: history, last: history.Version()}
+}
+
+func (n *node) replay(offset int64, record event) {
+	switch {
+	case record.change != nil:
+		n.history.Apply(offset, *record.change)
+	case record.snapshot != nil:
+		n.adopt(*record.snapshot)
+	}
+	n.history.Advance(offset)
+	n.check()
+}
+
+func (n *node) adopt(snapshot Snapshot) {
+	// The copy goes through the codec as it would between nodes.
+	record, err := journal.NewRecord(journal.KindSnapshot, "node", time.Time{}, snapshot)
+	require.NoError(n.t, err)
+	var copied Snapshot
+	require.NoError(n.t, record.Decode(&copied))
+	_, findings := n.history.Adopt(copied)
+	require.Empty(n.t, findings)
+	n.check()
+}
+
+func (n *node) check() {
+	version := n.history.Version()
+	require.GreaterOrEqual(n.t, version.Number, n.last.Number)
+	if version.Number == n.last.Number {
+		require.Equal(n.t, n.last.Digest, version.Digest)
+	}
+	n.last = version
+}
+
+// Guards against nodes that come to different configurations or different
+// accepted changes from one log, however they came to read it, and against a
+// version that goes down. It prints its seed; -rapid.seed takes one.
+func TestHistoriesAgree(t *testing.T) {
+	accepted, rejected, gaps := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		log, states := drawLog(t)
+		final := states[len(states)-1]
+		accepted += len(final.Accepted)
+		rejected += len(final.Seen) - len(final.Accepted)
+
+		repeating := newNode(t)
+		for offset := range log {
+			first := rapid.IntRange(0, offset).Draw(t, "delivered again from")
+			for again := first; again <= offset; again++ {
+				repeating.replay(int64(again), log[again])
+			}
+		}
+		requireState(t, final, repeating.history)
+
+		// This node starts behind a cut-off, or has one while it runs, and takes
+		// peers' copies or the log's snapshots.
+		late := newNode(t)
+		for offset := range rapid.IntRange(0, len(log)-1).Draw(t, "read before the cut-off") {
+			late.replay(int64(offset), log[offset])
+		}
+		cut := rapid.IntRange(int(late.history.Next()), len(log)).Draw(t, "cut-off")
+		late.history.Lost(int64(cut))
+		if late.history.Incomplete() {
+			gaps++
+		}
+		for offset := cut; offset < len(log); offset++ {
+			late.replay(int64(offset), log[offset])
+			if rapid.IntRange(0, 5).Draw(t, "peer") == 0 {
+				late.adopt(states[rapid.IntRange(0, len(states)-1).Draw(t, "peer's offset")])
+			}
+		}
+		if late.history.Incomplete() {
+			late.adopt(states[max(cut-1, 0)])
+		}
+		requireState(t, final, late.history)
+	})
+	t.Logf("%d accepted changes, %d others, %d gaps", accepted, rejected, gaps)
+}
+
+func requireState(t *rapid.T, want Snapshot, history *History) {
+	state, complete := history.Snapshot()
+	require.True(t, complete)
+	require.Equal(t, want, state)
+	require.True(t, slices.IsSortedFunc(state.Accepted, func(a, b Accepted) int { return int(a.Version.Number - b.Version.Number) }))
+}
