--- a/internal/tenure/candidate.go
+++ b/internal/tenure/candidate.go
@@ -261,7 +261,7 @@
 				return strings.Compare(o.To, name)
 			})
 			if !found {
-				request := PromiseRequest{Round: l.round}
+				request := PromiseRequest{Round: l.round, Ranges: make([]RangeRequest, 0, len(asked))}
 				if set := l.owners[owner]; set != nil {
 					request.KnownSet = set.digest
 				}
@@ -324,10 +324,12 @@
 	return false
 }
 
-// numbered returns the candidate with the given number, or nil.
+// numbered returns the candidate with the given number, or nil. The search
+// starts behind the one found last, as answers keep the order of the requests.
 func (l *Leases) numbered(at int64) *candidate {
-	for _, c := range l.candidates {
-		if c.number.At == at && at != 0 {
+	for range l.candidates {
+		l.foundLast = (l.foundLast + 1) % len(l.candidates)
+		if c := l.candidates[l.foundLast]; c.number.At == at && at != 0 {
 			return c
 		}
 	}
@@ -429,22 +431,30 @@
 // revalue recomputes validUntil from the votes: the latest time at which the
 // promises that still count have a quorum of every list.
 func (c *candidate) revalue(r *region) {
-	byTime := slices.SortedFunc(slices.Values(c.votes), func(a, b vote) int {
-		return b.validUntil.Compare(a.validUntil)
-	})
-	for i, list := range r.lists() {
-		weight, until := 0, time.Time{}
-		for _, v := range byTime {
-			if v.set == nil || v.validUntil.IsZero() {
-				continue
-			}
-			if weight += v.set.weightIn(list); hasQuorum(weight, list) {
-				until = v.validUntil
-				break
-			}
-		}
-		if i == 0 || until.Before(c.validUntil) {
+	c.validUntil = c.quorumUntil(r.inUse)
+	if r.newest != r.inUse {
+		if until := c.quorumUntil(r.newest); until.Before(c.validUntil) {
 			c.validUntil = until
 		}
 	}
 }
+
+// quorumUntil returns when the promises no longer have a quorum of the list; it
+// is the zero time if they have none.
+func (c *candidate) quorumUntil(list *workerSet) time.Time {
+	var buffer [maxOwners]*vote
+	byTime := buffer[:0]
+	for i := range c.votes {
+		if v := &c.votes[i]; v.set != nil && !v.validUntil.IsZero() && len(byTime) < maxOwners {
+			byTime = append(byTime, v)
+		}
+	}
+	slices.SortFunc(byTime, func(a, b *vote) int { return b.validUntil.Compare(a.validUntil) })
+	weight := 0
+	for _, v := range byTime {
+		if weight += v.set.weightIn(list); hasQuorum(weight, list) {
+			return v.validUntil
+		}
+	}
+	return time.Time{}
+}
--- a/internal/tenure/region.go
+++ b/internal/tenure/region.go
@@ -68,10 +68,10 @@
 }
 
 // differsByThird reports whether the symmetric difference is a third of the
-// smaller set or more.
+// larger set or more.
 func differsByThird(a, b *workerSet) bool {
 	difference := len(a.names) + len(b.names) - 2*a.common(b)
-	return difference > 0 && 3*difference >= min(len(a.names), len(b.names))
+	return difference > 0 && 3*difference >= max(len(a.names), len(b.names))
 }
 
 // region is a region's worker list and its recent history.
@@ -92,14 +92,6 @@
 	replacedAt time.Time
 }
 
-// lists returns the lists of which a lease needs two thirds each.
-func (r *region) lists() []*workerSet {
-	if r.inUse == r.newest {
-		return []*workerSet{r.newest}
-	}
-	return []*workerSet{r.inUse, r.newest}
-}
-
 // region returns the region of the given name, or nil.
 func (l *Leases) region(name string) *region {
 	for _, r := range l.regions {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -54,7 +54,7 @@
 //     sizes of the lists. The lists' union has more than 2/3 (a + b) workers,
 //     so their symmetric difference has more than 1/3 (a + b). Assumption
 //     (lists): it has at most 1/3 (a + b) workers, which holds if the lists
-//     differ by less than a third of either. That is a contradiction.
+//     differ by less than a third of the larger one. That is a contradiction.
 //
 // A node whose own list changed by a third or more within ListStable begins no
 // lease. Until the list was stable for that time, a lease that it holds needs
@@ -282,6 +282,7 @@
 	lastAt     int64
 	lastTick   time.Time
 	events     []Event
+	foundLast  int
 }
 
 type sending struct {
