Add the command line and its regression cases

Cause: operators and support desks need the interfaces without writing HTTP. Change: internal/command has a table of verbs, one file each, over the callers' and operators' interfaces; other packages add verbs through Options.Verbs. Cases are folders with command, output and error and run against the real handlers. Settings report missing keys together with all other faults. A support token that cancels is refused as forbidden, since it may see the work. Ruled out: one kong grammar for all verbs, whose nested commands have to be struct fields; the table finds the verb and kong reads its flags. Verbs that register themselves in init, which hides the table. Conclusion: node, standin, load and demo can be added as rows.

--- a/cmd/yuccalanding/main.go
+++ b/cmd/yuccalanding/main.go
@@ -1,4 +1,18 @@
 // Command yuccalanding is a cluster scheduler for unlike workloads.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"yuccalanding.example/yuccalanding/internal/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := command.Main(ctx, os.Args[1:], command.Options{})
+	stop()
+	os.Exit(status)
+}
--- /dev/null
+++ b/internal/command/callerclient.go
@@ -0,0 +1,103 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"yuccalanding.example/yuccalanding/pkg/caller"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+const maxAttempts = 100
+
+// callerFlags are the flags of verbs that use the callers' interface.
+type callerFlags struct {
+	Node      []string `help:"Callers' addresses of entry VMs." placeholder:"IP:PORT" default:"127.0.0.1:8080" env:"YUCCALANDING_NODE"`
+	Team      string   `help:"Team of the work; needed if the token is not of one team." placeholder:"TEAM"`
+	TokenFile string   `help:"File that holds the token." placeholder:"FILE" env:"YUCCALANDING_TOKEN_FILE"`
+	Attempts  int      `help:"Most sends of the request, the first included." default:"6"`
+	JSON      bool     `help:"Write JSON in place of a table." name:"json"`
+}
+
+// keyFlags are the flags of verbs that concern one key.
+type keyFlags struct {
+	Key string `arg:"" help:"Key of the request or job."`
+	callerFlags
+}
+
+func (f *keyFlags) query() (caller.Query, error) {
+	key := workload.Key(f.Key)
+	if _, ok := key.IssuedAt(); !ok {
+		return caller.Query{}, &UsageError{fmt.Sprintf("the key must be a UUIDv7, got %q", f.Key)}
+	}
+	return caller.Query{Key: key, Team: f.Team}, nil
+}
+
+// client returns a client for the flags.
+func (f *callerFlags) client() (*caller.Client, error) {
+	addresses, err := parseAddresses("--node", f.Node)
+	if err != nil {
+		return nil, err
+	}
+	if f.Attempts < 1 || f.Attempts > maxAttempts {
+		return nil, &UsageError{fmt.Sprintf("--attempts: must be from 1 to %d, got %d", maxAttempts, f.Attempts)}
+	}
+	token, err := readToken(f.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return caller.New(caller.Options{Addresses: addresses, Token: token, Team: f.Team, Attempts: f.Attempts})
+}
+
+func parseAddresses(flag string, texts []string) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for _, text := range texts {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil || address.Port() == 0 {
+			return nil, &UsageError{fmt.Sprintf("%s: must be an IP address and a port such as 10.0.1.1:8080, got %q", flag, text)}
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
+// readToken reads a token from a file, because other users of a machine can
+// see command lines.
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("the token can't be read: %w; name a readable file with --token-file", err)
+	}
+	return strings.TrimSpace(string(content)), nil
+}
+
+// explainFailure adds the place and what to do to a failed call.
+func (f *callerFlags) explainFailure(key workload.Key, err error) error {
+	var failure *caller.Error
+	if !errors.As(err, &failure) {
+		return err
+	}
+	text := failure.Error()
+	for _, finding := range failure.Refusal.Findings {
+		text += "\n  " + finding.Place + ": " + finding.Message
+	}
+	switch {
+	case failure.Cause != nil:
+		text += fmt.Sprintf("\nCheck that an entry VM listens at %s (--node).", strings.Join(f.Node, ", "))
+	case failure.Refusal.RetryAfterMS > 0:
+		text += fmt.Sprintf("\nTry again in %s.", milliseconds(failure.Refusal.RetryAfterMS))
+	case failure.Refusal.Code == workload.CodeForbidden:
+		text += "\nName a token for this team with --token-file."
+	}
+	known := failure.Refusal.Code != workload.CodeNotFound && failure.Refusal.Code != workload.CodeForbidden
+	if key != "" && known && failure.Refusal.Run == workload.MayHaveRun {
+		text += fmt.Sprintf("\nThe request may have run; ask with: %s status %s", Program, key)
+	}
+	return errors.New(text)
+}
--- /dev/null
+++ b/internal/command/configshow.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"yuccalanding.example/yuccalanding/internal/operator"
+)
+
+var configShowVerb = Verb{
+	Name:    "config show",
+	Usage:   "Show the configuration in force or an older version as INI.",
+	Example: Program + " config show --version 17",
+	New:     newConfigShow,
+}
+
+type configShowFlags struct {
+	operatorFlags
+	Version int64 `help:"Version to show; the one in force if 0."`
+}
+
+func newConfigShow() (any, Run) {
+	flags := &configShowFlags{}
+	return flags, flags.run
+}
+
+func (f *configShowFlags) run(ctx context.Context, environment *Environment) error {
+	config, err := call[operator.Config](ctx, &f.operatorFlags, http.MethodGet, fmt.Sprintf("/config?version=%d", f.Version), nil)
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		return writeJSON(environment.Out, config)
+	}
+	fmt.Fprintf(environment.Out, "# version %d, digest %s, accepted %s\n", config.Version, config.Digest, instant(config.AcceptedAt))
+	for _, section := range config.Sections {
+		fmt.Fprintf(environment.Out, "\n[%s]\n", section.Name)
+		for _, setting := range section.Settings {
+			fmt.Fprintf(environment.Out, "%s = %s\n", setting.Key, setting.Value)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/command/nodes.go
@@ -0,0 +1,39 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"yuccalanding.example/yuccalanding/internal/operator"
+)
+
+var nodesVerb = Verb{
+	Name:    "nodes",
+	Usage:   "List the entry VMs as one of them sees them.",
+	Example: Program + " nodes --operator 10.0.1.1:8081",
+	New:     newNodes,
+}
+
+type nodesFlags struct{ operatorFlags }
+
+func newNodes() (any, Run) {
+	flags := &nodesFlags{}
+	return flags, flags.run
+}
+
+func (f *nodesFlags) run(ctx context.Context, environment *Environment) error {
+	answer, err := call[operator.Nodes](ctx, &f.operatorFlags, http.MethodGet, "/nodes", nil)
+	if err != nil {
+		return err
+	}
+	if f.JSON {
+		return writeJSON(environment.Out, answer)
+	}
+	rows := make([][]string, len(answer.Nodes))
+	for i, node := range answer.Nodes {
+		rows[i] = []string{node.Name, node.State, node.Region, node.FailureDomain, node.Callers.String(), strconv.Itoa(node.Sessions), strconv.Itoa(node.Homes), strconv.FormatInt(node.PolicyVersion, 10), milliseconds(node.HeartbeatAgeMS)}
+	}
+	writeTable(environment.Out, []string{"NAME", "STATE", "REGION", "DOMAIN", "CALLERS", "SESSIONS", "HOMES", "POLICY", "HEARTBEAT"}, rows)
+	return nil
+}
--- /dev/null
+++ b/internal/command/operatorclient.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/operator"
+)
+
+const (
+	// operatorTime bounds a call to a node. A change waits for the log, whose
+	// appends may take seconds.
+	operatorTime     = time.Minute
+	maxOperatorBytes = 256 << 20
+)
+
+// operatorFlags are the flags of verbs that use the operators' interface.
+type operatorFlags struct {
+	Operator  string `help:"Operators' address of an entry VM." placeholder:"IP:PORT" default:"127.0.0.1:8081" env:"YUCCALANDING_OPERATOR"`
+	TokenFile string `help:"File that holds the token." placeholder:"FILE" env:"YUCCALANDING_TOKEN_FILE"`
+	JSON      bool   `help:"Write JSON in place of a table." name:"json"`
+}
+
+// call makes one call and reads its answer. A call that changes something is
+// not repeated.
+func call[T any](ctx context.Context, flags *operatorFlags, method, path string, body any) (T, error) {
+	var answer T
+	content, err := flags.send(ctx, method, path, body)
+	if err != nil {
+		return answer, err
+	}
+	if err := json.Unmarshal(content, &answer); err != nil {
+		return answer, fmt.Errorf("the node at %s gave an answer to %s that can't be read: %w; compare the versions of node and program", flags.Operator, path, err)
+	}
+	return answer, nil
+}
+
+func (f *operatorFlags) send(ctx context.Context, method, path string, body any) ([]byte, error) {
+	if _, err := parseAddresses("--operator", []string{f.Operator}); err != nil {
+		return nil, err
+	}
+	token, err := readToken(f.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	var payload bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&payload).Encode(body); err != nil {
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+f.Operator+path, &payload)
+	if err != nil {
+		return nil, err
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	// A client of its own, so that no proxy from the environment is used.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("%w; check that an entry VM listens for operators at %s (--operator)", err, f.Operator)
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxOperatorBytes))
+	if err != nil {
+		return nil, fmt.Errorf("the answer of %s to %s broke off: %w; look at the node before trying again", f.Operator, path, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, f.failure(path, response.StatusCode, content)
+	}
+	return content, nil
+}
+
+func (f *operatorFlags) failure(path string, status int, content []byte) error {
+	failure := &operator.Failure{}
+	if json.Unmarshal(content, failure) != nil || failure.Message == "" {
+		failure.Message = fmt.Sprintf("status %d", status)
+	}
+	advice := ""
+	switch status {
+	case http.StatusUnauthorized, http.StatusForbidden:
+		advice = "\nName a token of the needed role with --token-file."
+	case http.StatusConflict:
+		advice = "\nLook at the configuration in force (config show, config diff) and apply the change again with its version."
+	}
+	return fmt.Errorf("%s%s: %w%s", f.Operator, path, failure, advice)
+}
--- /dev/null
+++ b/internal/command/scheduler_test.go
@@ -0,0 +1,165 @@
+package command_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/access"
+	"yuccalanding.example/yuccalanding/internal/front"
+	"yuccalanding.example/yuccalanding/internal/operator"
+	"yuccalanding.example/yuccalanding/pkg/caller"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// tokens are the token file of the examples.
+const tokens = `caller   ledger-frontend ledger 6f1c0b8e2f7d4a5b9c3e8d7f6a5b4c3d
+caller   oven-gateway    oven   7a1c0b8e2f7d4a5b9c3e8d7f6a5b4c3e
+support  desk            -      0a9b8c7d6e5f4a3b2c1d0e9f8a7b6c5d
+operator operations      -      1f2e3d4c5b6a79880716253443526170
+`
+
+const knownKey = "01890a5d-ac96-774b-bcce-b302099a8057"
+
+var (
+	moment = time.Date(2026, 3, 2, 6, 30, 0, 0, time.UTC)
+	answer = workload.Answer{Key: knownKey, Body: []byte(`{"balance":1204}`), Worker: "punjab-17", WaitedMS: 12, RanMS: 84}
+	status = caller.Status{Key: knownKey, Team: "ledger", Kind: "balance", Mode: workload.ModeRequest, State: workload.StateRunning, Worker: "punjab-17", Since: moment}
+)
+
+// refusals are what the fake scheduler says to the kinds that are named for a
+// refusal code.
+var refusals = map[string]*workload.Refusal{
+	"unknown-kind":    workload.Refuse(workload.CodeUnknownKind, 0, "team ledger has no kind \"unknown-kind\""),
+	"key-reused":      workload.Refuse(workload.CodeKeyReused, 0, "the key belongs to another request of the team"),
+	"never-runnable":  workload.Refuse(workload.CodeNeverRunnable, 0, "no worker has 64 accelerators; the largest has 8"),
+	"queue-full":      workload.Refuse(workload.CodeQueueFull, 1500*time.Millisecond, "the queue of kind queue-full is at its bound of 500"),
+	"too-late":        workload.Refuse(workload.CodeTooLate, 4*time.Second, "the work can't start within 1.8s; the expected wait is 6s"),
+	"log-down":        workload.Refuse(workload.CodeLogDown, 5*time.Second, "the log takes no appends"),
+	"no-home":         workload.Refuse(workload.CodeNoHome, 2*time.Second, "the range of team ledger has no home at present"),
+	"outcome-unknown": {Code: workload.CodeOutcome, Message: "the worker was lost before its result arrived", Run: workload.MayHaveRun},
+}
+
+func callerSeams(t *testing.T) front.Options {
+	list := tokenList(t)
+	submit := func(_ context.Context, request workload.Request) (workload.Answer, *workload.Refusal) {
+		if request.Kind == "fraud-scoring" {
+			time.Sleep(30 * time.Millisecond)
+		}
+		return answer, refusals[request.Kind]
+	}
+	byKey := func(_ context.Context, query front.Query) (caller.Status, *workload.Refusal) {
+		if query.Key != knownKey || query.Team != "ledger" {
+			refusal := workload.Refuse(workload.CodeNotFound, 0, "no request or job of the team is known by key %s", query.Key)
+			refusal.Run = workload.MayHaveRun
+			return caller.Status{}, refusal
+		}
+		return status, nil
+	}
+	return front.Options{
+		Submit: submit,
+		SubmitJob: func(ctx context.Context, request workload.Request) (caller.Receipt, *workload.Refusal) {
+			_, refusal := submit(ctx, request)
+			return caller.Receipt{Key: request.Key, State: workload.StateQueued, AcceptedAt: moment}, refusal
+		},
+		Status: byKey,
+		Cancel: func(ctx context.Context, query front.Query) (caller.Status, *workload.Refusal) {
+			canceled, refusal := byKey(ctx, query)
+			canceled.State, canceled.Worker = workload.StateCanceled, ""
+			return canceled, refusal
+		},
+		Wait: func(ctx context.Context, query front.Query) (workload.Answer, *workload.Refusal) {
+			_, refusal := byKey(ctx, query)
+			return answer, refusal
+		},
+		Explain: func(ctx context.Context, query front.Query) (caller.Explanation, *workload.Refusal) {
+			found, refusal := byKey(ctx, query)
+			return caller.Explanation{Status: found, Summary: "It waited 12ms for room in the share of team ledger.", Steps: []caller.Step{
+				{At: moment, What: "accepted", Detail: "by entry-1"},
+				{At: moment.Add(12 * time.Millisecond), What: "started", Detail: "on punjab-17"},
+			}}, refusal
+		},
+		Authorize: list.Authorize,
+	}
+}
+
+func operatorSeams(t *testing.T) operator.Options {
+	more, less := "5", "3"
+	change := operator.Change{Version: 18, BaseVersion: 17, State: "accepted", At: moment, Author: "operations", Reason: "faster-balances", Sections: []string{"kind balance"}, Digest: "9ac1f00d"}
+	return operator.Options{
+		Dump: func(context.Context) (any, error) { return operator.DrainState{State: "serving", OpenRequests: 3}, nil },
+		Nodes: func(context.Context) ([]operator.Node, error) {
+			return []operator.Node{{Name: "entry-1", Peers: netip.MustParseAddrPort("10.0.1.1:8082"), Callers: netip.MustParseAddrPort("10.0.1.1:8080"),
+				Region: "punjab", FailureDomain: "lahore", State: "live", Incarnation: 7, PolicyVersion: 17, PolicyDigest: "77d0c0de", Sessions: 8, Homes: 10, HeartbeatAgeMS: 120}}, nil
+		},
+		Workers: func(context.Context) ([]operator.Worker, error) {
+			return []operator.Worker{{Name: "punjab-17", Address: netip.MustParseAddrPort("10.0.3.17:9000"), Region: "punjab", FailureDomain: "lahore", Rack: "r4", Owner: "entry-1",
+				State: "live", Capacity: workload.Resources{MilliCPU: 16000, MemoryMB: 32768}, Free: workload.Resources{MilliCPU: 2000, MemoryMB: 1024}, Tasks: 8}}, nil
+		},
+		Alarms: func(context.Context) ([]operator.Alarm, error) {
+			return []operator.Alarm{{Identity: "log-down", Since: moment, Meaning: "The log has taken no append for 10m.", Action: "Restore the log service."}}, nil
+		},
+		Drain: func(context.Context) (operator.DrainState, error) {
+			return operator.DrainState{State: "draining", OpenRequests: 3, Sessions: 8, Homes: 10}, nil
+		},
+		Config: func(context.Context, int64) (operator.Config, error) {
+			return operator.Config{Version: 17, Digest: "77d0c0de", AcceptedAt: moment, Sections: []operator.Section{{Name: "kind balance", Settings: []operator.Setting{{Key: "weight", Value: "3"}}}}}, nil
+		},
+		History: func(context.Context, int) ([]operator.Change, error) { return []operator.Change{change}, nil },
+		Check: func(_ context.Context, folder operator.Folder) ([]operator.Finding, error) {
+			if !strings.Contains(folder.Files[0].Content, "wieght") {
+				return nil, nil
+			}
+			return []operator.Finding{{File: folder.Files[0].Name, Line: 2, Section: "kind balance", Key: "wieght", Message: "unknown key; did you mean \"weight\"?"}}, nil
+		},
+		Diff: func(context.Context, operator.Folder) (operator.Diff, error) {
+			return operator.Diff{AgainstVersion: 17, Sections: []operator.SectionDiff{{Name: "kind balance", Settings: []operator.SettingDiff{{Key: "weight", Old: &less, New: &more}}}}}, nil
+		},
+		Apply: func(_ context.Context, apply operator.Apply) (operator.Change, error) {
+			if apply.BaseVersion < 17 {
+				return operator.Change{}, &operator.Failure{Status: http.StatusConflict, Message: "section [kind balance] was modified in version 17, after version 16"}
+			}
+			return change, nil
+		},
+		Authorize: tokenList(t).Authorize,
+	}
+}
+
+func tokenFile(t *testing.T) string {
+	file := filepath.Join(t.TempDir(), "tokens")
+	require.NoError(t, os.WriteFile(file, []byte(tokens), 0o600))
+	return file
+}
+
+func tokenList(t *testing.T) *access.List {
+	list, err := access.Open(access.Options{File: tokenFile(t)})
+	require.NoError(t, err)
+	return list
+}
+
+// handlers returns the real callers' and operators' interfaces over the fake
+// scheduler.
+func handlers(t *testing.T, change func(*front.Options)) (callers, operators http.Handler) {
+	options := callerSeams(t)
+	change(&options)
+	served, err := front.New(options)
+	require.NoError(t, err)
+	operated, err := operator.New(operatorSeams(t))
+	require.NoError(t, err)
+	return served.Handler(), operated.Handler()
+}
+
+// serve returns the address of a server on a free port.
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
--- /dev/null
+++ b/internal/command/settingscheck.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"yuccalanding.example/yuccalanding/internal/settings"
+)
+
+var settingsCheckVerb = Verb{
+	Name:    "settings check",
+	Usage:   "Check a process's own settings as a whole and report every fault.",
+	Example: Program + " settings check /etc/yuccalanding",
+	New:     newSettingsCheck,
+}
+
+type settingsCheckFlags struct {
+	Path string `arg:"" help:"Settings file, or folder of *.ini files."`
+}
+
+func newSettingsCheck() (any, Run) {
+	flags := &settingsCheckFlags{}
+	return flags, flags.run
+}
+
+func (f *settingsCheckFlags) run(_ context.Context, environment *Environment) error {
+	checked, err := settings.Load(f.Path)
+	if err != nil {
+		return fmt.Errorf("the settings have faults; correct them and check again\n%w", err)
+	}
+	fmt.Fprintf(environment.Out, "%s: node %s in region %s, %d members, no findings\n", f.Path, checked.Node.Name, checked.Node.Region, len(checked.Members))
+	return nil
+}
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -118,7 +118,7 @@
 		findings = f.validate(request, modes)
 	}
 	if len(findings) > 0 {
-		refusal := workload.Refuse(workload.CodeBadRequest, 0, "the request has %d faults, see findings", len(findings))
+		refusal := workload.Refuse(workload.CodeBadRequest, 0, "the request has %d fault(s), see findings", len(findings))
 		refusal.Findings, refusal.Run = findings, runOf(request)
 		return request, ptr(refused(refusal))
 	}
@@ -171,7 +171,7 @@
 }
 
 // query reads the key and the team of a call by key.
-func (f *Front) query(c echo.Context, grant access.Grant, may func(team string) bool) (Query, *result) {
+func (f *Front) query(c echo.Context, grant access.Grant) (Query, *result) {
 	query := Query{Key: workload.Key(c.Param("key")), Team: c.QueryParam("team")}
 	if query.Team == "" {
 		query.Team = grant.Team
@@ -184,11 +184,11 @@
 		findings.Add("team", "must be given as a query parameter of 1 to %d characters, since the token is not of one team", workload.MaxNameLength)
 	}
 	if len(findings) > 0 {
-		refusal := workload.Refuse(workload.CodeBadRequest, 0, "the call has %d faults, see findings", len(findings))
+		refusal := workload.Refuse(workload.CodeBadRequest, 0, "the call has %d fault(s), see findings", len(findings))
 		refusal.Findings, refusal.Run = findings, workload.MayHaveRun
 		return query, ptr(refused(refusal))
 	}
-	if !may(query.Team) {
+	if !grant.MayRead(query.Team) {
 		return query, ptr(refused(notFound(query.Key)))
 	}
 	return query, nil
@@ -203,7 +203,7 @@
 }
 
 func (f *Front) status(c echo.Context, grant access.Grant) result {
-	query, failed := f.query(c, grant, grant.MayRead)
+	query, failed := f.query(c, grant)
 	if failed != nil {
 		return *failed
 	}
@@ -214,10 +214,15 @@
 }
 
 func (f *Front) cancel(c echo.Context, grant access.Grant) result {
-	query, failed := f.query(c, grant, grant.MayCancel)
+	query, failed := f.query(c, grant)
 	if failed != nil {
 		return *failed
 	}
+	if !grant.MayCancel(query.Team) {
+		refusal := workload.Refuse(workload.CodeForbidden, 0, "role %s may not cancel work", grant.Role)
+		refusal.Run = workload.MayHaveRun
+		return refused(refusal)
+	}
 	return f.held(c, query.Team, workload.MayHaveRun, func(ctx context.Context) result {
 		status, refusal := f.options.Cancel(ctx, query)
 		return ofTeam(query, status.Team, status, refusal)
@@ -225,7 +230,7 @@
 }
 
 func (f *Front) explain(c echo.Context, grant access.Grant) result {
-	query, failed := f.query(c, grant, grant.MayRead)
+	query, failed := f.query(c, grant)
 	if failed != nil {
 		return *failed
 	}
@@ -236,7 +241,7 @@
 }
 
 func (f *Front) wait(c echo.Context, grant access.Grant) result {
-	query, failed := f.query(c, grant, grant.MayRead)
+	query, failed := f.query(c, grant)
 	if failed != nil {
 		return *failed
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -133,7 +133,7 @@
 		"no team for key":      {"GET", "/v1/requests/" + ledgerKey, "support", "", nil, 400, "bad-request", "may-have-run", `query parameter`},
 		"other team's key":     {"GET", "/v1/requests/" + otherKey, "ledger", "", nil, 404, "not-found", "may-have-run", otherKey},
 		"other team named":     {"DELETE", "/v1/requests/" + otherKey + "?team=oven", "ledger", "", nil, 404, "not-found", "may-have-run", otherKey},
-		"support cancels":      {"DELETE", "/v1/requests/" + ledgerKey + "?team=ledger", "support", "", nil, 404, "not-found", "may-have-run", ledgerKey},
+		"support cancels":      {"DELETE", "/v1/requests/" + ledgerKey + "?team=ledger", "support", "", nil, 403, "forbidden", "may-have-run", "role support may not cancel work"},
 		"outcome unknown":      {"GET", "/v1/requests/" + ledgerKey + "/wait", "ledger", "", nil, 504, "outcome-unknown", "may-have-run", `lost`},
 		"wrong method":         {"PUT", "/v1/requests", "ledger", body, nil, 405, "bad-request", "may-have-run", `method PUT is not allowed`},
 		"no such path":         {"GET", "/v2/requests", "ledger", "", nil, 404, "not-found", "may-have-run", `there is no call GET /v2/requests`},
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -21,11 +21,11 @@
 // Load reads and checks the settings at a file or folder. The error is of type
 // Findings and holds every fault.
 func Load(path string) (*Settings, error) {
-	loader := &loader{path: path, folder: path, settings: Defaults(), places: map[place]origin{}, members: map[string]*Member{}}
+	loader := &loader{path: path, folder: path, settings: Defaults(), places: map[place]origin{}, faulty: map[place]bool{}, members: map[string]*Member{}}
 	for _, file := range loader.files() {
 		loader.read(file)
 	}
-	if len(loader.findings) == 0 {
+	if !loader.unreadable {
 		loader.checkWhole()
 	}
 	if len(loader.findings) > 0 {
@@ -51,8 +51,13 @@
 	folder   string
 	settings Settings
 	places   map[place]origin
+	// faulty holds keys whose value could not be used.
+	faulty   map[place]bool
 	members  map[string]*Member
 	findings Findings
+	// unreadable is set if a file could not be parsed, so that what it lacks
+	// is not known.
+	unreadable bool
 }
 
 func (l *loader) add(at origin, section, key, format string, arguments ...any) {
@@ -72,6 +77,7 @@
 func (l *loader) files() []string {
 	about, err := os.Stat(l.path)
 	if err != nil {
+		l.unreadable = true
 		l.add(origin{file: l.path}, "", "", "can't be read: %s; name a settings file or a folder of *.ini files", reason(err))
 		return nil
 	}
@@ -81,6 +87,7 @@
 	}
 	entries, err := os.ReadDir(l.path)
 	if err != nil {
+		l.unreadable = true
 		l.add(origin{file: l.path}, "", "", "can't be read: %s", reason(err))
 	}
 	var files []string
@@ -90,9 +97,11 @@
 		}
 	}
 	if len(files) == 0 && err == nil {
+		l.unreadable = true
 		l.add(origin{file: l.path}, "", "", "the folder has no *.ini file")
 	}
 	if len(files) > maxFiles {
+		l.unreadable = true
 		l.add(origin{file: l.path}, "", "", "the folder has %d *.ini files, more than %d", len(files), maxFiles)
 		return nil
 	}
@@ -114,16 +123,18 @@
 func (l *loader) read(file string) {
 	about, err := os.Stat(file)
 	if err == nil && about.Size() > maxFileBytes {
+		l.unreadable = true
 		l.add(origin{file: file}, "", "", "has %d bytes, more than %d", about.Size(), maxFileBytes)
 		return
 	}
 	content, err := os.ReadFile(file)
 	if err != nil {
+		l.unreadable = true
 		l.add(origin{file: file}, "", "", "can't be read: %s", reason(err))
 		return
 	}
-	found, sound := l.scan(file, string(content))
-	if !sound {
+	found := l.scan(file, string(content))
+	if l.unreadable {
 		return
 	}
 	parsed, err := ini.LoadSources(ini.LoadOptions{
@@ -132,6 +143,7 @@
 		KeyValueDelimiters:       "=",
 	}, content)
 	if err != nil {
+		l.unreadable = true
 		l.add(origin{file: file}, "", "", "can't be parsed: %s", err)
 		return
 	}
@@ -146,13 +158,12 @@
 }
 
 // scan finds the line of every key, which ini.v1 does not keep, and reports
-// lines that are no INI. It returns false if the file can't be parsed.
-func (l *loader) scan(file, content string) (map[place]int, bool) {
+// lines that are no INI.
+func (l *loader) scan(file, content string) map[place]int {
 	found := map[place]int{}
-	section, sound := ini.DefaultSection, true
+	section := ini.DefaultSection
 	fault := func(line int, key, format string, arguments ...any) {
 		l.add(origin{file, line}, strings.TrimPrefix(section, ini.DefaultSection), key, format, arguments...)
-		sound = false
 	}
 	for i, raw := range strings.Split(content, "\n") {
 		line, text := i+1, strings.TrimSpace(strings.TrimPrefix(raw, "\ufeff"))
@@ -164,6 +175,7 @@
 			name, rest, closed := strings.Cut(text[1:], "]")
 			rest = strings.TrimSpace(rest)
 			if !closed || rest != "" && rest[0] != '#' && rest[0] != ';' {
+				l.unreadable = true
 				fault(line, "", "a section is written [name], got %.60q", text)
 				continue
 			}
@@ -172,8 +184,10 @@
 				fault(line, "", "unknown section%s", suggest(section, sectionNames()))
 			}
 		case !isKey || key == "":
+			l.unreadable = true
 			fault(line, "", "expected key = value, got %.60q", text)
 		case strings.ContainsAny(key, "\"`") || strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`"):
+			l.unreadable = true
 			fault(line, key, "quoted keys and values of several lines are not supported")
 		case section == ini.DefaultSection:
 			fault(line, key, "stands before the first section")
@@ -184,7 +198,7 @@
 			found[place{section, key}] = line
 		}
 	}
-	return found, sound
+	return found
 }
 
 // apply sets one key, or reports why it can't.
@@ -199,6 +213,7 @@
 		}
 		if err := rule.set(l, where.section, value); err != nil {
 			l.add(at, where.section, where.key, "%s", err)
+			l.faulty[where] = true
 		}
 		return
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -104,7 +104,8 @@
 func TestFindingsOfAllFilesTogether(t *testing.T) {
 	folder := write(t, map[string]string{"a.ini": strings.Replace(good, "name = ", "nam = ", 1), "b.ini": "[timing]\nsession = x\nheart = 1s\n"})
 	_, err := settings.Load(folder)
-	require.Len(t, err, 3, "%v", err)
+	require.Len(t, err, 4, "%v", err)
+	require.ErrorContains(t, err, "[node] name: is missing")
 	_, err = settings.Load(filepath.Join(folder, "none"))
 	require.ErrorContains(t, err, "name a settings file or a folder")
 	_, err = settings.Load(write(t, nil))
--- a/internal/settings/whole.go
+++ b/internal/settings/whole.go
@@ -1,9 +1,9 @@
 package settings
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -27,7 +27,7 @@
 	for _, section := range sectionOrder {
 		l.checkRequiredKeys(section)
 	}
-	for name := range l.members {
+	for _, name := range slices.Sorted(maps.Keys(l.members)) {
 		l.checkRequiredKeys(memberPrefix + name)
 	}
 }
@@ -41,13 +41,12 @@
 }
 
 func (l *loader) collectMembers() {
-	for name, member := range l.members {
+	for _, name := range slices.Sorted(maps.Keys(l.members)) {
 		if err := checkName(name); err != nil {
 			l.addAt(memberPrefix+name, "", "the name of the member %s", err)
 		}
-		l.settings.Members = append(l.settings.Members, *member)
+		l.settings.Members = append(l.settings.Members, *l.members[name])
 	}
-	slices.SortFunc(l.settings.Members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	if len(l.settings.Members) > maxMembers {
 		l.addAt("", "", "there are %d members, more than %d", len(l.settings.Members), maxMembers)
 	}
@@ -118,13 +117,31 @@
 		{"region", own.Node.Region, member.Region},
 		{"failure-domain", own.Node.FailureDomain, member.FailureDomain},
 	} {
-		if pair.here != pair.there {
+		usable := l.usable(place{ownSection(pair.key), pair.key}) && l.usable(place{section, pair.key})
+		if usable && pair.here != pair.there {
 			l.addAt(section, pair.key, "is %q, but this node's own setting is %q", pair.there, pair.here)
 		}
 	}
 }
 
+// usable reports whether a key is set and has no finding of its own.
+func (l *loader) usable(where place) bool {
+	_, set := l.places[where]
+	return set && !l.faulty[where]
+}
+
+// ownSection is where a node sets for itself what a member section has too.
+func ownSection(key string) string {
+	if key == "peers" || key == "callers" {
+		return "addresses"
+	}
+	return "node"
+}
+
 func (l *loader) checkTiming() {
+	if slices.ContainsFunc(l.findings, func(finding Finding) bool { return finding.Section == "timing" }) {
+		return // A default would be compared in place of the faulty value.
+	}
 	timing := l.settings.Timing
 	for _, bound := range []struct {
 		key     string
