--- a/cmd/yuccalanding/main.go
+++ b/cmd/yuccalanding/main.go
@@ -8,11 +8,12 @@
 	"syscall"
 
 	"yuccalanding.example/yuccalanding/internal/command"
+	"yuccalanding.example/yuccalanding/internal/daemon"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	status := command.Main(ctx, os.Args[1:], command.Options{})
+	status := command.Main(ctx, os.Args[1:], command.Options{Verbs: daemon.Verbs()})
 	stop()
 	os.Exit(status)
 }
--- /dev/null
+++ b/internal/cell/cell.go
@@ -0,0 +1,336 @@
+// Package cell runs a whole cell inside one process: stand-ins of the log, the
+// VM list and the workers, and several nodes. The demo and the tests use it;
+// every connection is a real one over loopback.
+//
+// # Usage
+//
+//	c, err := cell.Start(ctx, cell.Options{Nodes: cell.SmallNodes(3), Workers: cell.SmallWorkers(4)})
+//	client := c.Client(0)
+//	answer, err := client.Submit(ctx, request)
+//	err = c.Stop()
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/control"
+	"yuccalanding.example/yuccalanding/internal/node"
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/internal/settings"
+	"yuccalanding.example/yuccalanding/internal/standin/logservice"
+	"yuccalanding.example/yuccalanding/internal/standin/vmlistservice"
+	"yuccalanding.example/yuccalanding/internal/standin/workervm"
+	"yuccalanding.example/yuccalanding/internal/vmlist"
+	"yuccalanding.example/yuccalanding/pkg/caller"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// secret is the cluster secret of every cell; a cell lives on loopback only.
+const secret = "a cell that lives on loopback only"
+
+// NodeSpec is one entry VM.
+type NodeSpec struct {
+	Name          string
+	Region        string
+	FailureDomain string
+}
+
+// Options describe a cell.
+type Options struct {
+	Nodes   []NodeSpec
+	Workers []placement.Worker
+	// PeerDelay and WorkerDelay return the one-way distance between two entry
+	// VMs and from an entry VM to a worker; nil is none.
+	PeerDelay   func(from, to NodeSpec) time.Duration
+	WorkerDelay func(from NodeSpec, to placement.Worker) time.Duration
+	// Log takes the nodes' events; nil discards them.
+	Log io.Writer
+	// TaskLease shortens the workers' and the nodes' task leases; 0 is the default.
+	TaskLease time.Duration
+}
+
+// Node is one running entry VM.
+type Node struct {
+	Spec      NodeSpec
+	Settings  settings.Settings
+	Process   *node.Process
+	cancel    context.CancelFunc
+	ended     chan error
+	isRunning bool
+}
+
+// Cell is a running cell.
+type Cell struct {
+	Options Options
+	Log     *logservice.Service
+	VMList  *vmlistservice.Service
+	Fleet   *workervm.Fleet
+	Nodes   []*Node
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	platform  settings.Platform
+	servers   []*http.Server
+	addresses []settings.Addresses
+}
+
+// SmallNodes returns entry VMs in one region and one failure domain.
+func SmallNodes(count int) []NodeSpec {
+	var nodes []NodeSpec
+	for i := range count {
+		nodes = append(nodes, NodeSpec{Name: fmt.Sprintf("entry-%d", i+1), Region: "punjab", FailureDomain: "lahore"})
+	}
+	return nodes
+}
+
+// SmallWorkers returns workers of 16 cores and 32 GB, five in a rack.
+func SmallWorkers(count int) []placement.Worker {
+	var workers []placement.Worker
+	for i := range count {
+		workers = append(workers, placement.Worker{
+			Name: fmt.Sprintf("worker-%02d", i+1), Region: "punjab", FailureDomain: "lahore", Rack: fmt.Sprintf("rack-%d", i/5+1),
+			Capacity: workload.Resources{MilliCPU: 16_000, MemoryMB: 32_768}, Slots: 8, Connections: 64,
+		})
+	}
+	return workers
+}
+
+// Start starts the stand-ins and all nodes.
+func Start(ctx context.Context, options Options) (*Cell, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &Cell{Options: options, ctx: ctx, cancel: cancel}
+	if err := c.startPlatform(); err != nil {
+		cancel()
+		return nil, err
+	}
+	for _, spec := range options.Nodes {
+		addresses, err := freeAddresses()
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		c.addresses = append(c.addresses, addresses)
+		c.Nodes = append(c.Nodes, &Node{Spec: spec})
+	}
+	for i := range c.Nodes {
+		if err := c.StartNode(i); err != nil {
+			cancel()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Cell) startPlatform() error {
+	c.Log = logservice.New(logservice.Options{})
+	c.VMList = vmlistservice.New(vmlistservice.Options{})
+	var err error
+	if c.platform.Log, err = c.serve(c.Log); err != nil {
+		return err
+	}
+	if c.platform.VMList, err = c.serve(c.VMList); err != nil {
+		return err
+	}
+	var vms []workervm.Options
+	for _, w := range c.Options.Workers {
+		vms = append(vms, workervm.Options{Worker: w, TaskLease: c.Options.TaskLease})
+	}
+	if c.Fleet, err = workervm.Serve(c.ctx, vms); err != nil {
+		return err
+	}
+	c.VMList.Set(c.ListedVMs())
+	return nil
+}
+
+// ListedVMs returns the VM list of all workers.
+func (c *Cell) ListedVMs() []vmlist.VM {
+	var listed []vmlist.VM
+	for i, w := range c.Options.Workers {
+		listed = append(listed, vmlist.VM{
+			Name: w.Name, Address: c.Fleet.Addresses[i], Region: w.Region, FailureDomain: w.FailureDomain, Rack: w.Rack,
+		})
+	}
+	return listed
+}
+
+func (c *Cell) serve(handler http.Handler) (netip.AddrPort, error) {
+	listener, err := (&net.ListenConfig{}).Listen(c.ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	c.servers = append(c.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return netip.ParseAddrPort(listener.Addr().String())
+}
+
+// freeAddresses finds three free ports. Another process may take one before
+// the node listens, in which case the node's start fails with a clear error.
+func freeAddresses() (settings.Addresses, error) {
+	var addresses settings.Addresses
+	for _, address := range []*netip.AddrPort{&addresses.Callers, &addresses.Operators} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return addresses, err
+		}
+		*address = netip.MustParseAddrPort(listener.Addr().String())
+		defer listener.Close()
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		return addresses, err
+	}
+	defer socket.Close()
+	addresses.Peers = netip.MustParseAddrPort(socket.LocalAddr().String())
+	return addresses, nil
+}
+
+// Settings returns the settings of a node.
+func (c *Cell) Settings(i int) settings.Settings {
+	spec := c.Options.Nodes[i]
+	s := settings.Defaults()
+	s.Node = settings.Node{Name: spec.Name, Region: spec.Region, FailureDomain: spec.FailureDomain}
+	s.Addresses = c.addresses[i]
+	s.Cluster.Secret = secret
+	s.Platform = c.platform
+	if c.Options.TaskLease > 0 {
+		s.Timing.TaskLease = c.Options.TaskLease
+	}
+	for j, other := range c.Options.Nodes {
+		s.Members = append(s.Members, settings.Member{
+			Name: other.Name, Peers: c.addresses[j].Peers, Callers: c.addresses[j].Callers,
+			Region: other.Region, FailureDomain: other.FailureDomain,
+		})
+	}
+	return s
+}
+
+// StartNode starts a node that is not running.
+func (c *Cell) StartNode(i int) error {
+	n := c.Nodes[i]
+	n.Settings = c.Settings(i)
+	process, err := node.New(node.Options{
+		Settings: n.Settings, Out: c.Options.Log, PeerDelay: c.peerDelay(n.Spec), WorkerDelay: c.workerDelay(n.Spec),
+	})
+	if err != nil {
+		return fmt.Errorf("node %s: %w", n.Spec.Name, err)
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	n.Process, n.cancel, n.ended, n.isRunning = process, cancel, make(chan error, 1), true
+	go func() { n.ended <- process.Run(ctx) }()
+	return nil
+}
+
+func (c *Cell) peerDelay(from NodeSpec) func(to string) time.Duration {
+	if c.Options.PeerDelay == nil {
+		return nil
+	}
+	delays := map[string]time.Duration{}
+	for _, to := range c.Options.Nodes {
+		delays[to.Name] = c.Options.PeerDelay(from, to)
+	}
+	return func(to string) time.Duration { return delays[to] }
+}
+
+func (c *Cell) workerDelay(from NodeSpec) func(worker string) time.Duration {
+	if c.Options.WorkerDelay == nil {
+		return nil
+	}
+	delays := map[string]time.Duration{}
+	for _, to := range c.Options.Workers {
+		delays[to.Name] = c.Options.WorkerDelay(from, to)
+	}
+	return func(worker string) time.Duration { return delays[worker] }
+}
+
+// KillNode ends a node without a drain.
+func (c *Cell) KillNode(i int) error {
+	n := c.Nodes[i]
+	n.cancel()
+	return c.await(n)
+}
+
+// DrainNode stops a node in the planned way and waits for its end.
+func (c *Cell) DrainNode(i int) error {
+	n := c.Nodes[i]
+	n.Process.Drain()
+	return c.await(n)
+}
+
+func (c *Cell) await(n *Node) error {
+	if !n.isRunning {
+		return nil
+	}
+	n.isRunning = false
+	return <-n.ended
+}
+
+// Client returns a client that calls the given nodes, or all if none is given.
+func (c *Cell) Client(nodes ...int) (*caller.Client, error) {
+	var addresses []netip.AddrPort
+	if len(nodes) == 0 {
+		for i := range c.Nodes {
+			nodes = append(nodes, i)
+		}
+	}
+	for _, i := range nodes {
+		addresses = append(addresses, c.addresses[i].Callers)
+	}
+	return caller.New(caller.Options{Addresses: addresses})
+}
+
+// Dump returns a node's control state.
+func (c *Cell) Dump(ctx context.Context, i int) (control.Dump, error) {
+	return c.Nodes[i].Process.Dump(ctx)
+}
+
+// AwaitReady waits until every worker has an owner among the running nodes.
+func (c *Cell) AwaitReady(ctx context.Context) error {
+	for {
+		owned := 0
+		for i, n := range c.Nodes {
+			if !n.isRunning {
+				continue
+			}
+			dump, err := c.Dump(ctx, i)
+			if err != nil {
+				return err
+			}
+			owned += dump.Owned.Workers
+		}
+		if owned >= len(c.Options.Workers) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d workers have an owner: %w", owned, len(c.Options.Workers), ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Stop ends everything and returns the nodes' failures.
+func (c *Cell) Stop() error {
+	var errs []error
+	for _, n := range c.Nodes {
+		if n.isRunning {
+			n.cancel()
+		}
+	}
+	for _, n := range c.Nodes {
+		errs = append(errs, c.await(n))
+	}
+	c.cancel()
+	for _, server := range c.servers {
+		errs = append(errs, server.Close())
+	}
+	errs = append(errs, <-c.Fleet.Done)
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/control/gangs.go
@@ -0,0 +1,238 @@
+package control
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// Times of gang reservations.
+const (
+	// reservationLength is how long an owner holds room for a gang. It is
+	// renewed while the gang collects the rest.
+	reservationLength = 2 * time.Second
+	// reserveEvery is the interval between two rounds of a waiting gang.
+	reserveEvery = 200 * time.Millisecond
+	// confirmMargin is what a reservation must have left when it is confirmed,
+	// so that it can't lapse on the way.
+	confirmMargin = reservationLength / 2
+)
+
+// gangState is a home's collection of commitments for one gang.
+type gangState struct {
+	reserving bool
+	askedAt   time.Time
+	// held are the tasks that owners hold room for, and since when.
+	held map[string]heldRoom
+}
+
+type heldRoom struct {
+	count int
+	until time.Time
+}
+
+// tickGangs lets the oldest waiting gang collect room. One gang of a home
+// collects at a time; between homes the owner prefers the older gang, so that
+// two gangs never hold halves against each other for long.
+func (n *Node) tickGangs(h *home) {
+	h.gangs = slices.DeleteFunc(h.gangs, func(e *entry) bool { return e.ended() || e.state != workload.StateQueued })
+	if len(h.gangs) == 0 {
+		return
+	}
+	e := slices.MinFunc(h.gangs, func(a, b *entry) int { return a.acceptedAt.Compare(b.acceptedAt) })
+	if reason := n.quotaReached(h, e); reason != "" {
+		e.wait(n.now, reason)
+		return
+	}
+	if n.now.Sub(e.gang.askedAt) < reserveEvery {
+		return
+	}
+	n.reserveForGang(h, e)
+}
+
+// reserveForGang asks the owners in the order of their names for the tasks
+// that no owner holds room for yet, and renews what is held.
+func (n *Node) reserveForGang(h *home, e *entry) {
+	e.gang.askedAt = n.now
+	if e.gang.held == nil {
+		e.gang.held = map[string]heldRoom{}
+	}
+	if !e.gang.reserving {
+		e.gang.reserving = true
+		e.note(n.now, "reserving", "room for all tasks of the gang")
+	}
+	e.wait(n.now, "room for all tasks of the gang at once")
+	wanted := e.gangSize()
+	for _, owner := range n.regionOwners(h.place.Region) {
+		summary := n.ownerView(owner).summary
+		if summary.Workers == 0 || !e.request.Resources.Fits(summary.LargestTotal) {
+			continue
+		}
+		held := e.gang.held[owner]
+		if n.now.After(held.until) {
+			held.count = 0
+		}
+		ask := min(wanted, int(gangRoom(summary.Capacity, e.request.Resources)))
+		if ask == 0 {
+			continue
+		}
+		n.send(owner, &Reserve{Assignment: e.assignment(0, h.place.Region, e.front(), e.acceptedAt), Lease: h.number, Count: ask})
+		wanted -= held.count
+		if wanted <= 0 {
+			return
+		}
+	}
+}
+
+// reserved takes an owner's commitment and starts the gang once all are there.
+func (n *Node) reserved(from string, m *Reserved) {
+	h := n.homes[m.Range]
+	if h == nil || !n.mayAct(h) {
+		return
+	}
+	e := h.entries[m.Key]
+	if e == nil || e.state != workload.StateQueued || !e.gang.reserving {
+		n.send(from, &Release{Key: m.Key, Range: m.Range})
+		return
+	}
+	e.gang.held[from] = heldRoom{count: m.Count, until: n.now.Add(m.For)}
+	total := 0
+	for _, owner := range n.regionOwners(h.place.Region) {
+		if held := e.gang.held[owner]; held.until.Sub(n.now) >= confirmMargin {
+			total += held.count
+		}
+	}
+	if total >= e.gangSize() {
+		n.confirmGang(h, e)
+	}
+}
+
+// confirmGang sends each owner the tasks that it holds room for.
+func (n *Node) confirmGang(h *home, e *entry) {
+	n.count(h, e)
+	e.gang.reserving = false
+	e.state, e.waiting = workload.StateAssigned, ""
+	next := 0
+	for i := range e.tasks {
+		h.beginAttempt(e, &e.tasks[i])
+	}
+	for _, owner := range n.regionOwners(h.place.Region) {
+		held := e.gang.held[owner]
+		if held.count == 0 {
+			continue
+		}
+		confirm := &Confirm{Key: e.request.Key, Lease: h.number, Payload: e.request.Payload}
+		for range min(held.count, len(e.tasks)-next) {
+			t := &e.tasks[next]
+			t.state, t.owner, t.worker, t.changedAt, t.askedAt = taskAssigned, owner, "", n.now, n.now
+			n.ownerView(owner).outstanding[h.place.Team]++
+			confirm.Assignments = append(confirm.Assignments, e.assignment(next, h.place.Region, e.front(), e.acceptedAt))
+			next++
+		}
+		if len(confirm.Assignments) == 0 {
+			n.send(owner, &Release{Key: e.request.Key, Range: h.place})
+			continue
+		}
+		n.sendBulk(owner, confirm)
+	}
+	e.gang.held = nil
+	h.gangs = slices.DeleteFunc(h.gangs, func(other *entry) bool { return other == e })
+	n.activate(h, e)
+	e.note(n.now, "assigned", "every task of the gang has its room")
+	n.event(EventGangStarted, string(e.request.Key), "")
+}
+
+func (n *Node) releaseGang(h *home, e *entry) {
+	for _, owner := range n.regionOwners(h.place.Region) {
+		if _, held := e.gang.held[owner]; held {
+			n.send(owner, &Release{Key: e.request.Key, Range: h.place})
+		}
+	}
+	e.gang = gangState{}
+}
+
+// gangTaskReturned handles a gang task that its owner did not start: the
+// started ones are stopped, and the gang begins again as a whole.
+func (n *Node) gangTaskReturned(h *home, e *entry, t *task, reason string) {
+	t.state, t.result = taskEnded, &Result{Outcome: placement.Lost}
+	t.notStarted = true
+	e.note(n.now, "returned", reason)
+	n.gangTaskEnded(h, e, t)
+}
+
+// gangTaskEnded stops the rest of a gang when one task did not complete, and
+// decides on a new attempt once none of its tasks can run any more.
+func (n *Node) gangTaskEnded(h *home, e *entry, failed *task) {
+	failed.state = taskEnded
+	open := false
+	for i := range e.tasks {
+		t := &e.tasks[i]
+		switch t.state {
+		case taskAssigned, taskRunning:
+			open = true
+			if !t.stopping {
+				t.stopping = true
+				n.send(t.owner, &Cancel{Key: e.request.Key, Range: h.place, ToOwner: true, Task: t.id})
+			}
+		case taskDoubtful:
+			open = true
+		}
+	}
+	if open {
+		return
+	}
+	n.gangEnded(h, e)
+}
+
+func (n *Node) gangEnded(h *home, e *entry) {
+	worst := e.tasks[0].result
+	ran := false
+	for i := range e.tasks {
+		result := e.tasks[i].result
+		ran = ran || !e.tasks[i].notStarted
+		if result.Outcome == placement.Failed || worst.Outcome == placement.Completed {
+			worst = result
+		}
+	}
+	probe := &task{result: worst, preempted: slices.ContainsFunc(e.tasks, func(t task) bool { return t.preempted })}
+	reason, allowed := "no task of the gang had started", true
+	if ran {
+		reason, allowed = n.retryAllowed(h, e, probe)
+		if e.request.NonIdempotent {
+			allowed = false
+		}
+	}
+	if !allowed {
+		n.endUncompleted(h, e, probe, reason)
+		return
+	}
+	n.uncount(h, e)
+	e.note(n.now, "retry", reason)
+	e.attempt++
+	e.state = workload.StateQueued
+	e.gang = gangState{}
+	e.resetTasks(n.now, taskQueued)
+	n.queueEntry(h, e)
+}
+
+// joinBodies returns the JSON array of the tasks' bodies. A body that is not
+// JSON itself is given as a string.
+func joinBodies(tasks []task) []byte {
+	bodies := make([]json.RawMessage, len(tasks))
+	for i := range tasks {
+		body := bytes.TrimSpace(tasks[i].result.Body)
+		if !json.Valid(body) {
+			body, _ = json.Marshal(string(tasks[i].result.Body))
+		}
+		bodies[i] = body
+	}
+	joined, err := json.Marshal(bodies)
+	if err != nil {
+		return nil
+	}
+	return joined
+}
--- /dev/null
+++ b/internal/control/home.go
@@ -0,0 +1,467 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/tenure"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// home is this node's role for one range: its key table, queues and quota.
+type home struct {
+	place   tenure.Range
+	entries map[workload.Key]*entry
+	// ended lists ended entries, oldest first, for dropping them.
+	ended  []*entry
+	queues []*kindQueue
+	// active are the entries with a task outside the queue.
+	active    []*entry
+	gangs     []*entry
+	suspects  []*entry
+	deadlines deadlines
+
+	// leaseSince is when the present, unbroken lease began; zero without one.
+	leaseSince time.Time
+	// tenureSince is the start of the same lease in the lease table.
+	tenureSince time.Time
+	number      tenure.LeaseNumber
+	recovery    recovery
+	// knownSince is the time from which on every key of the range was seen by
+	// this home; a key issued after it and not in the table was never started.
+	knownSince time.Time
+
+	used    workload.Resources
+	running int
+	// starts and retries are counted for the retry budget, halved each minute.
+	starts, retries int
+	decayedAt       time.Time
+	handedOver      bool
+	// jobsKnown is set once every record of former homes has been read.
+	jobsKnown bool
+	askedLog  time.Time
+	// takenOver is the lease that a former home handed over with everything
+	// that it knew since takenSince.
+	takenOver  tenure.LeaseNumber
+	takenSince time.Time
+}
+
+func (n *Node) sortedRanges() []tenure.Range {
+	ranges := make([]tenure.Range, 0, len(n.homes))
+	for r := range n.homes {
+		ranges = append(ranges, r)
+	}
+	slices.SortFunc(ranges, func(a, b tenure.Range) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Team, b.Team))
+	})
+	return ranges
+}
+
+// homeFor returns this node's home of a range, made when it is first needed.
+func (n *Node) homeFor(r tenure.Range) *home {
+	h := n.homes[r]
+	if h == nil {
+		h = &home{place: r, entries: map[workload.Key]*entry{}, decayedAt: n.now}
+		n.homes[r] = h
+	}
+	return h
+}
+
+func (h *home) applyRules(rules *Rules) {
+	for _, q := range h.queues {
+		q.rule, _ = rules.kind(q.name)
+	}
+}
+
+// mayAct reports whether the home may act: it holds the lease by its own clock.
+func (n *Node) mayAct(h *home) bool {
+	_, held := n.tenure.Held(n.now, h.place)
+	return held && !h.leaseSince.IsZero()
+}
+
+// enqueue takes a request, a caller's retry or a front's question.
+func (n *Node) enqueue(m *Enqueue) {
+	r := n.rangeOf(m.Request.Team, m.Request.Region)
+	h := n.homes[r]
+	if h != nil {
+		if e := h.entries[m.Request.Key]; e != nil {
+			n.enqueueKnown(h, e, m)
+			return
+		}
+	}
+	if n.homeOf(r) != n.options.Name || n.draining {
+		n.notHome(m, workload.CodeNoHome, "this node is not the home of team "+r.Team)
+		return
+	}
+	h = n.homeFor(r)
+	if m.Wait {
+		n.waitForUnknown(h, m)
+		return
+	}
+	n.enqueueNew(h, m)
+}
+
+func (n *Node) notHome(m *Enqueue, code workload.Code, reason string) {
+	n.send(m.Front, &Refused{
+		Key: m.Request.Key, Try: m.Try, NotHome: true,
+		Refusal: *workload.Refuse(code, n.timing.RepeatAfter, "%s", reason),
+	})
+}
+
+// waitForUnknown answers a caller who asks for a key that is not in the table.
+// Before the recovery is complete the key may still turn up.
+func (n *Node) waitForUnknown(h *home, m *Enqueue) {
+	if h.recovery.complete {
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeNotFound, 0, "the key is not known"))
+		return
+	}
+	n.notHome(m, workload.CodeNoHome, "the home is recovering")
+}
+
+// enqueueKnown attaches a front to a request that the home already has.
+func (n *Node) enqueueKnown(h *home, e *entry, m *Enqueue) {
+	if !m.Wait && !m.ResolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
+		n.event(EventConflictingKeyUsed, string(m.Request.Key), "the key was used before for another body")
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeKeyReused, 0, "key %s was used for a different request", m.Request.Key))
+		return
+	}
+	if e.listedOnly() && !m.Wait && !m.ResolveOnly {
+		e.request, e.digest = m.Request, m.Request.Digest()
+	}
+	if e.state == workload.StateRefused && e.refusal.Run == workload.NotRun && m.Try > e.try && e.refusal.Code != workload.CodeKeyReused && !m.Wait {
+		n.resubmit(h, e, m)
+		return
+	}
+	e.try = max(e.try, m.Try)
+	e.addFront(m.Front)
+	switch {
+	case e.ended():
+		n.tellOutcome(h, e, m.Front, m.Try)
+	case e.durable && e.recorded && !m.Wait:
+		n.send(m.Front, &Answered{Key: e.request.Key, Accepted: true})
+	default:
+		n.send(m.Front, &Answered{Key: e.request.Key, Received: true})
+		n.redirectTasks(h, e, m.Front)
+	}
+}
+
+// listedOnly reports whether the entry is known from a worker's list alone, so
+// that its digest is not known.
+func (e *entry) listedOnly() bool { return e.digest == 0 }
+
+// resubmit takes a request again that this home refused as not run.
+func (n *Node) resubmit(h *home, e *entry, m *Enqueue) {
+	if m.ResolveOnly {
+		n.notHome(m, workload.CodeNotFound, "the request was refused and has not run")
+		return
+	}
+	h.forget(e)
+	n.enqueueNew(h, m)
+}
+
+func (h *home) forget(e *entry) {
+	delete(h.entries, e.request.Key)
+	for i, other := range h.ended {
+		if other == e {
+			h.ended = slices.Delete(h.ended, i, i+1)
+			return
+		}
+	}
+}
+
+// enqueueNew makes an entry for a key that is not in the table.
+func (n *Node) enqueueNew(h *home, m *Enqueue) {
+	e := &entry{
+		request:    m.Request,
+		digest:     m.Request.Digest(),
+		acceptedAt: n.now.Add(-m.Age),
+		state:      workload.StateQueued,
+		try:        m.Try,
+		durable:    m.Request.Mode == workload.ModeJob || m.Request.Mode == workload.ModeService,
+	}
+	e.addFront(m.Front)
+	e.suspect = (m.Resent || m.Request.Attempt > 0 || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
+	if m.ResolveOnly && !e.suspect {
+		// The key was never here, and any run of it would have been seen.
+		n.notHome(m, workload.CodeNotFound, "the request never reached this home")
+		return
+	}
+	if refusal := n.admitAtHome(h, e); refusal != nil {
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
+		return
+	}
+	e.resetTasks(n.now, taskQueued)
+	if !e.durable {
+		n.setStartBy(e)
+	}
+	h.entries[e.request.Key] = e
+	e.note(e.acceptedAt, "received", "at "+m.Front)
+	e.note(n.now, "queued", "at home "+n.options.Name)
+	n.send(m.Front, &Answered{Key: e.request.Key, Received: true})
+	if e.durable {
+		n.acceptJob(h, e)
+		return
+	}
+	n.queueEntry(h, e)
+}
+
+// knowsAllSince reports whether a key that is not in the table was certainly
+// never started: it was issued after the time from which on this home has seen
+// every key, with room for the clocks of callers.
+func (h *home) knowsAllSince(key workload.Key) bool {
+	issued, ok := key.IssuedAt()
+	return ok && !h.knownSince.IsZero() && issued.After(h.knownSince.Add(clockSkewBound))
+}
+
+func (n *Node) setStartBy(e *entry) {
+	rule, _ := n.rules.kind(e.request.Kind)
+	within := rule.Deadline
+	if e.request.StartWithinMS > 0 {
+		within = time.Duration(e.request.StartWithinMS) * time.Millisecond
+	}
+	if within > 0 {
+		e.startBy = e.acceptedAt.Add(within)
+	}
+}
+
+// admitAtHome refuses what can't be queued: bounds, work that can never run,
+// work that would start too late.
+func (n *Node) admitAtHome(h *home, e *entry) *workload.Refusal {
+	if len(h.entries) >= maxEntriesPerHome {
+		return workload.Refuse(workload.CodeQueueFull, time.Second, "team %s has %d requests in this region's key table", h.place.Team, maxEntriesPerHome)
+	}
+	if reason := n.neverRunnable(h, e); reason != "" {
+		n.event(EventNeverRunnable, string(e.request.Key), reason)
+		return workload.Refuse(workload.CodeNeverRunnable, 0, "%s", reason)
+	}
+	rule, _ := n.rules.kind(e.request.Kind)
+	q := h.queue(e.request.Kind, rule)
+	if q.length() >= rule.QueueBound {
+		return workload.Refuse(workload.CodeQueueFull, q.drainTime(n.now), "the queue of kind %s is at its bound of %d", rule.Name, rule.QueueBound)
+	}
+	return n.tooLate(q, e, rule)
+}
+
+// tooLate refuses work early that can't start before its deadline at the rate
+// at which its queue drains.
+func (n *Node) tooLate(q *kindQueue, e *entry, rule KindRule) *workload.Refusal {
+	within := rule.Deadline
+	if e.request.StartWithinMS > 0 {
+		within = time.Duration(e.request.StartWithinMS) * time.Millisecond
+	}
+	expected := q.expectedWait(n.now)
+	if within == 0 || e.durable || e.suspect || expected <= within {
+		return nil
+	}
+	return workload.Refuse(workload.CodeTooLate, expected-within,
+		"expected to wait %s, longer than its deadline of %s", expected.Round(time.Millisecond), within)
+}
+
+func (n *Node) refuseAtFront(front string, key workload.Key, try int, refusal *workload.Refusal) {
+	n.send(front, &Refused{Key: key, Try: try, Refusal: *refusal})
+}
+
+// end closes an entry with its answer or refusal and tells every waiting front.
+func (n *Node) end(h *home, e *entry, state workload.State) {
+	if e.ended() {
+		return
+	}
+	n.uncount(h, e)
+	e.state, e.endedAt, e.waiting = state, n.now, ""
+	e.note(n.now, string(state), "")
+	if e.gang.reserving {
+		n.releaseGang(h, e)
+	}
+	if e.queued {
+		h.queue(e.request.Kind, KindRule{}).drop(e)
+	}
+	h.ended = append(h.ended, e)
+	e.request.Payload = nil
+	if e.durable && e.recorded {
+		n.recordEnd(h, e)
+	}
+	for _, front := range e.fronts {
+		n.tellOutcome(h, e, front, e.try)
+	}
+}
+
+// tellOutcome sends what is known of an ended request to a front. The answer of
+// a single request stays with its owner, who is asked to deliver it.
+func (n *Node) tellOutcome(h *home, e *entry, front string, try int) {
+	switch {
+	case e.refusal != nil:
+		n.refuseAtFront(front, e.request.Key, try, e.refusal)
+	case e.answer != nil && (e.collected() || e.answer.Failed):
+		n.sendBulk(front, &Answered{Key: e.request.Key, Answer: *e.answer})
+	default:
+		n.redirectTasks(h, e, front)
+	}
+}
+
+// redirectTasks has the owners of a request's tasks send the answer to a front
+// that has come to wait for it.
+func (n *Node) redirectTasks(_ *home, e *entry, front string) {
+	if e.collected() {
+		return
+	}
+	for i := range e.tasks {
+		if t := &e.tasks[i]; t.owner != "" {
+			n.send(t.owner, &Redirect{Task: t.id, Front: front})
+		}
+	}
+}
+
+func (n *Node) refuseEntry(h *home, e *entry, refusal *workload.Refusal) {
+	e.refusal = refusal
+	state := workload.StateRefused
+	if refusal.Run == workload.MayHaveRun {
+		state = workload.StateUnknown
+		n.event(EventOutcomeUnknown, string(e.request.Key), refusal.Message)
+	}
+	if refusal.Code == workload.CodeCanceled {
+		state = workload.StateCanceled
+	}
+	n.end(h, e, state)
+}
+
+func outcomeUnknown(reason string) *workload.Refusal {
+	refusal := workload.Refuse(workload.CodeOutcome, 0, "it can't be proved whether the request ran: %s", reason)
+	refusal.Run = workload.MayHaveRun
+	return refusal
+}
+
+// cancelAtHome ends a request at a caller's wish.
+func (n *Node) cancelAtHome(m *Cancel) {
+	h := n.homes[m.Range]
+	if h == nil {
+		return
+	}
+	e := h.entries[m.Key]
+	if e == nil || e.ended() || e.canceled {
+		return
+	}
+	e.canceled = true
+	e.note(n.now, "cancel-requested", "")
+	busy := false
+	for i := range e.tasks {
+		switch t := &e.tasks[i]; t.state {
+		case taskAssigned, taskRunning:
+			busy = true
+			n.send(t.owner, &Cancel{Key: m.Key, Range: m.Range, ToOwner: true, Task: t.id})
+		case taskDoubtful:
+			busy = true
+		}
+	}
+	if !busy && !e.suspect {
+		n.refuseEntry(h, e, workload.Refuse(workload.CodeCanceled, 0, "canceled before it started"))
+	}
+}
+
+func (n *Node) describe(from string, m *Describe) {
+	description := &Description{Ask: m.Ask}
+	if h := n.homes[m.Range]; h != nil {
+		if e := h.entries[m.Key]; e != nil {
+			description.Known, description.Status = true, e.status()
+		}
+	}
+	n.sendBulk(from, description)
+}
+
+// tickHomes keeps the leases, checks what is overdue and starts what may start.
+func (n *Node) tickHomes() {
+	n.tickTenure()
+	for _, r := range n.sortedRanges() {
+		h := n.homes[r]
+		n.tickLease(h)
+		n.decay(h)
+		h.dropEnded(n.now, n.timing.ResultRetention)
+		if !n.mayAct(h) {
+			continue
+		}
+		n.tickRecovery(h)
+		if !h.jobsKnown && n.log.Up && n.now.Sub(h.askedLog) >= logRetryAfter {
+			n.announceHome(h)
+		}
+		n.tickTasks(h)
+		n.tickGangs(h)
+		n.dispatch(h)
+	}
+}
+
+// tickLease notes when a lease begins and ends.
+func (n *Node) tickLease(h *home) {
+	lease, held := n.tenure.Held(n.now, h.place)
+	if held && !h.leaseSince.IsZero() {
+		if !lease.Since.Equal(h.tenureSince) {
+			n.loseLease(h)
+		}
+		h.number = lease.Number
+	}
+	switch {
+	case held && h.leaseSince.IsZero():
+		h.leaseSince, h.tenureSince, h.number = n.now, lease.Since, lease.Number
+		n.event(EventHomeLeaseGained, h.place.Team, h.place.Region)
+		if !n.takeOverKnowledge(h, lease.Number) {
+			n.startRecovery(h)
+		}
+	case !held && !h.leaseSince.IsZero():
+		n.loseLease(h)
+	}
+}
+
+// loseLease forgets what only a holder may count on. Another home may have
+// acted in the meantime, so everything open is suspect.
+func (n *Node) loseLease(h *home) {
+	h.leaseSince, h.knownSince, h.recovery = time.Time{}, time.Time{}, recovery{}
+	h.jobsKnown, h.askedLog = false, time.Time{}
+	n.event(EventHomeLeaseLost, h.place.Team, h.place.Region)
+	for _, e := range h.entries {
+		if !e.ended() {
+			e.suspect = true
+		}
+	}
+	for _, q := range h.queues {
+		for e := q.head(); e != nil; e = q.head() {
+			q.drop(e)
+			h.suspects = append(h.suspects, e)
+		}
+	}
+	h.suspects = append(h.suspects, h.gangs...)
+	h.gangs = nil
+}
+
+// decay halves the counters of the retry budget each minute.
+func (n *Node) decay(h *home) {
+	if n.now.Sub(h.decayedAt) >= time.Minute {
+		h.decayedAt = n.now
+		h.starts, h.retries = h.starts/2, h.retries/2
+	}
+}
+
+// dropEnded forgets the oldest ended entries: past the bound, and those whose
+// answer is no longer kept. A dropped key can't be told from one that was
+// never seen, so knownSince moves past its time of issue.
+func (h *home) dropEnded(now time.Time, retention time.Duration) {
+	for len(h.ended) > 0 {
+		e := h.ended[0]
+		if len(h.ended) <= maxEndedPerHome && now.Sub(e.endedAt) < 20*retention {
+			return
+		}
+		h.ended = h.ended[1:]
+		delete(h.entries, e.request.Key)
+		if issued, ok := e.request.Key.IssuedAt(); ok && issued.After(h.knownSince) {
+			h.knownSince = issued
+		}
+	}
+}
+
+// sortedEntries returns the entries by key.
+func (h *home) sortedEntries() []*entry {
+	entries := make([]*entry, 0, len(h.entries))
+	for _, e := range h.entries {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.request.Key, b.request.Key) })
+	return entries
+}
--- /dev/null
+++ b/internal/control/jobs.go
@@ -0,0 +1,270 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/tenure"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// Bounds and times of durable jobs.
+const (
+	maxOpenJobs     = 100_000
+	maxEndedJobs    = 50_000
+	logRetryAfter   = 5 * time.Second
+	endRecordsEvery = 5 * time.Second
+)
+
+// jobTable holds what the log says of durable jobs, of every range, so that a
+// new home has them at hand.
+type jobTable struct {
+	open map[workload.Key]*JobAccepted
+	// order lists open and ended jobs in the order of the log.
+	order []workload.Key
+	// ended remembers ended keys, so that a second acceptance record, written by
+	// a retry, does not open a job again.
+	ended      map[workload.Key]bool
+	endedOrder []workload.Key
+	// unrecorded are ends whose append failed.
+	unrecorded []*entry
+	retriedAt  time.Time
+}
+
+func newJobTable() jobTable {
+	return jobTable{open: map[workload.Key]*JobAccepted{}, ended: map[workload.Key]bool{}}
+}
+
+func acceptIdentity(key workload.Key) string { return "accepted/" + string(key) }
+func endIdentity(key workload.Key) string    { return "ended/" + string(key) }
+
+// acceptJob writes a job's record; the job is acknowledged and queued once the
+// record was read back.
+func (n *Node) acceptJob(h *home, e *entry) {
+	if !n.log.Up {
+		if e.request.HoldInOutage {
+			e.wait(n.now, "log: it can't be written to")
+			n.jobs.unrecorded = append(n.jobs.unrecorded, e)
+			return
+		}
+		n.refuseEntry(h, e, workload.Refuse(workload.CodeLogDown, logRetryAfter, "the log can't be written to, so the job can't be made durable"))
+		return
+	}
+	n.appendAcceptance(e)
+}
+
+func (n *Node) appendAcceptance(e *entry) {
+	e.appending = true
+	e.wait(n.now, "log: its record is being written")
+	n.emit(&AppendRecord{Identity: acceptIdentity(e.request.Key), Accepted: &JobAccepted{
+		Request: e.request, Region: n.rangeOf(e.request.Team, e.request.Region).Region, At: e.acceptedAt,
+	}})
+}
+
+// recordRead takes a record of the log, in the log's order.
+func (n *Node) recordRead(in *RecordRead) {
+	switch {
+	case in.Accepted != nil:
+		n.jobAccepted(in.Accepted)
+	case in.Ended != nil:
+		n.jobEnded(in.Ended)
+	case in.Began != nil:
+		n.homeBegan(in.Began)
+	}
+}
+
+// announceHome writes the record that tells this node, when it is read back,
+// that it has read what former homes of the range wrote.
+func (n *Node) announceHome(h *home) {
+	h.askedLog = n.now
+	n.emit(&AppendRecord{
+		Identity: fmt.Sprintf("began/%s/%s/%d/%s", h.place.Region, h.place.Team, h.number.At, h.number.Node),
+		Began:    &HomeBegan{Region: h.place.Region, Team: h.place.Team, Lease: h.number},
+	})
+}
+
+func (n *Node) homeBegan(record *HomeBegan) {
+	h := n.homes[tenure.Range{Region: record.Region, Team: record.Team}]
+	if h == nil || h.jobsKnown || h.leaseSince.IsZero() {
+		return
+	}
+	if record.Lease.Node == n.options.Name && record.Lease.Compare(h.recovery.first) >= 0 {
+		h.jobsKnown = true
+		n.adoptJobs(h)
+	}
+}
+
+func (n *Node) jobAccepted(record *JobAccepted) {
+	key := record.Request.Key
+	if n.jobs.ended[key] || n.jobs.open[key] != nil {
+		return
+	}
+	if len(n.jobs.open) >= maxOpenJobs {
+		n.event(EventBoundReached, "open-jobs", "a durable job is not tracked by this node")
+		return
+	}
+	n.jobs.open[key] = record
+	n.jobs.order = append(n.jobs.order, key)
+	r := tenure.Range{Region: record.Region, Team: record.Request.Team}
+	h := n.homes[r]
+	if h == nil && n.homeOf(r) == n.options.Name {
+		h = n.homeFor(r)
+	}
+	if h == nil {
+		return
+	}
+	if e := h.entries[key]; h.jobsKnown || (e != nil && e.appending) {
+		n.adoptJob(h, record)
+	}
+}
+
+// adoptJobs takes over the open jobs of a range that this node is new to.
+func (n *Node) adoptJobs(h *home) {
+	for _, key := range n.jobs.order {
+		record := n.jobs.open[key]
+		if record != nil && record.Region == h.place.Region && record.Request.Team == h.place.Team {
+			n.adoptJob(h, record)
+		}
+	}
+}
+
+// adoptJob queues a job whose record was read. One that this home has not
+// written itself may have been started by another home.
+func (n *Node) adoptJob(h *home, record *JobAccepted) {
+	e := h.entries[record.Request.Key]
+	switch {
+	case e == nil:
+		e = &entry{
+			request: record.Request, digest: record.Request.Digest(), acceptedAt: record.At,
+			durable: true, recorded: true, suspect: true,
+		}
+		e.resetTasks(n.now, taskQueued)
+		h.entries[e.request.Key] = e
+		e.note(record.At, "accepted", "read from the log")
+		n.queueEntry(h, e)
+	case e.listedOnly():
+		e.request, e.digest, e.durable, e.recorded = record.Request, record.Request.Digest(), true, true
+	case !e.recorded && !e.ended():
+		e.recorded, e.appending = true, false
+		e.note(n.now, "accepted", "its record was read back from the log")
+		for _, front := range e.fronts {
+			n.send(front, &Answered{Key: e.request.Key, Accepted: true})
+		}
+		n.queueEntry(h, e)
+	}
+}
+
+func (n *Node) jobEnded(record *JobEnded) {
+	if n.jobs.open[record.Key] != nil {
+		delete(n.jobs.open, record.Key)
+	}
+	n.rememberEnded(record.Key)
+	h := n.homes[tenure.Range{Region: record.Region, Team: record.Team}]
+	if h == nil {
+		return
+	}
+	e := h.entries[record.Key]
+	if e == nil {
+		return
+	}
+	if !e.ended() {
+		e.answer, e.refusal = record.Answer, record.Refusal
+		e.recorded = false
+		n.end(h, e, record.State)
+	}
+	for i := range e.tasks {
+		if t := &e.tasks[i]; t.owner != "" {
+			n.send(t.owner, &AcknowledgeAnswer{Task: t.id, Final: true})
+		}
+	}
+}
+
+func (n *Node) rememberEnded(key workload.Key) {
+	if n.jobs.ended[key] {
+		return
+	}
+	n.jobs.ended[key] = true
+	n.jobs.endedOrder = append(n.jobs.endedOrder, key)
+	if len(n.jobs.endedOrder) > maxEndedJobs {
+		delete(n.jobs.ended, n.jobs.endedOrder[0])
+		n.jobs.endedOrder = n.jobs.endedOrder[1:]
+	}
+	if len(n.jobs.order) > 2*len(n.jobs.open)+1024 {
+		n.jobs.order = slices.DeleteFunc(n.jobs.order, func(key workload.Key) bool { return n.jobs.open[key] == nil })
+	}
+}
+
+// recordEnd writes a durable job's end.
+func (n *Node) recordEnd(_ *home, e *entry) {
+	n.emit(&AppendRecord{Identity: endIdentity(e.request.Key), Ended: &JobEnded{
+		Key: e.request.Key, Region: n.rangeOf(e.request.Team, e.request.Region).Region, Team: e.request.Team,
+		State: e.state, Answer: e.answer, Refusal: e.refusal, At: n.now,
+	}})
+}
+
+// appendFailed takes the news that a record was certainly not written.
+func (n *Node) appendFailed(in *AppendFailed) {
+	for _, r := range n.sortedRanges() {
+		h := n.homes[r]
+		for _, e := range []*entry{h.entries[keyOf(in.Identity, "accepted/")], h.entries[keyOf(in.Identity, "ended/")]} {
+			switch {
+			case e == nil:
+			case e.appending && !e.recorded && !e.ended():
+				n.acceptanceFailed(h, e)
+			case e.ended() && e.recorded && n.jobs.open[e.request.Key] != nil:
+				n.jobs.unrecorded = append(n.jobs.unrecorded, e)
+			}
+		}
+	}
+}
+
+func (n *Node) acceptanceFailed(h *home, e *entry) {
+	e.appending = false
+	if e.request.HoldInOutage {
+		e.wait(n.now, "log: it can't be written to")
+		n.jobs.unrecorded = append(n.jobs.unrecorded, e)
+		return
+	}
+	n.refuseEntry(h, e, workload.Refuse(workload.CodeLogDown, logRetryAfter, "the log can't be written to, so the job can't be made durable"))
+}
+
+func keyOf(identity, prefix string) workload.Key {
+	if len(identity) > len(prefix) && identity[:len(prefix)] == prefix {
+		return workload.Key(identity[len(prefix):])
+	}
+	return ""
+}
+
+// logState takes the state of the log and, when it is back, writes what could
+// not be written.
+func (n *Node) logState(in *LogState) {
+	if in.Up != n.log.Up {
+		event := EventLogDown
+		if in.Up {
+			event = EventLogUp
+		}
+		n.event(event, "log", "")
+	}
+	n.log = *in
+}
+
+// tickJobs writes held records once the log is up.
+func (n *Node) tickJobs() {
+	if !n.log.Up || len(n.jobs.unrecorded) == 0 || n.now.Sub(n.jobs.retriedAt) < endRecordsEvery {
+		return
+	}
+	n.jobs.retriedAt = n.now
+	waiting := n.jobs.unrecorded
+	n.jobs.unrecorded = nil
+	for _, e := range waiting {
+		h := n.homes[n.rangeOf(e.request.Team, e.request.Region)]
+		switch {
+		case h == nil || h.entries[e.request.Key] != e:
+		case e.ended():
+			n.recordEnd(h, e)
+		case !e.recorded && !e.appending:
+			n.appendAcceptance(e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/owner.go
@@ -0,0 +1,394 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/internal/tenure"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// Times and bounds of the owner role.
+const (
+	// openRetry is the interval between two attempts to open a session.
+	openRetry = 250 * time.Millisecond
+	// rebalanceEvery is the least time between two sessions that this node gives
+	// to a preferred member. A moved worker counts for no home lease until the
+	// new owner's promises are safe (2.2 s), so moving faster would cost leases.
+	rebalanceEvery = 3 * time.Second
+	// ownershipEvery is the interval between two looks at who should own what.
+	ownershipEvery = 250 * time.Millisecond
+	// scheduleLimit bounds the decisions of one step.
+	scheduleLimit = 256
+	// keptResultsPerWorker bounds acknowledged results that are kept for a
+	// caller who comes back.
+	keptResultsPerWorker = 64
+	// unclaimedLimit is how long a result waits for a caller who is gone.
+	unclaimedLimit = 10 * time.Minute
+)
+
+// session is this node's right to place on one worker.
+type session struct {
+	worker  placement.Worker
+	token   uint64
+	leaving bool
+	// closing is set while the session is being given to another member.
+	closing  bool
+	starting int
+	kept     []*held
+	// strangerSince is when another member became the preferred owner.
+	strangerSince time.Time
+}
+
+// heldState is where a task is at its owner.
+type heldState string
+
+const (
+	heldWaiting  heldState = "waiting"
+	heldStarting heldState = "starting"
+	heldRunning  heldState = "running"
+	heldFinished heldState = "finished"
+)
+
+// held is a task at its owner.
+type held struct {
+	assignment Assignment
+	payload    []byte
+	state      heldState
+	worker     string
+	receivedAt time.Time
+	startedAt  time.Time
+	result     *Result
+	ackFront   bool
+	ackHome    bool
+	sentAt     time.Time
+	repeats    int
+	finishedAt time.Time
+	keptAt     time.Time
+}
+
+type reservation struct {
+	place      tenure.Range
+	enqueuedAt time.Time
+	until      time.Time
+}
+
+type ownerRole struct {
+	engine       *placement.Engine
+	sessions     map[string]*session
+	opening      map[string]time.Time
+	tasks        map[placement.TaskID]*held
+	fenced       map[placement.TaskID]bool
+	fencedOrder  []placement.TaskID
+	reservations map[workload.Key]*reservation
+	unacked      []*held
+	kept         []*held
+	checkedAt    time.Time
+	rebalancedAt time.Time
+}
+
+func newOwnerRole(options Options) ownerRole {
+	return ownerRole{
+		engine:       placement.New(placement.Options{Seed: options.Seed}),
+		sessions:     map[string]*session{},
+		opening:      map[string]time.Time{},
+		tasks:        map[placement.TaskID]*held{},
+		fenced:       map[placement.TaskID]bool{},
+		reservations: map[workload.Key]*reservation{},
+	}
+}
+
+func (n *Node) sessionNames() []string {
+	names := make([]string, 0, len(n.owner.sessions))
+	for name := range n.owner.sessions {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// fence makes sure that a late assignment of a task is refused.
+func (n *Node) fence(id placement.TaskID) {
+	if n.owner.fenced[id] {
+		return
+	}
+	n.owner.fenced[id] = true
+	n.owner.fencedOrder = append(n.owner.fencedOrder, id)
+	if len(n.owner.fencedOrder) > maxFencedTasks {
+		delete(n.owner.fenced, n.owner.fencedOrder[0])
+		n.owner.fencedOrder = n.owner.fencedOrder[1:]
+	}
+}
+
+// assign takes a task from its home, if the home's lease is the newest one.
+func (n *Node) assign(from string, m *Assign) {
+	id := m.Assignment.Task.ID
+	if known := n.owner.tasks[id]; known != nil {
+		n.reportHeld(from, known)
+		return
+	}
+	if refusal := n.refuseAssignment(&m.Assignment, m.Lease); refusal != "" {
+		n.returnTask(from, &m.Assignment, AssignReturned, refusal)
+		return
+	}
+	task := m.Assignment.Task
+	if m.StartWithin > 0 {
+		task.StartBy = n.now.Add(m.StartWithin)
+	}
+	if rejection := n.owner.engine.Enqueue(n.now, task); rejection != nil {
+		n.returnTask(from, &m.Assignment, AssignReturned, rejection.Message)
+		return
+	}
+	m.Assignment.Task = task
+	n.owner.tasks[id] = &held{assignment: m.Assignment, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
+	n.schedule()
+}
+
+// refuseAssignment says why this node must not take a task.
+func (n *Node) refuseAssignment(a *Assignment, lease tenure.LeaseNumber) string {
+	switch {
+	case n.draining:
+		return "the owner is stopping"
+	case n.owner.fenced[a.Task.ID]:
+		return "the attempt was withdrawn"
+	}
+	if err := n.tenure.Check(n.now, a.Range(), lease); err != nil {
+		n.event(EventAssignmentFenced, string(a.Task.ID.Key), err.Error())
+		return "the home's lease was replaced"
+	}
+	return ""
+}
+
+// returnTask tells a home that a task was not started and won't be.
+func (n *Node) returnTask(home string, a *Assignment, state AssignState, reason string) {
+	n.fence(a.Task.ID)
+	delete(n.owner.tasks, a.Task.ID)
+	n.send(home, &AssignResult{Task: a.Task.ID, Range: a.Range(), State: state, Reason: reason})
+}
+
+// tellHome sends a message to the present home of a range.
+func (n *Node) tellHome(r tenure.Range, message Message) {
+	if home := n.homeOf(r); home != "" {
+		n.send(home, message)
+	}
+}
+
+// schedule carries out what the engine decides.
+func (n *Node) schedule() {
+	for _, decision := range n.owner.engine.Schedule(n.now, scheduleLimit) {
+		n.carryOut(decision)
+	}
+}
+
+func (n *Node) carryOut(decision placement.Decision) {
+	t := n.owner.tasks[decision.Task.ID]
+	switch decision.Verb {
+	case placement.VerbStart:
+		if t != nil {
+			n.startHeld(t, decision.Worker)
+		}
+	case placement.VerbExpire:
+		if t != nil {
+			reason := "its deadline passed at owner " + n.options.Name
+			home := n.homeOf(t.assignment.Range())
+			n.returnTask(home, &t.assignment, AssignExpired, reason)
+		}
+	case placement.VerbStop, placement.VerbCheckpoint, placement.VerbThrottle:
+		if t != nil && t.state == heldRunning {
+			n.preempt(t, decision)
+		}
+	case placement.VerbQuarantine:
+		n.event(EventWorkerQuarantined, decision.Worker, decision.Reason)
+	case placement.VerbRelease:
+		n.event(EventWorkerReleased, decision.Worker, decision.Reason)
+	case placement.VerbBlame:
+		n.event(EventClassBlamed, decision.Task.Class, decision.Reason)
+	}
+}
+
+func (n *Node) startHeld(t *held, worker string) {
+	s := n.owner.sessions[worker]
+	if s == nil {
+		return
+	}
+	label, err := cbor.Marshal(&t.assignment)
+	if err != nil {
+		return
+	}
+	t.state, t.worker, t.startedAt = heldStarting, worker, n.now
+	s.starting++
+	task := &t.assignment.Task
+	start := &StartTask{
+		Worker: worker, Token: s.token, ID: task.ID, Label: label, Payload: t.payload,
+		Request: task.Resources, Connections: task.Connections,
+	}
+	if !task.StartBy.IsZero() {
+		start.StartWithin = max(task.StartBy.Sub(n.now), time.Millisecond)
+	}
+	t.payload = nil
+	n.emit(start)
+}
+
+// preempt gives a running task's room back. The home then tries it again.
+func (n *Node) preempt(t *held, decision placement.Decision) {
+	s := n.owner.sessions[t.worker]
+	if s == nil {
+		return
+	}
+	n.emit(&StopTask{Worker: t.worker, Token: s.token, ID: decision.Task.ID, Verb: decision.Verb})
+	if decision.Verb != placement.VerbThrottle {
+		n.tellHome(t.assignment.Range(), &AssignResult{
+			Task: decision.Task.ID, Range: t.assignment.Range(), State: AssignStarted, Worker: t.worker,
+			Reason: decision.Reason, Preempting: true,
+		})
+	}
+}
+
+func (n *Node) taskStarted(in *TaskStarted) {
+	t := n.owner.tasks[in.ID]
+	s := n.owner.sessions[in.Worker]
+	if t == nil || s == nil || s.token != in.Token || t.state != heldStarting {
+		return
+	}
+	s.starting--
+	t.state, t.startedAt = heldRunning, n.now
+	n.reportHeld(n.homeOf(t.assignment.Range()), t)
+}
+
+func (n *Node) startRefused(in *StartRefused) {
+	t := n.owner.tasks[in.ID]
+	s := n.owner.sessions[in.Worker]
+	if t == nil || s == nil || s.token != in.Token || t.state != heldStarting {
+		return
+	}
+	s.starting--
+	n.owner.engine.TaskEnded(n.now, in.ID, placement.Stopped)
+	n.returnTask(n.homeOf(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
+	n.schedule()
+}
+
+// reportHeld tells a home where one of its tasks is.
+func (n *Node) reportHeld(home string, t *held) {
+	if home == "" {
+		return
+	}
+	result := &AssignResult{Task: t.assignment.Task.ID, Range: t.assignment.Range(), State: AssignWaiting, Worker: t.worker}
+	switch t.state {
+	case heldRunning:
+		result.State = AssignStarted
+	case heldFinished:
+		t.sentAt = time.Time{}
+		n.sendFinished(t)
+		return
+	}
+	n.send(home, result)
+}
+
+// query answers a home that has not heard of its tasks for a while.
+func (n *Node) query(from string, m *Query) {
+	if n.tenure.Check(n.now, m.Range, m.Lease) != nil {
+		return
+	}
+	for _, id := range m.Tasks {
+		if t := n.owner.tasks[id]; t != nil {
+			n.reportHeld(from, t)
+			continue
+		}
+		n.fence(id)
+		n.send(from, &AssignResult{Task: id, Range: m.Range, State: AssignUnknown, Reason: "owner " + n.options.Name + " does not know the attempt"})
+	}
+}
+
+func (n *Node) recall(from string, m *Recall) {
+	t := n.owner.tasks[m.Task]
+	if t != nil && t.state == heldWaiting && n.owner.engine.Cancel(m.Task) {
+		n.returnTask(from, &t.assignment, AssignReturned, "recalled to an owner with room")
+	}
+}
+
+func (n *Node) cancelAtOwner(from string, m *Cancel) {
+	t := n.owner.tasks[m.Task]
+	if t == nil {
+		return
+	}
+	switch {
+	case t.state == heldWaiting && n.owner.engine.Cancel(m.Task):
+		n.returnTask(from, &t.assignment, AssignReturned, "canceled")
+	case t.state == heldStarting || t.state == heldRunning:
+		if s := n.owner.sessions[t.worker]; s != nil {
+			n.emit(&StopTask{Worker: t.worker, Token: s.token, ID: m.Task, Verb: placement.VerbStop})
+		}
+	}
+}
+
+// reserve holds room for a gang. An older gang takes the unconfirmed room of
+// younger ones, so that the oldest gang of all always gets on.
+func (n *Node) reserve(from string, m *Reserve) {
+	a := &m.Assignment
+	key := a.Task.ID.Key
+	if n.refuseAssignment(a, m.Lease) != "" {
+		return
+	}
+	until := n.now.Add(reservationLength)
+	count := n.owner.engine.Reserve(n.now, key, a.Task, m.Count, until)
+	for count < m.Count && n.releaseYounger(a.Task.EnqueuedAt, key) {
+		count = n.owner.engine.Reserve(n.now, key, a.Task, m.Count, until)
+	}
+	n.owner.reservations[key] = &reservation{place: a.Range(), enqueuedAt: a.Task.EnqueuedAt, until: until}
+	n.send(from, &Reserved{Key: key, Range: a.Range(), Count: count, For: reservationLength * 9 / 10})
+}
+
+// releaseYounger drops the youngest reservation that is younger than a gang.
+func (n *Node) releaseYounger(enqueuedAt time.Time, key workload.Key) bool {
+	var youngest workload.Key
+	var at time.Time
+	for other, r := range n.owner.reservations {
+		if other == key || !r.enqueuedAt.After(enqueuedAt) {
+			continue
+		}
+		if youngest == "" || r.enqueuedAt.After(at) || (r.enqueuedAt.Equal(at) && other > youngest) {
+			youngest, at = other, r.enqueuedAt
+		}
+	}
+	if youngest == "" {
+		return false
+	}
+	n.owner.engine.ReleaseReservation(youngest)
+	delete(n.owner.reservations, youngest)
+	return true
+}
+
+// confirm starts the tasks of a gang in reserved room, or returns all of them.
+func (n *Node) confirm(from string, m *Confirm) {
+	var tasks []placement.Task
+	for i := range m.Assignments {
+		a := &m.Assignments[i]
+		if refusal := n.refuseAssignment(a, m.Lease); refusal != "" {
+			n.returnGang(from, m, refusal)
+			return
+		}
+		tasks = append(tasks, a.Task)
+	}
+	decisions := n.owner.engine.Confirm(n.now, m.Key, tasks)
+	delete(n.owner.reservations, m.Key)
+	if len(decisions) < len(tasks) {
+		n.returnGang(from, m, "the reservation has lapsed")
+		return
+	}
+	for i := range m.Assignments {
+		a := m.Assignments[i]
+		n.owner.tasks[a.Task.ID] = &held{assignment: a, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
+	}
+	for _, decision := range decisions {
+		n.carryOut(decision)
+	}
+}
+
+func (n *Node) returnGang(home string, m *Confirm, reason string) {
+	for i := range m.Assignments {
+		n.returnTask(home, &m.Assignments[i], AssignReturned, reason)
+	}
+}
--- /dev/null
+++ b/internal/control/queue.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"container/heap"
+	"container/list"
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// rateWindow is the time over which starts are counted for the expected wait.
+const rateWindow = time.Second
+
+// rateShare is the weight of the newest window in the smoothed start rate.
+const rateShare = 0.3
+
+// kindQueue holds a team's waiting requests of one kind, oldest first.
+type kindQueue struct {
+	name     string
+	rule     KindRule
+	waiting  *list.List
+	elements map[*entry]*list.Element
+
+	starts      int
+	windowSince time.Time
+	// startRate is in starts a second; 0 until a window with starts has passed.
+	startRate float64
+}
+
+// queue returns the queue of a kind; queues are ordered by urgency, then name.
+func (h *home) queue(name string, rule KindRule) *kindQueue {
+	for _, q := range h.queues {
+		if q.name == name {
+			return q
+		}
+	}
+	q := &kindQueue{name: name, rule: rule, waiting: list.New(), elements: map[*entry]*list.Element{}}
+	h.queues = append(h.queues, q)
+	slices.SortFunc(h.queues, func(a, b *kindQueue) int {
+		if a.rule.Urgency != b.rule.Urgency {
+			return b.rule.Urgency - a.rule.Urgency
+		}
+		return compareNames(a.name, b.name)
+	})
+	return q
+}
+
+func (q *kindQueue) length() int { return q.waiting.Len() }
+
+func (q *kindQueue) push(e *entry) {
+	e.queued = true
+	q.elements[e] = q.waiting.PushBack(e)
+}
+
+// pushFront puts back an entry that an owner returned; it keeps its turn.
+func (q *kindQueue) pushFront(e *entry) {
+	e.queued = true
+	q.elements[e] = q.waiting.PushFront(e)
+}
+
+func (q *kindQueue) head() *entry {
+	if front := q.waiting.Front(); front != nil {
+		return front.Value.(*entry)
+	}
+	return nil
+}
+
+func (q *kindQueue) drop(e *entry) {
+	if element := q.elements[e]; element != nil {
+		q.waiting.Remove(element)
+		delete(q.elements, e)
+	}
+	e.queued = false
+}
+
+// countStart counts a start for the rate.
+func (q *kindQueue) countStart(now time.Time) {
+	q.roll(now)
+	q.starts++
+}
+
+func (q *kindQueue) roll(now time.Time) {
+	if q.windowSince.IsZero() {
+		q.windowSince = now
+	}
+	elapsed := now.Sub(q.windowSince)
+	if elapsed < rateWindow {
+		return
+	}
+	rate := float64(q.starts) / elapsed.Seconds()
+	if q.startRate == 0 {
+		q.startRate = rate
+	} else {
+		q.startRate += rateShare * (rate - q.startRate)
+	}
+	q.starts, q.windowSince = 0, now
+}
+
+// expectedWait is the time that a new request would wait at the present start
+// rate; 0 while too little has been measured.
+func (q *kindQueue) expectedWait(now time.Time) time.Duration {
+	q.roll(now)
+	if q.startRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(q.length()) / q.startRate * float64(time.Second))
+}
+
+// drainTime is when a caller who was refused for a full queue should try again.
+func (q *kindQueue) drainTime(now time.Time) time.Duration {
+	return min(max(q.expectedWait(now)/2, time.Second), time.Minute)
+}
+
+// deadlines orders entries by the time by which they have to start.
+type deadlines []*entry
+
+// Len, Less, Swap, Push and Pop implement heap.Interface.
+func (d deadlines) Len() int           { return len(d) }
+func (d deadlines) Less(i, j int) bool { return d[i].startBy.Before(d[j].startBy) }
+func (d deadlines) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+
+// Push appends an entry.
+func (d *deadlines) Push(value any) { *d = append(*d, value.(*entry)) }
+
+// Pop removes the last entry.
+func (d *deadlines) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+// queueEntry puts an entry where it waits: suspects until the recovery is
+// complete, gangs for their reservations, everything else in its kind's queue.
+func (n *Node) queueEntry(h *home, e *entry) {
+	e.state = workload.StateQueued
+	if !e.startBy.IsZero() {
+		heap.Push(&h.deadlines, e)
+	}
+	if e.suspect && !h.recovery.complete {
+		e.wait(n.now, "recovery of the home: an earlier attempt may have run")
+		h.suspects = append(h.suspects, e)
+		return
+	}
+	if e.suspect && !n.resolveSuspect(h, e) {
+		return
+	}
+	switch {
+	case e.gangSize() > 1:
+		h.gangs = append(h.gangs, e)
+	default:
+		rule, _ := n.rules.kind(e.request.Kind)
+		h.queue(e.request.Kind, rule).push(e)
+		if n.mayAct(h) {
+			n.dispatch(h)
+		}
+	}
+}
+
+// expire refuses queued entries whose time to start has passed.
+func (n *Node) expire(h *home) {
+	for len(h.deadlines) > 0 && n.now.After(h.deadlines[0].startBy) {
+		e := heap.Pop(&h.deadlines).(*entry)
+		if e.state != workload.StateQueued || e.ended() {
+			continue
+		}
+		if e.suspect {
+			n.refuseEntry(h, e, outcomeUnknown("its deadline passed while the home was recovering"))
+			continue
+		}
+		n.refuseEntry(h, e, workload.Refuse(workload.CodeTooLate, 0, "it could not start before its deadline; it waited for: %s", waitedFor(e)))
+	}
+}
+
+func waitedFor(e *entry) string {
+	if e.waiting == "" {
+		return "its turn"
+	}
+	return e.waiting
+}
--- /dev/null
+++ b/internal/control/rules.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// KindRule is the effective policy of one kind of work.
+type KindRule struct {
+	placement.KindPolicy
+	// Retries is how often a failed or lost idempotent task is tried again.
+	Retries int
+	// RetryBudget is the share of starts that retries may make up, from 0 to 1.
+	RetryBudget float64
+}
+
+// TeamRule is the effective policy of one team in one region.
+type TeamRule struct {
+	placement.TeamPolicy
+	// Quota is the room that the team may have in use; a zero field is no limit.
+	Quota workload.Resources
+	// RunningTasks is the number of tasks that the team may have in use; 0 is no limit.
+	RunningTasks int
+}
+
+// Rules is the effective policy as the control thread uses it.
+type Rules struct {
+	Kinds map[string]KindRule
+	Teams map[string]TeamRule
+	// Open admits teams and kinds that have no section. It is set until a first
+	// configuration is in force.
+	Open bool
+}
+
+// Defaults of a kind without settings of its own.
+const (
+	DefaultQueueBound  = 10_000
+	DefaultRetries     = 2
+	DefaultRetryBudget = 0.1
+)
+
+// DefaultRules admit every team and kind with equal shares.
+func DefaultRules() Rules { return Rules{Open: true} }
+
+func (r *Rules) kind(name string) (KindRule, bool) {
+	rule, known := r.Kinds[name]
+	if !known {
+		rule = KindRule{Retries: DefaultRetries, RetryBudget: DefaultRetryBudget}
+		rule.Name, rule.Weight, rule.Ceiling = name, 1, 1
+	}
+	if rule.QueueBound == 0 {
+		rule.QueueBound = DefaultQueueBound
+	}
+	return rule, known || r.Open
+}
+
+func (r *Rules) team(name string) (TeamRule, bool) {
+	rule, known := r.Teams[name]
+	if !known {
+		rule.Name, rule.Weight = name, 1
+	}
+	return rule, known || r.Open
+}
+
+// placementPolicy returns the engine's part of the rules in a fixed order.
+func (r *Rules) placementPolicy() placement.Policy {
+	var policy placement.Policy
+	for _, kind := range r.Kinds {
+		policy.Kinds = append(policy.Kinds, kind.KindPolicy)
+	}
+	for _, team := range r.Teams {
+		policy.Teams = append(policy.Teams, team.TeamPolicy)
+	}
+	slices.SortFunc(policy.Kinds, func(a, b placement.KindPolicy) int { return compareNames(a.Name, b.Name) })
+	slices.SortFunc(policy.Teams, func(a, b placement.TeamPolicy) int { return compareNames(a.Name, b.Name) })
+	return policy
+}
+
+func compareNames(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+type policyState struct {
+	version   uint64
+	digest    uint64
+	snapshot  []byte
+	askedPeer time.Time
+}
+
+// policyAccepted puts a newer policy in force; an older one is ignored, so that
+// a node never goes back to a lower version.
+func (n *Node) policyAccepted(in *PolicyAccepted) {
+	if in.Version <= n.policy.version {
+		return
+	}
+	n.policy.version, n.policy.digest, n.policy.snapshot = in.Version, in.Digest, in.Snapshot
+	n.rules = in.Rules
+	n.owner.engine.SetPolicy(n.rules.placementPolicy())
+	for _, r := range n.sortedRanges() {
+		n.homes[r].applyRules(&n.rules)
+	}
+	n.event(EventPolicyInForce, "policy", versionText(in.Version))
+}
+
+// policyBehind asks a member whose policy is newer for a copy, at most once in
+// the repeat interval.
+func (n *Node) policyBehind(from string, version uint64) {
+	if version <= n.policy.version || n.now.Sub(n.policy.askedPeer) < n.timing.RepeatAfter {
+		return
+	}
+	n.policy.askedPeer = n.now
+	n.send(from, &PolicyRequest{Above: n.policy.version})
+}
+
+func (n *Node) policyRequest(from string, m *PolicyRequest) {
+	if n.policy.version > m.Above {
+		n.sendBulk(from, &PolicyCopy{Version: n.policy.version, Snapshot: n.policy.snapshot})
+	}
+}
--- /dev/null
+++ b/internal/control/tasks.go
@@ -0,0 +1,338 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// Limits of retries and of what a home asks owners.
+const (
+	// firstBackOff is the longest wait before a first retry; it doubles.
+	firstBackOff = 100 * time.Millisecond
+	maxBackOff   = 30 * time.Second
+	// queryRunningEvery is how often a home asks after a task that it believes
+	// to run; losses are announced, so this only covers lost announcements.
+	queryRunningEvery = 30 * time.Second
+	// maxQueryTasks bounds the tasks in one query.
+	maxQueryTasks = 512
+	// recallAfter is how long an assignment waits at a full owner before the
+	// home takes it back for an owner with room.
+	recallAfter = 200 * time.Millisecond
+	// maxRecallsPerTick bounds the recalls of one home in one tick.
+	maxRecallsPerTick = 8
+	// budgetFloor is the number of retries allowed before the budget counts, so
+	// that a quiet team can retry at all.
+	budgetFloor = 10
+)
+
+// find returns a home's task by its identity.
+func (h *home) find(id placement.TaskID) (*entry, *task) {
+	e := h.entries[id.Key]
+	if e == nil || id.Index < 0 || id.Index >= len(e.tasks) {
+		return nil, nil
+	}
+	t := &e.tasks[id.Index]
+	if t.id.Attempt != id.Attempt {
+		return e, nil
+	}
+	return e, t
+}
+
+// assignResult takes what became of an assignment at its owner.
+func (n *Node) assignResult(from string, m *AssignResult) {
+	h := n.homes[m.Range]
+	if h == nil {
+		return
+	}
+	e, t := h.find(m.Task)
+	if t == nil || t.owner != from || e.ended() {
+		return
+	}
+	t.askedAt = n.now
+	switch m.State {
+	case AssignStarted:
+		n.taskStartedAtHome(h, e, t, m)
+	case AssignWaiting:
+	case AssignReturned, AssignExpired, AssignUnknown:
+		n.taskReturned(h, e, t, from, m)
+	case AssignLost:
+		n.settleOutstanding(t)
+		n.doubt(e, t, []string{m.Worker}, "session with "+m.Worker+" was lost")
+	}
+}
+
+// settleOutstanding counts an assignment as no longer waiting at its owner.
+func (n *Node) settleOutstanding(t *task) {
+	if t.state == taskAssigned {
+		view := n.ownerView(t.owner)
+		view.outstanding[t.team] = max(view.outstanding[t.team]-1, 0)
+	}
+}
+
+func (n *Node) taskStartedAtHome(h *home, e *entry, t *task, m *AssignResult) {
+	if m.Preempting {
+		t.preempted = true
+		e.note(n.now, "preempting", m.Reason)
+		return
+	}
+	if t.state != taskAssigned && t.state != taskDoubtful {
+		return
+	}
+	n.settleOutstanding(t)
+	t.state, t.worker, t.changedAt, t.doubtWorkers = taskRunning, m.Worker, n.now, nil
+	e.state, e.waiting = workload.StateRunning, ""
+	e.note(n.now, "started", "on "+m.Worker)
+	h.starts++
+	if e.gangSize() == 1 {
+		h.queue(e.request.Kind, KindRule{}).countStart(n.now)
+	}
+}
+
+// taskReturned puts a task back that its owner has not started and won't.
+func (n *Node) taskReturned(h *home, e *entry, t *task, from string, m *AssignResult) {
+	if t.state != taskAssigned && t.state != taskRunning {
+		return
+	}
+	n.settleOutstanding(t)
+	if e.gangSize() > 1 {
+		n.gangTaskReturned(h, e, t, m.Reason)
+		return
+	}
+	t.state, t.owner, t.worker = taskQueued, "", ""
+	n.uncount(h, e)
+	e.state = workload.StateQueued
+	e.note(n.now, "returned", m.Reason)
+	switch {
+	case e.canceled:
+		n.refuseEntry(h, e, workload.Refuse(workload.CodeCanceled, 0, "canceled before it started"))
+	case !e.startBy.IsZero() && !n.now.Before(e.startBy):
+		n.refuseEntry(h, e, workload.Refuse(workload.CodeTooLate, 0, "it could not start before its deadline; its owner said: %s", m.Reason))
+	default:
+		if m.State == AssignReturned {
+			e.returnedBy = from
+		}
+		rule, _ := n.rules.kind(e.request.Kind)
+		h.queue(e.request.Kind, rule).pushFront(e)
+	}
+}
+
+// finishedAtHome takes the end of a task.
+func (n *Node) finishedAtHome(from string, m *Finished) {
+	h := n.homes[m.Range]
+	if h == nil || !n.wants(h) {
+		// The node is not the home, so the owner has to ask the present one.
+		return
+	}
+	e, t := h.find(m.Task)
+	if e == nil {
+		n.send(from, &AcknowledgeAnswer{Task: m.Task, Final: h.recovery.complete && n.mayAct(h)})
+		return
+	}
+	if t == nil || e.ended() || t.state == taskEnded {
+		n.acknowledgeAtHome(e, from, m.Task)
+		return
+	}
+	n.settleOutstanding(t)
+	t.owner, t.worker, t.changedAt = from, m.Result.Worker, n.now
+	result := m.Result
+	t.result = &result
+	if e.state != workload.StateRunning {
+		e.state = workload.StateRunning
+		e.note(n.now.Add(-result.Ran), "started", "on "+result.Worker)
+	}
+	n.taskEndedAtHome(h, e, t)
+	if e.ended() && !(e.durable && e.recorded && n.jobs.open[e.request.Key] != nil) {
+		n.acknowledgeAtHome(e, from, m.Task)
+	}
+}
+
+// acknowledgeAtHome lets the owner drop a result; for a durable job only after
+// its end was read back from the log.
+func (n *Node) acknowledgeAtHome(e *entry, owner string, id placement.TaskID) {
+	if e.durable && n.jobs.open[e.request.Key] != nil {
+		return
+	}
+	n.send(owner, &AcknowledgeAnswer{Task: id, Final: e.collected() || e.answer == nil || e.answer.Failed})
+}
+
+// taskEndedAtHome decides what the end of a task means for its request.
+func (n *Node) taskEndedAtHome(h *home, e *entry, t *task) {
+	t.state = taskEnded
+	e.note(n.now, "task-ended", string(t.result.Outcome)+" on "+t.result.Worker)
+	if t.result.Outcome != placement.Completed || e.request.Mode == workload.ModeService {
+		n.retryOrEnd(h, e, t)
+		return
+	}
+	for i := range e.tasks {
+		if e.tasks[i].state != taskEnded {
+			return
+		}
+	}
+	e.answer = n.collectAnswer(e)
+	n.end(h, e, workload.StateEnded)
+}
+
+// collectAnswer joins the results of a request. The answer of a gang is a JSON
+// array with the bodies of its tasks in their order.
+func (n *Node) collectAnswer(e *entry) *workload.Answer {
+	last := e.tasks[len(e.tasks)-1].result
+	answer := &workload.Answer{
+		Key: e.request.Key, Worker: last.Worker, WaitedMS: last.Waited.Milliseconds(), RanMS: last.Ran.Milliseconds(),
+		Body: last.Body,
+	}
+	if len(e.tasks) > 1 {
+		answer.Body = joinBodies(e.tasks)
+	}
+	for i := range e.tasks {
+		if e.tasks[i].result.Outcome != placement.Completed {
+			answer.Failed = true
+		}
+		answer.RanMS = max(answer.RanMS, e.tasks[i].result.Ran.Milliseconds())
+	}
+	return answer
+}
+
+// retryOrEnd tries a task again that did not complete, or ends its request. A
+// non-idempotent task that has run is never tried again.
+func (n *Node) retryOrEnd(h *home, e *entry, t *task) {
+	if e.gangSize() > 1 {
+		n.gangTaskEnded(h, e, t)
+		return
+	}
+	reason, allowed := n.retryAllowed(h, e, t)
+	if !allowed {
+		n.endUncompleted(h, e, t, reason)
+		return
+	}
+	n.uncount(h, e)
+	e.attempt++
+	t.state, t.owner, t.worker, t.preempted = taskBackingOff, "", "", false
+	e.state = workload.StateQueued
+	t.retryAt = n.now.Add(n.backOff(e.attempt))
+	e.note(n.now, "retry", reason)
+	n.activate(h, e)
+}
+
+// retryAllowed says why a task is, or is not, tried again.
+func (n *Node) retryAllowed(h *home, e *entry, t *task) (string, bool) {
+	rule, _ := n.rules.kind(e.request.Kind)
+	switch {
+	case e.canceled:
+		return "canceled", false
+	case e.request.Mode == workload.ModeService:
+		return "a service is started again when it ends", true
+	case e.request.NonIdempotent && t.result.Outcome != placement.Lost:
+		return "a non-idempotent request runs at most once", false
+	case t.preempted:
+		return "it gave its room back", true
+	case t.result.Outcome == placement.Lost:
+		return "its worker or owner was lost", true
+	case t.result.Outcome == placement.Stopped:
+		return "it was stopped on its worker", e.attempt < rule.Retries
+	case e.attempt >= rule.Retries:
+		return fmt.Sprintf("failed %d times", e.attempt+1), false
+	case float64(h.retries) > budgetFloor+rule.RetryBudget*float64(h.starts):
+		return "the retry budget is used up", false
+	}
+	h.retries++
+	return "failed on " + t.result.Worker, true
+}
+
+// backOff is a random wait with full jitter that doubles with each attempt.
+func (n *Node) backOff(attempt int) time.Duration {
+	limit := min(firstBackOff<<min(attempt, 10), maxBackOff)
+	return time.Duration(n.random.Int64N(int64(limit))) + time.Millisecond
+}
+
+// endUncompleted ends a request whose task did not complete.
+func (n *Node) endUncompleted(h *home, e *entry, t *task, reason string) {
+	if e.canceled {
+		refusal := workload.Refuse(workload.CodeCanceled, 0, "canceled while it ran")
+		refusal.Run = workload.MayHaveRun
+		e.refusal = refusal
+		n.end(h, e, workload.StateCanceled)
+		return
+	}
+	if t.result.Outcome == placement.Lost {
+		n.refuseEntry(h, e, outcomeUnknown(reason))
+		return
+	}
+	e.note(n.now, "not-retried", reason)
+	e.answer = n.collectAnswer(e)
+	e.answer.Failed = true
+	if len(e.answer.Body) == 0 {
+		e.answer.Body = []byte(string(t.result.Outcome) + ": " + reason)
+	}
+	n.end(h, e, workload.StateEnded)
+}
+
+// tickTasks looks after everything outside the queues: retries that are due,
+// doubts that can be settled, assignments of which nothing was heard.
+func (n *Node) tickTasks(h *home) {
+	queries := map[string][]placement.TaskID{}
+	recalls := 0
+	h.active = slices.DeleteFunc(h.active, func(e *entry) bool {
+		if e.ended() {
+			e.active = false
+			return true
+		}
+		for i := range e.tasks {
+			n.tickTask(h, e, &e.tasks[i], queries, &recalls)
+		}
+		return false
+	})
+	for _, owner := range n.members.names {
+		if ids := queries[owner]; len(ids) > 0 {
+			n.send(owner, &Query{Range: h.place, Tasks: ids, Lease: h.number})
+		}
+	}
+}
+
+func (n *Node) tickTask(h *home, e *entry, t *task, queries map[string][]placement.TaskID, recalls *int) {
+	if e.ended() {
+		return
+	}
+	switch t.state {
+	case taskBackingOff:
+		if !n.now.Before(t.retryAt) && e.gangSize() == 1 {
+			t.state = taskQueued
+			n.queueEntry(h, e)
+		}
+	case taskDoubtful:
+		n.settleDoubt(h, e, t)
+	case taskAssigned:
+		n.askAfter(t, n.timing.RepeatAfter, queries)
+		if *recalls < maxRecallsPerTick && n.worthRecalling(e, t) {
+			*recalls++
+			t.changedAt = n.now
+			n.send(t.owner, &Recall{Range: h.place, Task: t.id})
+		}
+	case taskRunning:
+		n.askAfter(t, queryRunningEvery, queries)
+	}
+}
+
+func (n *Node) askAfter(t *task, interval time.Duration, queries map[string][]placement.TaskID) {
+	if n.now.Sub(t.askedAt) >= interval && len(queries[t.owner]) < maxQueryTasks {
+		t.askedAt = n.now
+		queries[t.owner] = append(queries[t.owner], t.id)
+	}
+}
+
+// worthRecalling reports whether a task waits at a full owner while another has room.
+func (n *Node) worthRecalling(e *entry, t *task) bool {
+	if e.gangSize() > 1 || n.now.Sub(t.changedAt) < recallAfter || n.ownerView(t.owner).summary.FreeSlots > 0 {
+		return false
+	}
+	for _, name := range n.regionOwners(n.options.Region) {
+		view := n.ownerView(name)
+		if name != t.owner && view.summary.FreeSlots-view.sentSince > 0 && e.request.Resources.Fits(view.summary.LargestFree) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/views.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/tenure"
+)
+
+// workerView is what a node knows of one worker, also of those that others own.
+type workerView struct {
+	entry VMEntry
+	// inList is false once the VM list has dropped the worker: the VM is gone.
+	inList bool
+	goneAt time.Time
+	// owner and token are those of the newest session that was announced.
+	owner    string
+	token    uint64
+	listedAt time.Time
+}
+
+// workerViews holds the VM list and the announced sessions.
+type workerViews struct {
+	byName map[string]*workerView
+	names  []string
+	region map[string][]string
+}
+
+func newWorkerViews() workerViews {
+	return workerViews{byName: map[string]*workerView{}, region: map[string][]string{}}
+}
+
+// listed returns the names of a region's workers in the VM list, sorted.
+func (v *workerViews) listed(region string) []string { return v.region[region] }
+
+func (v *workerViews) ownedBy(owner string) []string {
+	var names []string
+	for _, name := range v.names {
+		if v.byName[name].owner == owner {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (v *workerViews) rebuild() {
+	v.names, v.region = v.names[:0], map[string][]string{}
+	for name := range v.byName {
+		v.names = append(v.names, name)
+	}
+	slices.Sort(v.names)
+	for _, name := range v.names {
+		if view := v.byName[name]; view.inList {
+			v.region[view.entry.Region] = append(v.region[view.entry.Region], name)
+		}
+	}
+}
+
+// vmListed takes a VM list. A worker that the list has dropped is kept for a
+// while, since doubts about its tasks may still refer to it.
+func (n *Node) vmListed(in *VMListed) {
+	present := map[string]bool{}
+	for _, entry := range in.Workers {
+		present[entry.Name] = true
+		view := n.workers.byName[entry.Name]
+		if view == nil {
+			view = &workerView{}
+			n.workers.byName[entry.Name] = view
+		}
+		if entry.Leaving && !view.entry.Leaving {
+			n.event(EventWorkerLeaving, entry.Name, "by the VM list")
+		}
+		view.entry, view.inList = entry, true
+		if session := n.owner.sessions[entry.Name]; session != nil {
+			n.owner.engine.SetLeaving(entry.Name, entry.Leaving || session.leaving || session.closing)
+		}
+	}
+	for name, view := range n.workers.byName {
+		if !present[name] && view.inList {
+			view.inList, view.goneAt = false, n.now
+		}
+		if !view.inList && n.now.Sub(view.goneAt) > 2*n.lapseTime() {
+			delete(n.workers.byName, name)
+		}
+	}
+	n.workers.rebuild()
+	n.setTenureRegion()
+}
+
+// clearance says whether a worker can no longer run a task that was given to
+// it before a point in time, and whether that was seen or only concluded.
+type clearance int
+
+const (
+	notCleared clearance = iota
+	// clearedByLapse: the task's lease has run out or the VM is gone; the task
+	// may have run.
+	clearedByLapse
+	// clearedByList: an owner with a newer session has listed the worker, and
+	// the task was not in the list.
+	clearedByList
+)
+
+func (n *Node) cleared(worker string, since time.Time) clearance {
+	view := n.workers.byName[worker]
+	if view == nil {
+		return clearedByLapse
+	}
+	switch {
+	case view.listedAt.After(since):
+		return clearedByList
+	case !view.inList && n.now.Sub(view.goneAt) > n.timing.TaskLease:
+		return clearedByLapse
+	case n.now.Sub(since) >= n.lapseTime() && n.lapseAllowed(view.entry.Region):
+		return clearedByLapse
+	}
+	return notCleared
+}
+
+// listed takes the list of one worker from its owner.
+func (n *Node) listed(from string, m *Listed) {
+	view := n.workers.byName[m.Worker]
+	if view == nil {
+		view = &workerView{}
+		n.workers.byName[m.Worker] = view
+		n.workers.rebuild()
+	}
+	if m.Worker != "" && m.Token >= view.token {
+		newSession := m.Token > view.token
+		view.owner, view.token = from, m.Token
+		if newSession || m.Lease != (tenure.LeaseNumber{}) {
+			view.listedAt = n.now
+		}
+	}
+	for i := range m.Tasks {
+		n.taskListed(from, m.Worker, &m.Tasks[i])
+	}
+	for i := range m.Waiting {
+		n.taskListed(from, "", &m.Waiting[i])
+	}
+	if h := n.homes[m.Range]; h != nil && m.Lease != (tenure.LeaseNumber{}) {
+		n.recoveryListed(h, from, m)
+	}
+}
+
+// taskListed brings the home's entry in line with what an owner has listed.
+func (n *Node) taskListed(owner, worker string, listed *ListedTask) {
+	a := &listed.Assignment
+	h := n.homes[a.Range()]
+	if h == nil || !n.wants(h) {
+		return
+	}
+	e := h.entries[a.Task.ID.Key]
+	if e == nil {
+		e = n.entryFromList(h, a)
+	}
+	e.listed = true
+	if e.ended() || a.Task.ID.Index >= len(e.tasks) {
+		return
+	}
+	t := &e.tasks[a.Task.ID.Index]
+	if t.id.Attempt > a.Task.ID.Attempt || (t.id.Attempt == a.Task.ID.Attempt && t.state == taskEnded) {
+		return
+	}
+	if t.id.Attempt != a.Task.ID.Attempt && t.state != taskQueued && t.state != taskDoubtful && t.state != taskBackingOff {
+		return
+	}
+	n.adoptListedTask(h, e, t, owner, worker, listed)
+}
+
+func (n *Node) adoptListedTask(h *home, e *entry, t *task, owner, worker string, listed *ListedTask) {
+	t.id = listed.Assignment.Task.ID
+	t.owner, t.worker, t.changedAt, t.doubtWorkers = owner, worker, n.now, nil
+	t.state = taskRunning
+	if listed.State == AssignWaiting {
+		t.state = taskAssigned
+	}
+	if e.queued {
+		h.queue(e.request.Kind, KindRule{}).drop(e)
+	}
+	h.dropSuspect(e)
+	e.state = stateOf(t.state)
+	e.note(n.now, "found", "at owner "+owner+" on "+worker)
+	n.count(h, e)
+	n.activate(h, e)
+	for _, front := range e.fronts {
+		if front != listed.Assignment.Front {
+			n.send(owner, &Redirect{Task: t.id, Front: front})
+		}
+	}
+}
+
+func (n *Node) wants(h *home) bool {
+	return n.homeOf(h.place) == n.options.Name || !h.leaseSince.IsZero()
+}
--- /dev/null
+++ b/internal/node/records.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/control"
+	"yuccalanding.example/yuccalanding/internal/journal"
+)
+
+// records passes durable jobs between the control thread and the log.
+type records struct {
+	process *Process
+
+	mu sync.Mutex
+	// unsent are the identities of appends whose outcome is not known yet.
+	unsent map[string]bool
+}
+
+func newRecords(p *Process) *records {
+	return &records{process: p, unsent: map[string]bool{}}
+}
+
+// append writes a record in the background.
+func (r *records) append(ctx context.Context, out *control.AppendRecord) {
+	kind, body := journal.KindSnapshot, any(out.Began)
+	switch {
+	case out.Accepted != nil:
+		kind, body = journal.KindJobAccepted, out.Accepted
+	case out.Ended != nil:
+		kind, body = journal.KindJobEnded, out.Ended
+	}
+	record, err := journal.NewRecord(kind, r.process.options.Settings.Node.Name, time.Now(), body)
+	if err == nil {
+		record.Identity = out.Identity
+		var result <-chan journal.Result
+		if result, err = r.process.journal.Append(record); err == nil {
+			r.mark(out.Identity, true)
+			go r.await(ctx, out.Identity, result)
+			return
+		}
+	}
+	go r.process.push(ctx, &control.AppendFailed{Identity: out.Identity, Reason: err.Error()})
+}
+
+func (r *records) mark(identity string, unsent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if unsent {
+		r.unsent[identity] = true
+	} else {
+		delete(r.unsent, identity)
+	}
+}
+
+func (r *records) await(ctx context.Context, identity string, result <-chan journal.Result) {
+	select {
+	case <-ctx.Done():
+	case end := <-result:
+		if end.Err != nil && !errors.Is(end.Err, journal.ErrOutcomeUnknown) {
+			r.process.push(ctx, &control.AppendFailed{Identity: identity, Reason: end.Err.Error()})
+		}
+	}
+	r.mark(identity, false)
+}
+
+// withdraw takes back what was not sent yet when the log goes down, so that
+// its submitters get a true "not run" at once.
+func (r *records) withdraw() {
+	r.mu.Lock()
+	var identities []string
+	for identity := range r.unsent {
+		identities = append(identities, identity)
+	}
+	r.mu.Unlock()
+	for _, identity := range identities {
+		r.process.journal.Withdraw(identity)
+	}
+}
+
+// follow reads the log from its oldest record and reports the log's state.
+func (r *records) follow(ctx context.Context) error {
+	p := r.process
+	p.push(ctx, &control.LogState{Up: true})
+	follower := p.journal.Follow(ctx, 0)
+	for {
+		select {
+		case state := <-p.journal.States():
+			if state == journal.StateDown {
+				r.withdraw()
+			}
+			p.push(ctx, &control.LogState{Up: state != journal.StateDown})
+		case delivery, open := <-follower.Deliveries:
+			if !open {
+				return <-follower.Ended
+			}
+			r.deliver(ctx, &delivery)
+		}
+	}
+}
+
+func (r *records) deliver(ctx context.Context, delivery *journal.Delivery) {
+	for i := range delivery.Entries {
+		entry := &delivery.Entries[i]
+		if entry.Fault != nil {
+			continue
+		}
+		in := &control.RecordRead{Offset: uint64(entry.Offset)}
+		var err error
+		switch entry.Record.Kind {
+		case journal.KindJobAccepted:
+			in.Accepted = &control.JobAccepted{}
+			err = entry.Record.Decode(in.Accepted)
+		case journal.KindJobEnded:
+			in.Ended = &control.JobEnded{}
+			err = entry.Record.Decode(in.Ended)
+		case journal.KindSnapshot:
+			in.Began = &control.HomeBegan{}
+			err = entry.Record.Decode(in.Began)
+		default:
+			continue
+		}
+		if err == nil {
+			r.process.push(ctx, in)
+		}
+	}
+}
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -129,6 +129,10 @@
 	// is down, in place of a refusal.
 	HoldInOutage bool   `json:"hold-in-outage,omitempty" cbor:"12,keyasint,omitempty"`
 	Payload      []byte `json:"payload,omitempty" cbor:"13,keyasint,omitempty"`
+	// Region is the caller's own region. A retry through another region's entry
+	// VM then still reaches the home that knows the key. Empty means the region
+	// of the entry VM that takes the request.
+	Region string `json:"region,omitempty" cbor:"14,keyasint,omitempty"`
 }
 
 // Tasks returns the number of tasks that the request starts.
@@ -153,7 +157,7 @@
 // with one key and different digests are a caller's mistake.
 func (r *Request) Digest() uint64 {
 	hash := xxhash.New()
-	fmt.Fprintf(hash, "%s|%s|%s|%s|%s|%t|%+v|%d|%d|%d|", r.Key, r.Team, r.Kind, r.Mode, r.Class,
+	fmt.Fprintf(hash, "%s|%s|%s|%s|%s|%s|%t|%+v|%d|%d|%d|", r.Key, r.Region, r.Team, r.Kind, r.Mode, r.Class,
 		r.NonIdempotent, r.Resources, r.GangSize, r.RunTimeMS, r.StartWithinMS)
 	_, _ = hash.Write(r.Payload)
 	return hash.Sum64()
