Bound body memory and refuse unread first attempts as not-run

Cause: 25,000 connections with bodies of 1.4 MB each would need far more than a node's 256 MB, and a first attempt with a wrong token was refused as "may-have-run". Change: bodies of open submissions share 64 MB and need a Content-Length; the optional header Yuccalanding-Attempt lets a front vouch for a first attempt without reading its body. Front, operator and command line take TLS. Settings refuse keep-alive times that callers would take for silence. Ruled out: reading the body before the token is checked, which lets strangers use the memory; a rule in the client alone, which other clients lack. Conclusion: what a front holds is bounded in calls, connections and bytes.

--- a/internal/command/callerclient.go
+++ b/internal/command/callerclient.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -18,6 +20,7 @@
 	Node      []string `help:"Callers' addresses of entry VMs." placeholder:"IP:PORT" default:"127.0.0.1:8080" env:"YUCCALANDING_NODE"`
 	Team      string   `help:"Team of the work; needed if the token is not of one team." placeholder:"TEAM"`
 	TokenFile string   `help:"File that holds the token." placeholder:"FILE" env:"YUCCALANDING_TOKEN_FILE"`
+	CAFile    string   `help:"Certificates that sign the nodes' certificates; TLS is used if it is set." name:"ca-file" placeholder:"FILE" env:"YUCCALANDING_CA_FILE"`
 	Attempts  int      `help:"Most sends of the request, the first included." default:"6"`
 	JSON      bool     `help:"Write JSON in place of a table." name:"json"`
 }
@@ -49,7 +52,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return caller.New(caller.Options{Addresses: addresses, Token: token, Team: f.Team, Attempts: f.Attempts})
+	authority, err := readAuthority(f.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return caller.New(caller.Options{Addresses: addresses, Token: token, TLS: authority, Team: f.Team, Attempts: f.Attempts})
 }
 
 func parseAddresses(flag string, texts []string) ([]netip.AddrPort, error) {
@@ -64,6 +71,22 @@
 	return addresses, nil
 }
 
+// readAuthority returns the configuration for TLS, or nil for plain HTTP.
+func readAuthority(file string) (*tls.Config, error) {
+	if file == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("the certificates can't be read: %w; name a readable file with --ca-file", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, fmt.Errorf("%s: holds no certificate in PEM form; name another file with --ca-file", file)
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
+}
+
 // readToken reads a token from a file, because other users of a machine can
 // see command lines.
 func readToken(file string) (string, error) {
--- a/internal/command/operatorclient.go
+++ b/internal/command/operatorclient.go
@@ -23,6 +23,7 @@
 type operatorFlags struct {
 	Operator  string `help:"Operators' address of an entry VM." placeholder:"IP:PORT" default:"127.0.0.1:8081" env:"YUCCALANDING_OPERATOR"`
 	TokenFile string `help:"File that holds the token." placeholder:"FILE" env:"YUCCALANDING_TOKEN_FILE"`
+	CAFile    string `help:"Certificates that sign the node's certificate; TLS is used if it is set." name:"ca-file" placeholder:"FILE" env:"YUCCALANDING_CA_FILE"`
 	JSON      bool   `help:"Write JSON in place of a table." name:"json"`
 }
 
@@ -48,6 +49,14 @@
 	if err != nil {
 		return nil, err
 	}
+	authority, err := readAuthority(f.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	scheme := "http://"
+	if authority != nil {
+		scheme = "https://"
+	}
 	var payload bytes.Buffer
 	if body != nil {
 		if err := json.NewEncoder(&payload).Encode(body); err != nil {
@@ -56,7 +65,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorTime)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+f.Operator+path, &payload)
+	request, err := http.NewRequestWithContext(ctx, method, scheme+f.Operator+path, &payload)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +73,7 @@
 		request.Header.Set("Authorization", "Bearer "+token)
 	}
 	// A client of its own, so that no proxy from the environment is used.
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: authority}}
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("%w; check that an entry VM listens for operators at %s (--operator)", err, f.Operator)
--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -10,10 +10,12 @@
 	byTeam  map[string]int
 	maximum int
 	perTeam int
+	// bytes is the room left for bodies of open submissions.
+	bytes int64
 }
 
-func newAdmission(maximum, perTeam int) *admission {
-	return &admission{byTeam: map[string]int{}, maximum: maximum, perTeam: perTeam}
+func newAdmission(maximum, perTeam int, bytes int64) *admission {
+	return &admission{bytes: bytes, byTeam: map[string]int{}, maximum: maximum, perTeam: perTeam}
 }
 
 // enter takes a place; the message is empty on success and otherwise names the
@@ -47,3 +49,20 @@
 	defer a.lock.Unlock()
 	return a.inAll
 }
+
+// reserve takes room for a body; it reports whether there was enough.
+func (a *admission) reserve(bytes int64) bool {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	if bytes > a.bytes {
+		return false
+	}
+	a.bytes -= bytes
+	return true
+}
+
+func (a *admission) release(bytes int64) {
+	a.lock.Lock()
+	defer a.lock.Unlock()
+	a.bytes += bytes
+}
--- a/internal/front/calls.go
+++ b/internal/front/calls.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"time"
 
@@ -56,10 +56,7 @@
 	if err == nil {
 		return grant, nil
 	}
-	refusal := workload.Refuse(workload.CodeForbidden, 0, "%s", err.Error())
-	// The body was not read, so nothing is known about earlier attempts.
-	refusal.Run = workload.MayHaveRun
-	outcome := refused(refusal)
+	outcome := unread(c, workload.CodeForbidden, 0, err.Error())
 	if !given {
 		outcome = outcome.with(http.StatusUnauthorized)
 	}
@@ -67,31 +64,56 @@
 }
 
 func (f *Front) submitRequest(c echo.Context, grant access.Grant) result {
-	request, failed := f.admissible(c, grant, workload.ModeRequest)
-	if failed != nil {
-		return *failed
-	}
-	return f.held(c, request.Team, runOf(request), func(ctx context.Context) result {
+	return f.submit(c, grant, func(ctx context.Context, request workload.Request) result {
 		answer, refusal := f.options.Submit(ctx, request)
 		if refusal != nil {
 			return refused(refusal)
 		}
 		return success(http.StatusOK, answer)
-	})
+	}, workload.ModeRequest)
 }
 
 func (f *Front) submitJob(c echo.Context, grant access.Grant) result {
-	request, failed := f.admissible(c, grant, workload.ModeJob, workload.ModeService)
-	if failed != nil {
-		return *failed
-	}
-	return f.held(c, request.Team, runOf(request), func(ctx context.Context) result {
+	return f.submit(c, grant, func(ctx context.Context, request workload.Request) result {
 		receipt, refusal := f.options.SubmitJob(ctx, request)
 		if refusal != nil {
 			return refused(refusal)
 		}
 		return success(http.StatusAccepted, receipt)
-	})
+	}, workload.ModeJob, workload.ModeService)
+}
+
+// submit takes the memory of the body for as long as the call is open, because
+// its payload is held until the work has started.
+func (f *Front) submit(c echo.Context, grant access.Grant, seam func(context.Context, workload.Request) result, modes ...workload.Mode) result {
+	size := c.Request().ContentLength
+	if size < 0 {
+		return unread(c, workload.CodeBadRequest, 0, "the body has no Content-Length").with(http.StatusLengthRequired)
+	}
+	if size > f.options.BodyBytes {
+		// The bound is the same on every node, so no attempt was taken.
+		refusal := workload.Refuse(workload.CodeBadRequest, 0, "the body has %d bytes, more than %d", size, f.options.BodyBytes)
+		return refused(refusal).with(http.StatusRequestEntityTooLarge)
+	}
+	if !f.admission.reserve(size) {
+		return unread(c, workload.CodeQueueFull, f.options.RetryAfter, "this node holds as many bytes of requests as it may")
+	}
+	defer f.admission.release(size)
+	request, failed := f.admissible(c, grant, modes...)
+	if failed != nil {
+		return *failed
+	}
+	return f.held(c, request.Team, runOf(request), func(ctx context.Context) result { return seam(ctx, request) })
+}
+
+// unread refuses a call whose body was not read. It is "not-run" if the header
+// says that the submission is a first attempt.
+func unread(c echo.Context, code workload.Code, retryAfter time.Duration, message string) result {
+	refusal := workload.Refuse(code, retryAfter, "%s", message)
+	if c.Request().Method != http.MethodPost || c.Request().Header.Get(caller.AttemptHeader) != "0" {
+		refusal.Run = workload.MayHaveRun
+	}
+	return refused(refusal)
 }
 
 // runOf returns what the front can say about a request that it does not
@@ -117,9 +139,15 @@
 	if len(findings) == 0 {
 		findings = f.validate(request, modes)
 	}
+	run := runOf(request)
+	if header := c.Request().Header.Get(caller.AttemptHeader); header != "" && header != strconv.Itoa(request.Attempt) {
+		// One of both numbers is wrong, so either may be the true one.
+		run = workload.MayHaveRun
+		findings.Add("attempt", "is %d, but the header %s says %q", request.Attempt, caller.AttemptHeader, shorten(header))
+	}
 	if len(findings) > 0 {
 		refusal := workload.Refuse(workload.CodeBadRequest, 0, "the request has %d fault(s), see findings", len(findings))
-		refusal.Findings, refusal.Run = findings, runOf(request)
+		refusal.Findings, refusal.Run = findings, run
 		return request, ptr(refused(refusal))
 	}
 	if !grant.MaySubmit(request.Team) {
@@ -148,26 +176,17 @@
 	return findings
 }
 
-// readBody reads the body within the bounds on size and time.
+// readBody reads the body, whose length is known, within the bound on time.
 func (f *Front) readBody(c echo.Context) ([]byte, *result) {
 	control := http.NewResponseController(c.Response().Writer)
 	// A recorder in a test has no deadline; the bound on the size still holds.
 	_ = control.SetReadDeadline(time.Now().Add(f.options.BodyTime))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response().Writer, c.Request().Body, f.options.BodyBytes))
+	body, err := io.ReadAll(c.Request().Body)
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		// The bound is the same on every node, so no attempt was taken.
-		refusal := workload.Refuse(workload.CodeBadRequest, 0, "the body is larger than %d bytes", tooLarge.Limit)
-		return nil, ptr(refused(refusal).with(http.StatusRequestEntityTooLarge))
-	}
-	// The attempt number was not read, so nothing is known of earlier ones.
-	refusal := workload.Refuse(workload.CodeBadRequest, 0, "the body could not be read whole: %s", err.Error())
-	refusal.Run = workload.MayHaveRun
-	return nil, ptr(refused(refusal))
+	return nil, ptr(unread(c, workload.CodeBadRequest, 0, "the body could not be read whole: "+err.Error()))
 }
 
 // query reads the key and the team of a call by key.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,9 +23,10 @@
 // whole seconds if a retry can help. Its field "run" is about the request, not
 // about the call. The front can vouch only for what it has not forwarded, so
 // its own refusals are "not-run" for a first attempt and "may-have-run" for a
-// retry (an earlier attempt may have run through another node), for a
-// submission whose attempt number was not read (no valid token, broken body)
-// and for calls by key.
+// retry (an earlier attempt may have run through another node) and for calls
+// by key. A submission that is refused before its body is read (no valid token,
+// too many bytes) is "not-run" only if the header caller.AttemptHeader says
+// that it is the first attempt.
 //
 // # Long waits
 //
@@ -44,6 +45,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -63,8 +65,11 @@
 const (
 	// DefaultBodyBytes leaves room for a payload of workload.MaxPayloadBytes
 	// in base64 and for the other fields.
-	DefaultBodyBytes           = workload.MaxPayloadBytes*4/3 + 64<<10
-	DefaultHeaderBytes         = 16 << 10
+	DefaultBodyBytes   = workload.MaxPayloadBytes*4/3 + 64<<10
+	DefaultHeaderBytes = 16 << 10
+	// DefaultBodyBytesInAll is a quarter of a node's memory of 256 MB, since
+	// the decoded payload is held as well.
+	DefaultBodyBytesInAll      = 64 << 20
 	DefaultHeaderTime          = 5 * time.Second
 	DefaultBodyTime            = 15 * time.Second
 	DefaultIdleTime            = 90 * time.Second
@@ -112,8 +117,10 @@
 
 	// BodyBytes must be the same on every node: a body above it is refused as
 	// "not-run" without reading its attempt number.
-	BodyBytes   int64
-	HeaderBytes int
+	BodyBytes int64
+	// BodyBytesInAll bounds the bodies of all open submissions together.
+	BodyBytesInAll int64
+	HeaderBytes    int
 	// HeaderTime and BodyTime bound how long a caller may take to send them.
 	HeaderTime time.Duration
 	BodyTime   time.Duration
@@ -124,6 +131,8 @@
 	// OpenRequests and OpenRequestsPerTeam bound calls that are held open.
 	OpenRequests        int
 	OpenRequestsPerTeam int
+	// TLS is the configuration for TLS; nil is plain HTTP.
+	TLS *tls.Config
 	// Connections bounds the open connections; more are closed at once.
 	Connections int
 	// RetryAfter is the retry time of the front's own refusals.
@@ -148,7 +157,7 @@
 	front := &Front{
 		options:   options,
 		echo:      echo.New(),
-		admission: newAdmission(options.OpenRequests, options.OpenRequestsPerTeam),
+		admission: newAdmission(options.OpenRequests, options.OpenRequestsPerTeam, options.BodyBytesInAll),
 	}
 	front.echo.HTTPErrorHandler = front.routeError
 	front.echo.POST("/v1/requests", front.handle(front.submitRequest))
@@ -192,6 +201,7 @@
 		o.Now = time.Now
 	}
 	setDefault(&o.BodyBytes, DefaultBodyBytes)
+	setDefault(&o.BodyBytesInAll, DefaultBodyBytesInAll)
 	setDefault(&o.HeaderBytes, DefaultHeaderBytes)
 	setDefault(&o.HeaderTime, DefaultHeaderTime)
 	setDefault(&o.BodyTime, DefaultBodyTime)
@@ -230,8 +240,12 @@
 		IdleTimeout:       f.options.IdleTime,
 		MaxHeaderBytes:    f.options.HeaderBytes,
 	}
+	listener = newBoundedListener(listener, f.options.Connections)
+	if f.options.TLS != nil {
+		listener = tls.NewListener(listener, f.options.TLS)
+	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(newBoundedListener(listener, f.options.Connections)) }()
+	go func() { failed <- server.Serve(listener) }()
 	select {
 	case err := <-failed:
 		return err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,6 +29,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -76,6 +77,8 @@
 	Apply   func(ctx context.Context, apply Apply) (Change, error)
 	// WriteMetrics writes the metrics; nil writes all registered ones.
 	WriteMetrics func(out io.Writer)
+	// TLS is the configuration for TLS; nil is plain HTTP.
+	TLS *tls.Config
 	// Authorize returns what the bearer token allows; it must be set.
 	Authorize func(token string, remote netip.AddrPort) (access.Grant, error)
 }
@@ -274,6 +277,9 @@
 // for open calls.
 func (o *Operator) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{Handler: o.echo, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10}
+	if o.options.TLS != nil {
+		listener = tls.NewListener(listener, o.options.TLS)
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- a/internal/settings/whole.go
+++ b/internal/settings/whole.go
@@ -138,6 +138,10 @@
 	return "node"
 }
 
+// callerSilence is the silence after which callers give a connection up
+// (caller.DefaultSilence).
+const callerSilence = 20 * time.Second
+
 func (l *loader) checkTiming() {
 	if slices.ContainsFunc(l.findings, func(finding Finding) bool { return finding.Section == "timing" }) {
 		return // A default would be compared in place of the faulty value.
@@ -154,6 +158,8 @@
 		{"home-lease-renewal", timing.HomeLeaseRenewal, "half of home-lease", timing.HomeLease / 2, "one lost renewal must not end a home lease"},
 		{"heartbeat", timing.Heartbeat, "half of suspect-after", timing.SuspectAfter / 2, "one lost heartbeat must not make a member suspect"},
 		{"session", timing.Session, "half of task-lease", timing.TaskLease / 2, "the next owner must open a session before running tasks expire"},
+		{"keep-alive-after", timing.KeepAliveAfter, "three quarters of callers' silence bound", callerSilence * 3 / 4, "callers would take a waiting connection for dead"},
+		{"keep-alive-every", timing.KeepAliveEvery, "half of callers' silence bound", callerSilence / 2, "one late space must not end a connection"},
 	} {
 		if bound.value > bound.maximum {
 			l.addAt("timing", bound.key, "%s is more than %s (%s): %s", bound.value, bound.than, bound.maximum, bound.why)
--- a/pkg/caller/call.go
+++ b/pkg/caller/call.go
@@ -11,6 +11,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +39,14 @@
 	left bool
 }
 
+// payload is the body of a submission and its attempt number.
+type payload struct {
+	body    []byte
+	attempt int
+}
+
 // send makes one HTTP call to one entry VM.
-func send[T any](ctx context.Context, c *Client, address netip.AddrPort, method, path string, payload []byte, pick func(*Outcome) *T) reply[T] {
+func send[T any](ctx context.Context, c *Client, address netip.AddrPort, method, path string, payload *payload, pick func(*Outcome) *T) reply[T] {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(c.options.Silence, func() { cancel(errSilent) })
@@ -63,21 +70,24 @@
 	return parse(response, body, pick)
 }
 
-func (c *Client) newRequest(ctx context.Context, address netip.AddrPort, method, path string, payload []byte) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, address netip.AddrPort, method, path string, payload *payload) (*http.Request, error) {
 	scheme := "http://"
 	if c.options.TLS != nil {
 		scheme = "https://"
 	}
-	request, err := http.NewRequestWithContext(ctx, method, scheme+address.String()+path, bytes.NewReader(payload))
+	var body io.Reader
+	if payload != nil {
+		body = bytes.NewReader(payload.body)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, scheme+address.String()+path, body)
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the transport never sends a body a second time.
-	request.GetBody = nil
-	if len(payload) > 0 {
+	if payload != nil {
+		// Without GetBody the transport never sends a body a second time.
+		request.GetBody = nil
 		request.Header.Set("Content-Type", "application/json")
-	} else {
-		request.Body = http.NoBody
+		request.Header.Set(AttemptHeader, strconv.Itoa(payload.attempt))
 	}
 	if c.options.Token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.options.Token)
--- a/pkg/caller/submit.go
+++ b/pkg/caller/submit.go
@@ -55,7 +55,7 @@
 	}
 	s.client.budget.firstSend()
 	for n := 1; ; n++ {
-		got, err := s.send(ctx, n == 1)
+		got, err := s.send(ctx)
 		if got != nil {
 			return *got, nil
 		}
@@ -74,18 +74,18 @@
 
 // send makes one send, and resolves it by key if its reply was lost and it
 // must not be sent again.
-func (s *submission[T]) send(ctx context.Context, first bool) (*T, *Error) {
+func (s *submission[T]) send(ctx context.Context) (*T, *Error) {
 	body, err := json.Marshal(s.request)
 	if err != nil {
 		return nil, &Error{Refusal: *workload.Refuse(workload.CodeBadRequest, 0, "the request can't be written as JSON"), Cause: err}
 	}
-	reply := send(ctx, s.client, s.client.address(), http.MethodPost, s.path, body, s.pick)
+	reply := send(ctx, s.client, s.client.address(), http.MethodPost, s.path, &payload{body, s.request.Attempt}, s.pick)
 	if reply.body != nil {
 		return reply.body, nil
 	}
 	if reply.refusal != nil {
 		failure := reply.failure(workload.MayHaveRun)
-		s.learn(failure, first)
+		s.learn(failure)
 		return nil, failure
 	}
 	if !reply.left {
@@ -102,7 +102,7 @@
 	}
 	var answer *Error
 	if errors.As(resolveErr, &answer) && answer.Cause == nil {
-		s.learn(answer, false)
+		s.learn(answer)
 		if answer.Refusal.Code == workload.CodeNotFound {
 			// The send was lost with its connection, which is why it can be
 			// worth repeating if it is proved not to have run.
@@ -113,15 +113,9 @@
 	return nil, failure.because(resolveErr)
 }
 
-// learn updates what is known from a refusal. A server that did not read the
-// attempt number says may-have-run; on the first send of a first attempt the
-// client knows better, since no earlier one exists.
-func (s *submission[T]) learn(failure *Error, first bool) {
-	refusal := &failure.Refusal
-	if first && s.request.Attempt == 0 && refusal.Code == workload.CodeForbidden {
-		refusal.Run = workload.NotRun
-	}
-	s.uncertain = refusal.Run != workload.NotRun
+// learn updates what is known from a refusal, which is about all sends.
+func (s *submission[T]) learn(failure *Error) {
+	s.uncertain = failure.Refusal.Run != workload.NotRun
 }
 
 // repeatable reports whether the request may be sent again and whether that
--- a/pkg/caller/wire.go
+++ b/pkg/caller/wire.go
@@ -11,6 +11,11 @@
 // because the HTTP status was then sent before the outcome was known.
 const OutcomeContentType = "application/vnd.yuccalanding.outcome+json"
 
+// AttemptHeader repeats the attempt number of a submission as an HTTP header,
+// so that a server can refuse a first attempt as "not-run" without reading its
+// body. It is optional.
+const AttemptHeader = "Yuccalanding-Attempt"
+
 // Outcome is the body of an answer that took longer than the server's first
 // keep-alive bound. Exactly one of the pointers is set.
 type Outcome struct {
