Test three guards whose removal no test had seen

Cause: with 21 guards of front, caller, access, event, operator and settings removed one at a time, three removals passed all tests: the run field after a last send that reached nobody, the release of body memory, and the time bound on a body. Change: a test for each; the client's idle time states its reason. Ruled out: nothing. Conclusion: each of these guards now has a test that fails without it.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -223,7 +224,7 @@
 		canceled.Add(1)
 		return workload.Answer{}, workload.Refuse(workload.CodeCanceled, 0, "the caller has gone")
 	}
-	options.OpenRequestsPerTeam = 1
+	options.OpenRequestsPerTeam, options.BodyBytesInAll = 1, int64(len(body))
 	url := serve(t, options)
 	for i := range 3 {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -327,3 +328,20 @@
 		return err == nil && next.Close() == nil
 	}, 5*time.Second, 5*time.Millisecond, "the place of a closed connection was not freed")
 }
+
+// Guards against a caller that holds a node's memory by sending its body
+// slowly.
+func TestSlowBodyIsRefused(t *testing.T) {
+	options := seams()
+	options.BodyTime = 50 * time.Millisecond
+	connection, err := net.Dial("tcp", strings.TrimPrefix(serve(t, options), "http://"))
+	require.NoError(t, err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST /v1/requests HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer ledger\r\nContent-Length: 9\r\n\r\n{")
+	require.NoError(t, err)
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(5*time.Second)))
+	got, err := io.ReadAll(connection)
+	require.NoError(t, err)
+	require.Contains(t, string(got), "400 Bad Request")
+	require.Contains(t, string(got), `"run":"may-have-run"`)
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -173,7 +173,9 @@
 		TLSHandshakeTimeout: options.DialTime,
 		MaxConnsPerHost:     options.Connections,
 		MaxIdleConnsPerHost: options.Connections,
-		IdleConnTimeout:     time.Minute,
+		// Shorter than the server's idle time (90 s): a send on a connection
+		// that the server closes meanwhile counts as one that may have left.
+		IdleConnTimeout: time.Minute,
 	}
 	return &Client{
 		options:   options,
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -184,3 +184,21 @@
 	require.LessOrEqual(t, len(fake.seen()), 40+10+4)
 	require.Greater(t, len(fake.seen()), 40+10)
 }
+
+// Guards against "not-run" from a last send that reached nobody after an
+// earlier one that may have run.
+func TestUnreachableAfterBrokenMayHaveRun(t *testing.T) {
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		_ = server.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	client, err := caller.New(caller.Options{Addresses: []netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())}, Base: time.Millisecond, Attempts: 2})
+	require.NoError(t, err)
+	_, err = client.Submit(context.Background(), workload.Request{})
+	var failure *caller.Error
+	require.True(t, errors.As(err, &failure))
+	require.Equal(t, workload.MayHaveRun, failure.Refusal.Run)
+	require.Equal(t, workload.CodeNoHome, failure.Refusal.Code)
+}
