Let the time limit of appends follow a slow log

Cause: with a fixed limit, a log slower than the limit gets the same batch again and again, because no copy is in the log yet when it is looked up.

Change: an append that used up its limit doubles it, up to 4 times CallTimeout; a quick one halves it. Tests cover refusals of the log and delays above the limit.

Ruled out: one long fixed limit, which would hold all appends behind a connection that silently stopped.

Figures: 3 appends at most at a delay of 2.5 limits.

--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -43,6 +43,8 @@
 	// catchUpPause is the longest random pause between two full reads, so that
 	// nodes that are behind don't occupy the log together.
 	catchUpPause = 20 * time.Millisecond
+	// maxTimeoutGrowth bounds the time limit of an append in units of CallTimeout.
+	maxTimeoutGrowth = 4
 )
 
 // Options are fixed for the life of a client. Zero fields take the defaults.
@@ -53,7 +55,9 @@
 	// BufferRecords and BufferBytes bound the records that wait for an append.
 	BufferRecords int
 	BufferBytes   int
-	CallTimeout   time.Duration
+	// CallTimeout limits a look-up, a read beyond its wait, and the first append;
+	// see adaptTimeout.
+	CallTimeout time.Duration
 	// BackoffBase and BackoffMax bound the random delay after a failed call:
 	// it is uniform from 0 to BackoffBase doubled for each failure in a row.
 	BackoffBase time.Duration
@@ -122,6 +126,8 @@
 	health  *health
 	// streams numbers the users of the random source.
 	streams atomic.Uint64
+	// appendTimeout is used by the goroutine of the appends only.
+	appendTimeout time.Duration
 
 	mu            sync.Mutex
 	stopped       bool
@@ -140,6 +146,8 @@
 		limiter: rate.NewLimiter(rate.Limit(options.AppendsPerSecond), 1),
 		health:  newHealth(),
 		wake:    make(chan struct{}, 1),
+
+		appendTimeout: options.CallTimeout,
 	}
 }
 
@@ -218,13 +226,27 @@
 		return appendAnswer{}, err
 	}
 	var answer appendAnswer
-	err = c.call(ctx, c.options.CallTimeout, http.MethodPost, "/append", nil, body, &answer)
+	start := c.options.Now()
+	err = c.call(ctx, c.appendTimeout, http.MethodPost, "/append", nil, body, &answer)
+	c.adaptTimeout(c.options.Now().Sub(start))
 	if err == nil && answer.Next-answer.First != int64(len(request.Records)) {
 		err = fmt.Errorf("journal: the log answered offsets %d to %d for %d records", answer.First, answer.Next, len(request.Records))
 	}
 	return answer, err
 }
 
+// adaptTimeout doubles the time limit of appends after one that used it up and
+// halves it after a quick one. With a fixed limit, a log that is slower than the
+// limit would get each batch again and again.
+func (c *Client) adaptTimeout(took time.Duration) {
+	switch {
+	case took >= c.appendTimeout:
+		c.appendTimeout = min(2*c.appendTimeout, maxTimeoutGrowth*c.options.CallTimeout)
+	case took < c.appendTimeout/4:
+		c.appendTimeout = max(c.appendTimeout/2, c.options.CallTimeout)
+	}
+}
+
 func (c *Client) find(ctx context.Context, identity string) (findAnswer, error) {
 	var answer findAnswer
 	err := c.call(ctx, c.options.CallTimeout, http.MethodGet, "/find", url.Values{"identity": {identity}}, nil, &answer)
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,18 +29,20 @@
 	server  *httptest.Server
 	client  *Client
 	appends atomic.Int64
+	// refusal is the status of the first append's answer; 0 passes it on.
+	refusal int
 }
 
 func newBench(t *testing.T, options Options) *bench {
-	seed := *seedFlag
-	if seed == 0 {
-		seed = uint64(time.Now().UnixNano())
-	}
+	seed := cmp.Or(*seedFlag, uint64(time.Now().UnixNano()))
 	t.Logf("repeat with -journal.seed=%d", seed)
 	b := &bench{service: logservice.New(logservice.Options{})}
 	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/append" {
-			b.appends.Add(1)
+			if b.appends.Add(1) == 1 && b.refusal != 0 {
+				w.WriteHeader(b.refusal)
+				return
+			}
 		}
 		b.service.ServeHTTP(w, r)
 	}))
@@ -154,13 +157,45 @@
 	}
 }
 
-// Guards against a slow log that is reported as up or down.
+// Guards against a record that is given up although the log may still take it,
+// and against one that is retried for ever although the log never will.
+func TestRefusals(t *testing.T) {
+	for name, test := range map[string]struct{ status, appends int }{
+		"for now":  {http.StatusTooManyRequests, 2},
+		"unclear":  {http.StatusServiceUnavailable, 2},
+		"for good": {http.StatusRequestEntityTooLarge, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.refusal = test.status
+			start(t, b.client.Start)
+			result := receive(t, b.append(t, 1)[0])
+			require.Equal(t, test.appends == 1, result.Err != nil)
+			require.Equal(t, int64(test.appends), b.appends.Load())
+		})
+	}
+}
+
+// Guards against a slow log that is reported as up or down, and against one
+// that is slower than the time limit and so gets the same batch without end.
 func TestSlowLog(t *testing.T) {
-	b := newBench(t, Options{})
-	start(t, b.client.Start)
-	b.service.SetFault(logservice.Fault{AppendDelayMS: 1000})
-	require.NoError(t, receive(t, b.append(t, 1)[0]).Err)
-	require.Equal(t, StateSlow, receive(t, b.client.States()))
+	for name, test := range map[string]struct {
+		timeoutMS, delayMS, appends int64
+		state                       State
+	}{
+		"within the time limit": {0, 1000, 1, StateSlow},
+		// The answer that counts is that of a quick look-up or append.
+		"above the time limit": {100, 250, 3, StateUp},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{CallTimeout: time.Duration(test.timeoutMS) * time.Millisecond})
+			start(t, b.client.Start)
+			b.service.SetFault(logservice.Fault{AppendDelayMS: test.delayMS})
+			require.NoError(t, receive(t, b.append(t, 1)[0]).Err)
+			require.Equal(t, test.state, receive(t, b.client.States()))
+			require.LessOrEqual(t, b.appends.Load(), test.appends)
+		})
+	}
 }
 
 // Guards against a buffer that grows without bound while the log is down, and
@@ -202,11 +237,8 @@
 	b.append(t, 10)
 	start(t, b.client.Start)
 	requireSequence(t, follow(t, b.client, 0), 10)
-	body, err := json.Marshal(logservice.AppendRequest{Identity: "x", Records: [][]byte{[]byte("no record")}})
-	require.NoError(t, err)
-	answer, err := http.Post(b.server.URL+"/append", "application/json", bytes.NewReader(body))
-	require.NoError(t, err)
-	require.NoError(t, answer.Body.Close())
+	unreadable := httptest.NewRequest("POST", "/append", strings.NewReader(`{"identity":"x","records":["AA=="]}`))
+	b.service.ServeHTTP(httptest.NewRecorder(), unreadable)
 	require.NoError(t, receive(t, b.append(t, 1)[0]).Err)
 	b.service.SetFault(logservice.Fault{CutBefore: 9})
 	delivery := receive(t, follow(t, b.client, 4))
--- a/internal/policy/history_test.go
+++ b/internal/policy/history_test.go
@@ -210,9 +210,7 @@
 		switch record := rapid.IntRange(0, 9).Draw(t, "record"); {
 		case record == 0 && offset > 0:
 			next.snapshot = &states[rapid.IntRange(0, int(offset)-1).Draw(t, "age of the snapshot")]
-		case record == 1:
-			// A record of another kind.
-		default:
+		case record > 1: // Record 1 is one of another kind.
 			change := drawChange(t, history.Version().Number, changes)
 			changes = append(changes, change)
 			next.change = &change
--- a/internal/policy/read_test.go
+++ b/internal/policy/read_test.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -16,15 +15,15 @@
 // reported at the wrong place.
 func TestFindings(t *testing.T) {
 	for name, test := range map[string]struct {
-		files map[string]string
+		files []File
 		want  []string
 	}{
 		"unknown key": {
-			map[string]string{"a.ini": "# c\n[kind bake]\nqueue-bond = 3\n"},
+			[]File{{"a.ini", "# c\n[kind bake]\nqueue-bond = 3\n"}},
 			[]string{"a.ini:3 [kind bake] queue-bond: unknown key; did you mean queue-bound?"},
 		},
 		"unknown section": {
-			map[string]string{"a.ini": "[kid bake]\nnot checked\n[team]\nweigt = 1\n[limits x]\n[open"},
+			[]File{{"a.ini", "[kid bake]\nnot checked\n[team]\nweigt = 1\n[limits x]\n[open"}},
 			[]string{
 				"a.ini:1 [kid bake]: unknown type of section; did you mean kind?",
 				"a.ini:3 [team]: needs a name of lower-case letters, digits and single hyphens, at most 64 characters",
@@ -34,7 +33,7 @@
 			},
 		},
 		"form": {
-			map[string]string{"a.ini": "weight = 1\n[team a]\nweight\n= 1\nweight = \"\"\"1\n"},
+			[]File{{"a.ini", "weight = 1\n[team a]\nweight\n= 1\nweight = \"\"\"1\n"}},
 			[]string{
 				"a.ini:1: this line stands before the first section",
 				"a.ini:3 [team a]: a line has the form key = value",
@@ -43,7 +42,7 @@
 			},
 		},
 		"duplicates within one file": {
-			map[string]string{"a.ini": "[team a]\nweight = 1\nweight = 2\n[kind b]\n[team  a]\nmemory-mb = 1\nweight = x"},
+			[]File{{"a.ini", "[team a]\nweight = 1\nweight = 2\n[kind b]\n[team  a]\nmemory-mb = 1\nweight = x"}},
 			[]string{
 				"a.ini:3 [team a] weight: the key is already in line 2 of this section",
 				"a.ini:5 [team a]: the section is already in line 1 of this file",
@@ -51,9 +50,9 @@
 			},
 		},
 		"values in two files": {
-			map[string]string{
-				"b.ini": "[team a]\nguarantee = 1.1 ; too much\nmilli-cpu = -1\n",
-				"a.ini": "[kind a]\nweight = 0\ndeadline = -1500ms\npreemption = kill\nurgency =\nceiling = NaN\n",
+			[]File{
+				{"b.ini", "[team a]\nguarantee = 1.1 ; too much\nmilli-cpu = -1\n"},
+				{"a.ini", "[kind a]\nweight = 0\ndeadline = -1500ms\npreemption = kill\nurgency =\nceiling = NaN\n"},
 			},
 			[]string{
 				`a.ini:2 [kind a] weight: must be a whole number from 1 to 1000000, got "0"`,
@@ -66,9 +65,9 @@
 			},
 		},
 		"rules over the merged set": {
-			map[string]string{
-				"a.ini": "[kind a]\nguaranteed-share = 0.6\n[kind b]\nguaranteed-share = 0.5\n[team a]\nguarantee = 1\n",
-				"b.ini": "[kind a]\nceiling = 0.3\n[team b]\nguarantee = 0.01\n",
+			[]File{
+				{"a.ini", "[kind a]\nguaranteed-share = 0.6\n[kind b]\nguaranteed-share = 0.5\n[team a]\nguarantee = 1\n"},
+				{"b.ini", "[kind a]\nceiling = 0.3\n[team b]\nguarantee = 0.01\n"},
 			},
 			[]string{
 				"a.ini:4 [kind b] guaranteed-share: the sum over all sections is 1.1, more than 1: a 0.6, b 0.5",
@@ -77,38 +76,21 @@
 			},
 		},
 		"not text": {
-			map[string]string{"a.ini": "\xff\n", "b.ini": strings.Repeat(" ", MaxFileBytes+1)},
+			[]File{{"a.ini", "\xff\n"}, {"b.ini", strings.Repeat(" ", MaxFileBytes+1)}},
 			[]string{"a.ini: a file is UTF-8 text of at most 1048576 bytes", "b.ini: a file is UTF-8 text of at most 1048576 bytes"},
 		},
-		"bounded": {
-			map[string]string{"a.ini": strings.Repeat("[team a]\n", MaxFindings+1) + "x"},
-			boundedFindings(),
-		},
 		"no files": {nil, []string{": a configuration has 1 to 256 files, got 0"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			set, findings := Read(filesOf(test.files))
+			set, findings := Read(test.files)
 			require.Nil(t, set)
 			require.Equal(t, strings.Join(test.want, "\n"), findings.Error())
 			require.Len(t, findings.Workload(), len(test.want))
 		})
 	}
-}
-
-func boundedFindings() []string {
-	want := []string{"a.ini: there are more than 1000 findings; the rest is not shown"}
-	for line := range MaxFindings {
-		want = append(want, fmt.Sprintf("a.ini:%d [team a]: the section is already in line 1 of this file", line+2))
-	}
-	return want
-}
-
-func filesOf(texts map[string]string) []File {
-	var files []File
-	for name, text := range texts {
-		files = append(files, File{Name: name, Text: text})
-	}
-	return files
+	_, findings := Read([]File{{"a.ini", strings.Repeat("[team a]\n", MaxFindings+9)}})
+	require.Len(t, findings, MaxFindings+1)
+	require.Equal(t, Finding{File: "a.ini", Message: "there are more than 1000 findings; the rest is not shown"}, findings[0])
 }
 
 // Guards against wrong defaults, values read into the wrong field, a merge in
@@ -145,9 +127,9 @@
 // Guards against examples that operators copy and that are refused, and against
 // a folder reader that takes other files or misses some.
 func TestExamples(t *testing.T) {
-	for name, want := range map[string]struct{ kinds, teams int }{
-		"ravi-levy": {6, 4},
-		"guild":     {6, 5},
+	for name, want := range map[string]struct{ files, kinds, teams int }{
+		"ravi-levy": {4, 6, 4},
+		"guild":     {5, 6, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			files, err := ReadFolder("../../examples/" + name)
@@ -156,7 +138,7 @@
 			require.Empty(t, findings)
 			require.Len(t, set.Kinds(), want.kinds)
 			require.Len(t, set.Teams(), want.teams)
-			require.Len(t, files, strings.Count(name, "guild")+4)
+			require.Len(t, files, want.files)
 		})
 	}
 	_, err := ReadFolder(t.TempDir())
