Correct comments of random tests

Cause: rapid prints its seed on a failure only, and a comment said otherwise. Change: comments only, and one message of a check that repeated the seed.

--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"context"
 	"flag"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -296,7 +295,7 @@
 		delay := delays.next()
 		lowest, highest = min(lowest, delay), max(highest, delay)
 	}
-	require.Less(t, lowest, DefaultBackoffMax/5, fmt.Sprint("seed of the delays: ", delays))
+	require.Less(t, lowest, DefaultBackoffMax/5)
 	require.Greater(t, highest, DefaultBackoffMax*4/5)
 	require.LessOrEqual(t, highest, DefaultBackoffMax)
 }
--- a/internal/policy/history_test.go
+++ b/internal/policy/history_test.go
@@ -268,7 +268,7 @@
 
 // Guards against nodes that come to different configurations or different
 // accepted changes from one log, however they came to read it, and against a
-// version that goes down. It prints its seed; -rapid.seed takes one.
+// version that goes down. A failure prints its seed; -rapid.seed takes one.
 func TestHistoriesAgree(t *testing.T) {
 	accepted, rejected, gaps := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/policy/read_test.go
+++ b/internal/policy/read_test.go
@@ -148,8 +148,8 @@
 }
 
 // Guards against input that stops the reader, findings without a place, and a
-// canonical form that reads as something else. The command line of go test
-// takes the seeds: they are the files of testdata/fuzz/FuzzRead.
+// canonical form that reads as something else. Saved inputs are in
+// testdata/fuzz/FuzzRead.
 func FuzzRead(f *testing.F) {
 	f.Fuzz(func(t *testing.T, first, second string) {
 		files := []File{{"1.ini", first}, {"2.ini", second}}
