Bound the search for lent room

Cause: each placement compared all workers for up to two claims. With 650 workers and 10,000 waiting tasks this took most of the time.

Change: a claim compares 32 suitable workers, going on where the last search ended, and a kind makes at most one round of claims a millisecond.

Ruled out: the tree of free room, which was a small part of the time.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -96,6 +96,35 @@
 	}
 }
 
+// BenchmarkGang measures the plan and the start of a gang of half of the 870
+// accelerators on a full fleet, each as one call.
+func BenchmarkGang(b *testing.B) {
+	var planned, started time.Duration
+	for range b.N {
+		engine := withWorkers(placement.Options{}, 541, 109)
+		small := newTask("", "small")
+		small.Resources.Accelerators = 1
+		enqueueMany(b, engine, start, 872, "small", small)
+		full := engine.Schedule(start, 1000)
+		gang := small
+		gang.ID.Key, gang.Kind = "gang", "gang"
+		enqueueGang(b, engine, start, 435, gang)
+		began := time.Now()
+		engine.Schedule(start, 1)
+		planned += time.Since(began)
+		for _, d := range full {
+			engine.TaskEnded(start, d.Task.ID, placement.Completed)
+		}
+		began = time.Now()
+		if len(engine.Schedule(start, 1)) != 435 {
+			b.Fatal("the gang did not start")
+		}
+		started += time.Since(began)
+	}
+	b.ReportMetric(float64(planned.Nanoseconds())/float64(b.N), "plan-ns")
+	b.ReportMetric(float64(started.Nanoseconds())/float64(b.N), "start-ns")
+}
+
 // BenchmarkCancel measures one cancellation among 100,000 waiting tasks.
 func BenchmarkCancel(b *testing.B) {
 	c := newBusyCell(b, 48, 90_000)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -53,7 +53,9 @@
 	// reserved is the unused part of all guarantees of kinds with recent work.
 	reserved amount
 	claims   []*claim
-	hold     *hold
+	// claimCursor is the worker at which the last search for a claim ended.
+	claimCursor int
+	hold        *hold
 
 	reservations []*reservation
 
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -13,10 +13,16 @@
 	// claimLifetime ends a claim whose victims never end.
 	claimLifetime = 30 * time.Second
 	// claimsPerCall bounds the time that one call spends on choosing victims.
-	claimsPerCall = 2
+	claimsPerCall = 4
 	// reclaimInterval is the shortest time between two searches for lent room
 	// when the first found none; a search looks at every running task.
 	reclaimInterval = 20 * time.Millisecond
+	// claimInterval is the shortest time between two rounds of claims for a
+	// kind, and claimCandidates how many suitable workers are compared for a
+	// claim. Comparing all of 650 workers in every call took 68 µs of a
+	// placement where 10 µs are usual.
+	claimInterval   = time.Millisecond
+	claimCandidates = 32
 	// tasksPerClaim is the largest number of tasks that one claim is for.
 	tasksPerClaim = 8
 )
@@ -71,6 +77,7 @@
 	decisions = e.preemptForHold(now, decisions)
 	made := 0
 	for _, k := range e.kindsByUrgency() {
+		before := made
 		for made < claimsPerCall && len(e.claims) < MaxClaims && !now.Before(k.reclaimAgainAt) {
 			deficit := e.deficit(k)
 			if deficit <= 0 {
@@ -86,10 +93,20 @@
 			decisions = e.preemptForClaim(now, c, decisions)
 			made++
 		}
+		if made > before {
+			k.reclaimAgainAt = later(k.reclaimAgainAt, now.Add(claimInterval))
+		}
 	}
 	return decisions
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // kindsByUrgency returns the kinds that found no room inside their guarantee.
 func (e *Engine) kindsByUrgency() []*kindState {
 	var short []*kindState
@@ -145,12 +162,21 @@
 	demand := taskDemand(&k.short.head.task)
 	var soonest, cheapest *workerState
 	soonestWait, fewest := time.Duration(0), 0
-	for _, w := range e.index.leaves {
+	count := len(e.index.leaves)
+	for looked, suitable := 0, 0; looked < count && suitable < claimCandidates; looked++ {
+		// Each search goes on where the one before it ended.
+		e.claimCursor = (e.claimCursor + 1) % count
+		w := e.index.leaves[e.claimCursor]
 		if w.leaving || w.claim != nil || w.hold != nil || !demand.fits(&w.capacity) ||
 			e.options.Excluded != nil && e.options.Excluded(w.worker.Name) {
 			continue
 		}
-		if wait, ok := lentRoomReturns(now, w, &demand, k); ok && (soonest == nil || wait < soonestWait) {
+		wait, ok := lentRoomReturns(now, w, &demand, k)
+		if !ok && !e.hasPreemptible(w) {
+			continue
+		}
+		suitable++
+		if ok && (soonest == nil || wait < soonestWait) {
 			soonest, soonestWait = w, wait
 		}
 		if fewest == 1 {
@@ -179,6 +205,16 @@
 	return c
 }
 
+// hasPreemptible reports whether any task on the worker can be preempted.
+func (e *Engine) hasPreemptible(w *workerState) bool {
+	for _, r := range w.running {
+		if r.kind.preempted() {
+			return true
+		}
+	}
+	return false
+}
+
 // lent reports whether the task runs outside its kind's guarantee.
 func (r *runningTask) lent(k *kindState) bool {
 	return r.reservation == nil && r.kind != k && r.kind.share > r.kind.guaranteed+shareTolerance
