Let a member own workers while it can't be a home

Cause: a restarted node begins no home lease for 5 s, but others took it for the first choice, so nobody asked for its ranges.

Change: heartbeats carry an unready flag, which HomeOf leaves out and OwnerOf ignores. tenure.Ready gives its value.

Ruled out: the drain flag for this. It would take the node's workers away too.

Conclusion: the control thread has to pass the flag on at every tick.

--- a/internal/membership/assignment.go
+++ b/internal/membership/assignment.go
@@ -19,8 +19,8 @@
 // hashing among the region's live members that may have roles. It reports
 // false if there is none or the table is not settled.
 func (t *Table) HomeOf(region, team string) (Member, bool) {
-	ranked := t.rank("home", team+"\x00"+region, func(m *Member) int {
-		if m.Region == region {
+	ranked := t.rank("home", team+"\x00"+region, func(m *Member, may eligibility) int {
+		if may.home && m.Region == region {
 			return 0
 		}
 		return excluded
@@ -33,8 +33,10 @@
 // those before members of other regions, which keep the sessions and task
 // leases of a region that lost all its nodes.
 func (t *Table) OwnerOf(worker, region, failureDomain string) Owners {
-	return t.rank("owner", worker, func(m *Member) int {
+	return t.rank("owner", worker, func(m *Member, may eligibility) int {
 		switch {
+		case !may.owner:
+			return excluded
 		case m.Region == region && m.FailureDomain == failureDomain:
 			return 0
 		case m.Region == region:
@@ -51,7 +53,7 @@
 // rank returns the two best eligible members: by tier, then by score. The
 // score of a member doesn't depend on who else is a member, so that a member
 // which is lost or new moves only what it had or gets.
-func (t *Table) rank(role, key string, tierOf func(*Member) int) Owners {
+func (t *Table) rank(role, key string, tierOf func(*Member, eligibility) int) Owners {
 	if !t.settled {
 		return Owners{}
 	}
@@ -65,8 +67,8 @@
 	var buffer [16]byte
 	binary.LittleEndian.PutUint64(buffer[:8], xxhash.Sum64String(key)^xxhash.Sum64String(role))
 	for i, r := range t.records {
-		tier := tierOf(&r.member)
-		if !t.eligibleCache[i] || tier == excluded {
+		tier := tierOf(&r.member, t.eligible[i])
+		if tier == excluded {
 			continue
 		}
 		binary.LittleEndian.PutUint64(buffer[8:], r.hash)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -31,6 +31,7 @@
 //	if err != nil {
 //		return err
 //	}
+//	table.SetReady(leases.Ready(now, region))
 //	changes := table.Tick(now)
 //	if heartbeat, due := table.HeartbeatDue(now); due {
 //		// Send it to every address of table.Peers().
@@ -114,6 +115,8 @@
 	// Withheld lists the members that the sender would give no roles because
 	// they were lost repeatedly.
 	Withheld []string `json:"withheld" cbor:"6,keyasint,omitempty"`
+	// Unready is set while the sender can't begin home leases.
+	Unready bool `json:"unready" cbor:"7,keyasint,omitempty"`
 }
 
 // Reach says whether a member can be worked with.
@@ -149,12 +152,18 @@
 	byName      map[string]*record
 
 	// running is the node's running time, which leaves out pauses.
-	running       time.Duration
-	lastCall      time.Time
-	heartbeatAt   time.Duration
-	settled       bool
-	version       uint64
-	eligibleCache []bool
+	running     time.Duration
+	lastCall    time.Time
+	heartbeatAt time.Duration
+	settled     bool
+	version     uint64
+	eligible    []eligibility
+}
+
+// eligibility says which roles a member may have.
+type eligibility struct {
+	home  bool
+	owner bool
 }
 
 type record struct {
@@ -165,6 +174,7 @@
 	incarnation uint64
 	sequence    uint64
 	draining    bool
+	unready     bool
 	heard       map[string]bool
 	withholds   map[string]bool
 
@@ -213,7 +223,7 @@
 	}
 	t.self.reach, t.self.incarnation = Live, options.Incarnation
 	slices.SortFunc(t.records, func(a, b *record) int { return strings.Compare(a.member.Name, b.member.Name) })
-	t.eligibleCache = make([]bool, len(t.records))
+	t.eligible = make([]eligibility, len(t.records))
 	t.update()
 	return t, nil
 }
@@ -224,6 +234,14 @@
 	t.update()
 }
 
+// SetReady says whether this node can begin home leases. A node that can't, for
+// example because its worker list is new, is no home and may own workers. A
+// new table is ready.
+func (t *Table) SetReady(ready bool) {
+	t.self.unready = !ready
+	t.update()
+}
+
 // Peers returns the other members in the order of their names.
 func (t *Table) Peers() []Member {
 	return t.members(func(r *record) bool { return r != t.self })
@@ -279,6 +297,7 @@
 	Reach       Reach  `json:"reach"`
 	Incarnation uint64 `json:"incarnation"`
 	Draining    bool   `json:"draining"`
+	Unready     bool   `json:"unready"`
 	Eligible    bool   `json:"eligible"`
 	Losses      int    `json:"losses"`
 	SilentMS    int64  `json:"silent-ms"`
@@ -293,7 +312,7 @@
 	for i, r := range t.records {
 		entry := MemberDump{
 			Member: r.member, Reach: r.reach, Incarnation: r.incarnation, Draining: r.draining,
-			Eligible: t.eligibleCache[i], Losses: r.losses,
+			Unready: r.unready, Eligible: t.eligible[i].owner, Losses: r.losses,
 		}
 		if r != t.self && r.reach != Unheard {
 			entry.SilentMS = (t.running - r.heardAt).Milliseconds()
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -235,6 +235,25 @@
 	}
 }
 
+// Guards against a node that blocks a range because it is first choice and
+// can't begin leases yet, and against it losing its workers for that.
+func TestUnreadyMemberIsNoHome(t *testing.T) {
+	c := newCell(t, 4)
+	c.run(time.Second)
+	c.tables[0].SetReady(false)
+	c.run(time.Second)
+	for _, table := range c.tables {
+		for team := range 50 {
+			home, ok := table.HomeOf("r0", fmt.Sprint(team))
+			require.True(t, ok && home.Name == "n02")
+			require.Equal(t, "n00", table.OwnerOf(fmt.Sprint(team), "r0", "d0").First.Name)
+		}
+	}
+	c.tables[0].SetReady(true)
+	c.run(time.Second)
+	require.False(t, c.of(1, 0).Unready)
+}
+
 // Guards against an assignment in which a lost or new member moves more than
 // its own part, against a share far above the average, against a second choice
 // that isn't the successor, and against an owner from a farther domain.
--- a/internal/membership/suspicion.go
+++ b/internal/membership/suspicion.go
@@ -43,7 +43,8 @@
 		r.liveSince, r.listedAt = t.running, t.running
 		r.withheldUntil = t.running + backOff(r.losses)
 	}
-	r.incarnation, r.sequence, r.draining = heartbeat.Incarnation, heartbeat.Sequence, heartbeat.Draining
+	r.incarnation, r.sequence = heartbeat.Incarnation, heartbeat.Sequence
+	r.draining, r.unready = heartbeat.Draining, heartbeat.Unready
 	r.heard, r.withholds = t.nameSet(heartbeat.Heard), t.nameSet(heartbeat.Withheld)
 	r.heardAt, r.listed = t.running, r.heard[t.self.member.Name]
 	if r.listed {
@@ -70,7 +71,8 @@
 	t.heartbeatAt = max(t.heartbeatAt+HeartbeatInterval, t.running)
 	t.sequence++
 	heartbeat := Heartbeat{
-		From: t.self.member.Name, Incarnation: t.incarnation, Sequence: t.sequence, Draining: t.self.draining,
+		From: t.self.member.Name, Incarnation: t.incarnation, Sequence: t.sequence,
+		Draining: t.self.draining, Unready: t.self.unready,
 	}
 	for _, r := range t.records {
 		if r == t.self || !t.hears(r) {
@@ -170,9 +172,10 @@
 	everyone, changed := true, false
 	for i, r := range t.records {
 		everyone = everyone && r.reach == Live
-		eligible := r.reach == Live && !r.draining && !t.withheld(r)
-		changed = changed || eligible != t.eligibleCache[i]
-		t.eligibleCache[i] = eligible
+		owner := r.reach == Live && !r.draining && !t.withheld(r)
+		eligible := eligibility{home: owner && !r.unready, owner: owner}
+		changed = changed || eligible != t.eligible[i]
+		t.eligible[i] = eligible
 	}
 	if !t.settled && (everyone || t.running >= SuspectAfter) {
 		t.settled, changed = true, true
