Test candidates that hear nobody or split the promises

Cause: both cases are only hit by chance in the model.

Change: one test each. The last 64 sendings are kept in place of 8, as attempts at several ranges can use 20 a second and answers may be late.

--- a/internal/tenure/candidate.go
+++ b/internal/tenure/candidate.go
@@ -280,7 +280,7 @@
 }
 
 // ReceivePromise takes an owner's answer. An answer to a request that is
-// unknown or older than the last few is ignored.
+// unknown or older than the last keptRounds is ignored.
 func (l *Leases) ReceivePromise(now time.Time, from string, answer Promise) {
 	sent := l.sentAt[answer.Round%keptRounds]
 	if answer.Round == 0 || sent.round != answer.Round || !l.isOwner(from) {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -128,7 +128,7 @@
 	maxRegions = 64
 	maxEvents  = 2 * MaxRanges
 	maxOwners  = 64
-	keptRounds = 8
+	keptRounds = 64
 	keptLists  = 16
 )
 
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -21,6 +21,7 @@
 	nodes    map[string]*Leases
 	lists    map[string][]string
 	cut      map[string]bool
+	deaf     map[string]bool // gets no answers
 	messages int
 	bytes    int
 	events   []Event
@@ -29,6 +30,7 @@
 func newGroup(nodes, workers int) *group {
 	g := &group{
 		now: time.Unix(1_800_000_000, 0), nodes: map[string]*Leases{}, lists: map[string][]string{}, cut: map[string]bool{},
+		deaf: map[string]bool{},
 	}
 	var list []string
 	for i := range workers {
@@ -74,7 +76,9 @@
 					continue
 				}
 				answer := g.nodes[o.To].ReceiveRequest(g.now, name, o.Request)
-				node.ReceivePromise(g.now, o.To, answer)
+				if !g.deaf[name] {
+					node.ReceivePromise(g.now, o.To, answer)
+				}
 				request, _ := cbor.Marshal(o.Request)
 				reply, _ := cbor.Marshal(answer)
 				g.messages, g.bytes = g.messages+2, g.bytes+len(request)+len(reply)
@@ -222,6 +226,41 @@
 	require.True(t, g.held("n1"))
 }
 
+// Guards against a node that hears nobody and whose requests keep renewing
+// promises that it never learns of.
+func TestDeafNodeGivesWay(t *testing.T) {
+	for name, wasHome := range map[string]bool{"former home": true, "candidate": false} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(5, 15)
+			g.deaf["n0"] = !wasHome
+			g.want("n0", modelRange)
+			g.run(time.Second)
+			require.Equal(t, wasHome, g.held("n0"))
+			g.deaf["n0"] = true
+			g.want("n1", modelRange)
+			g.run(8 * time.Second)
+			require.True(t, g.held("n1"))
+		})
+	}
+}
+
+// Guards against candidates that split the promises and block each other.
+func TestCompetingCandidatesSettle(t *testing.T) {
+	g := newGroup(5, 12)
+	for _, name := range g.names {
+		g.want(name, modelRange)
+	}
+	g.run(3 * time.Second)
+	homes := 0
+	for _, name := range g.names {
+		if g.held(name) {
+			homes++
+		}
+	}
+	require.Equal(t, 1, homes)
+	require.Len(t, g.events, 1)
+}
+
 // Guards against two candidates with a large difference between their lists,
 // and against a list that is used before it is stable.
 func TestListRule(t *testing.T) {
