Say when the times passed to home leases are read

Cause: an owner that reads its clock before a request arrives would end the promise earlier than the candidate's use of it.

Change: the package comment states the order for each call.

Ruled out: a check in the code, as the package has no clock.

Conclusion: the control thread must read the clock for each input.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -23,7 +23,10 @@
 //		// As owner: refuse the assignment.
 //	}
 //
-// Times passed in come from one monotonic clock of the process.
+// Times passed in come from one monotonic clock of the process. The time that
+// goes with a message is read after the message was received, the time of Tick
+// before its requests are sent, and the time of Held right before the action.
+// The proof below fails with a time that is older than the message.
 //
 // # Why there is one home
 //
