Keep a twentieth of unused guarantees free of lent work

Cause: a flood of preemptible work took all idle room, so that every small variation of guaranteed work preempted a task, which then was refilled.

Change: reclaimable work leaves a twentieth of the unused guarantees free. A kind without recent work has no unused guarantee in this sense.

Ruled out: a longer grace before preemption, because guaranteed work then waits.

--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -11,6 +11,10 @@
 	// guaranteeMemory is how long after its last work a kind's unused guarantee
 	// is withheld from work that can't be reclaimed.
 	guaranteeMemory = 10 * time.Minute
+	// lentFraction is the divisor of the unused guarantees that stay free even
+	// of work that can be reclaimed, so that ordinary variation of guaranteed
+	// work needs no reclaiming. A twentieth costs at most 5% of packing.
+	lentFraction = 20
 )
 
 // kindState is the account of one kind of work.
@@ -239,11 +243,12 @@
 	if share > k.ceiling+shareTolerance {
 		return false, false
 	}
+	withheld := int64(1)
 	if k.reclaimable(runTime) {
-		return false, true
+		withheld = lentFraction
 	}
 	for d := range demand {
-		others := e.reserved[d] - k.reserve[d]
+		others := (e.reserved[d] - k.reserve[d] + withheld - 1) / withheld
 		if demand[d] > 0 && others > 0 && e.free[d]-demand[d] < others {
 			return false, false
 		}
