Reuse the records of ended work

Cause: each placement left about 1.1 KB of garbage.

Change: records of waiting and running tasks are kept for reuse, at most 4,096 of each.

--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -119,5 +119,7 @@
 		{"gangs", len(e.gangs), MaxWaiting},
 		{"reservations", len(e.reservations), MaxReservations},
 		{"claims", len(e.claims), MaxClaims},
+		{"reused-entries", len(e.entries.records), MaxReused},
+		{"reused-running", len(e.ended.records), MaxReused},
 	}
 }
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -60,6 +60,9 @@
 
 	reservations []*reservation
 
+	entries reused[entry]
+	ended   reused[runningTask]
+
 	acceleratorsWaiting int
 	acceleratorWork     time.Time
 }
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -131,7 +131,8 @@
 }
 
 func (e *Engine) newRunning(task Task, startedAt time.Time) *runningTask {
-	r := &runningTask{task: task, demand: taskDemand(&task), startedAt: startedAt, runTime: e.runTime(&task)}
+	r := e.ended.take()
+	r.task, r.demand, r.startedAt, r.runTime = task, taskDemand(&task), startedAt, e.runTime(&task)
 	r.kind, r.team = e.kindNamed(task.Kind), e.teamNamed(task.Team)
 	return r
 }
@@ -223,4 +224,5 @@
 	e.unplace(r)
 	e.vacate(r)
 	e.roomFreed(r.worker)
+	e.ended.give(r)
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -72,9 +72,11 @@
 	if rejection := e.full(kind); rejection != nil {
 		return rejection
 	}
-	en := &entry{task: task, kind: kind, team: team, runTime: e.runTime(&task)}
+	en := e.entries.take()
+	en.task, en.kind, en.team, en.runTime = task, kind, team, e.runTime(&task)
 	if task.GangSize > 1 {
 		if message := e.joinGang(en); message != "" {
+			e.entries.give(en)
 			return &Rejection{Code: workload.CodeBadRequest, Message: message}
 		}
 	} else {
@@ -204,4 +206,5 @@
 			e.wake++ // Other work may now use workers with accelerators.
 		}
 	}
+	e.entries.give(en)
 }
