Repair homes and fronts that the first fault scripts showed wrong

Cause: the first runs with killed, frozen and drained processes started non-idempotent requests up to four times and cut off requests of a drain. (1) A home treated a task that its owner no longer knew as never started, also when it had run. (2) Owners answered the preferred home in place of the one with the lease. (3) A home took requests in before it had the lease, and kept its entries when it lost it. (4) A front's question without payload became a request without payload. (5) Waiting assignments of a former home could start after the successor had begun. (6) A drain handed over before the others knew of it, and its successors refused. (7) A retry after a true "not run" counted as a request that may have run. Change: requests carry not-run-attempts; homes take work in only under the lease and forget everything with it; fronts park a range and probe once for all; an assignment is valid for 2.5 s after its home asked for it; a new home waits that long before it starts what may have been started; handovers count for 250 ms; drain announces itself first. internal/processcell runs fault scripts with separate processes, and its checker reads callers and workers. Ruled out: keeping entries over a lost lease and settling them by lists, since a home in between may have let the results go.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -134,8 +134,11 @@
 	workers     workerViews
 	owners      map[string]*ownerView
 	draining    bool
-	drained     bool
-	started     time.Time
+	// successors are the nodes to which ranges were handed over.
+	successors    map[tenure.Range]string
+	drainingSince time.Time
+	drained       bool
+	started       time.Time
 }
 
 // New returns a node that knows its members from settings and nothing else. The
@@ -143,14 +146,15 @@
 func New(options Options) (*Node, error) {
 	timing := options.Timing.withDefaults()
 	n := &Node{
-		options: options,
-		timing:  timing,
-		random:  rand.New(rand.NewPCG(options.Seed, uint64(len(options.Name)))),
-		homes:   map[tenure.Range]*home{},
-		owners:  map[string]*ownerView{},
-		started: options.Start,
-		rules:   DefaultRules(),
-		now:     options.Start,
+		options:    options,
+		timing:     timing,
+		random:     rand.New(rand.NewPCG(options.Seed, uint64(len(options.Name)))),
+		homes:      map[tenure.Range]*home{},
+		owners:     map[string]*ownerView{},
+		successors: map[tenure.Range]string{},
+		started:    options.Start,
+		rules:      DefaultRules(),
+		now:        options.Start,
 	}
 	members, err := newMembers(options)
 	if err != nil {
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -7,6 +7,21 @@
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
+// announceDrain is the time between the first heartbeat that says that a node
+// is stopping and the handover: the others then agree on the successors.
+const announceDrain = 600 * time.Millisecond
+
+// takeoverWindow is how long a handover is worth anything. Until 1.5 s after the
+// sender gave its lease up, the promises to it keep every third node out; a
+// message may be on its way for peerSilence of that time. Later, another node
+// may have acted, and the entries of the handover can't be relied on.
+const takeoverWindow = 1500*time.Millisecond - peerSilence
+
+// successionAfter is how long another member has to be the preferred home
+// before the holder hands its range over. Fronts ask the preferred home at
+// once, so a long time would show as waiting.
+const successionAfter = 500 * time.Millisecond
+
 // handoverBatch bounds the entries of one handover message.
 const handoverBatch = 256
 
@@ -20,18 +35,18 @@
 	if n.draining {
 		return
 	}
-	n.draining = true
+	n.draining, n.drainingSince = true, n.now
 	n.members.SetDraining(true)
 }
 
 // tickDrain hands over what this node still has, and reports when nothing is left.
 func (n *Node) tickDrain() {
-	if !n.draining || n.drained {
+	if !n.draining || n.drained || n.now.Sub(n.drainingSince) < announceDrain {
 		return
 	}
 	left := 0
 	for _, r := range n.sortedRanges() {
-		if h := n.homes[r]; !h.handedOver && !n.handOver(h) {
+		if !n.handOver(n.homes[r]) {
 			left++
 		}
 	}
@@ -59,7 +74,7 @@
 func (n *Node) returnWaiting() {
 	for id, t := range n.owner.tasks {
 		if t.state == heldWaiting && n.owner.engine.Cancel(id) {
-			n.returnTask(n.homeOf(t.assignment.Range()), &t.assignment, AssignReturned, "the owner is stopping")
+			n.returnTask(n.actingHome(t.assignment.Range()), &t.assignment, AssignReturned, "the owner is stopping")
 		}
 	}
 }
@@ -72,10 +87,11 @@
 	if successor == n.options.Name {
 		return false
 	}
-	h.handedOver = true
+	delete(n.homes, h.place)
 	if successor == "" {
 		return true
 	}
+	n.successors[h.place] = successor
 	known := n.now.Sub(h.knownSince)
 	complete := h.recovery.complete && n.mayAct(h)
 	lease, held := n.tenure.HandOver(n.now, h.place)
@@ -97,6 +113,20 @@
 	return true
 }
 
+// tickSuccession hands a range over whose home should be another member, once
+// that has been so for a while. A lease does not move by itself.
+func (n *Node) tickSuccession(h *home) bool {
+	home := n.homeOf(h.place)
+	if home == n.options.Name || home == "" {
+		h.strangerSince = n.now
+		return false
+	}
+	if h.strangerSince.IsZero() {
+		h.strangerSince = n.now
+	}
+	return n.now.Sub(h.strangerSince) >= successionAfter && n.mayAct(h) && n.handOver(h)
+}
+
 func (n *Node) handoverEntries(h *home) []HandoverEntry {
 	var entries []HandoverEntry
 	for _, e := range h.sortedEntries() {
@@ -122,7 +152,7 @@
 
 // takeHandover takes a range over from a home that is stopping.
 func (n *Node) takeHandover(m *Handover) {
-	if n.homeOf(m.Range) != n.options.Name || n.draining {
+	if n.draining {
 		return
 	}
 	h := n.homeFor(m.Range)
@@ -133,7 +163,7 @@
 		return
 	}
 	n.tenure.ReceiveHandover(n.now, m.Lease)
-	h.takenOver, h.takenSince = m.Lease.Number, n.now.Add(-m.Since)
+	h.takenOver, h.takenSince, h.takenAt = m.Lease.Number, n.now.Add(-m.Since), n.now
 	n.event(EventHandoverTaken, m.Range.Team, "")
 	n.tickLease(h)
 }
@@ -183,7 +213,7 @@
 // takeOverKnowledge skips the recovery of a lease that was handed over whole:
 // the former home knew of everything that it had started.
 func (n *Node) takeOverKnowledge(h *home, number tenure.LeaseNumber) bool {
-	if h.takenOver == (tenure.LeaseNumber{}) || number.Compare(h.takenOver) < 0 || h.takenSince.IsZero() {
+	if h.takenOver == (tenure.LeaseNumber{}) || number.Compare(h.takenOver) < 0 || n.now.Sub(h.takenAt) > takeoverWindow {
 		return false
 	}
 	h.recovery = recovery{startedAt: n.now, first: number, complete: true}
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/placement"
@@ -10,6 +11,11 @@
 
 // Intervals of the front role.
 const (
+	// probeEvery is the interval at which a range without a home is asked for.
+	probeEvery = 100 * time.Millisecond
+	// retryHomeEvery is how often a front asks again while no home has
+	// confirmed a request.
+	retryHomeEvery = 200 * time.Millisecond
 	// checkReceivedEvery is how often a front asks again for a request that the
 	// home has confirmed. A restarted home is noticed by its incarnation at
 	// once; this interval only covers a lost answer.
@@ -42,6 +48,15 @@
 	answeredBy string
 	task       placement.TaskID
 	answered   bool
+	parked     bool
+}
+
+// parking holds the requests of one range that wait for a home with a lease.
+// One of them asks for all, so that a takeover costs few messages.
+type parking struct {
+	place    tenure.Range
+	waiting  []*submission
+	probedAt time.Time
 }
 
 type ask struct {
@@ -53,6 +68,7 @@
 	byKey        map[workload.Key]*submission
 	byConnection map[uint64]*submission
 	checks       []*submission
+	parked       []*parking
 	asks         map[uint64]ask
 	nextAsk      uint64
 }
@@ -72,6 +88,9 @@
 // submit takes a caller's request and passes it to its home.
 func (n *Node) submit(in *Submit) {
 	if refusal := n.admit(&in.Request); refusal != nil {
+		if in.Request.MayHaveRun() {
+			refusal.Run = workload.MayHaveRun
+		}
 		n.refuse(in.RequestID, refusal)
 		return
 	}
@@ -132,8 +151,12 @@
 	for _, connection := range s.connections {
 		n.front.byConnection[connection] = s
 	}
-	n.sendToHome(s)
-	s.checkAt = n.now.Add(n.timing.RepeatAfter)
+	if n.front.parkingOf(s.place) != nil {
+		n.park(s)
+	} else {
+		n.sendToHome(s)
+	}
+	s.checkAt = n.now.Add(retryHomeEvery)
 	n.front.checks = append(n.front.checks, s)
 }
 
@@ -142,8 +165,10 @@
 func (n *Node) sendToHome(s *submission) {
 	home := n.homeOf(s.place)
 	if home == "" {
+		n.park(s)
 		return
 	}
+	s.parked = false
 	s.home, s.incarnation, s.received = home, n.members.Incarnation(home), false
 	s.try++
 	message := &Enqueue{
@@ -254,8 +279,10 @@
 	}
 	switch {
 	case m.Received:
-		if from == s.home {
-			s.received = true
+		s.received = true
+		n.unparkAll(s.place)
+		if from != s.home {
+			s.home, s.incarnation = from, n.members.Incarnation(from)
 		}
 	case m.Accepted:
 		s.answered = true
@@ -277,10 +304,10 @@
 	if m.NotHome {
 		// The node took nothing in. With every try refused like this, the next
 		// one is a first try again.
-		s.openTries = max(s.openTries-1, 0)
+		n.tryRefused(s, m)
 		return
 	}
-	if m.Try != s.try || from != s.home {
+	if m.Try != s.try {
 		return
 	}
 	s.answered = true
@@ -289,6 +316,82 @@
 	}
 }
 
+// tryRefused takes the news that a node is not the home of a request's range.
+func (n *Node) tryRefused(s *submission, m *Refused) {
+	switch {
+	case m.Reached:
+		s.received, s.sentAt = false, time.Time{}
+		return
+	case m.Refusal.Code == workload.CodeNotFound:
+		// The acting home has proved that no try was started.
+		s.openTries = 0
+	default:
+		s.openTries = max(s.openTries-1, 0)
+	}
+	if m.Try == s.try && !s.parked {
+		n.park(s)
+	}
+}
+
+func (f *frontRole) parkingOf(place tenure.Range) *parking {
+	for _, p := range f.parked {
+		if p.place == place {
+			return p
+		}
+	}
+	return nil
+}
+
+// park keeps a request until a home of its range takes requests in.
+func (n *Node) park(s *submission) {
+	if s.parked {
+		return
+	}
+	s.parked, s.received = true, false
+	p := n.front.parkingOf(s.place)
+	if p == nil {
+		p = &parking{place: s.place, probedAt: n.now}
+		n.front.parked = append(n.front.parked, p)
+	}
+	p.waiting = append(p.waiting, s)
+}
+
+// unparkAll sends every parked request of a range, whose home has just taken
+// one in.
+func (n *Node) unparkAll(place tenure.Range) {
+	p := n.front.parkingOf(place)
+	if p == nil {
+		return
+	}
+	n.front.parked = slices.DeleteFunc(n.front.parked, func(other *parking) bool { return other == p })
+	for _, s := range p.waiting {
+		if s.parked && !s.answered {
+			n.sendToHome(s)
+		}
+	}
+}
+
+// probe sends one parked request of each range, to find out whether there is a
+// home by now.
+func (n *Node) probe() {
+	for _, p := range slices.Clone(n.front.parked) {
+		if n.now.Sub(p.probedAt) < probeEvery {
+			continue
+		}
+		p.probedAt = n.now
+		p.waiting = slices.DeleteFunc(p.waiting, func(s *submission) bool { return s.answered || !s.parked })
+		if len(p.waiting) == 0 {
+			n.front.parked = slices.DeleteFunc(n.front.parked, func(other *parking) bool { return other == p })
+			continue
+		}
+		if n.homeOf(p.place) != "" {
+			s := p.waiting[0]
+			p.waiting = p.waiting[1:]
+			n.sendToHome(s)
+		}
+	}
+}
+
 // connectionClosed forgets a connection. The answer stays with the worker, so
 // that the caller can come back for it.
 func (n *Node) connectionClosed(connection uint64) {
@@ -328,6 +431,7 @@
 // for which no home could be found.
 func (n *Node) tickFront() {
 	n.tickAsks()
+	n.probe()
 	due := 0
 	for due < len(n.front.checks) && !n.front.checks[due].checkAt.After(n.now) {
 		due++
@@ -357,10 +461,11 @@
 	}
 	moved := n.homeOf(s.place) != s.home || n.members.Incarnation(s.home) != s.incarnation
 	overdue := n.now.Sub(s.sentAt) >= checkReceivedEvery
-	if !s.received || moved || overdue {
+	unanswered := !s.received && n.now.Sub(s.sentAt) >= n.timing.RepeatAfter
+	if !s.parked && (unanswered || moved || overdue) {
 		n.sendToHome(s)
 	}
-	s.checkAt = n.now.Add(n.timing.RepeatAfter)
+	s.checkAt = n.now.Add(retryHomeEvery)
 	n.front.checks = append(n.front.checks, s)
 }
 
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -37,7 +37,6 @@
 	// starts and retries are counted for the retry budget, halved each minute.
 	starts, retries int
 	decayedAt       time.Time
-	handedOver      bool
 	// jobsKnown is set once every record of former homes has been read.
 	jobsKnown bool
 	askedLog  time.Time
@@ -45,6 +44,9 @@
 	// that it knew since takenSince.
 	takenOver  tenure.LeaseNumber
 	takenSince time.Time
+	takenAt    time.Time
+	// strangerSince is when another member became the preferred home.
+	strangerSince time.Time
 }
 
 func (n *Node) sortedRanges() []tenure.Range {
@@ -62,6 +64,7 @@
 func (n *Node) homeFor(r tenure.Range) *home {
 	h := n.homes[r]
 	if h == nil {
+		delete(n.successors, r)
 		h = &home{place: r, entries: map[workload.Key]*entry{}, decayedAt: n.now}
 		n.homes[r] = h
 	}
@@ -90,11 +93,23 @@
 			return
 		}
 	}
+	if successor := n.successors[r]; successor != "" && successor != n.options.Name && !m.Forwarded {
+		forwarded := *m
+		forwarded.Forwarded = true
+		n.sendBulk(successor, &forwarded)
+		return
+	}
 	if n.homeOf(r) != n.options.Name || n.draining {
 		n.notHome(m, workload.CodeNoHome, "this node is not the home of team "+r.Team)
 		return
 	}
 	h = n.homeFor(r)
+	if !n.mayAct(h) {
+		// Taking a request in without the lease would leave it here when
+		// another node becomes the home and starts it.
+		n.notHome(m, workload.CodeNoHome, "this node has no lease of team "+r.Team+" yet")
+		return
+	}
 	if m.Wait {
 		n.waitForUnknown(h, m)
 		return
@@ -121,7 +136,7 @@
 
 // enqueueKnown attaches a front to a request that the home already has.
 func (n *Node) enqueueKnown(h *home, e *entry, m *Enqueue) {
-	if !m.Wait && !m.ResolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
+	if !m.Wait && !m.ResolveOnly && !e.resolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
 		n.event(EventConflictingKeyUsed, string(m.Request.Key), "the key was used before for another body")
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeKeyReused, 0, "key %s was used for a different request", m.Request.Key))
 		return
@@ -133,6 +148,9 @@
 		n.resubmit(h, e, m)
 		return
 	}
+	if e.resolveOnly && !m.ResolveOnly && !m.Wait {
+		e.request, e.digest, e.resolveOnly = m.Request, m.Request.Digest(), false
+	}
 	e.try = max(e.try, m.Try)
 	e.addFront(m.Front)
 	switch {
@@ -181,16 +199,20 @@
 		durable:    m.Request.Mode == workload.ModeJob || m.Request.Mode == workload.ModeService,
 	}
 	e.addFront(m.Front)
-	e.suspect = (m.Resent || m.Request.Attempt > 0 || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
+	e.suspect = (m.Resent || m.Request.MayHaveRun() || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
 	if m.ResolveOnly && !e.suspect {
 		// The key was never here, and any run of it would have been seen.
 		n.notHome(m, workload.CodeNotFound, "the request never reached this home")
 		return
 	}
 	if refusal := n.admitAtHome(h, e); refusal != nil {
+		if e.suspect {
+			refusal.Run = workload.MayHaveRun
+		}
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
 		return
 	}
+	e.resolveOnly = m.ResolveOnly
 	e.resetTasks(n.now, taskQueued)
 	if !e.durable {
 		n.setStartBy(e)
@@ -374,9 +396,12 @@
 	for _, r := range n.sortedRanges() {
 		h := n.homes[r]
 		n.tickLease(h)
+		if n.homes[r] != h || n.dropIdleHome(h) {
+			continue
+		}
 		n.decay(h)
 		h.dropEnded(n.now, n.timing.ResultRetention)
-		if !n.mayAct(h) {
+		if n.tickSuccession(h) || !n.mayAct(h) {
 			continue
 		}
 		n.tickRecovery(h)
@@ -395,11 +420,16 @@
 	if held && !h.leaseSince.IsZero() {
 		if !lease.Since.Equal(h.tenureSince) {
 			n.loseLease(h)
+			return
 		}
 		h.number = lease.Number
 	}
 	switch {
 	case held && h.leaseSince.IsZero():
+		if n.now.Sub(h.takenAt) > takeoverWindow && len(h.entries) > 0 {
+			delete(n.homes, h.place)
+			h = n.homeFor(h.place)
+		}
 		h.leaseSince, h.tenureSince, h.number = n.now, lease.Since, lease.Number
 		n.event(EventHomeLeaseGained, h.place.Team, h.place.Region)
 		if !n.takeOverKnowledge(h, lease.Number) {
@@ -410,25 +440,37 @@
 	}
 }
 
-// loseLease forgets what only a holder may count on. Another home may have
-// acted in the meantime, so everything open is suspect.
+// loseLease forgets the range. Another home may act from now on, so that
+// nothing that this node knows of the range can be relied on, even if it gets
+// the lease back. The fronts ask the next home.
 func (n *Node) loseLease(h *home) {
-	h.leaseSince, h.knownSince, h.recovery = time.Time{}, time.Time{}, recovery{}
-	h.jobsKnown, h.askedLog = false, time.Time{}
 	n.event(EventHomeLeaseLost, h.place.Team, h.place.Region)
-	for _, e := range h.entries {
-		if !e.ended() {
-			e.suspect = true
+	for _, e := range h.sortedEntries() {
+		if e.ended() {
+			continue
 		}
-	}
-	for _, q := range h.queues {
-		for e := q.head(); e != nil; e = q.head() {
-			q.drop(e)
-			h.suspects = append(h.suspects, e)
+		neverSent := e.sequence == 0 && !e.listed && !e.suspect && !e.durable
+		for _, front := range e.fronts {
+			n.send(front, &Refused{
+				Key: e.request.Key, Try: e.try, NotHome: true, Reached: !neverSent,
+				Refusal: *workload.Refuse(workload.CodeNoHome, n.timing.RepeatAfter, "the home has lost its lease"),
+			})
 		}
 	}
-	h.suspects = append(h.suspects, h.gangs...)
-	h.gangs = nil
+	delete(n.homes, h.place)
+}
+
+// dropIdleHome forgets a range that this node neither holds nor should hold,
+// and the entries of a handover that came to nothing.
+func (n *Node) dropIdleHome(h *home) bool {
+	if !h.leaseSince.IsZero() || n.now.Sub(h.takenAt) <= takeoverWindow {
+		return false
+	}
+	if n.homeOf(h.place) == n.options.Name && len(h.entries) == 0 {
+		return false
+	}
+	delete(n.homes, h.place)
+	return true
 }
 
 // decay halves the counters of the retry budget each minute.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -227,9 +227,10 @@
 		Workers: n.workers.listed(n.options.Region),
 		Owners:  n.members.liveInRegion(n.options.Region),
 	})
+	n.members.SetReady(n.tenure.Ready(n.now, n.options.Region))
 	var wanted []tenure.Range
 	for _, r := range n.sortedRanges() {
-		if r.Region == n.options.Region && n.homeOf(r) == n.options.Name && !n.homes[r].handedOver && !n.draining {
+		if r.Region == n.options.Region && n.homeOf(r) == n.options.Name && !n.draining {
 			wanted = append(wanted, r)
 		}
 	}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -74,6 +74,9 @@
 	ResolveOnly bool `json:"resolve-only,omitempty" cbor:"6,keyasint,omitempty"`
 	// Wait attaches to the key without submitting it; it has no payload.
 	Wait bool `json:"wait,omitempty" cbor:"7,keyasint,omitempty"`
+	// Forwarded is set by a former home that passes the message to the home to
+	// which it has handed the range over.
+	Forwarded bool `json:"forwarded,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Assignment is what an owner has to know of a task, also after a takeover:
@@ -253,6 +256,8 @@
 	// NotHome is set when the sender is not the home of the range; the front
 	// looks for the home again.
 	NotHome bool `json:"not-home,omitempty" cbor:"4,keyasint,omitempty"`
+	// Reached is set beside NotHome when the request may have been started.
+	Reached bool `json:"reached,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // Answered tells a front the outcome that the home has collected, or that a
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -26,6 +26,10 @@
 	// keptResultsPerWorker bounds acknowledged results that are kept for a
 	// caller who comes back.
 	keptResultsPerWorker = 64
+	// assignmentValidity is how long an assignment may wait without its home's
+	// question after it. A home that has lost its lease asks no more, so that
+	// its assignments end before a successor starts the same requests.
+	assignmentValidity = 2500 * time.Millisecond
 	// unclaimedLimit is how long a result waits for a caller who is gone.
 	unclaimedLimit = 10 * time.Minute
 )
@@ -60,6 +64,8 @@
 	state      heldState
 	worker     string
 	receivedAt time.Time
+	// validAt is when the home last vouched for the assignment.
+	validAt    time.Time
 	startedAt  time.Time
 	result     *Result
 	ackFront   bool
@@ -143,7 +149,7 @@
 		return
 	}
 	m.Assignment.Task = task
-	n.owner.tasks[id] = &held{assignment: m.Assignment, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
+	n.owner.tasks[id] = &held{assignment: m.Assignment, payload: m.Payload, state: heldWaiting, receivedAt: n.now, validAt: n.now}
 	n.schedule()
 }
 
@@ -169,9 +175,18 @@
 	n.send(home, &AssignResult{Task: a.Task.ID, Range: a.Range(), State: state, Reason: reason})
 }
 
-// tellHome sends a message to the present home of a range.
+// actingHome returns the node whose lease of a range is the newest that this
+// owner knows of. Membership may prefer another node that does not act yet.
+func (n *Node) actingHome(r tenure.Range) string {
+	if number := n.tenure.Newest(r); number.Node != "" {
+		return number.Node
+	}
+	return n.homeOf(r)
+}
+
+// tellHome sends a message to the acting home of a range.
 func (n *Node) tellHome(r tenure.Range, message Message) {
-	if home := n.homeOf(r); home != "" {
+	if home := n.actingHome(r); home != "" {
 		n.send(home, message)
 	}
 }
@@ -187,13 +202,19 @@
 	t := n.owner.tasks[decision.Task.ID]
 	switch decision.Verb {
 	case placement.VerbStart:
-		if t != nil {
+		switch {
+		case t == nil:
+			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
+		case n.now.Sub(t.validAt) > assignmentValidity:
+			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
+			n.returnTask(n.actingHome(t.assignment.Range()), &t.assignment, AssignReturned, "its home did not ask after it in time")
+		default:
 			n.startHeld(t, decision.Worker)
 		}
 	case placement.VerbExpire:
 		if t != nil {
 			reason := "its deadline passed at owner " + n.options.Name
-			home := n.homeOf(t.assignment.Range())
+			home := n.actingHome(t.assignment.Range())
 			n.returnTask(home, &t.assignment, AssignExpired, reason)
 		}
 	case placement.VerbStop, placement.VerbCheckpoint, placement.VerbThrottle:
@@ -255,7 +276,7 @@
 	}
 	s.starting--
 	t.state, t.startedAt = heldRunning, n.now
-	n.reportHeld(n.homeOf(t.assignment.Range()), t)
+	n.reportHeld(n.actingHome(t.assignment.Range()), t)
 }
 
 func (n *Node) startRefused(in *StartRefused) {
@@ -266,7 +287,7 @@
 	}
 	s.starting--
 	n.owner.engine.TaskEnded(n.now, in.ID, placement.Stopped)
-	n.returnTask(n.homeOf(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
+	n.returnTask(n.actingHome(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
 	n.schedule()
 }
 
@@ -275,6 +296,9 @@
 	if home == "" {
 		return
 	}
+	if t.state == heldStarting {
+		return
+	}
 	result := &AssignResult{Task: t.assignment.Task.ID, Range: t.assignment.Range(), State: AssignWaiting, Worker: t.worker}
 	switch t.state {
 	case heldRunning:
@@ -294,6 +318,7 @@
 	}
 	for _, id := range m.Tasks {
 		if t := n.owner.tasks[id]; t != nil {
+			t.validAt = n.now
 			n.reportHeld(from, t)
 			continue
 		}
@@ -380,7 +405,7 @@
 	}
 	for i := range m.Assignments {
 		a := m.Assignments[i]
-		n.owner.tasks[a.Task.ID] = &held{assignment: a, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
+		n.owner.tasks[a.Task.ID] = &held{assignment: a, payload: m.Payload, state: heldWaiting, receivedAt: n.now, validAt: n.now}
 	}
 	for _, decision := range decisions {
 		n.carryOut(decision)
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -9,6 +9,15 @@
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
+// formerAssignmentsOver is how long after the start of a lease an owner may
+// still start what a former home has assigned: the validity of an assignment on
+// a clock that runs a tenth slow, and the time for which a message may be on
+// its way before the silent connection is replaced.
+const formerAssignmentsOver = assignmentValidity*11/10 + peerSilence
+
+// peerSilence is the silence after which the transport replaces a connection.
+const peerSilence = 1250 * time.Millisecond
+
 // recovery is a new home's way to the knowledge of what its predecessor started.
 type recovery struct {
 	startedAt time.Time
@@ -63,6 +72,9 @@
 			h.recovery.lapsed = true
 		}
 	}
+	if n.now.Sub(h.leaseSince) < formerAssignmentsOver {
+		return
+	}
 	if len(h.recovery.uncovered) > 0 {
 		if n.now.Sub(h.recovery.askedAt) >= n.timing.RepeatAfter/2 {
 			n.askForLists(h)
@@ -89,23 +101,42 @@
 }
 
 // resolveSuspect decides a suspect that was found nowhere, once every worker is
-// accounted for. It reports whether the entry may be queued. A durable job's
-// result is acknowledged only after its end was read back from the log, so for
-// it a worker's list is proof; any other result may have been dropped.
+// accounted for. It reports whether the entry may be queued. Lists of all
+// workers prove that a request was not started, unless its result may have been
+// acknowledged and dropped: a durable job's is acknowledged only after its end
+// was read back from the log, and a request's only by the front that answered.
+// A front that asks again has not answered; an earlier attempt of the caller
+// may have been.
 func (n *Node) resolveSuspect(h *home, e *entry) bool {
 	switch {
 	case e.canceled:
 		n.refuseEntry(h, e, outcomeUnknown("it was canceled while the home was recovering"))
 		return false
-	case e.request.NonIdempotent && (!e.durable || h.recovery.lapsed):
+	case e.request.NonIdempotent && (h.recovery.lapsed || (!e.durable && e.request.MayHaveRun())):
 		n.refuseEntry(h, e, outcomeUnknown("an earlier attempt reached a home whose records are gone"))
 		return false
 	}
 	e.suspect = false
 	e.note(n.now, "recovered", "no worker runs it")
+	if e.resolveOnly {
+		n.answerQuestion(h, e)
+		return false
+	}
 	return true
 }
 
+// answerQuestion tells the fronts that asked after a key that it has not run,
+// so that they send the request again as a whole.
+func (n *Node) answerQuestion(h *home, e *entry) {
+	delete(h.entries, e.request.Key)
+	for _, front := range e.fronts {
+		n.send(front, &Refused{
+			Key: e.request.Key, Try: e.try, NotHome: true,
+			Refusal: *workload.Refuse(workload.CodeNotFound, n.timing.RepeatAfter, "the request never reached this home"),
+		})
+	}
+}
+
 func (h *home) dropSuspect(e *entry) {
 	e.suspect = false
 	h.suspects = slices.DeleteFunc(h.suspects, func(other *entry) bool { return other == e })
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -87,6 +88,9 @@
 	name := in.Worker.Name
 	delete(n.owner.opening, name)
 	if old := n.owner.sessions[name]; old != nil {
+		if old.token >= in.Token {
+			return
+		}
 		n.dropSession(old, "a newer session was opened")
 	}
 	if n.draining || n.members.fenced {
@@ -165,6 +169,7 @@
 	byWorker := map[string][]ListedTask{}
 	for _, t := range n.owner.tasks {
 		if t.assignment.Range() == m.Range {
+			n.repeatToNewHome(t)
 			worker, state := t.worker, AssignStarted
 			if t.state == heldWaiting {
 				worker, state = "", AssignWaiting
@@ -182,6 +187,18 @@
 	}
 }
 
+// repeatToNewHome has a finished task reported again, since only the former
+// home has acknowledged its end.
+func (n *Node) repeatToNewHome(t *held) {
+	if t.state != heldFinished || t.result == nil {
+		return
+	}
+	t.ackHome, t.sentAt, t.repeats = false, time.Time{}, 0
+	if !slices.Contains(n.owner.unacked, t) {
+		n.owner.unacked = append(n.owner.unacked, t)
+	}
+}
+
 func (n *Node) sessionRefused(in *SessionRefused) {
 	n.owner.opening[in.Worker] = n.now
 }
@@ -283,7 +300,7 @@
 		n.sendBulk(t.assignment.Front, &Finished{Task: t.assignment.Task.ID, Range: place, Result: *t.result, ToFront: true})
 	}
 	if !t.ackHome {
-		home := n.homeOf(place)
+		home := n.actingHome(place)
 		message := &Finished{Task: t.assignment.Task.ID, Range: place, Result: *t.result}
 		if t.direct() {
 			message.Result.Body = nil
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -57,7 +57,15 @@
 	case AssignStarted:
 		n.taskStartedAtHome(h, e, t, m)
 	case AssignWaiting:
-	case AssignReturned, AssignExpired, AssignUnknown:
+	case AssignUnknown:
+		if t.state == taskAssigned {
+			n.taskReturned(h, e, t, from, m)
+			return
+		}
+		// The task was started, and its owner has dropped the result.
+		t.result = &Result{Outcome: placement.Lost, Worker: t.worker}
+		n.retryOrEnd(h, e, t)
+	case AssignReturned, AssignExpired:
 		n.taskReturned(h, e, t, from, m)
 	case AssignLost:
 		n.settleOutstanding(t)
@@ -94,7 +102,7 @@
 
 // taskReturned puts a task back that its owner has not started and won't.
 func (n *Node) taskReturned(h *home, e *entry, t *task, from string, m *AssignResult) {
-	if t.state != taskAssigned && t.state != taskRunning {
+	if t.state != taskAssigned {
 		return
 	}
 	n.settleOutstanding(t)
@@ -129,7 +137,10 @@
 	}
 	e, t := h.find(m.Task)
 	if e == nil {
-		n.send(from, &AcknowledgeAnswer{Task: m.Task, Final: h.recovery.complete && n.mayAct(h)})
+		// Before the home knows every key it must not let a result go.
+		if h.recovery.complete && n.mayAct(h) {
+			n.send(from, &AcknowledgeAnswer{Task: m.Task, Final: true})
+		}
 		return
 	}
 	if t == nil || e.ended() || t.state == taskEnded {
@@ -225,7 +236,7 @@
 		return "canceled", false
 	case e.request.Mode == workload.ModeService:
 		return "a service is started again when it ends", true
-	case e.request.NonIdempotent && t.result.Outcome != placement.Lost:
+	case e.request.NonIdempotent && (t.result.Outcome != placement.Lost || t.worker != ""):
 		return "a non-idempotent request runs at most once", false
 	case t.preempted:
 		return "it gave its room back", true
--- /dev/null
+++ b/internal/processcell/faults_test.go
@@ -0,0 +1,166 @@
+package processcell_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/processcell"
+	"yuccalanding.example/yuccalanding/internal/standin/logservice"
+	"yuccalanding.example/yuccalanding/internal/standin/workervm"
+	"yuccalanding.example/yuccalanding/pkg/caller"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+var long = flag.Bool("long", false, "run every fault script in place of the short set")
+
+// script is one fault in the middle of steady traffic.
+type script struct {
+	run func(t *testing.T, c *processcell.Cell)
+	// short scripts run in CI.
+	short bool
+	// noRefusals is set where no request may be refused or broken.
+	noRefusals bool
+}
+
+func scripts() map[string]script {
+	return map[string]script{
+		"node killed and started again": {short: true, run: func(t *testing.T, c *processcell.Cell) {
+			require.NoError(t, c.Nodes[0].Kill())
+			time.Sleep(6 * time.Second)
+			require.NoError(t, c.Nodes[0].Start())
+			time.Sleep(5 * time.Second)
+		}},
+		"node frozen for 6 s": {short: true, run: func(t *testing.T, c *processcell.Cell) {
+			require.NoError(t, c.Nodes[1].Freeze())
+			time.Sleep(6 * time.Second)
+			require.NoError(t, c.Nodes[1].Thaw())
+			time.Sleep(5 * time.Second)
+		}},
+		"node drained": {short: true, noRefusals: true, run: func(t *testing.T, c *processcell.Cell) {
+			require.NoError(t, c.Nodes[2].Drain(20*time.Second))
+			time.Sleep(4 * time.Second)
+		}},
+		"rolling replacement": {noRefusals: true, run: func(t *testing.T, c *processcell.Cell) {
+			for _, node := range c.Nodes {
+				require.NoError(t, node.Drain(20*time.Second))
+				require.NoError(t, node.Start())
+				time.Sleep(8 * time.Second)
+			}
+		}},
+		"log outage": {noRefusals: true, run: func(t *testing.T, c *processcell.Cell) {
+			require.NoError(t, c.Fault(t.Context(), c.LogAt, logservice.Fault{Outage: true}))
+			time.Sleep(8 * time.Second)
+			require.NoError(t, c.Fault(t.Context(), c.LogAt, logservice.Fault{}))
+			time.Sleep(2 * time.Second)
+		}},
+		"all nodes killed": {run: func(t *testing.T, c *processcell.Cell) {
+			for _, node := range c.Nodes {
+				require.NoError(t, node.Kill())
+			}
+			for _, node := range c.Nodes {
+				require.NoError(t, node.Start())
+			}
+			time.Sleep(12 * time.Second)
+		}},
+		"silent connections to a worker": {run: func(t *testing.T, c *processcell.Cell) {
+			require.NoError(t, c.Fault(t.Context(), c.WorkerAddress(0), workervm.Fault{Silent: true}))
+			time.Sleep(8 * time.Second)
+		}},
+		"node killed while another is frozen": {run: func(t *testing.T, c *processcell.Cell) {
+			require.NoError(t, c.Nodes[1].Freeze())
+			time.Sleep(time.Second)
+			require.NoError(t, c.Nodes[0].Kill())
+			time.Sleep(5 * time.Second)
+			require.NoError(t, c.Nodes[1].Thaw())
+			require.NoError(t, c.Nodes[0].Start())
+			time.Sleep(8 * time.Second)
+		}},
+		"node killed in a log outage": {run: func(t *testing.T, c *processcell.Cell) {
+			require.NoError(t, c.Fault(t.Context(), c.LogAt, logservice.Fault{Outage: true}))
+			require.NoError(t, c.Nodes[3].Kill())
+			time.Sleep(6 * time.Second)
+			require.NoError(t, c.Nodes[3].Start())
+			time.Sleep(3 * time.Second)
+			require.NoError(t, c.Fault(t.Context(), c.LogAt, logservice.Fault{}))
+		}},
+	}
+}
+
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "yuccalanding")
+	output, err := exec.Command("go", "build", "-o", binary, "yuccalanding.example/yuccalanding/cmd/yuccalanding").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
+// Guards against tasks that are doubled, lost or answered wrongly when
+// processes die, pause, stop as planned or lose the log in steady traffic.
+func TestFaultScripts(t *testing.T) {
+	binary := buildBinary(t)
+	for name, script := range scripts() {
+		if !script.short && !*long {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runScript(t, binary, script)
+		})
+	}
+}
+
+// warm waits until the home of a team serves requests.
+func warm(t *testing.T, ctx context.Context, client *caller.Client, team int) {
+	t.Helper()
+	_, err := client.Submit(ctx, workload.Request{
+		Key: workload.NewKey(), Team: fmt.Sprintf("team-%d", team), Kind: "balance-check",
+		Resources: workload.Resources{MilliCPU: 500, MemoryMB: 256}, Payload: []byte(`{"run-ms":1}`),
+	})
+	require.NoError(t, err)
+}
+
+func runScript(t *testing.T, binary string, script script) {
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "processcell")
+	require.NoError(t, err)
+	c, err := processcell.Start(ctx, processcell.Options{Binary: binary, Folder: folder, Nodes: 5, Workers: 10})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		c.Stop()
+		if !t.Failed() {
+			_ = os.RemoveAll(folder)
+		}
+	})
+	client, err := c.Client()
+	require.NoError(t, err)
+	for team := range 7 {
+		warm(t, ctx, client, team)
+	}
+	traffic := &processcell.Traffic{Client: client, Every: 10 * time.Millisecond, RunTime: 50 * time.Millisecond, Teams: 7}
+	trafficContext, stopTraffic := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() { traffic.Run(trafficContext, 45*time.Second); close(ended) }()
+	time.Sleep(3 * time.Second)
+	script.run(t, c)
+	stopTraffic()
+	<-ended
+	states, err := c.WorkerStates(ctx)
+	require.NoError(t, err)
+	outcomes := traffic.Outcomes()
+	summary := processcell.Summarize(outcomes)
+	t.Log(summary.String())
+	require.Empty(t, processcell.Violations(outcomes, states), "see the logs in %s", folder)
+	require.Positive(t, summary.Answered)
+	if script.noRefusals {
+		require.Zero(t, summary.NotRun+summary.MayHaveRun, "a planned stop or a log outage must not refuse or cut off requests: %s", summary.Examples)
+	}
+}
--- a/internal/tenure/owner.go
+++ b/internal/tenure/owner.go
@@ -158,6 +158,15 @@
 }
 
 // entry returns the entry of a range, or nil if the table is full.
+// Newest returns the newest number that this owner knows of a range; zero if it
+// knows none. Its node is the range's home as far as the owner can tell.
+func (l *Leases) Newest(scope Range) LeaseNumber {
+	if p := l.promises[scope]; p != nil {
+		return p.newest
+	}
+	return LeaseNumber{}
+}
+
 func (l *Leases) entry(now time.Time, scope Range) *promise {
 	p := l.promises[scope]
 	if p != nil {
--- a/pkg/caller/submit.go
+++ b/pkg/caller/submit.go
@@ -13,7 +13,7 @@
 // a new one; its Attempt is the number of the first send.
 func (c *Client) Submit(ctx context.Context, request workload.Request) (workload.Answer, error) {
 	submission := submission[workload.Answer]{
-		client: c, path: "/v1/requests", request: request,
+		client: c, path: "/v1/requests", request: request, uncertain: request.MayHaveRun(),
 		pick: func(o *Outcome) *workload.Answer { return o.Answer },
 		resolve: func(ctx context.Context, query Query) (workload.Answer, error) {
 			return c.Wait(ctx, query)
@@ -26,7 +26,7 @@
 // scheduler has recorded it.
 func (c *Client) SubmitJob(ctx context.Context, request workload.Request) (Receipt, error) {
 	submission := submission[Receipt]{
-		client: c, path: "/v1/jobs", request: request,
+		client: c, path: "/v1/jobs", request: request, uncertain: request.MayHaveRun(),
 		pick: func(o *Outcome) *Receipt { return o.Receipt },
 		resolve: func(ctx context.Context, query Query) (Receipt, error) {
 			status, err := c.Status(ctx, query)
@@ -69,6 +69,9 @@
 			return zero, s.final(err.because(waitErr))
 		}
 		s.request.Attempt++
+		if !s.uncertain {
+			s.request.NotRunAttempts = s.request.Attempt
+		}
 	}
 }
 
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -106,11 +106,14 @@
 
 // Request is one piece of work as its caller submits it.
 type Request struct {
-	Key     Key    `json:"key" cbor:"1,keyasint"`
-	Attempt int    `json:"attempt" cbor:"2,keyasint,omitempty"`
-	Team    string `json:"team" cbor:"3,keyasint"`
-	Kind    string `json:"kind" cbor:"4,keyasint"`
-	Mode    Mode   `json:"mode" cbor:"5,keyasint,omitempty"`
+	Key     Key `json:"key" cbor:"1,keyasint"`
+	Attempt int `json:"attempt" cbor:"2,keyasint,omitempty"`
+	// NotRunAttempts is how many of the earlier attempts were refused as
+	// not-run. If all were, the request certainly has not run yet.
+	NotRunAttempts int    `json:"not-run-attempts,omitempty" cbor:"15,keyasint,omitempty"`
+	Team           string `json:"team" cbor:"3,keyasint"`
+	Kind           string `json:"kind" cbor:"4,keyasint"`
+	Mode           Mode   `json:"mode" cbor:"5,keyasint,omitempty"`
 	// Class names work of similar size and run time; estimates are learned per
 	// class. Empty means the kind.
 	Class string `json:"class,omitempty" cbor:"6,keyasint,omitempty"`
@@ -153,7 +156,10 @@
 	return r.Kind
 }
 
-// Digest returns a hash over everything but the attempt number. Two requests
+// MayHaveRun reports whether an earlier attempt of the caller may have run.
+func (r *Request) MayHaveRun() bool { return r.Attempt > r.NotRunAttempts }
+
+// Digest returns a hash over everything but the attempt numbers. Two requests
 // with one key and different digests are a caller's mistake.
 func (r *Request) Digest() uint64 {
 	hash := xxhash.New()
@@ -229,6 +235,7 @@
 		{"run-time-ms", r.RunTimeMS, 0, MaxDeclaredRunTime.Milliseconds()},
 		{"start-within-ms", r.StartWithinMS, 0, MaxDeclaredRunTime.Milliseconds()},
 		{"attempt", int64(r.Attempt), 0, 1 << 20},
+		{"not-run-attempts", int64(r.NotRunAttempts), 0, int64(max(r.Attempt, 0))},
 		{"payload", int64(len(r.Payload)), 0, MaxPayloadBytes},
 	} {
 		if field.value < field.minimum || field.value > field.maximum {
