--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -18,6 +18,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/control"
@@ -28,6 +30,7 @@
 	"yuccalanding.example/yuccalanding/internal/standin/vmlistservice"
 	"yuccalanding.example/yuccalanding/internal/standin/workervm"
 	"yuccalanding.example/yuccalanding/internal/vmlist"
+	"yuccalanding.example/yuccalanding/internal/worker"
 	"yuccalanding.example/yuccalanding/pkg/caller"
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
@@ -35,6 +38,9 @@
 // secret is the cluster secret of every cell; a cell lives on loopback only.
 const secret = "a cell that lives on loopback only"
 
+// appendPath is where the log takes appends.
+const appendPath = "/append"
+
 // NodeSpec is one entry VM.
 type NodeSpec struct {
 	Name          string
@@ -50,6 +56,9 @@
 	// VMs and from an entry VM to a worker; nil is none.
 	PeerDelay   func(from, to NodeSpec) time.Duration
 	WorkerDelay func(from NodeSpec, to placement.Worker) time.Duration
+	// ClientDelay is the one-way distance between callers and entry VMs. The
+	// cell only states it; whoever calls adds it.
+	ClientDelay time.Duration
 	// Log takes the nodes' events; nil discards them.
 	Log io.Writer
 	// TaskLease shortens the workers' and the nodes' task leases; 0 is the default.
@@ -79,6 +88,7 @@
 	platform  settings.Platform
 	servers   []*http.Server
 	addresses []settings.Addresses
+	appends   atomic.Int64
 }
 
 // SmallNodes returns entry VMs in one region and one failure domain.
@@ -132,7 +142,7 @@
 	c.Log = logservice.New(logservice.Options{})
 	c.VMList = vmlistservice.New(vmlistservice.Options{})
 	var err error
-	if c.platform.Log, err = c.serve(c.Log); err != nil {
+	if c.platform.Log, err = c.serve(c.countAppends()); err != nil {
 		return err
 	}
 	if c.platform.VMList, err = c.serve(c.VMList); err != nil {
@@ -149,6 +159,55 @@
 	return nil
 }
 
+// countAppends serves the log and counts the appends that reach it.
+func (c *Cell) countAppends() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == appendPath {
+			c.appends.Add(1)
+		}
+		c.Log.ServeHTTP(w, r)
+	})
+}
+
+// Appends returns how many appends the log has received, repeated and refused
+// ones included.
+func (c *Cell) Appends() int64 { return c.appends.Load() }
+
+// WorkerStates returns what each worker saw.
+func (c *Cell) WorkerStates() []worker.State {
+	states := make([]worker.State, len(c.Fleet.VMs))
+	for i, vm := range c.Fleet.VMs {
+		states[i] = vm.State()
+	}
+	return states
+}
+
+// Regions returns the regions that have entry VMs, in the order of the nodes.
+func (c *Cell) Regions() []string {
+	var regions []string
+	for _, spec := range c.Options.Nodes {
+		if !slices.Contains(regions, spec.Region) {
+			regions = append(regions, spec.Region)
+		}
+	}
+	return regions
+}
+
+// CallerAddresses returns the callers' addresses of a region's entry VMs, or
+// of all if the region is empty.
+func (c *Cell) CallerAddresses(region string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for i, spec := range c.Options.Nodes {
+		if region == "" || spec.Region == region {
+			addresses = append(addresses, c.addresses[i].Callers)
+		}
+	}
+	return addresses
+}
+
+// OperatorAddress returns a node's operators' address.
+func (c *Cell) OperatorAddress(i int) netip.AddrPort { return c.addresses[i].Operators }
+
 // ListedVMs returns the VM list of all workers.
 func (c *Cell) ListedVMs() []vmlist.VM {
 	var listed []vmlist.VM
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,5 +1,5 @@
-// Package daemon holds the verbs that run as long-lived processes: the node and
-// the stand-ins of the platform.
+// Package daemon holds the verbs that run nodes or stand-ins: the node itself, the
+// stand-ins of the platform, the load driver and the demo.
 //
 // # Usage
 //
@@ -26,7 +26,7 @@
 
 // Verbs returns the table of this package's verbs.
 func Verbs() []command.Verb {
-	return []command.Verb{nodeVerb, standinLogVerb, standinVMListVerb, standinWorkerVerb}
+	return []command.Verb{nodeVerb, loadVerb, standinLogVerb, standinVMListVerb, standinWorkerVerb}
 }
 
 // address is a flag with an IP address and a port.
--- /dev/null
+++ b/internal/daemon/load.go
@@ -0,0 +1,171 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+
+	"yuccalanding.example/yuccalanding/internal/cell"
+	"yuccalanding.example/yuccalanding/internal/command"
+	"yuccalanding.example/yuccalanding/internal/load"
+	"yuccalanding.example/yuccalanding/internal/settings"
+)
+
+var loadVerb = command.Verb{
+	Name:    "load",
+	Usage:   "Drive a running system or a cell in this process with a mix of work, and measure it.",
+	Example: command.Program + " load examples/load/mixed.ini --html report.html",
+	New: func() (any, command.Run) {
+		flags := &loadFlags{}
+		return flags, flags.run
+	},
+}
+
+type loadFlags struct {
+	Mix       string    `arg:"" optional:"" help:"Mix file."`
+	Node      []address `help:"Callers' addresses of a running system; a cell in this process if none is given." placeholder:"IP:PORT"`
+	VMList    address   `name:"vm-list" help:"Address of the running system's VM list, to read what its stand-in workers saw." placeholder:"IP:PORT"`
+	TokenFile string    `help:"File that holds the callers' token." placeholder:"FILE"`
+	JSON      bool      `name:"json" help:"Write the report as JSON."`
+	Out       string    `help:"Write the report as JSON to a file as well." placeholder:"FILE"`
+	HTML      string    `name:"html" help:"Write the report with plots as one HTML file as well." placeholder:"FILE"`
+	PNG       string    `name:"png" help:"Write the plots as PNG files into a folder as well." placeholder:"FOLDER"`
+	Compare   []string  `help:"Compare two JSON reports, older and newer, in place of a run." placeholder:"FILE" sep:"none"`
+	Check     bool      `help:"Only check the mix file."`
+	Log       string    `help:"Write the events of a cell's nodes to a file." placeholder:"FILE"`
+}
+
+func (f *loadFlags) run(ctx context.Context, environment *command.Environment) error {
+	if len(f.Compare) > 0 {
+		return f.compare(environment)
+	}
+	if f.Mix == "" {
+		return &command.UsageError{Message: "name a mix file such as examples/load/mixed.ini, or two reports with --compare OLDER --compare NEWER"}
+	}
+	mix, err := load.ReadFile(f.Mix)
+	var findings settings.Findings
+	if errors.As(err, &findings) {
+		return fmt.Errorf("the mix has %d fault(s)\n%w", len(findings), err)
+	}
+	if err != nil || f.Check {
+		return err
+	}
+	report, err := f.drive(ctx, environment, mix)
+	if err != nil {
+		return err
+	}
+	if err := f.write(environment.Out, report); err != nil {
+		return err
+	}
+	if faults := report.Checks.Faults(); len(faults) > 0 {
+		return errors.New(strings.Join(faults, "; "))
+	}
+	return nil
+}
+
+func (f *loadFlags) compare(environment *command.Environment) error {
+	files := f.Compare
+	if f.Mix != "" {
+		files = append(files, f.Mix)
+	}
+	if len(files) != 2 {
+		return &command.UsageError{Message: "--compare needs two reports: the older and the newer"}
+	}
+	older, err := load.ReadReport(files[0])
+	if err != nil {
+		return err
+	}
+	newer, err := load.ReadReport(files[1])
+	if err != nil {
+		return err
+	}
+	comparison := load.Compare(older, newer)
+	if f.JSON {
+		return writeJSON(environment.Out, comparison)
+	}
+	return comparison.WriteText(environment.Out)
+}
+
+func (f *loadFlags) drive(ctx context.Context, environment *command.Environment, mix *load.Mix) (*load.Report, error) {
+	options := load.Options{Mix: mix, Progress: environment.Progress}
+	if len(f.Node) > 0 {
+		var nodes []netip.AddrPort
+		for _, node := range f.Node {
+			nodes = append(nodes, node.AddrPort)
+		}
+		token, err := readToken(f.TokenFile)
+		if err != nil {
+			return nil, err
+		}
+		if options.Target, err = load.RemoteTarget(mix, nodes, f.VMList.AddrPort, token); err != nil {
+			return nil, err
+		}
+		return load.Run(ctx, options)
+	}
+	return f.driveCell(ctx, environment, options)
+}
+
+func readToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	content, err := os.ReadFile(file)
+	return strings.TrimSpace(string(content)), err
+}
+
+func (f *loadFlags) driveCell(ctx context.Context, environment *command.Environment, options load.Options) (report *load.Report, err error) {
+	cellOptions := load.CellOptions(options.Mix)
+	if f.Log != "" {
+		file, err := os.Create(f.Log)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		cellOptions.Log = file
+	}
+	environment.Progress("Starting %d nodes and %d workers.", len(cellOptions.Nodes), len(cellOptions.Workers))
+	c, err := cell.Start(ctx, cellOptions)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, c.Stop()) }()
+	if err := c.AwaitReady(ctx); err != nil {
+		return nil, err
+	}
+	if options.Target, err = load.CellTarget(options.Mix, c); err != nil {
+		return nil, err
+	}
+	return load.Run(ctx, options)
+}
+
+func (f *loadFlags) write(out io.Writer, report *load.Report) error {
+	write := report.WriteText
+	if f.JSON {
+		write = report.WriteJSON
+	}
+	if err := write(out); err != nil {
+		return err
+	}
+	if f.PNG != "" {
+		if err := report.WritePNG(f.PNG); err != nil {
+			return err
+		}
+	}
+	return errors.Join(toFile(f.Out, report.WriteJSON), toFile(f.HTML, report.WriteHTML))
+}
+
+// toFile writes a file if it is named.
+func toFile(name string, write func(io.Writer) error) error {
+	if name == "" {
+		return nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(file), file.Close())
+}
--- /dev/null
+++ b/internal/load/check.go
@@ -0,0 +1,242 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"yuccalanding.example/yuccalanding/internal/standin/workervm"
+	"yuccalanding.example/yuccalanding/internal/worker"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// maxExamples bounds the examples of each fault in a report.
+const maxExamples = 5
+
+// Checks count the outcomes of all requests of a run, the warm-up included.
+type Checks struct {
+	Planned    int                `json:"planned"`
+	Sent       int                `json:"sent"`
+	Outcomes   []Count[Outcome]   `json:"outcomes"`
+	Refusals   []Count[RefusedAs] `json:"refusals"`
+	TaskStarts int                `json:"task-starts"`
+	// WorkersChecked is set if the workers' own records were read. Without
+	// them Doubled, FalselyRefused and part of Wrong stay 0.
+	WorkersChecked bool `json:"workers-checked"`
+	// Lost requests got no outcome, or were accepted as durable and refused
+	// later without a cancellation or a deadline.
+	Lost int `json:"lost"`
+	// Doubled requests had one task in two places at once, or were
+	// non-idempotent and started more than once.
+	Doubled int `json:"doubled"`
+	// Wrong answers aren't the whole answer to their own request.
+	Wrong int `json:"wrong"`
+	// FalselyRefused requests were refused as not run and had started.
+	FalselyRefused int `json:"falsely-refused"`
+	// OverCapacity counts starts that a worker refused because it was full.
+	OverCapacity int `json:"over-capacity-starts"`
+	// UnexpectedFailures are failed tasks whose program ends without an error.
+	UnexpectedFailures int      `json:"unexpected-failures"`
+	Examples           []string `json:"examples,omitempty"`
+}
+
+// Count is a number of requests with one property.
+type Count[T ~string] struct {
+	Name  T   `json:"name"`
+	Count int `json:"count"`
+}
+
+// RefusedAs is the code of a refusal.
+type RefusedAs string
+
+// Faults returns one line for each kind of fault that the run had.
+func (c *Checks) Faults() []string {
+	var faults []string
+	for _, fault := range []struct {
+		count int
+		what  string
+	}{{c.Lost, "lost"}, {c.Doubled, "doubled"}, {c.Wrong, "wrong"}, {c.FalselyRefused, "refused as not run although started"}} {
+		if fault.count > 0 {
+			faults = append(faults, fmt.Sprintf("%d of %d requests were %s", fault.count, c.Sent, fault.what))
+		}
+	}
+	return faults
+}
+
+// checkBody returns what is wrong with the body of an answer. A failed task
+// may report an error text in place of the worker's echo.
+func checkBody(r *record, answer *workload.Answer) string {
+	if answer.Key != r.key {
+		return fmt.Sprintf("the answer to %s has the key %s", r.key, answer.Key)
+	}
+	echoes, err := echoesOf(r, answer.Body)
+	if err != nil {
+		if answer.Failed {
+			return ""
+		}
+		return fmt.Sprintf("the answer to %s is no echo: %.100q", r.key, answer.Body)
+	}
+	if len(echoes) != max(r.arrivals.GangSize, 1) {
+		return fmt.Sprintf("the answer to %s has %d parts", r.key, len(echoes))
+	}
+	for i, echo := range echoes {
+		if echo.ID.Key != r.key || echo.ID.Index != i || echo.PayloadDigest != r.digest {
+			return fmt.Sprintf("the answer to %s holds part %d of %s with digest %s, expected part %d with digest %s",
+				r.key, echo.ID.Index, echo.ID.Key, echo.PayloadDigest, i, r.digest)
+		}
+	}
+	return ""
+}
+
+func echoesOf(r *record, body []byte) ([]workervm.Echo, error) {
+	if r.arrivals.GangSize > 1 {
+		var echoes []workervm.Echo
+		err := json.Unmarshal(body, &echoes)
+		return echoes, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var echo workervm.Echo
+	err := decoder.Decode(&echo)
+	return []workervm.Echo{echo}, err
+}
+
+// start is one start of a task, with the worker that ran it.
+type start struct {
+	worker.StartRecord
+	worker string
+}
+
+// startsByKey sorts the workers' records by request. Each list is in the order
+// of the gang's tasks and of time.
+func startsByKey(workers []worker.State) map[workload.Key][]start {
+	byKey := map[workload.Key][]start{}
+	for i := range workers {
+		for _, record := range workers[i].Started {
+			byKey[record.ID.Key] = append(byKey[record.ID.Key], start{record, workers[i].Worker.Name})
+		}
+	}
+	for _, starts := range byKey {
+		slices.SortFunc(starts, func(a, b start) int {
+			if a.ID.Index != b.ID.Index {
+				return a.ID.Index - b.ID.Index
+			}
+			return int(a.StartedAtMS - b.StartedAtMS)
+		})
+	}
+	return byKey
+}
+
+// checker lives for one check.
+type checker struct {
+	checks   Checks
+	outcomes map[Outcome]int
+	refusals map[RefusedAs]int
+	starts   map[workload.Key][]start
+}
+
+// check counts the outcomes and compares them with what the workers saw.
+// workers is nil if it is not known.
+func check(records []*record, workers []worker.State) Checks {
+	c := &checker{outcomes: map[Outcome]int{}, refusals: map[RefusedAs]int{}, starts: startsByKey(workers)}
+	c.checks.Planned, c.checks.WorkersChecked = len(records), workers != nil
+	for i := range workers {
+		c.checks.TaskStarts += len(workers[i].Started)
+		c.checks.OverCapacity += workers[i].OverCapacity
+	}
+	for _, r := range records {
+		c.checkOutcome(r)
+		if workers != nil && r.outcome != NotSent {
+			c.checkStarts(r)
+		}
+	}
+	c.checks.Outcomes, c.checks.Refusals = counts(c.outcomes), counts(c.refusals)
+	return c.checks
+}
+
+func counts[T ~string](from map[T]int) []Count[T] {
+	counted := []Count[T]{}
+	for name, count := range from {
+		counted = append(counted, Count[T]{name, count})
+	}
+	slices.SortFunc(counted, func(a, b Count[T]) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return counted
+}
+
+func (c *checker) example(format string, arguments ...any) {
+	if len(c.checks.Examples) < maxExamples {
+		c.checks.Examples = append(c.checks.Examples, fmt.Sprintf(format, arguments...))
+	}
+}
+
+func (c *checker) checkOutcome(r *record) {
+	c.outcomes[r.outcome]++
+	if r.outcome == NotSent {
+		return
+	}
+	c.checks.Sent++
+	if r.code != "" {
+		c.refusals[RefusedAs(r.code)]++
+	}
+	switch {
+	case r.outcome == Unanswered || r.outcome == "":
+		c.checks.Lost++
+		c.example("%s %s was not answered: %s", r.arrivals.Name, r.key, r.message)
+	case r.accepted && (r.outcome == NotRun || r.outcome == MayHaveRun) && r.code != workload.CodeTooLate:
+		c.checks.Lost++
+		c.example("%s %s was accepted as durable and lost: %s", r.arrivals.Name, r.key, r.message)
+	case (r.outcome == Answered || r.outcome == Failed) && r.message != "":
+		c.checks.Wrong++
+		c.example("%s", r.message)
+	case r.outcome == Failed && !r.failing:
+		c.checks.UnexpectedFailures++
+		c.example("%s %s failed on %s: %.200s", r.arrivals.Name, r.key, r.worker, r.body)
+	}
+}
+
+func (c *checker) checkStarts(r *record) {
+	starts := c.starts[r.key]
+	if r.outcome == NotRun && len(starts) > 0 {
+		c.checks.FalselyRefused++
+		c.example("%s %s was refused (%s) and started on %s", r.arrivals.Name, r.key, r.code, starts[0].worker)
+	}
+	if r.outcome == Answered && !allStarted(starts, max(r.arrivals.GangSize, 1)) {
+		c.checks.Wrong++
+		c.example("%s %s was answered, but not all of its tasks started on a worker", r.arrivals.Name, r.key)
+	}
+	if problem := doubled(r, starts); problem != "" {
+		c.checks.Doubled++
+		c.example("%s %s %s", r.arrivals.Name, r.key, problem)
+	}
+}
+
+func allStarted(starts []start, tasks int) bool {
+	seen := map[int]bool{}
+	for _, s := range starts {
+		seen[s.ID.Index] = true
+	}
+	return len(seen) == tasks
+}
+
+// doubled compares neighbours, since starts of one task are in order of time.
+func doubled(r *record, starts []start) string {
+	for i := 1; i < len(starts); i++ {
+		earlier, later := starts[i-1], starts[i]
+		if earlier.ID.Index != later.ID.Index {
+			continue
+		}
+		if r.arrivals.NonIdempotent {
+			return fmt.Sprintf("is non-idempotent and started on %s and on %s", earlier.worker, later.worker)
+		}
+		if earlier.EndedAtMS == 0 || earlier.EndedAtMS > later.StartedAtMS {
+			return fmt.Sprintf("ran on %s and on %s at once", earlier.worker, later.worker)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/load/compare.go
@@ -0,0 +1,89 @@
+package load
+
+import (
+	"fmt"
+	"io"
+)
+
+// Comparison holds the figures of a newer run divided by those of an older.
+type Comparison struct {
+	Older string        `json:"older"`
+	Newer string        `json:"newer"`
+	Rows  []ComparedRow `json:"rows"`
+}
+
+// ComparedRow is one figure of both runs. Ratio is newer by older, and 0 if the
+// older is 0 or either was not measured.
+type ComparedRow struct {
+	Window string  `json:"window"`
+	Figure string  `json:"figure"`
+	Older  float64 `json:"older"`
+	Newer  float64 `json:"newer"`
+	Ratio  float64 `json:"ratio"`
+}
+
+// Compare compares the windows and streams that both runs have.
+func Compare(older, newer *Report) Comparison {
+	result := Comparison{Older: label(older), Newer: label(newer)}
+	for i := range older.Windows {
+		for j := range newer.Windows {
+			if older.Windows[i].Name == newer.Windows[j].Name {
+				result.addWindow(&older.Windows[i], &newer.Windows[j])
+			}
+		}
+	}
+	return result
+}
+
+func label(r *Report) string {
+	return fmt.Sprintf("%s, seed %d, %s", r.Mix, r.Seed, r.StartedAt.Format("2006-01-02 15:04:05"))
+}
+
+func (c *Comparison) addWindow(older, newer *WindowMeasure) {
+	for _, before := range older.Waits {
+		after := newer.wait(before.Arrivals)
+		for _, figure := range []struct {
+			name         string
+			older, newer float64
+		}{
+			{"answered/s", before.AnsweredASecond, after.AnsweredASecond},
+			{"waited p50 ms", before.Waited.P50, after.Waited.P50},
+			{"waited p99 ms", before.Waited.P99, after.Waited.P99},
+			{"caller p50 ms", before.Caller.P50, after.Caller.P50},
+			{"caller p99 ms", before.Caller.P99, after.Caller.P99},
+		} {
+			c.add(older.Name, before.Arrivals+" "+figure.name, figure.older, figure.newer)
+		}
+	}
+	c.add(older.Name, "packed mean", older.Packing.Mean, newer.Packing.Mean)
+	c.add(older.Name, "packed p10", older.Packing.P10, newer.Packing.P10)
+	c.add(older.Name, "stranded accelerators", older.Packing.Stranded, newer.Packing.Stranded)
+	c.add(older.Name, "cpu us/start", older.Control.CPUPerStartMicros, newer.Control.CPUPerStartMicros)
+	c.add(older.Name, "appends/s", older.Control.AppendsASecond, newer.Control.AppendsASecond)
+}
+
+func (c *Comparison) add(window, figure string, older, newer float64) {
+	row := ComparedRow{Window: window, Figure: figure, Older: older, Newer: newer}
+	if older > 0 && newer >= 0 {
+		row.Ratio = newer / older
+	}
+	c.Rows = append(c.Rows, row)
+}
+
+// WriteText writes one row for each figure.
+func (c *Comparison) WriteText(out io.Writer) error {
+	if _, err := fmt.Fprintf(out, "older: %s\nnewer: %s\n", c.Older, c.Newer); err != nil {
+		return err
+	}
+	table(out, func(row func(...any)) {
+		row("WINDOW", "FIGURE", "OLDER", "NEWER", "NEWER/OLDER")
+		for _, r := range c.Rows {
+			ratio := "-"
+			if r.Ratio > 0 {
+				ratio = fmt.Sprintf("%.2f", r.Ratio)
+			}
+			row(r.Window, r.Figure, fmt.Sprintf("%.3f", r.Older), fmt.Sprintf("%.3f", r.Newer), ratio)
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/load/read.go
@@ -0,0 +1,253 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/settings"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// maxFileBytes bounds a mix file, so that a wrong path can't fill the memory.
+const maxFileBytes = 1 << 20
+
+// Defaults of a mix.
+const (
+	defaultSettle   = 15 * time.Second
+	defaultOpen     = 6_000
+	defaultAttempts = 6
+)
+
+// ReadFile reads a mix file. Faults of its content are settings.Findings.
+func ReadFile(path string) (*Mix, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	content, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > maxFileBytes {
+		return nil, fmt.Errorf("%s has more than %d bytes", path, maxFileBytes)
+	}
+	return Read(path, string(content))
+}
+
+// Read reads the text of a mix. The error is of type settings.Findings and
+// holds every fault.
+func Read(name, text string) (*Mix, error) {
+	r := &reader{file: name, mix: &Mix{
+		Name: strings.TrimSuffix(filepath.Base(name), filepath.Ext(name)),
+		Seed: 1, Settle: defaultSettle, Open: defaultOpen, Attempts: defaultAttempts,
+		Cell: CellSpec{Deployment: "small", Nodes: 3, Workers: 12},
+	}}
+	for i, line := range strings.Split(text, "\n") {
+		r.line = i + 1
+		r.readLine(strings.TrimSpace(line))
+	}
+	r.endSection()
+	r.checkWhole()
+	if len(r.findings) > 0 {
+		return nil, r.findings
+	}
+	return r.mix, nil
+}
+
+// reader lives for one Read.
+type reader struct {
+	file     string
+	line     int
+	mix      *Mix
+	findings settings.Findings
+	section  string
+	header   int
+	// set applies a key of the current section; end takes the section over.
+	set  func(key, value string) error
+	end  func()
+	seen map[string]int
+	// headers holds the line of each section that was read.
+	headers map[string]int
+}
+
+func (r *reader) add(line int, section, key, format string, arguments ...any) {
+	r.findings = append(r.findings, settings.Finding{File: r.file, Line: line, Section: section, Key: key, Message: fmt.Sprintf(format, arguments...)})
+}
+
+func (r *reader) readLine(line string) {
+	key, value, isKey := strings.Cut(line, "=")
+	key, value = strings.TrimSpace(key), strings.TrimSpace(withoutComment(value))
+	switch {
+	case line == "" || line[0] == '#' || line[0] == ';':
+	case line[0] == '[':
+		r.endSection()
+		r.beginSection(line)
+	case !isKey || key == "":
+		r.add(r.line, r.section, "", "expected key = value, got %.60q", line)
+	case r.section == "":
+		r.add(r.line, "", key, "stands before the first section")
+	case r.set == nil:
+		// The section was reported.
+	case r.seen[key] > 0:
+		r.add(r.line, r.section, key, "is set already in line %d", r.seen[key])
+	default:
+		r.seen[key] = r.line
+		if err := r.set(key, value); err != nil {
+			r.add(r.line, r.section, key, "%s", err)
+		}
+	}
+}
+
+// withoutComment cuts a comment that follows a space.
+func withoutComment(value string) string {
+	for _, mark := range []string{" #", " ;", "\t#", "\t;"} {
+		value, _, _ = strings.Cut(value, mark)
+	}
+	return value
+}
+
+func (r *reader) beginSection(line string) {
+	name, rest, closed := strings.Cut(line[1:], "]")
+	name = strings.TrimSpace(name)
+	r.section, r.header, r.set, r.end, r.seen = name, r.line, nil, nil, map[string]int{}
+	if !closed || strings.TrimSpace(withoutComment(" "+rest)) != "" {
+		r.add(r.line, "", "", "a section is written [name], got %.60q", line)
+		return
+	}
+	if r.headers[name] > 0 {
+		r.add(r.line, name, "", "the section is there already in line %d", r.headers[name])
+		return
+	}
+	if r.headers == nil {
+		r.headers = map[string]int{}
+	}
+	r.headers[name] = r.line
+	r.chooseSection(name)
+}
+
+func (r *reader) chooseSection(name string) {
+	kind, subject, _ := strings.Cut(name, " ")
+	subject = strings.TrimSpace(subject)
+	stream, _, _ := strings.Cut(subject, " ")
+	switch {
+	case name == "run":
+		begin(r, runRules, r.mix, func() {})
+	case name == "cell":
+		begin(r, cellRules, r.mix, func() {})
+	case kind == "arrivals" && subject != "" && stream == subject:
+		a := &Arrivals{Name: subject, Mode: workload.ModeRequest, Process: Poisson, DeclaredFactor: 1, UseFactor: 1}
+		begin(r, arrivalsRules, a, func() { r.mix.Arrivals = append(r.mix.Arrivals, *a) })
+	case kind == "flood" && subject != "":
+		f := &Flood{Arrivals: stream}
+		begin(r, floodRules, f, func() { r.mix.Floods = append(r.mix.Floods, *f) })
+	case kind == "cancellation" && subject != "":
+		c := &Cancellation{Arrivals: stream}
+		begin(r, cancellationRules, c, func() { r.mix.Cancellations = append(r.mix.Cancellations, *c) })
+	case kind == "window" && subject != "":
+		w := &Window{Name: subject}
+		begin(r, windowRules, w, func() { r.mix.Windows = append(r.mix.Windows, *w) })
+	default:
+		r.add(r.line, name, "", "unknown section: use run, cell, arrivals NAME, flood NAME, cancellation NAME or window NAME")
+	}
+}
+
+// begin reads the keys of a section by its rules.
+func begin[T any](r *reader, rules []rule[T], into *T, end func()) {
+	var names []string
+	for _, rule := range rules {
+		names = append(names, rule.key)
+	}
+	r.set = func(key, value string) error {
+		for _, rule := range rules {
+			if rule.key == key {
+				return rule.set(into, value)
+			}
+		}
+		return fmt.Errorf("unknown key: use one of %s", strings.Join(names, ", "))
+	}
+	section, header, seen := r.section, r.header, r.seen
+	r.end = func() {
+		for _, rule := range rules {
+			if rule.required && seen[rule.key] == 0 {
+				r.add(header, section, rule.key, "is missing")
+			}
+		}
+		end()
+	}
+}
+
+func (r *reader) endSection() {
+	if r.end != nil {
+		r.end()
+	}
+	r.end = nil
+}
+
+// checkWhole checks what concerns several keys.
+func (r *reader) checkWhole() {
+	m := r.mix
+	if len(m.Arrivals) == 0 {
+		r.add(0, "", "", "has no section [arrivals NAME], so nothing would be sent")
+	}
+	if m.WarmUp >= m.Duration && m.Duration > 0 {
+		r.add(r.headers["run"], "run", "warm-up", "must be shorter than the duration of %s, got %s", m.Duration, m.WarmUp)
+	}
+	for i := range m.Arrivals {
+		r.checkArrivals(&m.Arrivals[i])
+	}
+	for _, flood := range m.Floods {
+		r.checkPart("flood "+flood.Arrivals, flood.Arrivals, flood.From, flood.Until)
+	}
+	for _, wave := range m.Cancellations {
+		r.checkPart("cancellation "+wave.Arrivals, wave.Arrivals, wave.At, m.Duration)
+	}
+	for _, window := range m.Windows {
+		r.checkPart("window "+window.Name, "", window.From, window.Until)
+	}
+	if count := m.expected(); len(r.findings) == 0 && count > MaxArrivals {
+		r.add(r.headers["run"], "run", "duration", "the mix sends %.0f requests, more than %d: lower rates, factors or the duration", count, MaxArrivals)
+	}
+}
+
+func (r *reader) checkArrivals(a *Arrivals) {
+	section := "arrivals " + a.Name
+	if a.Until == 0 || a.Until > r.mix.Duration {
+		a.Until = r.mix.Duration
+	}
+	if a.From >= a.Until && a.Until > 0 {
+		r.add(r.headers[section], section, "from", "must be before until or the end of the run, %s, got %s", a.Until, a.From)
+	}
+	if a.Resources == (workload.Resources{}) {
+		r.add(r.headers[section], section, "", "must ask for some milli-cpu, memory-mb or accelerators")
+	}
+}
+
+func (r *reader) checkPart(section, stream string, from, until time.Duration) {
+	line := r.headers[section]
+	if stream != "" && r.mix.arrivals(stream) == nil {
+		r.add(line, section, "", "there is no section [arrivals %s]", stream)
+	}
+	if from >= until || until > r.mix.Duration {
+		r.add(line, section, "", "its times must be in order and within the run of %s, got %s to %s", r.mix.Duration, from, until)
+	}
+}
+
+// expected returns the mean number of requests of a run.
+func (m *Mix) expected() float64 {
+	total := 0.0
+	for i := range m.Arrivals {
+		a := &m.Arrivals[i]
+		for at := a.From; at < a.Until; {
+			perSecond, until := m.rate(a, at)
+			total += perSecond * (until - at).Seconds()
+			at = until
+		}
+	}
+	return math.Ceil(total)
+}
--- /dev/null
+++ b/internal/load/target.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/cell"
+	"yuccalanding.example/yuccalanding/internal/vmlist"
+	"yuccalanding.example/yuccalanding/internal/worker"
+	"yuccalanding.example/yuccalanding/pkg/caller"
+)
+
+// listTime and maxListBytes bound the reading of the VM list.
+const (
+	listTime     = 5 * time.Second
+	maxListBytes = 16 << 20
+)
+
+// newClient returns a client that opens a connection for each open request, so
+// that no request waits in the client.
+func newClient(mix *Mix, addresses []netip.AddrPort, token string) (*caller.Client, error) {
+	return caller.New(caller.Options{Addresses: addresses, Token: token, Attempts: mix.Attempts, Connections: mix.Open + 1})
+}
+
+// CellTarget returns a cell of this process as a target.
+func CellTarget(mix *Mix, c *cell.Cell) (Target, error) {
+	target := Target{
+		Clients: map[string]*caller.Client{}, ClientDelay: c.Options.ClientDelay,
+		Workers: func(context.Context) ([]worker.State, error) { return c.WorkerStates(), nil },
+		Cost:    func() Cost { return Cost{processCPU(), c.Appends()} },
+		About:   "of the whole process, which holds all nodes, the stand-ins of workers and log, and the load driver",
+	}
+	for _, region := range append(c.Regions(), "") {
+		client, err := newClient(mix, c.CallerAddresses(region), "")
+		if err != nil {
+			return target, err
+		}
+		target.Clients[region] = client
+	}
+	return target, nil
+}
+
+// processCPU returns the processor time of this process.
+func processCPU() time.Duration {
+	var used syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &used) != nil {
+		return -1
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// RemoteTarget returns a running system as a target. Arrivals of all regions
+// call all the addresses. Without the address of a VM list the workers' records
+// are not checked.
+func RemoteTarget(mix *Mix, addresses []netip.AddrPort, vmList netip.AddrPort, token string) (Target, error) {
+	client, err := newClient(mix, addresses, token)
+	if err != nil {
+		return Target{}, err
+	}
+	target := Target{Clients: map[string]*caller.Client{"": client}}
+	for i := range mix.Arrivals {
+		target.Clients[mix.Arrivals[i].Region] = client
+	}
+	if vmList.IsValid() {
+		target.Workers = func(ctx context.Context) ([]worker.State, error) { return remoteStates(ctx, vmList) }
+	}
+	return target, nil
+}
+
+func remoteStates(ctx context.Context, address netip.AddrPort) ([]worker.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+vmlist.Path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var list vmlist.Body
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+		return nil, fmt.Errorf("VM list: %w", err)
+	}
+	states := []worker.State{}
+	for _, entry := range list.VMs {
+		var vm vmlist.VM
+		if err := json.Unmarshal(entry, &vm); err != nil {
+			return nil, fmt.Errorf("VM list: %w", err)
+		}
+		state, err := worker.New(worker.Options{Address: vm.Address}).State(ctx)
+		if err != nil {
+			return nil, fmt.Errorf("worker %s: %w", vm.Name, err)
+		}
+		states = append(states, state)
+	}
+	return states, nil
+}
+
+// CellOptions returns the cell that a mix asks for.
+func CellOptions(mix *Mix) cell.Options {
+	switch mix.Cell.Deployment {
+	case "ravi-levy":
+		return cell.RaviLevy()
+	case "guild":
+		return cell.Guild()
+	}
+	return cell.Options{Nodes: cell.SmallNodes(mix.Cell.Nodes), Workers: cell.SmallWorkers(mix.Cell.Workers)}
+}
--- /dev/null
+++ b/internal/load/text.go
@@ -0,0 +1,126 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// WriteText writes the four measures of each window and the checks.
+func (r *Report) WriteText(out io.Writer) error {
+	text := &strings.Builder{}
+	fmt.Fprintf(text, "Mix %s, seed %d, %.1f s, %.0f requests a second due on average\n", r.Mix, r.Seed, r.DurationMS/1000, r.Offered)
+	fmt.Fprintf(text, "Waiting times: %s\n", strings.ReplaceAll(r.Clocks, "; ", ";\n  "))
+	if r.CostCovers != "" {
+		fmt.Fprintf(text, "CPU time: %s\n", r.CostCovers)
+	}
+	for _, action := range r.Actions {
+		fmt.Fprintf(text, "At %.1f s: %s, took %.0f ms%s\n", action.AtMS/1000, action.Name, action.TookMS, withPrefix(", failed: ", action.Error))
+	}
+	text.WriteString("\nWaiting time before work starts, ms\n")
+	r.writeWaits(text)
+	text.WriteString("\nPacking while work waits, and cost of control\n")
+	r.writeCost(text)
+	text.WriteString("\nWhat other work keeps in an overload (waits by the caller's clock)\n")
+	r.writeOverloads(text)
+	text.WriteString("\nChecks\n")
+	r.Checks.write(text)
+	_, err := io.WriteString(out, text.String())
+	return err
+}
+
+func withPrefix(prefix, text string) string {
+	if text == "" {
+		return ""
+	}
+	return prefix + text
+}
+
+func table(out io.Writer, write func(row func(cells ...any))) {
+	columns := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	write(func(cells ...any) {
+		texts := make([]string, len(cells))
+		for i, cell := range cells {
+			texts[i] = fmt.Sprint(cell)
+		}
+		fmt.Fprintln(columns, "  "+strings.Join(texts, "\t"))
+	})
+	_ = columns.Flush()
+}
+
+func (r *Report) writeWaits(out io.Writer) {
+	table(out, func(row func(...any)) {
+		row("WINDOW", "ARRIVALS", "KIND", "DUE/S", "ANSWERED/S", "REFUSED", "WAITED P50", "P99", "MAX", "CALLER P50", "P99", "MAX")
+		for _, window := range r.Windows {
+			for _, w := range window.Waits {
+				row(window.Name, w.Arrivals, w.Kind, rounded(w.OfferedASecond), rounded(w.AnsweredASecond), w.Refused,
+					rounded(w.Waited.P50), rounded(w.Waited.P99), rounded(w.Waited.Max),
+					rounded(w.Caller.P50), rounded(w.Caller.P99), rounded(w.Caller.Max))
+			}
+		}
+	})
+}
+
+func rounded(value float64) string { return fmt.Sprintf("%.1f", value) }
+
+// measured writes a value that is negative if it was not measured.
+func measured(value float64, format string) string {
+	if value < 0 {
+		return "not measured"
+	}
+	return fmt.Sprintf(format, value)
+}
+
+func (r *Report) writeCost(out io.Writer) {
+	table(out, func(row func(...any)) {
+		row("WINDOW", "WORK WAITS", "PACKED MEAN", "P10", "SCARCEST", "STRANDED ACC.", "STARTS", "CPU/START", "APPENDS/S", "NODE BYTES/S", "LINK BYTES/S")
+		for _, window := range r.Windows {
+			p, c := window.Packing, window.Control
+			row(window.Name, fmt.Sprintf("%.0f%%", 100*p.WaitingShare), fmt.Sprintf("%.1f%%", 100*p.Mean), fmt.Sprintf("%.1f%%", 100*p.P10),
+				orDash(p.Scarcest), rounded(p.Stranded), c.TaskStarts, measured(c.CPUPerStartMicros, "%.0f us"),
+				measured(c.AppendsASecond, "%.1f"), measured(c.NodeBytesASecond, "%.0f"), measured(c.RegionLinkASecond, "%.0f"))
+		}
+	})
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func (r *Report) writeOverloads(out io.Writer) {
+	if len(r.Overloads) == 0 {
+		fmt.Fprintln(out, "  The mix has no flood.")
+		return
+	}
+	table(out, func(row func(...any)) {
+		row("FLOOD OF", "AT/S", "ARRIVALS", "KIND", "THROUGHPUT/S", "BEFORE", "RATIO", "P99 MS", "BEFORE", "RATIO")
+		for _, overload := range r.Overloads {
+			for _, k := range overload.Other {
+				row(overload.Kind, rounded(overload.Rate), k.Arrivals, k.Kind, rounded(k.ThroughputDuring), rounded(k.ThroughputBefore),
+					fmt.Sprintf("%.2f", k.ThroughputRatio), rounded(k.P99DuringMS), rounded(k.P99BeforeMS), fmt.Sprintf("%.2f", k.P99Ratio))
+			}
+		}
+	})
+}
+
+func (c *Checks) write(out io.Writer) {
+	fmt.Fprintf(out, "  %d requests planned, %d sent, %d task starts\n", c.Planned, c.Sent, c.TaskStarts)
+	for _, outcome := range c.Outcomes {
+		fmt.Fprintf(out, "  %s: %d\n", outcome.Name, outcome.Count)
+	}
+	for _, refusal := range c.Refusals {
+		fmt.Fprintf(out, "  refused as %s: %d\n", refusal.Name, refusal.Count)
+	}
+	fmt.Fprintf(out, "  lost %d, doubled %d, wrong %d, refused as not run although started %d, unexpected failures %d, over capacity %d\n",
+		c.Lost, c.Doubled, c.Wrong, c.FalselyRefused, c.UnexpectedFailures, c.OverCapacity)
+	if !c.WorkersChecked {
+		fmt.Fprintln(out, "  The workers' records were not read, so doubled starts were not checked.")
+	}
+	for _, example := range c.Examples {
+		fmt.Fprintf(out, "  e.g. %s\n", example)
+	}
+}
