Add the demo of both deployments

Change: internal/demo runs both deployments of section 1.6 with mixed work, two overloads, a killed and a drained node; make demo and make load.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,7 @@
-.PHONY: build test lint
+.PHONY: build test lint demo load
+
+# MIX is the mix file of make load.
+MIX ?= examples/load/mixed.ini
 
 build:
 	go build -o bin/yuccalanding ./cmd/yuccalanding
@@ -10,3 +13,10 @@
 	gofmt -l .
 	go vet ./...
 	go tool staticcheck -checks all ./...
+
+# make demo JSON=1 prints one JSON object.
+demo: build
+	@bin/yuccalanding demo $(if $(JSON),--json)
+
+load: build
+	@bin/yuccalanding load $(MIX) $(if $(JSON),--json)
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,192 @@
+// Package demo shows the scheduler without any set-up: both deployments of
+// section 1.6 of the design at today's sizes, one after the other, each as a
+// cell inside this process. A deployment gets mixed work, an overload of its
+// least urgent kind, the death of one node, the planned stop of another, and an
+// overload of its most urgent kind.
+//
+// # Usage
+//
+//	result, err := demo.Run(ctx, demo.Options{Deployments: demo.Deployments(), Examples: "examples"})
+//	result.WriteText(os.Stdout)
+//	if !result.Passed {
+//		// Answers were lost, doubled or wrong.
+//	}
+package demo
+
+import (
+	"context"
+	"embed"
+	"errors"
+	"fmt"
+	"io"
+	"path"
+	"strings"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/cell"
+	"yuccalanding.example/yuccalanding/internal/load"
+)
+
+//go:embed mixes/*.ini
+var mixes embed.FS
+
+// readyTime bounds the start of a cell.
+const readyTime = 15 * time.Second
+
+// Deployment is one cell with its load.
+type Deployment struct {
+	Name string
+	Mix  *load.Mix
+	// Folder is the configuration, below Options.Examples.
+	Folder string
+	// Killed and Drained are the nodes that end, and KillAt and DrainAt when.
+	Killed, Drained int
+	KillAt, DrainAt time.Duration
+}
+
+// Options configure a demo.
+type Options struct {
+	Deployments []Deployment
+	// Examples is the folder that holds the configurations; empty applies none.
+	Examples string
+	// Progress takes lines for a person who waits; nil drops them.
+	Progress func(format string, arguments ...any)
+	// Log takes the nodes' events; nil discards them.
+	Log io.Writer
+}
+
+// Result is the outcome of a demo.
+type Result struct {
+	Passed      bool               `json:"passed"`
+	Faults      []string           `json:"faults"`
+	TookMS      float64            `json:"took-ms"`
+	Deployments []DeploymentResult `json:"deployments"`
+}
+
+// DeploymentResult is what one deployment showed.
+type DeploymentResult struct {
+	Name    string `json:"name"`
+	Nodes   int    `json:"nodes"`
+	Workers int    `json:"workers"`
+	// Configuration says which configuration was in force.
+	Configuration string       `json:"configuration"`
+	Report        *load.Report `json:"report"`
+}
+
+// Deployments returns both deployments of the design.
+func Deployments() []Deployment {
+	// The mixes have windows of their own for the ends of the two nodes.
+	const killAt, drainAt = 14 * time.Second, 16500 * time.Millisecond
+	return []Deployment{
+		{Name: "Ravi Levy Trust Services", Mix: mustRead("ravi-levy"), Folder: "ravi-levy", Killed: 0, Drained: 1, KillAt: killAt, DrainAt: drainAt},
+		{Name: "Midlands Connected Oven Guild", Mix: mustRead("guild"), Folder: "guild", Killed: 0, Drained: 1, KillAt: killAt, DrainAt: drainAt},
+	}
+}
+
+// mustRead reads an embedded mix, which the tests have checked.
+func mustRead(name string) *load.Mix {
+	file := path.Join("mixes", name+".ini")
+	text, err := mixes.ReadFile(file)
+	if err != nil {
+		panic(err)
+	}
+	mix, err := load.Read(file, string(text))
+	if err != nil {
+		panic(err)
+	}
+	return mix
+}
+
+// Run runs all deployments, one after the other. The error is that of the demo
+// itself; faults of the scheduler are in the result.
+func Run(ctx context.Context, options Options) (*Result, error) {
+	if options.Progress == nil {
+		options.Progress = func(string, ...any) {}
+	}
+	began := time.Now()
+	result := &Result{Faults: []string{}}
+	for i := range options.Deployments {
+		deployment := &options.Deployments[i]
+		options.Progress("%s", deployment.Name)
+		one, err := runOne(ctx, &options, deployment)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", deployment.Name, err)
+		}
+		result.Deployments = append(result.Deployments, one)
+		for _, fault := range one.faults() {
+			result.Faults = append(result.Faults, deployment.Name+": "+fault)
+		}
+	}
+	result.Passed = len(result.Faults) == 0
+	result.TookMS = float64(time.Since(began).Milliseconds())
+	return result, nil
+}
+
+func runOne(ctx context.Context, options *Options, deployment *Deployment) (result DeploymentResult, err error) {
+	cellOptions := load.CellOptions(deployment.Mix)
+	cellOptions.Log = options.Log
+	result = DeploymentResult{Name: deployment.Name, Nodes: len(cellOptions.Nodes), Workers: len(cellOptions.Workers)}
+	c, err := cell.Start(ctx, cellOptions)
+	if err != nil {
+		return result, err
+	}
+	defer func() { err = errors.Join(err, c.Stop()) }()
+	readyContext, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	if err := c.AwaitReady(readyContext); err != nil {
+		return result, err
+	}
+	if result.Configuration, err = configure(readyContext, c, options.Examples, deployment.Folder); err != nil {
+		return result, err
+	}
+	target, err := load.CellTarget(deployment.Mix, c)
+	if err != nil {
+		return result, err
+	}
+	result.Report, err = load.Run(ctx, load.Options{
+		Mix: deployment.Mix, Target: target, Progress: options.Progress, Actions: deployment.actions(c),
+	})
+	return result, err
+}
+
+func (d *Deployment) actions(c *cell.Cell) []load.Action {
+	name := func(i int) string {
+		spec := c.Options.Nodes[i]
+		return fmt.Sprintf("%s (%s, %s)", spec.Name, spec.FailureDomain, spec.Region)
+	}
+	return []load.Action{
+		{At: d.KillAt, Name: "kill " + name(d.Killed), Do: func() error { return c.KillNode(d.Killed) }},
+		{At: d.DrainAt, Name: "drain " + name(d.Drained), Do: func() error { return c.DrainNode(d.Drained) }},
+	}
+}
+
+// faults returns what the scheduler did wrong in the deployment.
+func (d *DeploymentResult) faults() []string {
+	faults := d.Report.Checks.Faults()
+	for _, action := range d.Report.Actions {
+		if action.Error != "" {
+			faults = append(faults, action.Name+": "+action.Error)
+		}
+	}
+	return faults
+}
+
+// WriteText writes the measures of all deployments and the verdict.
+func (r *Result) WriteText(out io.Writer) error {
+	for i := range r.Deployments {
+		d := &r.Deployments[i]
+		if _, err := fmt.Fprintf(out, "%s: %d nodes, %d workers\nConfiguration: %s\n", d.Name, d.Nodes, d.Workers, d.Configuration); err != nil {
+			return err
+		}
+		if err := d.Report.WriteText(out); err != nil {
+			return err
+		}
+		fmt.Fprintln(out)
+	}
+	verdict := "No answer was lost, doubled or wrong."
+	if !r.Passed {
+		verdict = "FAILED: " + strings.Join(r.Faults, "; ")
+	}
+	_, err := fmt.Fprintf(out, "%s Took %.1f s.\n", verdict, r.TookMS/1000)
+	return err
+}
--- a/internal/load/plots.go
+++ b/internal/load/plots.go
@@ -25,6 +25,9 @@
 // shortestPlotted keeps values of zero on a logarithmic axis, in milliseconds.
 const shortestPlotted = 0.1
 
+// shade is the background of overloads and named windows.
+var shade = color.RGBA{R: 250, G: 240, B: 222, A: 255}
+
 // namedPlot is one plot of a report.
 type namedPlot struct {
 	file string
@@ -50,8 +53,7 @@
 func newPlot(title, vertical string) *plot.Plot {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds since the start", vertical
-	p.Legend.Top = true
-	p.Add(plotter.NewGrid())
+	p.Legend.Top, p.Legend.Padding = true, vg.Points(2)
 	return p
 }
 
@@ -63,9 +65,10 @@
 		if err != nil {
 			return err
 		}
-		area.Color, area.LineStyle.Width = color.RGBA{R: 240, G: 225, B: 200, A: 120}, 0
+		area.Color, area.LineStyle.Color, area.LineStyle.Width = shade, shade, 0
 		p.Add(area)
 	}
+	p.Add(plotter.NewGrid())
 	return nil
 }
 
