--- a/internal/tenure/candidate.go
+++ b/internal/tenure/candidate.go
@@ -190,8 +190,8 @@
 		return now, true
 	}
 	if now.Sub(c.since) > acquireTimeout && (c.contended || l.unanswered(c, r)) {
-		// The others retry within Length, so they get their turn.
-		return now.Add(Length + l.upTo(Length/2)), true
+		// The others retry within promiseLength, so they get their turn.
+		return now.Add(promiseLength + l.upTo(Length/2)), true
 	}
 	refused := c.weight(r.newest, func(v *vote) bool { return now.Before(v.refusedUntil) })
 	if hasQuorum(len(r.newest.names)-refused, r.newest) {
@@ -280,7 +280,7 @@
 }
 
 // ReceivePromise takes an owner's answer. An answer to a request that is
-// unknown or older than the last few is ignored.
+// unknown or older than the last keptRounds is ignored.
 func (l *Leases) ReceivePromise(now time.Time, from string, answer Promise) {
 	sent := l.sentAt[answer.Round%keptRounds]
 	if answer.Round == 0 || sent.round != answer.Round || !l.isOwner(from) {
@@ -368,7 +368,7 @@
 	if v.validUntil.Before(now) {
 		v.set = set
 	}
-	retry := min(time.Duration(max(refusal.RetryAfterMS, 0))*time.Millisecond, Length)
+	retry := min(time.Duration(max(refusal.RetryAfterMS, 0))*time.Millisecond, promiseLength)
 	v.refusedUntil = now.Add(retry)
 }
 
