Replay the configuration on every node and serve operators with it

Cause: the node ignored policy records; its operators' address had a dump and a drain only.

Copies go to and from peers; a copy never lowers a version, and is renewed up to the offset that was read, so that it closes the gap of a member for which retention dropped records. A restarted node hands no version on before it has reached the end of the log or taken a copy. Apply checks and rehearses a change on a copy of the history, appends it, and answers when it is read back; otherwise it says whether the change is certainly not in the log or its outcome is unknown.

Ruled out: handing every replayed version on, since a restarted node would decide by old versions for a moment.

--- a/internal/command/configapply.go
+++ b/internal/command/configapply.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/google/uuid"
 
 	"yuccalanding.example/yuccalanding/internal/operator"
 )
@@ -23,8 +28,14 @@
 	Base     int64    `help:"Version that the change was made against, as config show prints it." required:""`
 	Reason   string   `help:"Why the change is made, for the history." required:""`
 	Sections []string `help:"Sections that the change modifies; all that differ if none is named." placeholder:"SECTION"`
+	Wait     bool     `help:"Wait until every live node reports the version in force."`
+	// WaitTime is far above the 6 s in which a version has to be in force.
+	WaitTime time.Duration `help:"Longest time that --wait waits." default:"30s"`
 }
 
+// waitPause is the time between two looks at the nodes' versions.
+const waitPause = 100 * time.Millisecond
+
 func newConfigApply() (any, Run) {
 	flags := &configApplyFlags{}
 	return flags, flags.run
@@ -35,11 +46,12 @@
 	if err != nil {
 		return err
 	}
-	environment.Progress("Waiting until the change is read back from the log.")
+	identity := uuid.NewString()
+	environment.Progress("Waiting until change %s is read back from the log.", identity)
 	change, err := call[operator.Change](ctx, &f.operatorFlags, http.MethodPost, "/config/apply",
-		operator.Apply{BaseVersion: f.Base, Reason: f.Reason, Sections: f.Sections, Files: folder.Files})
+		operator.Apply{BaseVersion: f.Base, Reason: f.Reason, Sections: f.Sections, Files: folder.Files, Identity: identity})
 	if err != nil {
-		return err
+		return f.explainOutcome(identity, err)
 	}
 	if f.JSON {
 		err = writeJSON(environment.Out, change)
@@ -49,9 +61,49 @@
 	if err == nil && change.State != "accepted" {
 		return fmt.Errorf("the change was %s; compare with config diff and apply it against the version in force", change.State)
 	}
+	if err == nil && f.Wait {
+		return f.wait(ctx, environment, change.Version)
+	}
 	return err
 }
 
+// explainOutcome adds that the outcome is unknown to an error after which the
+// change may be in the log.
+func (f *configApplyFlags) explainOutcome(identity string, err error) error {
+	var failure *operator.Failure
+	var network *net.OpError
+	var usage *UsageError
+	switch {
+	case errors.As(err, &failure) && failure.Status != http.StatusInternalServerError:
+		return err // The node says what it knows.
+	case errors.As(err, &network) && network.Op == "dial", errors.As(err, &usage):
+		return err // Nothing was sent.
+	}
+	return fmt.Errorf("%w\nThe outcome of the change is unknown; look it up with: %s config history --identity %s", err, Program, identity)
+}
+
+// wait returns once every live node reports the version.
+func (f *configApplyFlags) wait(ctx context.Context, environment *Environment, version int64) error {
+	environment.Progress("Waiting until version %d is in force on every live node.", version)
+	deadline := time.Now().Add(f.WaitTime)
+	for {
+		answer, err := call[operator.Nodes](ctx, &f.operatorFlags, http.MethodGet, "/nodes", nil)
+		var behind []string
+		for _, node := range answer.Nodes {
+			if (node.State == "live" || node.State == "draining") && node.PolicyVersion < version {
+				behind = append(behind, fmt.Sprintf("%s (version %d)", node.Name, node.PolicyVersion))
+			}
+		}
+		if err == nil && len(behind) == 0 {
+			return nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return errors.Join(err, fmt.Errorf("version %d is accepted, but after %s it is not known to be in force on: %s", version, f.WaitTime, strings.Join(behind, ", ")))
+		}
+		time.Sleep(waitPause)
+	}
+}
+
 func writeChanges(environment *Environment, changes []operator.Change) {
 	rows := make([][]string, len(changes))
 	for i, change := range changes {
--- a/internal/command/confighistory.go
+++ b/internal/command/confighistory.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 
 	"yuccalanding.example/yuccalanding/internal/operator"
 )
@@ -17,7 +18,8 @@
 
 type configHistoryFlags struct {
 	operatorFlags
-	Limit int `help:"Most changes to list." default:"50"`
+	Limit    int    `help:"Most changes to list." default:"50"`
+	Identity string `help:"Look up one change by the identity that config apply gave it." placeholder:"IDENTITY"`
 }
 
 func newConfigHistory() (any, Run) {
@@ -26,10 +28,19 @@
 }
 
 func (f *configHistoryFlags) run(ctx context.Context, environment *Environment) error {
+	if f.Identity != "" {
+		f.Limit = operator.MaxHistoryLimit
+	}
 	history, err := call[operator.History](ctx, &f.operatorFlags, http.MethodGet, fmt.Sprintf("/config/history?limit=%d", f.Limit), nil)
 	if err != nil {
 		return err
 	}
+	if f.Identity != "" {
+		history.Changes = slices.DeleteFunc(history.Changes, func(change operator.Change) bool { return change.Identity != f.Identity })
+		if len(history.Changes) == 0 {
+			return fmt.Errorf("%s has no change %s: it was not accepted so far; if the log was down or slow, look again once it is up", f.Operator, f.Identity)
+		}
+	}
 	if f.JSON {
 		return writeJSON(environment.Out, history)
 	}
--- a/internal/command/operatorclient.go
+++ b/internal/command/operatorclient.go
@@ -94,6 +94,7 @@
 	if json.Unmarshal(content, failure) != nil || failure.Message == "" {
 		failure.Message = fmt.Sprintf("status %d", status)
 	}
+	failure.Status = status
 	advice := ""
 	switch status {
 	case http.StatusUnauthorized, http.StatusForbidden:
--- a/internal/command/scheduler_test.go
+++ b/internal/command/scheduler_test.go
@@ -93,7 +93,7 @@
 
 func operatorSeams(t *testing.T) operator.Options {
 	more, less := "5", "3"
-	change := operator.Change{Version: 18, BaseVersion: 17, State: "accepted", At: moment, Author: "operations", Reason: "faster-balances", Sections: []string{"kind balance"}, Digest: "9ac1f00d"}
+	change := operator.Change{Version: 18, BaseVersion: 17, State: "accepted", At: moment, Author: "operations", Reason: "faster-balances", Sections: []string{"kind balance"}, Digest: "9ac1f00d", Identity: "0b9f54f0"}
 	return operator.Options{
 		Dump: func(context.Context) (any, error) { return operator.DrainState{State: "serving", OpenRequests: 3}, nil },
 		Nodes: func(context.Context) ([]operator.Node, error) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -58,6 +58,9 @@
 	PolicyAccepted = define(410, "policy-accepted", Info, "A configuration change was accepted at its place in the log.", noAction)
 	PolicyRejected = define(411, "policy-rejected", Warn, "A configuration change was rejected; another change of the same section came first.", "Compare with the version in force and apply the change again.")
 	PolicyInForce  = define(412, "policy-in-force", Info, "The node decides by this configuration version.", noAction)
+	// A node refuses such a snapshot, so that its version never goes down.
+	PolicySnapshotBad = define(413, "policy-snapshot-bad", Error, "A snapshot of the configuration can't be used; the version in force stays.", "If it repeats, compare the versions and digests that the command nodes shows.")
+	PolicyIncomplete  = define(414, "policy-incomplete", Warn, "The log dropped records before the node read them; it waits for a snapshot and keeps its version.", noAction)
 
 	RefusalCounts  = define(500, "refusal-counts", Info, "The number of refusals by code since the last such event.", noAction)
 	NeverRunnable  = define(501, "never-runnable", Warn, "Work fits no worker of the fleet, empty or not.", "Tell the team, or add workers of the size that the work needs.")
@@ -67,6 +70,9 @@
 	TokensLoaded   = define(530, "tokens-loaded", Info, "The token file was read and is in force.", noAction)
 	TokensBad      = define(531, "tokens-bad", Error, "The changed token file has faults; the tokens in force stay.", "Correct the lines that the findings name.")
 
+	CertificateLoaded = define(532, "certificate-loaded", Info, "The certificate files were read and are in force for new connections.", noAction)
+	CertificateBad    = define(533, "certificate-bad", Error, "The changed certificate files can't be used; the certificate in force stays.", "Correct the certificate and key files that the settings name.")
+
 	AlarmRaised  = defineAlarm(600, "alarm-raised", Error, "An alarm was raised; its text names what a person has to do.", "Do what the alarm names.")
 	AlarmCleared = define(601, "alarm-cleared", Info, "The condition of an alarm no longer holds.", noAction)
 )
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -86,6 +86,8 @@
 		Draining:            p.Draining,
 		Authorize:           p.access.Authorize,
 		Record:              p.record,
+		Observe:             p.metrics.observeCall,
+		TLS:                 p.certificates.config(),
 		OpenRequests:        s.Limits.OpenRequests,
 		OpenRequestsPerTeam: s.Limits.OpenRequestsPerTeam,
 		Connections:         s.Limits.Connections,
@@ -96,6 +98,9 @@
 
 func (p *Process) submit(ctx context.Context, request workload.Request) (workload.Answer, *workload.Refusal) {
 	reply := p.call(ctx, func(id uint64) control.Input { return &control.Submit{RequestID: id, Request: request} })
+	if reply.Answer != nil {
+		p.metrics.observeWait(request.Kind, time.Duration(reply.Answer.WaitedMS)*time.Millisecond)
+	}
 	return answerOf(reply)
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -25,6 +25,8 @@
 			p.step(ctx, tick)
 		case answer := <-p.dumps:
 			answer <- p.control.Dump()
+		case answer := <-p.viewRequests:
+			answer <- p.control.View()
 		}
 	}
 }
@@ -34,6 +36,9 @@
 	case *vmList:
 		p.addresses = carrier.addresses
 		in = carrier.VMListed
+	case *policyRenewed:
+		p.control.RenewPolicySnapshot(carrier.version, carrier.snapshot)
+		return
 	case *linkOpened:
 		p.addLink(carrier.link)
 		in = carrier.SessionOpened
@@ -70,6 +75,7 @@
 	case *control.CloseSession:
 		p.closeSession(ctx, out)
 	case *control.StartTask:
+		p.metrics.starts.Inc()
 		p.startTask(ctx, out)
 	case *control.StopTask:
 		if l := p.linkOf(out.Worker, out.Token); l != nil {
@@ -107,6 +113,7 @@
 }()
 
 func (p *Process) recordControlEvent(out *control.RecordEvent) {
+	p.observed.note(out, time.Now())
 	if definition, ok := eventsByName[string(out.Event)]; ok {
 		p.record(definition, "subject", out.Subject, "detail", out.Detail)
 	}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"yuccalanding.example/yuccalanding/internal/control"
+	"yuccalanding.example/yuccalanding/internal/peer"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+const (
+	// maxKindLabels bounds the series by kind: before the first configuration
+	// callers may send any kind. Further kinds are counted as otherKind.
+	maxKindLabels = 64
+	otherKind     = "other"
+	// metricsBound is how long the metrics wait for the control thread.
+	metricsBound = 2 * time.Second
+)
+
+// processMetrics are the metrics of one process. They are in a set of their own,
+// since several processes run in one program in tests and in the demo.
+type processMetrics struct {
+	process *Process
+	set     *metrics.Set
+	starts  *metrics.Counter
+
+	mu    sync.Mutex
+	kinds map[string]bool
+}
+
+func newMetrics(p *Process) *processMetrics {
+	m := &processMetrics{process: p, set: metrics.NewSet(), kinds: map[string]bool{}}
+	m.starts = m.set.NewCounter("yuccalanding_starts_total")
+	return m
+}
+
+// observeCall counts a caller's call.
+func (m *processMetrics) observeCall(route string, status int, code workload.Code, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("yuccalanding_requests_total{route=%q,status=\"%d\",code=%q}", route, status, string(code))).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf("yuccalanding_request_seconds{route=%q}", route)).Update(took.Seconds())
+}
+
+// observeWait takes the time from acceptance to the start of an answered request.
+func (m *processMetrics) observeWait(kind string, waited time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf("yuccalanding_wait_seconds{kind=%q}", m.kindLabel(kind))).Update(waited.Seconds())
+}
+
+func (m *processMetrics) kindLabel(kind string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.kinds[kind] {
+		if len(m.kinds) >= maxKindLabels {
+			return otherKind
+		}
+		m.kinds[kind] = true
+	}
+	return kind
+}
+
+// appended counts a record that was handed to the log client.
+func (m *processMetrics) appended(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("yuccalanding_records_total{kind=%q}", kind)).Inc()
+}
+
+// write writes all metrics; what the control thread knows is left out if it does
+// not answer in time.
+func (m *processMetrics) write(out io.Writer) {
+	var page bytes.Buffer
+	m.set.WritePrometheus(&page)
+	m.writeTraffic(&page)
+	p := m.process
+	metrics.WriteCounterUint64(&page, "yuccalanding_dropped_inputs_total", p.dropped.Load())
+	metrics.WriteGaugeUint64(&page, "yuccalanding_inputs_waiting", uint64(len(p.inputs)))
+	metrics.WriteGaugeUint64(&page, "yuccalanding_open_calls", uint64(p.calls.open()))
+	raised, _ := p.alarms.list(context.Background())
+	metrics.WriteGaugeUint64(&page, "yuccalanding_alarms", uint64(len(raised)))
+	ctx, cancel := context.WithTimeout(context.Background(), metricsBound)
+	defer cancel()
+	if view, err := p.View(ctx); err == nil {
+		m.writeView(&page, &view)
+	}
+	_, _ = out.Write(page.Bytes())
+}
+
+func (m *processMetrics) writeView(page *bytes.Buffer, view *control.View) {
+	metrics.WriteGaugeUint64(page, "yuccalanding_sessions", uint64(len(view.Capacities)))
+	metrics.WriteGaugeUint64(page, "yuccalanding_home_leases_held", uint64(heldHomes(&view.Dump)))
+	metrics.WriteGaugeUint64(page, "yuccalanding_policy_version", view.PolicyVersion)
+	metrics.WriteGaugeUint64(page, "yuccalanding_log_up", boolean(view.LogUp))
+	metrics.WriteGaugeUint64(page, "yuccalanding_open_jobs", uint64(view.OpenJobs.Used))
+	metrics.WriteGaugeUint64(page, "yuccalanding_held_tasks", uint64(view.HeldTasks))
+	waiting := map[string]int{}
+	for i := range view.Homes {
+		for _, queue := range view.Homes[i].Queues {
+			waiting[m.kindLabel(queue.Kind)] += queue.Waiting.Used
+		}
+	}
+	for kind, length := range waiting {
+		metrics.WriteGaugeUint64(page, fmt.Sprintf("yuccalanding_queue_length{kind=%q}", kind), uint64(length))
+	}
+}
+
+// writeTraffic sums the peers of a region.
+func (m *processMetrics) writeTraffic(page *bytes.Buffer) {
+	type key struct{ region, purpose string }
+	sums, wire := map[key]peer.Traffic{}, map[string]peer.WireCounters{}
+	for _, counters := range m.process.transport.Counters().Peers {
+		for purpose, traffic := range map[string]peer.Traffic{"control": counters.Control, "bulk": counters.Bulk} {
+			sum := sums[key{counters.Region, purpose}]
+			sum.FramesSent += traffic.FramesSent
+			sum.BytesSent += traffic.BytesSent
+			sum.FramesReceived += traffic.FramesReceived
+			sum.BytesReceived += traffic.BytesReceived
+			sum.DroppedFull += traffic.DroppedFull + traffic.DroppedDown + traffic.DroppedSize + traffic.DroppedBroken
+			sums[key{counters.Region, purpose}] = sum
+		}
+		bytes := wire[counters.Region]
+		bytes.Sent += counters.WireSent
+		bytes.Received += counters.WireReceived
+		wire[counters.Region] = bytes
+	}
+	for at, sum := range sums {
+		labels := fmt.Sprintf("{region=%q,purpose=%q}", at.region, at.purpose)
+		metrics.WriteCounterUint64(page, "yuccalanding_peer_messages_sent_total"+labels, sum.FramesSent)
+		metrics.WriteCounterUint64(page, "yuccalanding_peer_messages_received_total"+labels, sum.FramesReceived)
+		metrics.WriteCounterUint64(page, "yuccalanding_peer_messages_dropped_total"+labels, sum.DroppedFull)
+		metrics.WriteCounterUint64(page, "yuccalanding_peer_bytes_sent_total"+labels, sum.BytesSent)
+		metrics.WriteCounterUint64(page, "yuccalanding_peer_bytes_received_total"+labels, sum.BytesReceived)
+	}
+	for region, bytes := range wire {
+		labels := fmt.Sprintf("{region=%q}", region)
+		metrics.WriteCounterUint64(page, "yuccalanding_peer_wire_bytes_sent_total"+labels, bytes.Sent)
+		metrics.WriteCounterUint64(page, "yuccalanding_peer_wire_bytes_received_total"+labels, bytes.Received)
+	}
+}
+
+func boolean(value bool) uint64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,39 +49,50 @@
 
 // Process is one running node.
 type Process struct {
-	options   Options
-	control   *control.Node
-	inputs    chan control.Input
-	dumps     chan chan control.Dump
-	transport *peer.Transport
-	journal   *journal.Client
-	poller    *vmlist.Poller
-	front     *front.Front
-	access    *access.List
-	events    *event.Recorder
-	calls     *calls
-	links     map[string]*link
-	records   *records
-	addresses map[string]netip.AddrPort
-	draining  atomic.Bool
-	drained   chan struct{}
-	linkEnded chan string
-	dropped   atomic.Uint64
-	sent      atomic.Uint64
+	options       Options
+	control       *control.Node
+	inputs        chan control.Input
+	dumps         chan chan control.Dump
+	transport     *peer.Transport
+	journal       *journal.Client
+	poller        *vmlist.Poller
+	front         *front.Front
+	access        *access.List
+	events        *event.Recorder
+	calls         *calls
+	links         map[string]*link
+	records       *records
+	configuration *configuration
+	views         *views
+	viewRequests  chan chan control.View
+	observed      *observed
+	alarms        *alarms
+	metrics       *processMetrics
+	certificates  *certificates
+	addresses     map[string]netip.AddrPort
+	draining      atomic.Bool
+	vmListDown    atomic.Bool
+	drained       chan struct{}
+	linkEnded     chan string
+	dropped       atomic.Uint64
+	sent          atomic.Uint64
 }
 
 // New checks the settings that only the parts themselves can check, and
 // listens for peers.
 func New(options Options) (*Process, error) {
 	p := &Process{
-		options:   options,
-		inputs:    make(chan control.Input, inputQueue),
-		dumps:     make(chan chan control.Dump),
-		calls:     newCalls(),
-		links:     map[string]*link{},
-		addresses: map[string]netip.AddrPort{},
-		drained:   make(chan struct{}),
-		linkEnded: make(chan string, inputQueue),
+		options:      options,
+		inputs:       make(chan control.Input, inputQueue),
+		dumps:        make(chan chan control.Dump),
+		calls:        newCalls(),
+		links:        map[string]*link{},
+		addresses:    map[string]netip.AddrPort{},
+		views:        newViews(),
+		viewRequests: make(chan chan control.View),
+		observed:     newObserved(),
+		drained:      make(chan struct{}),
+		linkEnded:    make(chan string, inputQueue),
 	}
 	s := &options.Settings
 	state, err := control.New(control.Options{
@@ -100,7 +111,12 @@
 		Address: s.Platform.Log, AppendsPerSecond: s.Limits.AppendsPerSecond, Seed: seedOf(s.Node.Name),
 	})
 	p.records = newRecords(p)
-	if p.access, err = access.Open(access.Options{File: s.Access.TokenFile}); err != nil {
+	p.configuration = newConfiguration(p)
+	p.alarms, p.metrics = newAlarms(p), newMetrics(p)
+	if p.certificates, err = openCertificates(s.TLS, p.record); err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	if p.access, err = access.Open(access.Options{File: s.Access.TokenFile, Record: p.record}); err != nil {
 		return nil, fmt.Errorf("access: %w", err)
 	}
 	return p, nil
@@ -145,6 +161,9 @@
 		p.record(event.PeerRefused, "peer", from, "reason", err.Error())
 		return
 	}
+	if beat, ok := message.(*control.Heartbeat); ok {
+		p.views.heard(from, beat)
+	}
 	select {
 	case p.inputs <- &control.PeerMessage{From: from, Message: message}:
 	default:
@@ -257,11 +276,24 @@
 		func(ctx context.Context) error { p.poller.Run(ctx); return nil },
 		func(context.Context) error { return <-journalEnded },
 		p.records.follow,
+		p.configuration.run,
+		p.alarms.run,
+		p.certificates.watch,
 		func(ctx context.Context) error { <-p.access.Watch(ctx); <-ctx.Done(); return nil },
 	}, nil
 }
 
+// vmListed passes a changed list on. At the start and the end of an outage of
+// the service the list in use is the same as before.
 func (p *Process) vmListed(ctx context.Context, list vmlist.List) {
+	if list.Err != nil {
+		p.record(event.VMListDown, "reason", list.Err.Error())
+		p.vmListDown.Store(true)
+		return
+	}
+	if p.vmListDown.CompareAndSwap(true, false) {
+		p.record(event.VMListUp)
+	}
 	in := &vmList{VMListed: &control.VMListed{}, addresses: map[string]netip.AddrPort{}}
 	for _, vm := range list.VMs {
 		in.Workers = append(in.Workers, control.VMEntry{
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/control"
@@ -17,6 +18,8 @@
 	mu sync.Mutex
 	// unsent are the identities of appends whose outcome is not known yet.
 	unsent map[string]bool
+	// up is false while the log takes no appends.
+	up atomic.Bool
 }
 
 func newRecords(p *Process) *records {
@@ -25,8 +28,10 @@
 
 // append writes a record in the background.
 func (r *records) append(ctx context.Context, out *control.AppendRecord) {
-	kind, body := journal.KindSnapshot, any(out.Began)
+	kind, body := journal.KindSnapshot, any(nil)
 	switch {
+	case out.Began != nil:
+		body = homeSnapshotBody{HomeBegan: *out.Began, Kind: snapshotOfHome}
 	case out.Accepted != nil:
 		kind, body = journal.KindJobAccepted, out.Accepted
 	case out.Ended != nil:
@@ -37,6 +42,7 @@
 		record.Identity = out.Identity
 		var result <-chan journal.Result
 		if result, err = r.process.journal.Append(record); err == nil {
+			r.process.metrics.appended(string(kind))
 			r.mark(out.Identity, true)
 			go r.await(ctx, out.Identity, result)
 			return
@@ -80,10 +86,15 @@
 	}
 }
 
+func (r *records) setUp(ctx context.Context, up bool) {
+	r.up.Store(up)
+	r.process.push(ctx, &control.LogState{Up: up})
+}
+
 // follow reads the log from its oldest record and reports the log's state.
 func (r *records) follow(ctx context.Context) error {
 	p := r.process
-	p.push(ctx, &control.LogState{Up: true})
+	r.setUp(ctx, true)
 	follower := p.journal.Follow(ctx, 0)
 	for {
 		select {
@@ -91,7 +102,7 @@
 			if state == journal.StateDown {
 				r.withdraw()
 			}
-			p.push(ctx, &control.LogState{Up: state != journal.StateDown})
+			r.setUp(ctx, state != journal.StateDown)
 		case delivery, open := <-follower.Deliveries:
 			if !open {
 				return <-follower.Ended
@@ -102,28 +113,46 @@
 }
 
 func (r *records) deliver(ctx context.Context, delivery *journal.Delivery) {
+	configuration := r.process.configuration
+	if delivery.Lost != nil {
+		configuration.lost(delivery.Lost.To)
+	}
 	for i := range delivery.Entries {
 		entry := &delivery.Entries[i]
-		if entry.Fault != nil {
-			continue
+		if entry.Fault == nil {
+			r.deliverEntry(ctx, entry)
 		}
-		in := &control.RecordRead{Offset: uint64(entry.Offset)}
-		var err error
-		switch entry.Record.Kind {
-		case journal.KindJobAccepted:
-			in.Accepted = &control.JobAccepted{}
-			err = entry.Record.Decode(in.Accepted)
-		case journal.KindJobEnded:
-			in.Ended = &control.JobEnded{}
-			err = entry.Record.Decode(in.Ended)
-		case journal.KindSnapshot:
-			in.Began = &control.HomeBegan{}
-			err = entry.Record.Decode(in.Began)
-		default:
-			continue
-		}
-		if err == nil {
-			r.process.push(ctx, in)
+		configuration.passed(entry.Offset)
+	}
+	configuration.advance(ctx, delivery.Next, delivery.CaughtUp)
+}
+
+func (r *records) deliverEntry(ctx context.Context, entry *journal.Entry) {
+	in := &control.RecordRead{Offset: uint64(entry.Offset)}
+	var err error
+	switch entry.Record.Kind {
+	case journal.KindJobAccepted:
+		in.Accepted = &control.JobAccepted{}
+		err = entry.Record.Decode(in.Accepted)
+	case journal.KindJobEnded:
+		in.Ended = &control.JobEnded{}
+		err = entry.Record.Decode(in.Ended)
+	case journal.KindPolicyChange:
+		r.process.configuration.changeRead(entry.Offset, &entry.Record)
+		return
+	case journal.KindSnapshot:
+		var kind snapshotKind
+		if err = entry.Record.Decode(&kind); err == nil && kind.Kind == snapshotOfPolicy {
+			r.process.configuration.snapshotRead(ctx, entry.Offset, &entry.Record)
+			return
 		}
+		var body homeSnapshotBody
+		err = entry.Record.Decode(&body)
+		in.Began = &body.HomeBegan
+	default:
+		return
+	}
+	if err == nil {
+		r.process.push(ctx, in)
 	}
 }
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -54,6 +54,8 @@
 	Identity string    `json:"identity"`
 	Since    time.Time `json:"since"`
 	Meaning  string    `json:"meaning"`
+	// Affected says whose work suffers.
+	Affected string `json:"affected,omitempty"`
 	// Action is what a person has to do.
 	Action string `json:"action"`
 }
@@ -106,6 +108,9 @@
 	Reason      string   `json:"reason"`
 	Sections    []string `json:"sections,omitempty"`
 	Files       []File   `json:"files"`
+	// Identity names the change, so that its outcome can be looked up in the
+	// history after a lost answer; the node makes one if it is empty.
+	Identity string `json:"identity,omitempty"`
 	// Author is set by the node from the token.
 	Author string `json:"-"`
 }
@@ -122,6 +127,7 @@
 	Reason   string    `json:"reason"`
 	Sections []string  `json:"sections"`
 	Digest   string    `json:"digest,omitempty"`
+	Identity string    `json:"identity,omitempty"`
 }
 
 // Diff is how a folder differs from the configuration in force.
