--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,154 @@
+package estimate_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/estimate"
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newTask(i int, declared time.Duration) placement.Task {
+	return placement.Task{ID: placement.TaskID{Key: workload.Key(fmt.Sprint("task-", i))}, Class: "class",
+		RunTime: declared, Resources: workload.Resources{MilliCPU: 1000, MemoryMB: 1000}}
+}
+
+func run(e *estimate.Estimator, now time.Time, task placement.Task, ran time.Duration, outcome placement.Outcome) {
+	e.Started(now, task)
+	e.Ended(now.Add(ran), task.ID, outcome)
+}
+
+// Guards against declarations that are believed when they are wrong by a
+// constant factor, missing, or wrong at random by up to 5 times.
+func TestRunTimeIsCorrected(t *testing.T) {
+	for name, test := range map[string]struct {
+		declare func(random *rand.Rand, actual time.Duration) time.Duration
+		// want is the largest mean error, as a factor.
+		want float64
+	}{
+		"five times too short": {func(_ *rand.Rand, actual time.Duration) time.Duration { return actual / 5 }, 1.15},
+		"five times too long":  {func(_ *rand.Rand, actual time.Duration) time.Duration { return actual * 5 }, 1.15},
+		"not declared":         {func(*rand.Rand, time.Duration) time.Duration { return 0 }, 1.6},
+		"wrong at random": {func(random *rand.Rand, actual time.Duration) time.Duration {
+			return time.Duration(float64(actual) * math.Pow(5, 2*random.Float64()-1))
+		}, 1.6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const seed = 7
+			t.Log("seed", seed)
+			random := rand.New(rand.NewPCG(seed, 0))
+			e, sum := estimate.New(estimate.Options{Quantile: 0.5}), 0.0
+			for i := range 600 {
+				actual := time.Duration(math.Exp2(2*random.Float64()) * float64(time.Second))
+				task := newTask(i, test.declare(random, actual))
+				if i >= 300 {
+					sum += math.Abs(math.Log(float64(e.RunTime(task)) / float64(actual)))
+				}
+				run(e, start, task, actual, placement.Completed)
+			}
+			require.Less(t, math.Exp(sum/300), test.want)
+		})
+	}
+}
+
+// Guards against estimates that follow outliers, failed tasks or lost tasks.
+func TestOutliersHaveNoEffect(t *testing.T) {
+	e := estimate.New(estimate.Options{})
+	for i := range 200 {
+		run(e, start, newTask(i, time.Second), time.Second, placement.Completed)
+		if i%10 == 0 {
+			run(e, start, newTask(1000+i, time.Second), time.Hour, placement.Completed)
+		}
+		run(e, start, newTask(2000+i, time.Second), time.Millisecond, placement.Failed)
+		run(e, start, newTask(3000+i, time.Second), time.Millisecond, placement.Stopped)
+	}
+	require.InDelta(t, time.Second.Seconds(), e.RunTime(newTask(0, time.Second)).Seconds(), 0.2)
+}
+
+// Guards against estimates that never follow a change, whether it shows in
+// many new observations or in few after a long time.
+func TestOldObservationsDecay(t *testing.T) {
+	for name, test := range map[string]struct {
+		count int
+		after time.Duration
+	}{"many observations": {600, 0}, "long time": {10, 100 * time.Hour}} {
+		t.Run(name, func(t *testing.T) {
+			e := estimate.New(estimate.Options{})
+			for i := range 250 {
+				run(e, start, newTask(i, time.Second), time.Second, placement.Completed)
+			}
+			for i := range test.count {
+				run(e, start.Add(test.after), newTask(i, time.Second), 4*time.Second, placement.Completed)
+			}
+			require.InDelta(t, 4, e.RunTime(newTask(0, time.Second)).Seconds(), 0.8)
+		})
+	}
+}
+
+// Guards against a table that grows with the number of classes, and against
+// dropping the class that is in use.
+func TestClassesAreBounded(t *testing.T) {
+	e := estimate.New(estimate.Options{MaxClasses: 4, MaxTasks: 2})
+	for i := range 100 {
+		rare, used := newTask(i, 0), newTask(i, 0)
+		rare.Class = fmt.Sprint("rare-", i)
+		run(e, start, rare, time.Minute, placement.Completed)
+		run(e, start, used, time.Second, placement.Completed)
+	}
+	require.Equal(t, 4, e.Classes())
+	require.InDelta(t, 1, e.RunTime(newTask(0, 0)).Seconds(), 0.2)
+}
+
+// Guards against grants that stay too small, and against corrections beyond
+// the largest VM.
+func TestSizeIsCorrected(t *testing.T) {
+	e := estimate.New(estimate.Options{})
+	for i := range 100 {
+		task := newTask(i, time.Second)
+		e.Started(start, task)
+		e.Usage(start, task.ID, workload.Resources{MilliCPU: 300, MemoryMB: 3000}, "")
+		e.Ended(start.Add(time.Second), task.ID, placement.Completed)
+		// A late report on an ended task has no effect.
+		require.Empty(t, e.Usage(start, task.ID, workload.Resources{MemoryMB: 1 << 20}, ""))
+	}
+	size := e.Size(newTask(0, 0), workload.Resources{MilliCPU: 16000, MemoryMB: 32000})
+	require.InDelta(t, 330, size.MilliCPU, 70)
+	require.InDelta(t, 3300, size.MemoryMB, 700)
+	require.EqualValues(t, 2000, e.Size(newTask(0, 0), workload.Resources{MilliCPU: 16000, MemoryMB: 2000}).MemoryMB)
+}
+
+// Guards against ending work that policy protects, against advice from one
+// peak, and against the same advice with every report.
+func TestAdvice(t *testing.T) {
+	overMemory, overCPU := workload.Resources{MemoryMB: 1500}, workload.Resources{MilliCPU: 1500}
+	for name, test := range map[string]struct {
+		policy placement.Verb
+		used   workload.Resources
+		want   placement.Verb
+	}{
+		"memory, checkpoint":     {placement.VerbCheckpoint, overMemory, placement.VerbCheckpoint},
+		"memory, stop":           {placement.VerbStop, overMemory, placement.VerbStop},
+		"memory, throttle":       {placement.VerbThrottle, overMemory, placement.VerbThrottle},
+		"memory, not preempted":  {"", overMemory, placement.VerbThrottle},
+		"processor time, stop":   {placement.VerbStop, overCPU, placement.VerbThrottle},
+		"inside the tolerance":   {placement.VerbStop, workload.Resources{MemoryMB: 1050}, ""},
+		"exactly what was given": {placement.VerbStop, workload.Resources{MilliCPU: 1000, MemoryMB: 1000}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := estimate.New(estimate.Options{})
+			task := newTask(0, time.Second)
+			e.Started(start, task)
+			require.Empty(t, e.Usage(start, task.ID, test.used, test.policy).Verb)
+			require.Equal(t, test.want, e.Usage(start, task.ID, test.used, test.policy).Verb)
+			require.Empty(t, e.Usage(start, task.ID, test.used, test.policy).Verb)
+		})
+	}
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,207 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/internal/quarantine"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const slots = 8
+
+// fleet runs tasks on every worker that is not excluded; fails says how a task
+// of a class ends on a worker.
+type fleet struct {
+	tracker   *quarantine.Tracker
+	names     []string
+	now       time.Time
+	random    *rand.Rand
+	fails     func(class, worker string) float64
+	lost      map[string]int
+	decisions []quarantine.Decision
+	changes   int
+}
+
+func newFleet(t *testing.T, seed uint64, workers int, fails func(class, worker string) float64) *fleet {
+	t.Log("seed", seed)
+	f := &fleet{now: start, random: rand.New(rand.NewPCG(seed, 0)), fails: fails, lost: map[string]int{}}
+	f.tracker = quarantine.New(quarantine.Options{FitnessChanged: func(string) { f.changes++ }})
+	for i := range workers {
+		f.names = append(f.names, fmt.Sprintf("worker-%03d", i))
+		f.tracker.AddWorker(start, f.names[i], 0)
+	}
+	return f
+}
+
+// round fills every free slot, starts all tasks before any of them ends, and
+// reports the ends in a random order.
+func (f *fleet) round(classes ...string) {
+	type started struct {
+		task   placement.Task
+		worker string
+	}
+	var all []started
+	for _, name := range f.names {
+		for range slots {
+			if !f.tracker.Excluded(name) {
+				task := placement.Task{Class: classes[f.random.IntN(len(classes))]}
+				f.tracker.Started(f.now, task, name)
+				all = append(all, started{task, name})
+			}
+		}
+	}
+	f.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for _, s := range all {
+		outcome := placement.Completed
+		if f.random.Float64() < f.fails(s.task.Class, s.worker) {
+			outcome = placement.Failed
+			f.lost[s.worker]++
+		}
+		f.decisions = append(f.decisions, f.tracker.Ended(f.now, s.task, s.worker, outcome)...)
+	}
+	f.now = f.now.Add(time.Second)
+	f.tracker.Tick(f.now)
+}
+
+func (f *fleet) count(verb placement.Verb, worker string) int {
+	count := 0
+	for _, d := range f.decisions {
+		if d.Verb == verb && (worker == "" || d.Worker == worker) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against losing more than 8 tasks to a worker that fails everything,
+// from a cold start and after a long healthy time, and against quarantining
+// its peers when a tenth of their tasks fail.
+func TestBlackHoleLosesAtMostEight(t *testing.T) {
+	for name, healthyRounds := range map[string]int{"cold": 0, "after healthy time": 20} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				broken := false
+				f := newFleet(t, seed, 20, func(_, worker string) float64 {
+					if broken && worker == "worker-007" {
+						return 1
+					}
+					return 0.02
+				})
+				for range healthyRounds {
+					f.round("a", "b")
+				}
+				broken = true
+				f.lost["worker-007"] = 0
+				for range 5 {
+					f.round("a", "b")
+				}
+				require.LessOrEqual(t, f.lost["worker-007"], quarantine.MaxLost)
+				require.Equal(t, 1, f.count(placement.VerbQuarantine, "worker-007"))
+				require.Equal(t, 1, f.count(placement.VerbQuarantine, ""))
+				require.Positive(t, f.changes)
+			}
+		})
+	}
+}
+
+// Guards against a worker that stays out after its repair, and against probes
+// that cost many tasks while it is still broken.
+func TestProbesReleaseRepairedWorker(t *testing.T) {
+	broken := true
+	f := newFleet(t, 1, 10, func(_, worker string) float64 {
+		if broken && worker == "worker-000" {
+			return 1
+		}
+		return 0
+	})
+	for range 300 {
+		f.round("a")
+	}
+	// With a back-off of 10 s that doubles, 300 s hold 4 probes.
+	require.LessOrEqual(t, f.lost["worker-000"], quarantine.MaxLost+4)
+	require.Zero(t, f.count(placement.VerbRelease, ""))
+	broken = false
+	for range 400 {
+		f.round("a")
+	}
+	require.Equal(t, 1, f.count(placement.VerbRelease, "worker-000"))
+	require.False(t, f.tracker.Excluded("worker-000"))
+	require.Zero(t, f.tracker.Quarantined())
+}
+
+// Guards against blaming workers for a class that fails everywhere, and
+// against a blame that outlives the cause.
+func TestClassThatFailsEverywhereIsBlamed(t *testing.T) {
+	fixed := false
+	f := newFleet(t, 2, 12, func(class, _ string) float64 {
+		if class == "bad" && !fixed {
+			return 1
+		}
+		return 0
+	})
+	for range 10 {
+		f.round("good", "bad", "good")
+	}
+	require.Equal(t, []string{"bad"}, f.tracker.Blamed())
+	require.Equal(t, 1, f.count(placement.VerbBlame, ""))
+	require.Zero(t, f.count(placement.VerbQuarantine, ""))
+	for _, name := range f.names {
+		require.False(t, f.tracker.Excluded(name))
+	}
+	fixed = true
+	f.round("good", "bad")
+	require.Empty(t, f.tracker.Blamed())
+}
+
+// Guards against a common cause that takes a large part of the fleet out of
+// service, and against a fleet of one worker that gets no work at all.
+func TestQuarantineIsBounded(t *testing.T) {
+	f := newFleet(t, 3, 40, func(_, worker string) float64 {
+		if worker < "worker-020" {
+			return 1
+		}
+		return 0
+	})
+	for range 50 {
+		f.round("a")
+		require.LessOrEqual(t, f.tracker.Quarantined(), 4)
+	}
+	alone := newFleet(t, 3, 1, func(string, string) float64 { return 1 })
+	for range 20 {
+		alone.round("a")
+		require.False(t, alone.tracker.Excluded("worker-000"))
+	}
+}
+
+// Guards against verdicts on healthy workers by chance: with 5% of all tasks
+// failing everywhere, quarantines stay rare and short.
+func TestHealthyWorkersStayInService(t *testing.T) {
+	f := newFleet(t, 4, 50, func(string, string) float64 { return 0.05 })
+	for range 100 {
+		f.round("a", "b", "c")
+	}
+	// 40,000 outcomes; a run of 5 failures has a chance of 3 in 10^7 each.
+	require.LessOrEqual(t, f.count(placement.VerbQuarantine, ""), 1)
+}
+
+// Guards against tables that grow with the names of classes and workers.
+func TestTablesAreBounded(t *testing.T) {
+	tracker := quarantine.New(quarantine.Options{MaxClasses: 3})
+	for i := range 100 {
+		tracker.AddWorker(start, "worker", 0)
+		tracker.AddWorker(start, "peer", 0)
+		task := placement.Task{Class: fmt.Sprint("class-", i)}
+		tracker.Started(start, task, "worker")
+		tracker.Ended(start, task, "worker", placement.Failed)
+		tracker.RemoveWorker("worker")
+	}
+	require.LessOrEqual(t, len(tracker.Blamed()), 3)
+	require.False(t, tracker.Excluded("worker"))
+}
