--- a/internal/tenure/owner.go
+++ b/internal/tenure/owner.go
@@ -157,7 +157,6 @@
 	return nil
 }
 
-// entry returns the entry of a range, or nil if the table is full.
 // Newest returns the newest number that this owner knows of a range; zero if it
 // knows none. Its node is the range's home as far as the owner can tell.
 func (l *Leases) Newest(scope Range) LeaseNumber {
@@ -167,6 +166,7 @@
 	return LeaseNumber{}
 }
 
+// entry returns the entry of a range, or nil if the table is full.
 func (l *Leases) entry(now time.Time, scope Range) *promise {
 	p := l.promises[scope]
 	if p != nil {
