Replace ended nodes in the demo and take ports outside the outgoing range

Cause: a replaced node failed to listen because its port had become the source port of a connection; callers of ended nodes used up their retry budget. Change: nodes' ports come from 20000-31999; relays keep their address; unanswered requests are explained by the scheduler in the report's examples.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -72,10 +73,12 @@
 
 // Node is one running entry VM.
 type Node struct {
-	Spec      NodeSpec
-	Settings  settings.Settings
-	Process   *node.Process
-	relay     *relay
+	Spec     NodeSpec
+	Settings settings.Settings
+	Process  *node.Process
+	relay    *relay
+	// callers is the address of the relay, which a replacement keeps.
+	callers   netip.AddrPort
 	cancel    context.CancelFunc
 	ended     chan error
 	isRunning bool
@@ -212,8 +215,8 @@
 }
 
 func (c *Cell) callerAddress(i int) netip.AddrPort {
-	if relay := c.Nodes[i].relay; relay != nil {
-		return relay.address()
+	if c.Options.CutOnKill {
+		return c.Nodes[i].callers
 	}
 	return c.addresses[i].Callers
 }
@@ -243,27 +246,58 @@
 	return netip.ParseAddrPort(listener.Addr().String())
 }
 
+// Ports of nodes are below the range that systems take for outgoing
+// connections, so that a replaced node finds its ports free again.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
 // freeAddresses finds three free ports. Another process may take one before
 // the node listens, in which case the node's start fails with a clear error.
 func freeAddresses() (settings.Addresses, error) {
 	var addresses settings.Addresses
-	for _, address := range []*netip.AddrPort{&addresses.Callers, &addresses.Operators} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var opened []io.Closer
+	defer func() {
+		for _, each := range opened {
+			_ = each.Close()
+		}
+	}()
+	for _, address := range []*netip.AddrPort{&addresses.Callers, &addresses.Operators, &addresses.Peers} {
+		found, closers, err := freePort()
 		if err != nil {
 			return addresses, err
 		}
-		*address = netip.MustParseAddrPort(listener.Addr().String())
-		defer listener.Close()
+		*address = found
+		opened = append(opened, closers...)
 	}
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	if err != nil {
-		return addresses, err
-	}
-	defer socket.Close()
-	addresses.Peers = netip.MustParseAddrPort(socket.LocalAddr().String())
 	return addresses, nil
 }
 
+// freePort finds a port that is free for TCP and UDP and holds it until the
+// closers are called.
+func freePort() (netip.AddrPort, []io.Closer, error) {
+	var last error
+	for range portTries {
+		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			last = err
+			continue
+		}
+		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+		if err != nil {
+			_ = listener.Close()
+			last = err
+			continue
+		}
+		return address, []io.Closer{listener, socket}, nil
+	}
+	return netip.AddrPort{}, nil, fmt.Errorf("no free port after %d tries: %w", portTries, last)
+}
+
 // Settings returns the settings of a node.
 func (c *Cell) Settings(i int) settings.Settings {
 	spec := c.Options.Nodes[i]
@@ -298,9 +332,13 @@
 	n.Process, n.cancel, n.ended, n.isRunning = process, cancel, make(chan error, 1), true
 	go func() { n.ended <- process.Run(ctx) }()
 	if c.Options.CutOnKill {
-		n.relay, err = startRelay(c.ctx, n.Settings.Addresses.Callers)
+		n.relay, err = startRelay(c.ctx, n.callers, n.Settings.Addresses.Callers)
+		if err != nil {
+			return fmt.Errorf("relay of node %s: %w", n.Spec.Name, err)
+		}
+		n.callers = n.relay.address()
 	}
-	return err
+	return nil
 }
 
 func (c *Cell) peerDelay(from NodeSpec) func(to string) time.Duration {
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -21,8 +21,19 @@
 	group sync.WaitGroup
 }
 
-func startRelay(ctx context.Context, to netip.AddrPort) (*relay, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+// startRelay listens at an address, or at a free port if it is not valid.
+func startRelay(ctx context.Context, at, to netip.AddrPort) (*relay, error) {
+	if !at.IsValid() {
+		free, closers, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		for _, each := range closers {
+			_ = each.Close()
+		}
+		at = free
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", at.String())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -41,10 +41,15 @@
 	// Folder is the configuration, below Options.Examples.
 	Folder string
 	// Killed and Drained are the nodes that end, and KillAt and DrainAt when.
+	// Each is replaced after replaceAfter.
 	Killed, Drained int
 	KillAt, DrainAt time.Duration
 }
 
+// replaceAfter is the time from the end of a node to the start of its
+// replacement.
+const replaceAfter = 2 * time.Second
+
 // Options configure a demo.
 type Options struct {
 	Deployments []Deployment
@@ -72,6 +77,8 @@
 	// Configuration says which configuration was in force.
 	Configuration string       `json:"configuration"`
 	Report        *load.Report `json:"report"`
+	// StopNote is what the cell reported when it was stopped at the end.
+	StopNote string `json:"stop-note,omitempty"`
 }
 
 // Deployments returns both deployments of the design.
@@ -156,7 +163,12 @@
 	if err != nil {
 		return result, err
 	}
-	defer func() { err = errors.Join(err, c.Stop()) }()
+	defer func() {
+		// A cell that ends with open requests says so; the measures stay valid.
+		if stopErr := c.Stop(); stopErr != nil {
+			result.StopNote = stopErr.Error()
+		}
+	}()
 	readyContext, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
 	if err := c.AwaitReady(readyContext); err != nil {
@@ -183,9 +195,12 @@
 		spec := c.Options.Nodes[i]
 		return fmt.Sprintf("%s (%s, %s)", spec.Name, spec.FailureDomain, spec.Region)
 	}
+	replace := func(i int) func() error { return func() error { return c.StartNode(i) } }
 	return []load.Action{
 		{At: d.KillAt, Name: "kill " + name(d.Killed), Do: func() error { return c.KillNode(d.Killed) }},
+		{At: d.KillAt + replaceAfter, Name: "replace " + name(d.Killed), Do: replace(d.Killed)},
 		{At: d.DrainAt, Name: "drain " + name(d.Drained), Do: func() error { return c.DrainNode(d.Drained) }},
+		{At: d.DrainAt + replaceAfter, Name: "replace " + name(d.Drained), Do: replace(d.Drained)},
 	}
 }
 
@@ -210,6 +225,9 @@
 		if err := d.Report.WriteText(out); err != nil {
 			return err
 		}
+		if d.StopNote != "" {
+			fmt.Fprintf(out, "At its end the cell reported: %s\n", d.StopNote)
+		}
 		fmt.Fprintln(out)
 	}
 	verdict := "No answer was lost, doubled or wrong."
--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -167,6 +168,28 @@
 	each.done.Store(true)
 }
 
+// explain asks the scheduler why some unanswered requests wait, for the
+// examples of a report.
+func (r *run) explain(ctx context.Context) {
+	asked := 0
+	for _, each := range r.records {
+		if each.outcome != Unanswered || asked == maxExamples {
+			continue
+		}
+		asked++
+		ctx, stop := context.WithTimeout(ctx, cancelTime)
+		explanation, err := r.options.Target.Clients[each.arrivals.Region].Explain(ctx, caller.Query{Key: each.key, Team: each.arrivals.Team})
+		stop()
+		each.message = "explained as: " + explanation.Summary
+		if err != nil {
+			each.message = "explaining it failed: " + err.Error()
+		}
+		for _, step := range explanation.Steps {
+			each.message += fmt.Sprintf("; %.3f s %s %s", step.At.Sub(r.start).Seconds(), step.What, step.Detail)
+		}
+	}
+}
+
 // await waits for the answer of an accepted job for as long as the run lasts.
 func (r *run) await(ctx context.Context, client *caller.Client, each *record) (workload.Answer, error) {
 	for {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -140,6 +140,7 @@
 	if err := context.Cause(ctx); err != nil && ctx.Err() == context.Canceled {
 		return nil, err
 	}
+	r.explain(context.WithoutCancel(ctx))
 	var workers []worker.State
 	if options.Target.Workers != nil {
 		var err error
