--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -139,6 +139,9 @@
 	if options.Target, err = load.CellTarget(options.Mix, c); err != nil {
 		return nil, err
 	}
+	if options.Actions, err = load.CellActions(options.Mix, c); err != nil {
+		return nil, err
+	}
 	return load.Run(ctx, options)
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -40,16 +40,8 @@
 	Mix  *load.Mix
 	// Folder is the configuration, below Options.Examples.
 	Folder string
-	// Killed and Drained are the nodes that end, and KillAt and DrainAt when.
-	// Each is replaced after replaceAfter.
-	Killed, Drained int
-	KillAt, DrainAt time.Duration
 }
 
-// replaceAfter is the time from the end of a node to the start of its
-// replacement.
-const replaceAfter = 2 * time.Second
-
 // Options configure a demo.
 type Options struct {
 	Deployments []Deployment
@@ -83,11 +75,9 @@
 
 // Deployments returns both deployments of the design.
 func Deployments() []Deployment {
-	// The mixes have windows of their own for the ends of the two nodes.
-	const killAt, drainAt = 17 * time.Second, 24 * time.Second
 	return []Deployment{
-		{Name: "Ravi Levy Trust Services", Mix: mustRead("ravi-levy"), Folder: "ravi-levy", Killed: 0, Drained: 1, KillAt: killAt, DrainAt: drainAt},
-		{Name: "Midlands Connected Oven Guild", Mix: mustRead("guild"), Folder: "guild", Killed: 0, Drained: 1, KillAt: killAt, DrainAt: drainAt},
+		{Name: "Ravi Levy Trust Services", Mix: mustRead("ravi-levy"), Folder: "ravi-levy"},
+		{Name: "Midlands Connected Oven Guild", Mix: mustRead("guild"), Folder: "guild"},
 	}
 }
 
@@ -157,7 +147,7 @@
 
 func runOne(ctx context.Context, options *Options, deployment *Deployment) (result DeploymentResult, err error) {
 	cellOptions := load.CellOptions(deployment.Mix)
-	cellOptions.Log, cellOptions.CutOnKill = options.Log, true
+	cellOptions.Log = options.Log
 	result = DeploymentResult{Name: deployment.Name, Nodes: len(cellOptions.Nodes), Workers: len(cellOptions.Workers)}
 	c, err := cell.Start(ctx, cellOptions)
 	if err != nil {
@@ -181,8 +171,12 @@
 	if err != nil {
 		return result, err
 	}
+	actions, err := load.CellActions(deployment.Mix, c)
+	if err != nil {
+		return result, err
+	}
 	result.Report, err = load.Run(ctx, load.Options{
-		Mix: deployment.Mix, Target: target, Actions: deployment.actions(c),
+		Mix: deployment.Mix, Target: target, Actions: actions,
 		Progress: func(format string, arguments ...any) {
 			options.Progress(deployment.Folder+" "+format, arguments...)
 		},
@@ -190,20 +184,6 @@
 	return result, err
 }
 
-func (d *Deployment) actions(c *cell.Cell) []load.Action {
-	name := func(i int) string {
-		spec := c.Options.Nodes[i]
-		return fmt.Sprintf("%s (%s, %s)", spec.Name, spec.FailureDomain, spec.Region)
-	}
-	replace := func(i int) func() error { return func() error { return c.StartNode(i) } }
-	return []load.Action{
-		{At: d.KillAt, Name: "kill " + name(d.Killed), Do: func() error { return c.KillNode(d.Killed) }},
-		{At: d.KillAt + replaceAfter, Name: "replace " + name(d.Killed), Do: replace(d.Killed)},
-		{At: d.DrainAt, Name: "drain " + name(d.Drained), Do: func() error { return c.DrainNode(d.Drained) }},
-		{At: d.DrainAt + replaceAfter, Name: "replace " + name(d.Drained), Do: replace(d.Drained)},
-	}
-}
-
 // faults returns what the scheduler did wrong in the deployment.
 func (d *DeploymentResult) faults() []string {
 	faults := d.Report.Checks.Faults()
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
+	"time"
 
 	"yuccalanding.example/yuccalanding/internal/standin/workervm"
 	"yuccalanding.example/yuccalanding/internal/worker"
@@ -130,6 +132,7 @@
 
 // checker lives for one check.
 type checker struct {
+	began    time.Time
 	checks   Checks
 	outcomes map[Outcome]int
 	refusals map[RefusedAs]int
@@ -138,8 +141,8 @@
 
 // check counts the outcomes and compares them with what the workers saw.
 // workers is nil if it is not known.
-func check(records []*record, workers []worker.State) Checks {
-	c := &checker{outcomes: map[Outcome]int{}, refusals: map[RefusedAs]int{}, starts: startsByKey(workers)}
+func check(began time.Time, records []*record, workers []worker.State) Checks {
+	c := &checker{began: began, outcomes: map[Outcome]int{}, refusals: map[RefusedAs]int{}, starts: startsByKey(workers)}
 	c.checks.Planned, c.checks.WorkersChecked = len(records), workers != nil
 	for i := range workers {
 		c.checks.TaskStarts += len(workers[i].Started)
@@ -210,12 +213,22 @@
 		c.checks.Wrong++
 		c.example("%s %s was answered, but not all of its tasks started on a worker", r.arrivals.Name, r.key)
 	}
-	if problem := doubled(r, starts); problem != "" {
+	if problem := c.doubled(r, starts); problem != "" {
 		c.checks.Doubled++
-		c.example("%s %s %s", r.arrivals.Name, r.key, problem)
+		c.example("%s %s, sent at %.3f s, %s (%s)", r.arrivals.Name, r.key, r.at.Seconds(), problem, r.outcome)
 	}
 }
 
+// describe names a start with its times since the start of the run.
+func (c *checker) describe(s *start) string {
+	ended := "running"
+	if s.EndedAtMS != 0 {
+		ended = fmt.Sprintf("%.3f s %s %s", time.UnixMilli(s.EndedAtMS).Sub(c.began).Seconds(), s.Outcome, s.Reason)
+	}
+	return fmt.Sprintf("%s (attempt %d, token %d, %.3f s to %s)", s.worker, s.ID.Attempt, s.Token,
+		time.UnixMilli(s.StartedAtMS).Sub(c.began).Seconds(), strings.TrimSpace(ended))
+}
+
 func allStarted(starts []start, tasks int) bool {
 	seen := map[int]bool{}
 	for _, s := range starts {
@@ -225,17 +238,17 @@
 }
 
 // doubled compares neighbours, since starts of one task are in order of time.
-func doubled(r *record, starts []start) string {
+func (c *checker) doubled(r *record, starts []start) string {
 	for i := 1; i < len(starts); i++ {
 		earlier, later := starts[i-1], starts[i]
 		if earlier.ID.Index != later.ID.Index {
 			continue
 		}
 		if r.arrivals.NonIdempotent {
-			return fmt.Sprintf("is non-idempotent and started on %s and on %s", earlier.worker, later.worker)
+			return fmt.Sprintf("is non-idempotent and started on %s and on %s", c.describe(&earlier), c.describe(&later))
 		}
 		if earlier.EndedAtMS == 0 || earlier.EndedAtMS > later.StartedAtMS {
-			return fmt.Sprintf("ran on %s and on %s at once", earlier.worker, later.worker)
+			return fmt.Sprintf("ran on %s and on %s at once", c.describe(&earlier), c.describe(&later))
 		}
 	}
 	return ""
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -48,7 +48,8 @@
 // The sections [flood NAME] and [cancellation NAME] name a section
 // [arrivals NAME]; a second one for the same arrivals is [flood NAME again].
 // [window NAME] has from and until, and gets its own measures. [cell] says what
-// cell to start in the process. The tables in schema.go list all keys.
+// cell to start in the process; [kill NODE] and [drain NODE] end one of its
+// nodes at a time and replace it after replace-after, if that is set. The tables in schema.go list all keys.
 package load
 
 import (
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -38,9 +38,21 @@
 	Floods        []Flood
 	Cancellations []Cancellation
 	Windows       []Window
+	Ends          []NodeEnd
 	Cell          CellSpec
 }
 
+// NodeEnd ends one node of a cell in this process.
+type NodeEnd struct {
+	Node string
+	At   time.Duration
+	// Drain ends the node in the planned way, in place of a kill.
+	Drain bool
+	// ReplaceAfter is the time from the end to the start of a replacement with
+	// the same name; 0 starts none.
+	ReplaceAfter time.Duration
+}
+
 // CellSpec describes the cell that a run starts in its own process.
 type CellSpec struct {
 	// Deployment is "small", "ravi-levy" or "guild". Nodes and Workers apply to
--- a/internal/load/read.go
+++ b/internal/load/read.go
@@ -152,8 +152,11 @@
 	case kind == "window" && subject != "":
 		w := &Window{Name: subject}
 		begin(r, windowRules, w, func() { r.mix.Windows = append(r.mix.Windows, *w) })
+	case (kind == "kill" || kind == "drain") && subject != "":
+		e := &NodeEnd{Node: stream, Drain: kind == "drain"}
+		begin(r, endRules, e, func() { r.mix.Ends = append(r.mix.Ends, *e) })
 	default:
-		r.add(r.line, name, "", "unknown section: use run, cell, arrivals NAME, flood NAME, cancellation NAME or window NAME")
+		r.add(r.line, name, "", "unknown section: use run, cell, arrivals NAME, flood NAME, cancellation NAME, window NAME, kill NODE or drain NODE")
 	}
 }
 
@@ -210,6 +213,13 @@
 	for _, window := range m.Windows {
 		r.checkPart("window "+window.Name, "", window.From, window.Until)
 	}
+	for _, end := range m.Ends {
+		section := "kill " + end.Node
+		if end.Drain {
+			section = "drain " + end.Node
+		}
+		r.checkPart(section, "", end.At, m.Duration)
+	}
 	if count := m.expected(); len(r.findings) == 0 && count > MaxArrivals {
 		r.add(r.headers["run"], "run", "duration", "the mix sends %.0f requests, more than %d: lower rates, factors or the duration", count, MaxArrivals)
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -145,7 +145,7 @@
 	report := &Report{
 		Mix: mix.Name, Seed: mix.Seed, StartedAt: r.start.UTC(), DurationMS: milliseconds(mix.Duration),
 		Offered: float64(len(r.records)) / mix.Duration.Seconds(), Clocks: clocks, CostCovers: r.options.Target.About,
-		Actions: r.actions, Checks: check(r.records, workers), Series: series(mix, r.records),
+		Actions: r.actions, Checks: check(r.start, r.records, workers), Series: series(mix, r.records),
 	}
 	report.Packing = allocation(r.start, mix.Duration, r.records, workers)
 	for _, window := range mix.windows() {
--- a/internal/load/schema.go
+++ b/internal/load/schema.go
@@ -73,6 +73,11 @@
 	{"until", true, span(func(w *Window) *time.Duration { return &w.Until })},
 }
 
+var endRules = []rule[NodeEnd]{
+	{"at", true, span(func(e *NodeEnd) *time.Duration { return &e.At })},
+	{"replace-after", false, span(func(e *NodeEnd) *time.Duration { return &e.ReplaceAfter })},
+}
+
 func whole[T any](lowest, highest int64, set func(*T, int64)) func(*T, string) error {
 	return func(into *T, value string) error {
 		parsed, err := strconv.ParseInt(value, 10, 64)
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -106,11 +107,36 @@
 
 // CellOptions returns the cell that a mix asks for.
 func CellOptions(mix *Mix) cell.Options {
+	options := cell.Options{Nodes: cell.SmallNodes(mix.Cell.Nodes), Workers: cell.SmallWorkers(mix.Cell.Workers)}
 	switch mix.Cell.Deployment {
 	case "ravi-levy":
-		return cell.RaviLevy()
+		options = cell.RaviLevy()
 	case "guild":
-		return cell.Guild()
+		options = cell.Guild()
 	}
-	return cell.Options{Nodes: cell.SmallNodes(mix.Cell.Nodes), Workers: cell.SmallWorkers(mix.Cell.Workers)}
+	for _, end := range mix.Ends {
+		options.CutOnKill = options.CutOnKill || !end.Drain
+	}
+	return options
+}
+
+// CellActions returns the ends of nodes that a mix asks for.
+func CellActions(mix *Mix, c *cell.Cell) ([]Action, error) {
+	var actions []Action
+	for _, end := range mix.Ends {
+		i := slices.IndexFunc(c.Options.Nodes, func(spec cell.NodeSpec) bool { return spec.Name == end.Node })
+		if i < 0 {
+			return nil, fmt.Errorf("the cell has no node %s", end.Node)
+		}
+		name := fmt.Sprintf("%s (%s, %s)", end.Node, c.Options.Nodes[i].FailureDomain, c.Options.Nodes[i].Region)
+		if end.Drain {
+			actions = append(actions, Action{At: end.At, Name: "drain " + name, Do: func() error { return c.DrainNode(i) }})
+		} else {
+			actions = append(actions, Action{At: end.At, Name: "kill " + name, Do: func() error { return c.KillNode(i) }})
+		}
+		if end.ReplaceAfter > 0 {
+			actions = append(actions, Action{At: end.At + end.ReplaceAfter, Name: "replace " + name, Do: func() error { return c.StartNode(i) }})
+		}
+	}
+	return actions, nil
 }
