--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -411,6 +411,9 @@
 	return c.Nodes[i].Process.Dump(ctx)
 }
 
+// Running reports whether a node runs.
+func (c *Cell) Running(i int) bool { return c.Nodes[i].isRunning }
+
 // AwaitReady waits until every worker has an owner among the running nodes.
 func (c *Cell) AwaitReady(ctx context.Context) error {
 	for {
--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 
 	"yuccalanding.example/yuccalanding/internal/cell"
@@ -36,6 +37,7 @@
 	PNG       string    `name:"png" help:"Write the plots as PNG files into a folder as well." placeholder:"FOLDER"`
 	Compare   []string  `help:"Compare two JSON reports, older and newer, in place of a run." placeholder:"FILE" sep:"none"`
 	Check     bool      `help:"Only check the mix file."`
+	Dump      string    `help:"Write the states of a cell's nodes at the end of the run into a folder." placeholder:"FOLDER"`
 	Log       string    `help:"Write the events of a cell's nodes to a file." placeholder:"FILE"`
 }
 
@@ -142,7 +144,29 @@
 	if options.Actions, err = load.CellActions(options.Mix, c); err != nil {
 		return nil, err
 	}
-	return load.Run(ctx, options)
+	report, err = load.Run(ctx, options)
+	return report, errors.Join(err, f.dump(ctx, c))
+}
+
+// dump writes the state of each running node.
+func (f *loadFlags) dump(ctx context.Context, c *cell.Cell) error {
+	if f.Dump == "" {
+		return nil
+	}
+	for i, n := range c.Nodes {
+		if !c.Running(i) {
+			continue
+		}
+		state, err := c.Dump(ctx, i)
+		if err != nil {
+			return err
+		}
+		write := func(out io.Writer) error { return writeJSON(out, state) }
+		if err := toFile(filepath.Join(f.Dump, n.Spec.Name+".json"), write); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (f *loadFlags) write(out io.Writer, report *load.Report) error {
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -126,17 +126,21 @@
 	return nil
 }
 
-// firstFlood is the start of the first flood, or the end of the run.
-func (m *Mix) firstFlood() time.Duration {
+// undisturbedUntil is the start of the first flood or the first end of a node,
+// or else the end of the run.
+func (m *Mix) undisturbedUntil() time.Duration {
 	first := m.Duration
 	for _, flood := range m.Floods {
 		first = min(first, flood.From)
 	}
+	for _, end := range m.Ends {
+		first = min(first, end.At)
+	}
 	return first
 }
 
 // before is the window that overloads are compared with.
-func (m *Mix) before() Window { return Window{"before", m.WarmUp, m.firstFlood()} }
+func (m *Mix) before() Window { return Window{"before", m.WarmUp, m.undisturbedUntil()} }
 
 // windows returns all windows: the time before any flood, each flood and those
 // that the mix names.
