--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -38,9 +38,21 @@
 	Floods        []Flood
 	Cancellations []Cancellation
 	Windows       []Window
+	Ends          []NodeEnd
 	Cell          CellSpec
 }
 
+// NodeEnd ends one node of a cell in this process.
+type NodeEnd struct {
+	Node string
+	At   time.Duration
+	// Drain ends the node in the planned way, in place of a kill.
+	Drain bool
+	// ReplaceAfter is the time from the end to the start of a replacement with
+	// the same name; 0 starts none.
+	ReplaceAfter time.Duration
+}
+
 // CellSpec describes the cell that a run starts in its own process.
 type CellSpec struct {
 	// Deployment is "small", "ravi-levy" or "guild". Nodes and Workers apply to
@@ -114,17 +126,21 @@
 	return nil
 }
 
-// firstFlood is the start of the first flood, or the end of the run.
-func (m *Mix) firstFlood() time.Duration {
+// undisturbedUntil is the start of the first flood or the first end of a node,
+// or else the end of the run.
+func (m *Mix) undisturbedUntil() time.Duration {
 	first := m.Duration
 	for _, flood := range m.Floods {
 		first = min(first, flood.From)
 	}
+	for _, end := range m.Ends {
+		first = min(first, end.At)
+	}
 	return first
 }
 
 // before is the window that overloads are compared with.
-func (m *Mix) before() Window { return Window{"before", m.WarmUp, m.firstFlood()} }
+func (m *Mix) before() Window { return Window{"before", m.WarmUp, m.undisturbedUntil()} }
 
 // windows returns all windows: the time before any flood, each flood and those
 // that the mix names.
