Raise alarms from a table, test operators' calls, write the operators' pages

Change: internal/alarm is a table of conditions (what holds, hold time, who is affected, what to do) and a tracker with hysteresis; docs/alarms.md is generated from it. An alarm that returns within an hour is the same alarm (event 602) and is then cleared only after an hour. A condition that was not raised starts anew after a gap in the observations. History no longer shows base 0 for accepted changes, whose base it does not keep. Messages that the transport drops are counted there alone, so that dropped inputs are inputs.

Ruled out: clearing an alarm that flaps after its short clear time, which would raise it again and again.

Conclusion: alarms of one node are complete; a list over all nodes needs a message between nodes.

--- a/internal/alarm/alarm.go
+++ b/internal/alarm/alarm.go
@@ -12,7 +12,7 @@
 //	tracker := alarm.New()
 //	for range ticker.C {
 //		for _, change := range tracker.Observe(time.Now(), alarm.Sightings(state)) {
-//			// Record that change.Alarm was raised or cleared.
+//			// Record change.Step of change.Alarm.
 //		}
 //	}
 //	list := tracker.Alarms()
@@ -22,7 +22,8 @@
 // A condition that is gone at one observation before its hold time starts anew.
 // A raised alarm is cleared once its condition has been gone for the clear time.
 // An alarm that returns within Reopen of being cleared is the same alarm: it
-// keeps its first time and is not raised again.
+// keeps its first time, is not raised again, and from then on is cleared only
+// after Reopen, so that a condition that comes and goes is one alarm.
 package alarm
 
 import (
@@ -64,10 +65,20 @@
 	Since time.Time
 }
 
-// Change is an alarm that was raised or cleared.
+// Step is what happened to an alarm.
+type Step string
+
+// The steps of an alarm. Returned follows Cleared within Reopen.
+const (
+	Raised   Step = "raised"
+	Returned Step = "returned"
+	Cleared  Step = "cleared"
+)
+
+// Change is one step of an alarm.
 type Change struct {
-	Alarm  Alarm
-	Raised bool
+	Alarm Alarm
+	Step  Step
 }
 
 // track is one condition that holds or held a short while ago.
@@ -77,8 +88,8 @@
 	// present absence. One of them is zero.
 	heldSince, goneSince time.Time
 	raised               bool
-	// wasRaised is set for an alarm that was cleared and is remembered.
-	wasRaised bool
+	// wasRaised is set from the first raising on, returned from the first return.
+	wasRaised, returned bool
 }
 
 // Tracker follows conditions over time. It is not safe for use by several
@@ -91,8 +102,8 @@
 // New returns a tracker that has seen nothing.
 func New() *Tracker { return &Tracker{tracks: map[string]*track{}} }
 
-// Observe takes all conditions that hold now and returns the alarms that were
-// raised and cleared, in the order of their identities.
+// Observe takes all conditions that hold now and returns the steps of
+// alarms, in the order of their identities.
 func (t *Tracker) Observe(now time.Time, sightings []Sighting) []Change {
 	gap := !t.last.IsZero() && now.Sub(t.last) > MaxGap
 	t.last = now
@@ -145,18 +156,24 @@
 	t.heldSince = time.Time{}
 }
 
-// judge raises or clears the alarm. A returned alarm is raised again without a
-// change, as it is the same one.
+// judge returns the step that is due, if any.
 func (t *track) judge(now time.Time) (Change, bool) {
 	condition := t.alarm.Condition
+	clearAfter := condition.Clear
+	if t.returned {
+		clearAfter = max(clearAfter, Reopen)
+	}
 	switch {
 	case !t.raised && !t.heldSince.IsZero() && now.Sub(t.heldSince) >= condition.Hold:
-		again := t.wasRaised
+		step := Raised
+		if t.wasRaised {
+			step, t.returned = Returned, true
+		}
 		t.raised, t.wasRaised = true, true
-		return Change{Alarm: t.alarm, Raised: true}, !again
-	case t.raised && !t.goneSince.IsZero() && now.Sub(t.goneSince) >= condition.Clear:
+		return Change{t.alarm, step}, true
+	case t.raised && !t.goneSince.IsZero() && now.Sub(t.goneSince) >= clearAfter:
 		t.raised = false
-		return Change{Alarm: t.alarm}, true
+		return Change{t.alarm, Cleared}, true
 	}
 	return Change{}, false
 }
--- /dev/null
+++ b/internal/alarm/alarm_test.go
@@ -0,0 +1,162 @@
+package alarm_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"yuccalanding.example/yuccalanding/internal/alarm"
+)
+
+var update = flag.Bool("update", false, "write docs/alarms.md from the table")
+
+const page = "../../docs/alarms.md"
+
+// Guards against a page of alarms that differs from what nodes raise, and
+// against alarms that name nothing to do.
+func TestPageMatchesTable(t *testing.T) {
+	if *update {
+		require.NoError(t, os.WriteFile(page, []byte(alarm.Markdown()), 0o644))
+	}
+	content, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Equal(t, alarm.Markdown(), string(content), "run: go test ./internal/alarm -update")
+	names := map[string]bool{}
+	for _, c := range alarm.Table() {
+		require.False(t, names[c.Name], c.Name)
+		names[c.Name] = true
+		for _, text := range []string{c.Name, c.Holds, c.Remedy, c.Affected, c.Action} {
+			require.NotEmpty(t, text, c.Name)
+		}
+		require.Greater(t, c.Hold, time.Duration(0), c.Name)
+		require.Greater(t, c.Clear, time.Duration(0), c.Name)
+	}
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func sighted(held bool) []alarm.Sighting {
+	if !held {
+		return nil
+	}
+	return []alarm.Sighting{{Condition: alarm.NodeFenced, Subject: "entry-1"}}
+}
+
+// Guards against alarms for conditions that clear by themselves before the hold
+// time, and against flapping that raises an alarm more than once. Conditions
+// come and go at random for a while that is shorter than the memory.
+func TestFlappingRaisesOneAlarm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker, now := alarm.New(), start
+		steps := map[alarm.Step]int{}
+		var longest, held time.Duration
+		for now.Sub(start) < alarm.Reopen {
+			on := rapid.Bool().Draw(t, "on")
+			length := time.Duration(rapid.IntRange(1, 240).Draw(t, "seconds")) * time.Second
+			for end := now.Add(length); now.Before(end); now = now.Add(time.Second) {
+				for _, change := range tracker.Observe(now, sighted(on)) {
+					steps[change.Step]++
+					require.Equal(t, "node-fenced/entry-1", change.Alarm.Identity)
+				}
+				if held += time.Second; !on {
+					held = 0
+				}
+				longest = max(longest, held)
+			}
+		}
+		require.LessOrEqual(t, steps[alarm.Raised], 1)
+		require.LessOrEqual(t, steps[alarm.Returned], 1)
+		require.Equal(t, longest > alarm.NodeFenced.Hold, steps[alarm.Raised] == 1, "the longest hold was %s", longest)
+	})
+}
+
+// Guards against an alarm that stays after its condition, that is cleared by a
+// short break, and against a time before a pause of the process that is counted
+// as held.
+func TestHoldAndClear(t *testing.T) {
+	hold, clear := alarm.NodeFenced.Hold, alarm.NodeFenced.Clear
+	type phase struct {
+		on     bool
+		length time.Duration
+		pause  time.Duration
+		listed int
+		steps  []alarm.Step
+	}
+	for name, phases := range map[string][]phase{
+		"held":           {{true, hold + time.Second, 0, 1, []alarm.Step{alarm.Raised}}, {false, clear + time.Second, 0, 0, []alarm.Step{alarm.Cleared}}},
+		"held too short": {{true, hold, 0, 0, nil}, {false, time.Second, 0, 0, nil}, {true, hold, 0, 0, nil}},
+		"short break":    {{true, hold + time.Second, 0, 1, []alarm.Step{alarm.Raised}}, {false, clear, 0, 1, nil}, {true, time.Second, 0, 1, nil}},
+		"pause":          {{true, hold / 2, 0, 0, nil}, {true, hold, hold, 0, nil}, {true, time.Second, 0, 1, []alarm.Step{alarm.Raised}}},
+		"returns": {
+			{true, hold + time.Second, 0, 1, []alarm.Step{alarm.Raised}}, {false, clear + time.Second, 0, 0, []alarm.Step{alarm.Cleared}},
+			{true, hold + time.Second, 0, 1, []alarm.Step{alarm.Returned}}, {false, alarm.Reopen, 0, 1, nil}, {false, time.Second, 0, 0, []alarm.Step{alarm.Cleared}},
+		},
+		"again after the memory": {
+			{true, hold + time.Second, 0, 1, []alarm.Step{alarm.Raised}}, {false, alarm.Reopen + time.Second, 0, 0, []alarm.Step{alarm.Cleared}},
+			{true, hold + time.Second, 0, 1, []alarm.Step{alarm.Raised}},
+		},
+	} {
+		tracker, now := alarm.New(), start
+		for i, p := range phases {
+			now = now.Add(p.pause)
+			var steps []alarm.Step
+			for end := now.Add(p.length); now.Before(end); now = now.Add(time.Second) {
+				for _, change := range tracker.Observe(now, sighted(p.on)) {
+					steps = append(steps, change.Step)
+				}
+			}
+			require.Equal(t, p.steps, steps, "%s, phase %d", name, i)
+			require.Len(t, tracker.Alarms(), p.listed, "%s, phase %d", name, i)
+		}
+	}
+}
+
+// Guards against conditions that are not seen, seen in a healthy cell, or seen
+// under different identities by different nodes.
+func TestSightings(t *testing.T) {
+	healthy := func() alarm.State {
+		return alarm.State{
+			Now: start, Name: "entry-1", Region: "punjab", LogUp: true, QuarantineBound: 1, Workers: map[string]int{"punjab": 4},
+			Members: []alarm.Member{
+				{Name: "entry-1", Region: "punjab", Live: true, Sessions: 2, Version: 7, Digest: 1},
+				{Name: "entry-2", Region: "punjab", Live: true, Sessions: 2, Version: 7, Digest: 1},
+				{Name: "entry-3", Region: "sindh", Live: true, Version: 7, Digest: 1},
+				{Name: "entry-4", Region: "sindh", Version: 3, Digest: 9},
+			},
+		}
+	}
+	for name, c := range map[string]struct {
+		change func(s *alarm.State)
+		want   []string
+	}{
+		"healthy":                {func(*alarm.State) {}, nil},
+		"log down, no jobs":      {func(s *alarm.State) { s.LogUp = false }, nil},
+		"log down":               {func(s *alarm.State) { s.LogUp, s.HeldJobs = false, 3 }, []string{"log-down/log"}},
+		"worker without owner":   {func(s *alarm.State) { s.Members[1].Sessions = 1 }, []string{"workers-without-owner/punjab"}},
+		"workers of two regions": {func(s *alarm.State) { s.Workers["sindh"], s.Members[0].Sessions = 5, 0 }, []string{"workers-without-owner/punjab", "workers-without-owner/sindh"}},
+		"region lost":            {func(s *alarm.State) { s.Workers["sindh"], s.Members[2].Live = 5, false }, []string{"region-lost/sindh"}},
+		"range without home":     {func(s *alarm.State) { s.Homeless = []string{"ledger"} }, []string{"range-without-home/punjab"}},
+		"quarantine":             {func(s *alarm.State) { s.Quarantined, s.QuarantineBound = []string{"worker-1"}, 2 }, nil},
+		"quarantine bound":       {func(s *alarm.State) { s.Quarantined = []string{"worker-1"} }, []string{"quarantine-bound/punjab"}},
+		"class blamed":           {func(s *alarm.State) { s.Blamed = []alarm.Noted{{Name: "scoring", At: start}} }, []string{"class-blamed/scoring"}},
+		"class blamed long ago":  {func(s *alarm.State) { s.Blamed = []alarm.Noted{{Name: "scoring", At: start.Add(-time.Hour)}} }, nil},
+		"outcome unknown":        {func(s *alarm.State) { s.Unknown = []alarm.Noted{{Name: "key", At: start}} }, []string{"outcome-unknown/entry-1"}},
+		"fenced":                 {func(s *alarm.State) { s.Isolated = true }, []string{"node-fenced/entry-1"}},
+		"this node behind":       {func(s *alarm.State) { s.Members[1].Version = 8 }, []string{"policy-behind/entry-1", "policy-behind/entry-3"}},
+		"other node behind":      {func(s *alarm.State) { s.Members[1].Version = 6 }, []string{"policy-behind/entry-2"}},
+		"contents differ":        {func(s *alarm.State) { s.Members[1].Digest = 2 }, []string{"policy-differs/configuration"}},
+		"stale VM list":          {func(s *alarm.State) { s.VMListAge = time.Hour }, []string{"vm-list-stale/vm-list"}},
+	} {
+		state := healthy()
+		c.change(&state)
+		var identities []string
+		for _, sighting := range alarm.Sightings(state) {
+			identities = append(identities, sighting.Identity())
+		}
+		require.Equal(t, c.want, identities, name)
+	}
+}
--- a/internal/alarm/state.go
+++ b/internal/alarm/state.go
@@ -94,6 +94,8 @@
 	return one(LogDown, "log", "%d durable jobs are held at %s", s.HeldJobs, s.Name)
 }
 
+// seeOwners reports regions without a live node, and workers without an owner in
+// the others.
 func seeOwners(s *State) []Sighting {
 	sessions, live := map[string]int{}, map[string]bool{}
 	for _, m := range s.Members {
@@ -103,6 +105,13 @@
 		}
 	}
 	var found []Sighting
+	for _, m := range s.Members {
+		if !live[m.Region] {
+			live[m.Region] = true // One sighting for each region.
+			found = append(found, one(RegionLost, m.Region, "seen by %s", s.Name)...)
+			sessions[m.Region] = s.Workers[m.Region]
+		}
+	}
 	for region, workers := range s.Workers {
 		if live[region] && sessions[region] < workers {
 			found = append(found, one(WorkersWithoutOwner, region, "%d of %d workers have no owner", workers-sessions[region], workers)...)
--- a/internal/alarm/table.go
+++ b/internal/alarm/table.go
@@ -35,6 +35,12 @@
 		Affected: "All teams of the region: the workers run nothing new.",
 		Action:   "Find the workers with the command workers, and repair these VMs or their network, or take them off the VM list.",
 	})
+	RegionLost = add(Condition{
+		Name: "region-lost", Holds: "No node of a region has been heard.",
+		Remedy: "Both sides go on by themselves; connections are tried again every second.", Hold: 10 * time.Minute, Clear: time.Minute,
+		Affected: "Teams with work in the region, and durable jobs of the side without the log.",
+		Action:   "Find out whether the region's nodes or the link between the regions are down, and restore them; start replacement nodes if the VMs are gone.",
+	})
 	RangeWithoutHome = add(Condition{
 		Name: "range-without-home", Holds: "The node that has to be the home of a range gets no lease.",
 		Remedy: "The lease is requested again until owners of more than two thirds of the region's workers promise it.", Hold: time.Minute, Clear: 15 * time.Second,
--- a/internal/command/configapply.go
+++ b/internal/command/configapply.go
@@ -107,11 +107,14 @@
 func writeChanges(environment *Environment, changes []operator.Change) {
 	rows := make([][]string, len(changes))
 	for i, change := range changes {
-		version := ""
+		version, base := "", ""
 		if change.Version > 0 {
 			version = strconv.FormatInt(change.Version, 10)
 		}
-		rows[i] = []string{version, strconv.FormatInt(change.BaseVersion, 10), change.State, instant(change.At), change.Author, strings.Join(change.Sections, ", "), change.Reason}
+		if change.BaseVersion != operator.UnknownBase {
+			base = strconv.FormatInt(change.BaseVersion, 10)
+		}
+		rows[i] = []string{version, base, change.State, instant(change.At), change.Author, strings.Join(change.Sections, ", "), change.Reason}
 	}
 	writeTable(environment.Out, []string{"VERSION", "BASE", "STATE", "AT", "AUTHOR", "SECTIONS", "REASON"}, rows)
 }
--- a/internal/command/operatorclient.go
+++ b/internal/command/operatorclient.go
@@ -99,6 +99,11 @@
 	switch status {
 	case http.StatusUnauthorized, http.StatusForbidden:
 		advice = "\nName a token of the needed role with --token-file."
+	case http.StatusBadRequest:
+		// The answer of net/http to plain HTTP on an address with TLS.
+		if f.CAFile == "" && bytes.Contains(content, []byte("HTTPS server")) {
+			advice = "\nThe node uses TLS; name the certificates that sign its own with --ca-file."
+		}
 	case http.StatusConflict:
 		advice = "\nLook at the configuration in force (config show, config diff) and apply the change again with its version."
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -75,6 +75,8 @@
 
 	AlarmRaised  = defineAlarm(600, "alarm-raised", Error, "An alarm was raised; its text names what a person has to do.", "Do what the alarm names.")
 	AlarmCleared = define(601, "alarm-cleared", Info, "The condition of an alarm no longer holds.", noAction)
+	// An alarm that returns is the one that was raised before, not a second one.
+	AlarmReturned = define(602, "alarm-returned", Warn, "An alarm that was cleared less than an hour ago holds again; it is still the same alarm.", "Go on with what the alarm names.")
 )
 
 // catalogue holds every definition in the order of the table above.
--- a/internal/node/alarms.go
+++ b/internal/node/alarms.go
@@ -22,6 +22,10 @@
 	maxNoted = 256
 )
 
+var alarmEvents = map[alarm.Step]event.Definition{
+	alarm.Raised: event.AlarmRaised, alarm.Returned: event.AlarmReturned, alarm.Cleared: event.AlarmCleared,
+}
+
 // observed holds what events of the control thread say about lasting states.
 type observed struct {
 	mu          sync.Mutex
@@ -100,11 +104,7 @@
 		changes := a.tracker.Observe(state.Now, alarm.Sightings(state))
 		a.mu.Unlock()
 		for _, change := range changes {
-			definition := event.AlarmCleared
-			if change.Raised {
-				definition = event.AlarmRaised
-			}
-			a.process.record(definition, "identity", change.Alarm.Identity, "since", change.Alarm.Since.UTC().Format(time.RFC3339),
+			a.process.record(alarmEvents[change.Step], "identity", change.Alarm.Identity, "since", change.Alarm.Since.UTC().Format(time.RFC3339),
 				"detail", change.Alarm.Detail, "action", change.Alarm.Condition.Action)
 		}
 	}
--- a/internal/node/configapply.go
+++ b/internal/node/configapply.go
@@ -239,7 +239,7 @@
 	defer c.mu.Unlock()
 	for _, accepted := range c.history.Accepted() {
 		if identity != "" && accepted.Identity == identity {
-			return acceptedChange(&accepted, 0), true
+			return acceptedChange(&accepted, operator.UnknownBase), true
 		}
 	}
 	return operator.Change{}, false
@@ -252,7 +252,7 @@
 	defer c.mu.Unlock()
 	var changes []operator.Change
 	for _, accepted := range c.history.Accepted() {
-		changes = append(changes, acceptedChange(&accepted, 0))
+		changes = append(changes, acceptedChange(&accepted, operator.UnknownBase))
 	}
 	for i := range c.rejected {
 		change := &c.rejected[i].change
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -99,9 +99,8 @@
 		purpose = peer.Bulk
 	}
 	p.sent.Add(1)
-	if !p.transport.Send(out.To, purpose, frame) {
-		p.dropped.Add(1)
-	}
+	// The transport counts what it drops.
+	_ = p.transport.Send(out.To, purpose, frame)
 }
 
 var eventsByName = func() map[string]event.Definition {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -86,6 +86,8 @@
 	if view, err := p.View(ctx); err == nil {
 		m.writeView(&page, &view)
 	}
+	// These are of the whole program and start with process_ and go_.
+	metrics.WriteProcessMetrics(&page)
 	_, _ = out.Write(page.Bytes())
 }
 
--- /dev/null
+++ b/internal/node/operators_test.go
@@ -0,0 +1,115 @@
+package node_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/command"
+	"yuccalanding.example/yuccalanding/internal/operator"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// Guards against config apply --wait that returns before a node has the version
+// in force, and against a history that doesn't show the change by its identity.
+func TestApplyWaitsForAllNodes(t *testing.T) {
+	c, ctx := startCell(t, 3)
+	policy := t.TempDir()
+	address := c.Nodes[1].Settings.Addresses.Operators.String()
+	for version := range 20 {
+		text := fmt.Sprintf("[kind balance]\nweight = %d\n", version+2)
+		require.NoError(t, os.WriteFile(filepath.Join(policy, "a.ini"), []byte(text), 0o600))
+		var out, problem bytes.Buffer
+		status := command.Main(ctx, []string{"config", "apply", policy, "--base", fmt.Sprint(version), "--reason", "test", "--wait", "--operator", address},
+			command.Options{Out: &out, Err: &problem})
+		require.Zero(t, status, problem.String())
+		for i, inForce := range versionsOf(ctx, t, c) {
+			require.EqualValues(t, version+1, inForce, "node %d", i)
+		}
+	}
+	history, err := call[operator.History](ctx, c, 0, http.MethodGet, "/config/history", nil)
+	require.NoError(t, err)
+	require.Len(t, history.Changes, 20)
+	var out bytes.Buffer
+	require.Zero(t, command.Main(ctx, []string{"config", "history", "--identity", history.Changes[3].Identity, "--operator", address}, command.Options{Out: &out}))
+	require.Contains(t, out.String(), "17")
+}
+
+// Guards against metrics of several processes in one program that mix, and
+// against names that the operations page has and a process has not.
+func TestMetricsAreOfOneProcess(t *testing.T) {
+	c, ctx := startCell(t, 2)
+	client, err := c.Client(0)
+	require.NoError(t, err)
+	defer client.Close()
+	_, err = client.Submit(ctx, workload.Request{
+		Key: workload.NewKey(), Team: "ledger", Kind: "balance", Resources: workload.Resources{MilliCPU: 100}, Payload: []byte(`{"run-ms":1}`),
+	})
+	require.NoError(t, err)
+	_, err = apply(ctx, c, 0, folder(0, "[kind balance]\n[team ledger]\n"))
+	require.NoError(t, err)
+	awaitVersion(ctx, t, c, 1)
+	var pages [2]string
+	for i := range pages {
+		response, err := http.Get("http://" + c.Nodes[i].Settings.Addresses.Operators.String() + "/metrics")
+		require.NoError(t, err)
+		content, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		pages[i] = string(content)
+		require.Contains(t, pages[i], "yuccalanding_policy_version 1\n")
+	}
+	const requests = `yuccalanding_requests_total{route="/v1/requests",status="200",code=""} 1`
+	require.Contains(t, pages[0], requests)
+	require.NotContains(t, pages[1], requests)
+	require.Contains(t, pages[0], `yuccalanding_wait_seconds_count{kind="balance"} 1`)
+	documentation, err := os.ReadFile("../../docs/operations.md")
+	require.NoError(t, err)
+	documented := regexp.MustCompile(`yuccalanding_[a-z_]+`)
+	seen := map[string]bool{}
+	for _, page := range pages {
+		for _, name := range documented.FindAllString(page, -1) {
+			seen[regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(name, "")] = true
+		}
+	}
+	named := map[string]bool{}
+	for _, name := range documented.FindAllString(string(documentation), -1) {
+		named[name] = true
+	}
+	require.Equal(t, seen, named)
+}
+
+// Guards against nodes and workers that operators see without their state, and
+// against a drain that is not started.
+func TestOperatorsSeeNodesAndWorkers(t *testing.T) {
+	c, ctx := startCell(t, 2)
+	require.Eventually(t, func() bool {
+		nodes, err := call[operator.Nodes](ctx, c, 1, http.MethodGet, "/nodes", nil)
+		return err == nil && len(nodes.Nodes) == 2 && nodes.Nodes[0].State == "live" && nodes.Nodes[1].State == "live" &&
+			nodes.Nodes[0].Sessions+nodes.Nodes[1].Sessions == 1
+	}, 10*time.Second, 20*time.Millisecond)
+	owned := 0
+	for i := range 2 {
+		workers, err := call[operator.Workers](ctx, c, i, http.MethodGet, "/workers", nil)
+		require.NoError(t, err)
+		require.Len(t, workers.Workers, 1)
+		require.Equal(t, "live", workers.Workers[0].State)
+		require.Equal(t, c.Fleet.Addresses[0], workers.Workers[0].Address)
+		if workers.Workers[0].Capacity.MilliCPU == 16_000 {
+			owned++
+		}
+	}
+	require.Equal(t, 1, owned, "the owner knows the capacity")
+	state, err := call[operator.DrainState](ctx, c, 0, http.MethodPost, "/drain", nil)
+	require.NoError(t, err)
+	require.Equal(t, "draining", state.State)
+	require.NoError(t, c.DrainNode(0))
+}
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -115,10 +115,15 @@
 	Author string `json:"-"`
 }
 
+// UnknownBase stands for a base version that is not known.
+const UnknownBase = -1
+
 // Change is an accepted or rejected change.
 type Change struct {
 	// Version is the version that the change made; 0 if it was rejected.
-	Version     int64 `json:"version"`
+	Version int64 `json:"version"`
+	// BaseVersion is UnknownBase in the history of accepted changes, which does
+	// not keep it.
 	BaseVersion int64 `json:"base-version"`
 	// State is "accepted" or "rejected".
 	State    string    `json:"state"`
