--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,7 @@
 	maxEntriesPerHome     = 120_000
 	maxEndedPerHome       = 8_192
 	maxTimelineEvents     = 32
+	maxFrontsPerEntry     = 16
 	maxAssignmentsPerTeam = 32
 	maxFencedTasks        = 65_536
 	maxEventsPerStep      = 64
@@ -135,8 +136,11 @@
 	owners      map[string]*ownerView
 	draining    bool
 	drained     bool
-	started     time.Time
-	guards      guards
+	// closingSince and closedInRound pace the sessions that a stopping node gives up.
+	closingSince  time.Time
+	closedInRound int
+	started       time.Time
+	guards        guards
 }
 
 // guards switches single safety rules off. Only tests set a field, to show that
@@ -164,8 +168,9 @@
 		return nil, err
 	}
 	n.members = members
+	n.members.incarnations[options.Name] = options.Incarnation
 	n.tenure = tenure.New(tenure.Options{Self: options.Name, Seed: options.Seed})
-	n.front = newFrontRole()
+	n.front = newFrontRole(options)
 	n.owner = newOwnerRole(options)
 	n.workers = newWorkerViews()
 	n.jobs = newJobTable()
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -165,18 +165,18 @@
 }
 
 // beginAttempt gives a task an identity that no earlier attempt had, also not
-// one of a former home: attempts are numbered from the start of the lease in
-// milliseconds.
+// one of a former home: attempts are numbered from the lease's first number,
+// which grows from home to home however their clocks differ.
 func (h *home) beginAttempt(e *entry, t *task) {
 	e.sequence++
-	t.id.Attempt = int(h.leaseSince.UnixMilli()) + e.sequence
+	t.id.Attempt = int(h.recovery.first.At) + e.sequence
 }
 
 func (e *entry) front() string {
 	if len(e.fronts) == 0 {
 		return ""
 	}
-	return e.fronts[len(e.fronts)-1]
+	return e.fronts[len(e.fronts)-1].Name
 }
 
 func (n *Node) activate(h *home, e *entry) {
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -14,6 +14,11 @@
 // so that their next owners don't all open at the same instant.
 const closingsPerTick = 2
 
+// closingRound is the time in which a stopping node closes at most one sixth of
+// its region's sessions. A moved worker counts for no home lease for 2.2 s, and
+// a lease needs more than two thirds of them.
+const closingRound = 2500 * time.Millisecond
+
 // drain begins the planned stop: no new requests, homes and sessions go to
 // other members, open requests are answered first.
 func (n *Node) drain() {
@@ -36,18 +41,23 @@
 		}
 	}
 	closed := 0
+	if n.now.Sub(n.closingSince) >= closingRound {
+		n.closingSince, n.closedInRound = n.now, 0
+	}
+	allowed := max(len(n.workers.listed(n.options.Region))/6, 1)
 	for _, name := range n.sessionNames() {
 		s := n.owner.sessions[name]
 		left++
-		if !s.closing {
+		if !s.closing && n.closedInRound < allowed {
 			n.beginClosing(s)
 		}
-		if s.starting == 0 && closed < closingsPerTick {
+		if s.starting == 0 && closed < closingsPerTick && n.closedInRound < allowed {
 			closed++
+			n.closedInRound++
 			n.closeSession(s, "the owner is stopping")
 		}
 	}
-	n.returnWaiting()
+	n.returnAllWaiting("the owner is stopping")
 	if left == 0 && len(n.front.byConnection) == 0 {
 		n.drained = true
 		n.event(EventNodeDrained, n.options.Name, "")
@@ -55,15 +65,6 @@
 	}
 }
 
-// returnWaiting gives tasks that wait for room back to their homes.
-func (n *Node) returnWaiting() {
-	for id, t := range n.owner.tasks {
-		if t.state == heldWaiting && n.owner.engine.Cancel(id) {
-			n.returnTask(n.homeOf(t.assignment.Range()), &t.assignment, AssignReturned, "the owner is stopping")
-		}
-	}
-}
-
 // handOver passes a range to the next home. The lease is given up first, so
 // that this node can't act on the range any more; nothing is then unknown to
 // the successor.
@@ -81,9 +82,9 @@
 	lease, held := n.tenure.HandOver(n.now, h.place)
 	entries := n.handoverEntries(h)
 	h.leaseSince, h.knownSince = time.Time{}, time.Time{}
-	for {
+	for part := 0; ; part++ {
 		count := min(len(entries), handoverBatch)
-		message := &Handover{Range: h.place, Entries: entries[:count], Since: known}
+		message := &Handover{Range: h.place, Entries: entries[:count], Since: known, Part: part}
 		entries = entries[count:]
 		if len(entries) == 0 && held {
 			message.Complete, message.Lease = complete, lease
@@ -107,7 +108,7 @@
 		entry := HandoverEntry{
 			Request: e.request, Fronts: e.fronts, Age: n.now.Sub(e.acceptedAt), State: e.state, Attempt: e.attempt,
 			Durable: e.durable, Accepted: e.recorded, Answer: e.answer, Refusal: e.refusal, Suspect: e.suspect,
-			Digest: e.digest, Try: e.try, Timeline: e.timeline,
+			Digest: e.digest, Timeline: e.timeline, Canceled: e.canceled, MayHaveRun: e.mayHaveRun,
 		}
 		for i := range e.tasks {
 			t := &e.tasks[i]
@@ -126,12 +127,19 @@
 		return
 	}
 	h := n.homeFor(m.Range)
+	if m.Part == 0 {
+		h.handoverParts = 0
+	}
+	if m.Part == h.handoverParts {
+		h.handoverParts++
+	}
 	for i := range m.Entries {
 		n.takeHandoverEntry(h, &m.Entries[i])
 	}
-	if !m.Complete {
+	if !m.Complete || h.handoverParts != m.Part+1 {
 		return
 	}
+	h.handoverParts = 0
 	n.tenure.ReceiveHandover(n.now, m.Lease)
 	h.takenOver, h.takenSince = m.Lease.Number, n.now.Add(-m.Since)
 	n.event(EventHandoverTaken, m.Range.Team, "")
@@ -149,10 +157,10 @@
 	e := &entry{
 		request: m.Request, digest: m.Digest, acceptedAt: n.now.Add(-m.Age), state: m.State, attempt: m.Attempt,
 		durable: m.Durable, recorded: m.Accepted, answer: m.Answer, refusal: m.Refusal, suspect: m.Suspect,
-		try: m.Try, timeline: m.Timeline,
+		timeline: m.Timeline, canceled: m.Canceled, mayHaveRun: m.MayHaveRun,
 	}
 	for _, front := range m.Fronts {
-		e.addFront(front)
+		e.addFront(front.Name, front.Try)
 	}
 	for _, t := range m.Tasks {
 		e.tasks = append(e.tasks, task{
@@ -175,6 +183,7 @@
 		}
 		n.queueEntry(h, e)
 	default:
+		n.countOutstanding(e)
 		n.count(h, e)
 		n.activate(h, e)
 	}
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -73,9 +73,11 @@
 
 // entry is one request in its home's key table.
 type entry struct {
-	request    workload.Request
+	request workload.Request
+	// digest is 0 while the whole request is not known: the entry comes from a
+	// worker's list or from a front's question.
 	digest     uint64
-	fronts     []string
+	fronts     []WaitingFront
 	acceptedAt time.Time
 	startBy    time.Time
 	state      workload.State
@@ -83,10 +85,12 @@
 	attempt  int
 	sequence int
 	tasks    []task
-	try      int
 	// suspect is set when an earlier try or a former home may have started the
 	// request.
 	suspect bool
+	// mayHaveRun is set once an attempt may have run; no refusal of the entry
+	// says "not run" from then on.
+	mayHaveRun bool
 	// queued is set while the entry is in its kind's queue.
 	queued bool
 	// counted is set while the entry counts against the team's quota.
@@ -98,16 +102,28 @@
 	// returnedBy is the owner that returned the last attempt.
 	returnedBy string
 	appending  bool
-	canceled   bool
-	// listed is set once a worker or an owner has shown the key.
-	listed   bool
-	answer   *workload.Answer
-	refusal  *workload.Refusal
-	endedAt  time.Time
-	timeline []TimelineEvent
-	dropped  int
-	waiting  string
-	gang     gangState
+	// appends counts acceptance records of which no failure was reported.
+	appends int
+	// appendedAt is when the acceptance or the end was last sent to the log.
+	appendedAt time.Time
+	// unwritten is set while the entry is in the list of records to write.
+	unwritten bool
+	// endRead is set once the job's end was read from the log.
+	endRead bool
+	// ending is a durable job's refusal that is told once its end was read back.
+	ending   *workload.Refusal
+	canceled bool
+	// timed is set while the entry is in its home's deadlines.
+	timed bool
+	// incompleteSince is when the entry first waited for its whole request.
+	incompleteSince time.Time
+	answer          *workload.Answer
+	refusal         *workload.Refusal
+	endedAt         time.Time
+	timeline        []TimelineEvent
+	dropped         int
+	waiting         string
+	gang            gangState
 }
 
 func (e *entry) ended() bool {
@@ -134,15 +150,30 @@
 	}
 }
 
-func (e *entry) addFront(front string) {
-	for _, known := range e.fronts {
-		if known == front {
+func (e *entry) addFront(front string, try int) {
+	for i := range e.fronts {
+		if e.fronts[i].Name == front {
+			e.fronts[i].Try = max(e.fronts[i].Try, try)
 			return
 		}
 	}
-	if front != "" {
-		e.fronts = append(e.fronts, front)
+	if front == "" {
+		return
+	}
+	if len(e.fronts) >= maxFrontsPerEntry {
+		e.fronts = e.fronts[1:]
+	}
+	e.fronts = append(e.fronts, WaitingFront{front, try})
+}
+
+// tryOf returns the newest try that came from a front; 0 if none did.
+func (e *entry) tryOf(front string) int {
+	for _, known := range e.fronts {
+		if known.Name == front {
+			return known.Try
+		}
 	}
+	return 0
 }
 
 func (e *entry) gangSize() int { return e.request.Tasks() }
@@ -190,5 +221,6 @@
 		Front:         front,
 		NonIdempotent: request.NonIdempotent,
 		Collected:     e.collected(),
+		Mode:          request.Mode,
 	}
 }
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -71,6 +71,7 @@
 		fmt.Printf("%8.3fs "+format+"\n", append([]any{w.now.Seconds()}, arguments...)...)
 	}
 	simulate(w)
+	w.explain()
 	require.Empty(t, w.checks.violations, "seed %d", *seedFlag)
 }
 
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/placement"
@@ -14,6 +15,9 @@
 	// home has confirmed. A restarted home is noticed by its incarnation at
 	// once; this interval only covers a lost answer.
 	checkReceivedEvery = 10 * time.Second
+	// retryHomeAfter is the wait before the next try once a node has said that it
+	// is not the home; the views of two nodes agree again within a heartbeat.
+	retryHomeAfter = 100 * time.Millisecond
 	// unresolvedLimit is how long a front looks for a home before it gives up.
 	unresolvedLimit = 60 * time.Second
 	// clockSkewBound is the largest difference between the clocks of callers
@@ -33,9 +37,16 @@
 	try         int
 	received    bool
 	sentAt      time.Time
-	// openTries counts the tries that may have reached a home and that no home
-	// has said to have left alone.
-	openTries int
+	// open counts, by process of a home, the tries that may have reached it and
+	// that it has not said to have left alone.
+	open map[process]int
+	// unknownAt is the home that has said, in the incarnation unknownIn, that no
+	// try of the request can have been started; it may be sent there whole.
+	unknownAt string
+	unknownIn uint64
+	// retrying is set while the submission waits for a quick retry.
+	retrying bool
+	retryAt  time.Time
 	// wait is set for connections that only wait for an earlier request.
 	wait bool
 	// answeredBy is the owner to which the delivery is acknowledged.
@@ -44,6 +55,12 @@
 	answered   bool
 }
 
+// process is one incarnation of a node.
+type process struct {
+	name        string
+	incarnation uint64
+}
+
 type ask struct {
 	connection uint64
 	askedAt    time.Time
@@ -53,12 +70,15 @@
 	byKey        map[workload.Key]*submission
 	byConnection map[uint64]*submission
 	checks       []*submission
+	retries      []*submission
 	asks         map[uint64]ask
 	nextAsk      uint64
+	nextTry      int
 }
 
-func newFrontRole() frontRole {
+func newFrontRole(options Options) frontRole {
 	return frontRole{
+		nextTry:      int(options.Start.UnixNano()),
 		byKey:        map[workload.Key]*submission{},
 		byConnection: map[uint64]*submission{},
 		asks:         map[uint64]ask{},
@@ -101,6 +121,15 @@
 
 // admit refuses what can be seen to be wrong without the home.
 func (n *Node) admit(request *workload.Request) *workload.Refusal {
+	refusal := n.judge(request)
+	if refusal != nil && request.Attempt > 0 {
+		// An earlier attempt went to another node and may have run.
+		refusal.Run = workload.MayHaveRun
+	}
+	return refusal
+}
+
+func (n *Node) judge(request *workload.Request) *workload.Refusal {
 	if n.draining {
 		return workload.Refuse(workload.CodeLeaving, time.Second, "this entry VM is stopping; try another one")
 	}
@@ -145,20 +174,27 @@
 		return
 	}
 	s.home, s.incarnation, s.received = home, n.members.Incarnation(home), false
-	s.try++
+	n.front.nextTry++
+	s.try = n.front.nextTry
 	message := &Enqueue{
 		Request: s.request,
 		Front:   n.options.Name,
 		Age:     n.now.Sub(s.acceptedAt),
 		Try:     s.try,
-		Resent:  s.openTries > 0,
+		Resent:  len(s.open) > 0,
 		Wait:    s.wait,
 	}
-	if s.wait || (s.openTries > 0 && s.request.NonIdempotent) {
+	// A durable job may be sent again: the log keeps its key from running twice.
+	durable := s.request.Mode == workload.ModeJob || s.request.Mode == workload.ModeService
+	known := s.unknownAt == home && s.unknownIn == s.incarnation
+	if s.wait || (len(s.open) > 0 && s.request.NonIdempotent && !durable && !known) {
 		message.ResolveOnly = !s.wait
 		message.Request.Payload = nil
 	}
-	s.openTries++
+	if s.open == nil {
+		s.open = map[process]int{}
+	}
+	s.open[process{home, s.incarnation}]++
 	s.sentAt = n.now
 	n.sendBulk(home, message)
 }
@@ -275,20 +311,45 @@
 		return
 	}
 	if m.NotHome {
-		// The node took nothing in. With every try refused like this, the next
-		// one is a first try again.
-		s.openTries = max(s.openTries-1, 0)
+		s.leftAlone(from, m)
+		if from == s.home {
+			if m.Refusal.Code == workload.CodeNotFound && m.Try == s.try {
+				s.unknownAt, s.unknownIn = s.home, s.incarnation
+			}
+			s.received = false
+			n.retrySoon(s)
+		}
 		return
 	}
 	if m.Try != s.try || from != s.home {
 		return
 	}
+	if len(s.open) > 1 || s.request.Attempt > 0 && m.Refusal.Code == workload.CodeLeaving {
+		// An earlier try may still be on its way to another home.
+		m.Refusal.Run = workload.MayHaveRun
+	}
 	s.answered = true
 	for _, connection := range s.connections {
 		n.refuse(connection, &m.Refusal)
 	}
 }
 
+// leftAlone notes that a node took a try, or all of them, not in. With no try
+// left open the next one is a first try again.
+func (s *submission) leftAlone(from string, m *Refused) {
+	if m.AllTries {
+		delete(s.open, process{from, m.Incarnation})
+		return
+	}
+	at := process{from, s.incarnation}
+	if from != s.home || m.Try != s.try || s.open[at] == 0 {
+		return
+	}
+	if s.open[at]--; s.open[at] == 0 {
+		delete(s.open, at)
+	}
+}
+
 // connectionClosed forgets a connection. The answer stays with the worker, so
 // that the caller can come back for it.
 func (n *Node) connectionClosed(connection uint64) {
@@ -328,6 +389,7 @@
 // for which no home could be found.
 func (n *Node) tickFront() {
 	n.tickAsks()
+	n.tickRetries()
 	due := 0
 	for due < len(n.front.checks) && !n.front.checks[due].checkAt.After(n.now) {
 		due++
@@ -341,13 +403,42 @@
 	}
 }
 
+// retrySoon tries again shortly after a node has said that it is not the home.
+func (n *Node) retrySoon(s *submission) {
+	if !s.retrying {
+		s.retrying, s.retryAt = true, n.now.Add(retryHomeAfter)
+		n.front.retries = append(n.front.retries, s)
+	}
+}
+
+func (n *Node) tickRetries() {
+	due := 0
+	for due < len(n.front.retries) && !n.front.retries[due].retryAt.After(n.now) {
+		due++
+	}
+	retries := n.front.retries[:due]
+	n.front.retries = n.front.retries[due:]
+	for _, s := range retries {
+		s.retrying = false
+		if !s.answered && !s.received {
+			n.sendToHome(s)
+		}
+	}
+}
+
 func (n *Node) tickAsks() {
+	var overdue []uint64
 	for id, ask := range n.front.asks {
 		if n.now.Sub(ask.askedAt) > 5*n.timing.RepeatAfter {
-			delete(n.front.asks, id)
-			n.refuse(ask.connection, workload.Refuse(workload.CodeNoHome, time.Second, "the request's home did not answer"))
+			overdue = append(overdue, id)
 		}
 	}
+	slices.Sort(overdue)
+	for _, id := range overdue {
+		connection := n.front.asks[id].connection
+		delete(n.front.asks, id)
+		n.refuse(connection, workload.Refuse(workload.CodeNoHome, time.Second, "the request's home did not answer"))
+	}
 }
 
 func (n *Node) checkSubmission(s *submission) {
@@ -366,7 +457,7 @@
 
 func (n *Node) giveUp(s *submission) {
 	refusal := workload.Refuse(workload.CodeNoHome, time.Second, "no home for team %s answered within %s", s.place.Team, unresolvedLimit)
-	if s.openTries > 0 {
+	if len(s.open) > 0 {
 		refusal.Run = workload.MayHaveRun
 		refusal.Code = workload.CodeOutcome
 	}
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -180,6 +180,9 @@
 			}
 		case taskDoubtful:
 			open = true
+		case taskQueued, taskBackingOff:
+			// Only a part of the gang was found after a change of the home.
+			t.state, t.result = taskEnded, &Result{Outcome: placement.Lost}
 		}
 	}
 	if open {
@@ -188,6 +191,21 @@
 	n.gangEnded(h, e)
 }
 
+// endBrokenGangs ends the gangs of which a complete recovery has found a part:
+// the other tasks have ended unseen or were never started.
+func (n *Node) endBrokenGangs(h *home) {
+	for _, e := range slices.Clone(h.active) {
+		if e.gangSize() < 2 || e.ended() || e.state == workload.StateQueued {
+			continue
+		}
+		missing := slices.IndexFunc(e.tasks, func(t task) bool { return t.state == taskQueued })
+		if missing >= 0 {
+			e.tasks[missing].result = &Result{Outcome: placement.Lost}
+			n.gangTaskEnded(h, e, &e.tasks[missing])
+		}
+	}
+}
+
 func (n *Node) gangEnded(h *home, e *entry) {
 	worst := e.tasks[0].result
 	ran := false
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -9,6 +9,14 @@
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
+// unwantedLimit is how long a node keeps the table of a range of which it is no
+// longer the home, for fronts that still ask here.
+const unwantedLimit = 30 * time.Second
+
+// giveBackAfter is how long another member has to be first choice before the
+// holder hands the range over; the views of all members agree by then.
+const giveBackAfter = time.Second
+
 // home is this node's role for one range: its key table, queues and quota.
 type home struct {
 	place   tenure.Range
@@ -38,6 +46,14 @@
 	starts, retries int
 	decayedAt       time.Time
 	handedOver      bool
+	// handoverParts counts the messages of a handover that came in order.
+	handoverParts int
+	// doubtsAskedAt is when the owners were last asked for lists to settle doubts.
+	doubtsAskedAt time.Time
+	// strangerSince is since when another member is first choice.
+	strangerSince time.Time
+	// unwantedSince is since when the node is neither holder nor first choice.
+	unwantedSince time.Time
 	// jobsKnown is set once every record of former homes has been read.
 	jobsKnown bool
 	askedLog  time.Time
@@ -129,12 +145,12 @@
 	if e.listedOnly() && !m.Wait && !m.ResolveOnly {
 		e.request, e.digest = m.Request, m.Request.Digest()
 	}
-	if e.state == workload.StateRefused && e.refusal.Run == workload.NotRun && m.Try > e.try && e.refusal.Code != workload.CodeKeyReused && !m.Wait {
+	if e.refusal != nil && e.refusal.Run == workload.NotRun && !m.Wait && e.newSubmission(m) {
 		n.resubmit(h, e, m)
 		return
 	}
-	e.try = max(e.try, m.Try)
-	e.addFront(m.Front)
+	e.request.Attempt = max(e.request.Attempt, m.Request.Attempt)
+	e.addFront(m.Front, m.Try)
 	switch {
 	case e.ended():
 		n.tellOutcome(h, e, m.Front, m.Try)
@@ -146,6 +162,13 @@
 	}
 }
 
+// newSubmission reports whether a message belongs to a submission that was made
+// after the entry was refused, and not to a late try of the refused one.
+func (e *entry) newSubmission(m *Enqueue) bool {
+	try := e.tryOf(m.Front)
+	return try > 0 && m.Try > try || m.Request.Attempt > e.request.Attempt
+}
+
 // listedOnly reports whether the entry is known from a worker's list alone, so
 // that its digest is not known.
 func (e *entry) listedOnly() bool { return e.digest == 0 }
@@ -177,17 +200,27 @@
 		digest:     m.Request.Digest(),
 		acceptedAt: n.now.Add(-m.Age),
 		state:      workload.StateQueued,
-		try:        m.Try,
 		durable:    m.Request.Mode == workload.ModeJob || m.Request.Mode == workload.ModeService,
 	}
-	e.addFront(m.Front)
+	e.addFront(m.Front, m.Try)
 	e.suspect = (m.Resent || m.Request.Attempt > 0 || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
+	if m.ResolveOnly {
+		e.digest = 0
+	}
+	if e.durable && h.jobsKnown {
+		// Every job that was recorded before is in the table.
+		e.suspect = false
+	}
+	e.mayHaveRun = e.suspect
 	if m.ResolveOnly && !e.suspect {
 		// The key was never here, and any run of it would have been seen.
 		n.notHome(m, workload.CodeNotFound, "the request never reached this home")
 		return
 	}
 	if refusal := n.admitAtHome(h, e); refusal != nil {
+		if e.mayHaveRun {
+			refusal.Run = workload.MayHaveRun
+		}
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
 		return
 	}
@@ -268,6 +301,9 @@
 		return
 	}
 	n.uncount(h, e)
+	for i := range e.tasks {
+		n.settleOutstanding(&e.tasks[i])
+	}
 	e.state, e.endedAt, e.waiting = state, n.now, ""
 	e.note(n.now, string(state), "")
 	if e.gang.reserving {
@@ -282,7 +318,7 @@
 		n.recordEnd(h, e)
 	}
 	for _, front := range e.fronts {
-		n.tellOutcome(h, e, front, e.try)
+		n.tellOutcome(h, e, front.Name, front.Try)
 	}
 }
 
@@ -313,6 +349,13 @@
 }
 
 func (n *Node) refuseEntry(h *home, e *entry, refusal *workload.Refusal) {
+	if e.mayHaveRun {
+		refusal.Run = workload.MayHaveRun
+	}
+	if e.durable && e.recorded && refusal.Run == workload.NotRun {
+		n.refuseJob(h, e, refusal)
+		return
+	}
 	e.refusal = refusal
 	state := workload.StateRefused
 	if refusal.Run == workload.MayHaveRun {
@@ -353,7 +396,7 @@
 			busy = true
 		}
 	}
-	if !busy && !e.suspect {
+	if !busy && !e.suspect && !e.appending {
 		n.refuseEntry(h, e, workload.Refuse(workload.CodeCanceled, 0, "canceled before it started"))
 	}
 }
@@ -374,6 +417,9 @@
 	for _, r := range n.sortedRanges() {
 		h := n.homes[r]
 		n.tickLease(h)
+		if n.giveBack(h) || n.dropUnwanted(h) {
+			continue
+		}
 		n.decay(h)
 		h.dropEnded(n.now, n.timing.ResultRetention)
 		if !n.mayAct(h) {
@@ -410,25 +456,59 @@
 	}
 }
 
+// dropUnwanted forgets the table of a range that another node has had for a
+// while. Its fronts have turned to the new home, and what is open here would
+// otherwise stay in the table for ever.
+func (n *Node) dropUnwanted(h *home) bool {
+	if n.wants(h) || n.draining {
+		h.unwantedSince = time.Time{}
+		return false
+	}
+	if h.unwantedSince.IsZero() {
+		h.unwantedSince = n.now
+	}
+	if n.now.Sub(h.unwantedSince) < unwantedLimit {
+		return false
+	}
+	n.dropHome(h)
+	return true
+}
+
+// dropHome forgets a range with everything that this node knows of it.
+func (n *Node) dropHome(h *home) {
+	for _, e := range h.active {
+		for i := range e.tasks {
+			n.settleOutstanding(&e.tasks[i])
+		}
+	}
+	delete(n.homes, h.place)
+}
+
+// giveBack hands a range over to the member that rendezvous hashing prefers now,
+// for example one that has come back: fronts ask there.
+func (n *Node) giveBack(h *home) bool {
+	successor := n.homeOf(h.place)
+	if successor == "" || successor == n.options.Name || !n.mayAct(h) || n.draining {
+		h.strangerSince = time.Time{}
+		return false
+	}
+	if h.strangerSince.IsZero() {
+		h.strangerSince = n.now
+	}
+	if n.now.Sub(h.strangerSince) < giveBackAfter || !n.handOver(h) {
+		return false
+	}
+	n.dropHome(h)
+	return true
+}
+
 // loseLease forgets what only a holder may count on. Another home may have
 // acted in the meantime, so everything open is suspect.
 func (n *Node) loseLease(h *home) {
 	h.leaseSince, h.knownSince, h.recovery = time.Time{}, time.Time{}, recovery{}
 	h.jobsKnown, h.askedLog = false, time.Time{}
 	n.event(EventHomeLeaseLost, h.place.Team, h.place.Region)
-	for _, e := range h.entries {
-		if !e.ended() {
-			e.suspect = true
-		}
-	}
-	for _, q := range h.queues {
-		for e := q.head(); e != nil; e = q.head() {
-			q.drop(e)
-			h.suspects = append(h.suspects, e)
-		}
-	}
-	h.suspects = append(h.suspects, h.gangs...)
-	h.gangs = nil
+	n.suspectAll(h)
 }
 
 // decay halves the counters of the retry budget each minute.
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -14,7 +14,10 @@
 	maxOpenJobs     = 100_000
 	maxEndedJobs    = 50_000
 	logRetryAfter   = 5 * time.Second
-	endRecordsEvery = 5 * time.Second
+	endRecordsEvery = time.Second
+	// appendAgainAfter is how long a record may be on its way before it is
+	// written again; readers pass over a second copy.
+	appendAgainAfter = 15 * time.Second
 )
 
 // jobTable holds what the log says of durable jobs, of every range, so that a
@@ -45,7 +48,7 @@
 	if !n.log.Up {
 		if e.request.HoldInOutage {
 			e.wait(n.now, "log: it can't be written to")
-			n.jobs.unrecorded = append(n.jobs.unrecorded, e)
+			n.keepUnwritten(e)
 			return
 		}
 		n.refuseEntry(h, e, workload.Refuse(workload.CodeLogDown, logRetryAfter, "the log can't be written to, so the job can't be made durable"))
@@ -55,7 +58,9 @@
 }
 
 func (n *Node) appendAcceptance(e *entry) {
-	e.appending = true
+	e.appending, e.appendedAt = true, n.now
+	e.appends++
+	n.keepUnwritten(e)
 	e.wait(n.now, "log: its record is being written")
 	n.emit(&AppendRecord{Identity: acceptIdentity(e.request.Key), Accepted: &JobAccepted{
 		Request: e.request, Region: n.rangeOf(e.request.Team, e.request.Region).Region, At: e.acceptedAt,
@@ -97,15 +102,15 @@
 
 func (n *Node) jobAccepted(record *JobAccepted) {
 	key := record.Request.Key
-	if n.jobs.ended[key] || n.jobs.open[key] != nil {
-		return
-	}
-	if len(n.jobs.open) >= maxOpenJobs {
+	first := n.jobs.open[key] == nil && !n.jobs.ended[key]
+	if first && len(n.jobs.open) >= maxOpenJobs {
 		n.event(EventBoundReached, "open-jobs", "a durable job is not tracked by this node")
 		return
 	}
-	n.jobs.open[key] = record
-	n.jobs.order = append(n.jobs.order, key)
+	if first {
+		n.jobs.open[key] = record
+		n.jobs.order = append(n.jobs.order, key)
+	}
 	r := tenure.Range{Region: record.Region, Team: record.Request.Team}
 	h := n.homes[r]
 	if h == nil && n.homeOf(r) == n.options.Name {
@@ -114,11 +119,27 @@
 	if h == nil {
 		return
 	}
-	if e := h.entries[key]; h.jobsKnown || (e != nil && e.appending) {
+	e := h.entries[key]
+	switch {
+	case n.jobs.ended[key]:
+		if e != nil && e.appending && !e.ended() {
+			n.jobEndedBefore(h, e)
+		}
+	case h.jobsKnown && (first || e != nil), e != nil && e.appending:
 		n.adoptJob(h, record)
 	}
 }
 
+// jobEndedBefore closes a job that was submitted again after its end, when its
+// answer was no longer in the home's table.
+func (n *Node) jobEndedBefore(h *home, e *entry) {
+	for _, front := range e.fronts {
+		n.send(front.Name, &Answered{Key: e.request.Key, Accepted: true})
+	}
+	e.fronts, e.mayHaveRun, e.appending = nil, true, false
+	n.refuseEntry(h, e, outcomeUnknown("the job has ended and its answer is no longer kept"))
+}
+
 // adoptJobs takes over the open jobs of a range that this node is new to.
 func (n *Node) adoptJobs(h *home) {
 	for _, key := range n.jobs.order {
@@ -145,11 +166,22 @@
 		n.queueEntry(h, e)
 	case e.listedOnly():
 		e.request, e.digest, e.durable, e.recorded = record.Request, record.Request.Digest(), true, true
+		if e.ended() && !e.endRead {
+			n.recordEnd(h, e)
+		}
 	case !e.recorded && !e.ended():
 		e.recorded, e.appending = true, false
+		if !h.jobsKnown && !h.knowsAllSince(e.request.Key) {
+			// The record may be a former home's, which may have started the job.
+			e.suspect, e.mayHaveRun = true, true
+		}
+		if e.canceled && !e.suspect {
+			n.refuseEntry(h, e, workload.Refuse(workload.CodeCanceled, 0, "canceled before it started"))
+			return
+		}
 		e.note(n.now, "accepted", "its record was read back from the log")
 		for _, front := range e.fronts {
-			n.send(front, &Answered{Key: e.request.Key, Accepted: true})
+			n.send(front.Name, &Answered{Key: e.request.Key, Accepted: true})
 		}
 		n.queueEntry(h, e)
 	}
@@ -168,10 +200,9 @@
 	if e == nil {
 		return
 	}
+	e.endRead = true
 	if !e.ended() {
-		e.answer, e.refusal = record.Answer, record.Refusal
-		e.recorded = false
-		n.end(h, e, record.State)
+		n.endAsRecorded(h, e, record)
 	}
 	for i := range e.tasks {
 		if t := &e.tasks[i]; t.owner != "" {
@@ -180,6 +211,49 @@
 	}
 }
 
+// endAsRecorded ends an entry as the log says.
+func (n *Node) endAsRecorded(h *home, e *entry, record *JobEnded) {
+	e.answer, e.refusal = record.Answer, record.Refusal
+	if e.refusal != nil && e.refusal.Run == workload.NotRun && (e.mayHaveRun || !n.mayAct(h)) {
+		// The job was started, or could be, by another home since the refusal
+		// was written.
+		refusal := *e.refusal
+		refusal.Run, e.refusal = workload.MayHaveRun, &refusal
+	}
+	if e.answer == nil && e.refusal == nil {
+		e.refusal = outcomeUnknown("the job has ended without an answer")
+	}
+	n.end(h, e, record.State)
+}
+
+// refuseJob ends a recorded job that did not run. The refusal is told once the
+// end was read back: before, another home could still start the job.
+func (n *Node) refuseJob(h *home, e *entry, refusal *workload.Refusal) {
+	if e.ending != nil {
+		return
+	}
+	e.ending = refusal
+	if e.queued {
+		h.queue(e.request.Kind, KindRule{}).drop(e)
+	}
+	n.uncount(h, e)
+	h.gangs = slices.DeleteFunc(h.gangs, func(other *entry) bool { return other == e })
+	if e.gang.reserving {
+		n.releaseGang(h, e)
+	}
+	e.wait(n.now, "log: its end is being written")
+	n.recordEnd(h, e)
+}
+
+// keepUnwritten keeps an entry until its record was read back, so that a record
+// that was lost on the way is written again.
+func (n *Node) keepUnwritten(e *entry) {
+	if !e.unwritten {
+		e.unwritten = true
+		n.jobs.unrecorded = append(n.jobs.unrecorded, e)
+	}
+}
+
 func (n *Node) rememberEnded(key workload.Key) {
 	if n.jobs.ended[key] {
 		return
@@ -197,9 +271,15 @@
 
 // recordEnd writes a durable job's end.
 func (n *Node) recordEnd(_ *home, e *entry) {
+	e.appendedAt = n.now
+	n.keepUnwritten(e)
+	state, refusal := e.state, e.refusal
+	if e.ending != nil {
+		state, refusal = workload.StateCanceled, e.ending
+	}
 	n.emit(&AppendRecord{Identity: endIdentity(e.request.Key), Ended: &JobEnded{
 		Key: e.request.Key, Region: n.rangeOf(e.request.Team, e.request.Region).Region, Team: e.request.Team,
-		State: e.state, Answer: e.answer, Refusal: e.refusal, At: n.now,
+		State: state, Answer: e.answer, Refusal: refusal, At: n.now,
 	}})
 }
 
@@ -212,8 +292,8 @@
 			case e == nil:
 			case e.appending && !e.recorded && !e.ended():
 				n.acceptanceFailed(h, e)
-			case e.ended() && e.recorded && n.jobs.open[e.request.Key] != nil:
-				n.jobs.unrecorded = append(n.jobs.unrecorded, e)
+			default:
+				e.appendedAt = time.Time{} // It is written again once the log is up.
 			}
 		}
 	}
@@ -221,9 +301,12 @@
 
 func (n *Node) acceptanceFailed(h *home, e *entry) {
 	e.appending = false
+	if e.appends--; e.appends > 0 {
+		e.mayHaveRun = true // An earlier copy of the record may still be written.
+	}
 	if e.request.HoldInOutage {
 		e.wait(n.now, "log: it can't be written to")
-		n.jobs.unrecorded = append(n.jobs.unrecorded, e)
+		n.keepUnwritten(e)
 		return
 	}
 	n.refuseEntry(h, e, workload.Refuse(workload.CodeLogDown, logRetryAfter, "the log can't be written to, so the job can't be made durable"))
@@ -255,16 +338,20 @@
 		return
 	}
 	n.jobs.retriedAt = n.now
-	waiting := n.jobs.unrecorded
-	n.jobs.unrecorded = nil
-	for _, e := range waiting {
+	n.jobs.unrecorded = slices.DeleteFunc(n.jobs.unrecorded, func(e *entry) bool {
 		h := n.homes[n.rangeOf(e.request.Team, e.request.Region)]
-		switch {
-		case h == nil || h.entries[e.request.Key] != e:
-		case e.ended():
+		if h == nil || h.entries[e.request.Key] != e || e.endRead || (e.ended() && !e.recorded) || (e.recorded && !e.ended() && e.ending == nil) {
+			e.unwritten = false
+			return true
+		}
+		if n.now.Sub(e.appendedAt) < appendAgainAfter {
+			return false
+		}
+		if e.recorded {
 			n.recordEnd(h, e)
-		case !e.recorded && !e.appending:
+		} else {
 			n.appendAcceptance(e)
 		}
-	}
+		return false
+	})
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -234,13 +234,24 @@
 		}
 	}
 	n.tenure.SetWanted(n.now, wanted)
+	// A node that can't begin a lease yet leaves the ranges to others. A holder
+	// stays: its leases outlast a change of the list.
+	n.members.SetReady(n.tenure.Ready(n.now, n.options.Region) || n.holdsLease())
+}
+
+func (n *Node) holdsLease() bool {
+	for _, h := range n.homes {
+		if _, held := n.tenure.Held(n.now, h.place); held {
+			return true
+		}
+	}
+	return false
 }
 
 // memberLost puts every task that a lost or restarted member had into doubt.
 func (n *Node) memberLost(name string) {
 	delete(n.owners, name)
-	lost := n.workers.ownedBy(name)
 	for _, r := range n.sortedRanges() {
-		n.doubtTasksOf(n.homes[r], name, lost)
+		n.doubtTasksOf(n.homes[r], name)
 	}
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -65,8 +65,8 @@
 	Front   string           `json:"front" cbor:"2,keyasint"`
 	// Age is how long ago the front accepted the request.
 	Age time.Duration `json:"age" cbor:"3,keyasint"`
-	// Try counts the front's own sends of this request, from 1. A home ignores
-	// tries that are not newer than the last one that it refused.
+	// Try grows with every send of the front, over all requests and restarts. A
+	// home ignores tries that are not newer than the last one that it refused.
 	Try int `json:"try" cbor:"4,keyasint"`
 	// Resent is set when an earlier try may have reached a home.
 	Resent bool `json:"resent,omitempty" cbor:"5,keyasint,omitempty"`
@@ -86,6 +86,9 @@
 	// Collected is set when the home gathers the result, as for jobs and
 	// gangs; otherwise the result goes straight to the front.
 	Collected bool `json:"collected,omitempty" cbor:"5,keyasint,omitempty"`
+	// Mode tells a home that has not read the log whether the task is a durable
+	// job, whose end has to be recorded before its result is acknowledged.
+	Mode workload.Mode `json:"mode,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // Range returns the range that the task belongs to.
@@ -128,6 +131,9 @@
 	Reason string           `json:"reason,omitempty" cbor:"5,keyasint,omitempty"`
 	// Preempting is set when a started task is being stopped to give room back.
 	Preempting bool `json:"preempting,omitempty" cbor:"6,keyasint,omitempty"`
+	// Incarnation is the owner's, in AssignUnknown only: a restarted owner does
+	// not know what its former process started.
+	Incarnation uint64 `json:"incarnation,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Result is how one task ended on its worker.
@@ -182,6 +188,9 @@
 type ListKeys struct {
 	Range tenure.Range       `json:"range" cbor:"1,keyasint"`
 	Lease tenure.LeaseNumber `json:"lease" cbor:"2,keyasint"`
+	// Asked is the home's time of asking, which the lists repeat: a list proves
+	// nothing about what began after it was asked for.
+	Asked time.Time `json:"asked" cbor:"3,keyasint"`
 }
 
 // ListedTask is one task in a worker's list.
@@ -204,6 +213,7 @@
 	Tasks []ListedTask       `json:"tasks" cbor:"5,keyasint,omitempty"`
 	// Waiting lists tasks that wait at the owner and are on no worker yet.
 	Waiting []ListedTask `json:"waiting,omitempty" cbor:"6,keyasint,omitempty"`
+	Asked   time.Time    `json:"asked" cbor:"7,keyasint,omitempty"`
 }
 
 // Handover passes a range's open requests to the next home.
@@ -214,12 +224,15 @@
 	// Since is how long the sender had known every key of the range.
 	Since time.Duration   `json:"since" cbor:"4,keyasint"`
 	Lease tenure.Handover `json:"lease" cbor:"5,keyasint"`
+	// Part counts the messages of one handover from 0. The handover is whole
+	// only if every part came, in order.
+	Part int `json:"part" cbor:"6,keyasint,omitempty"`
 }
 
 // HandoverEntry is one request in a handover.
 type HandoverEntry struct {
 	Request  workload.Request  `json:"request" cbor:"1,keyasint"`
-	Fronts   []string          `json:"fronts" cbor:"2,keyasint"`
+	Fronts   []WaitingFront    `json:"fronts" cbor:"2,keyasint"`
 	Age      time.Duration     `json:"age" cbor:"3,keyasint"`
 	State    workload.State    `json:"state" cbor:"4,keyasint"`
 	Attempt  int               `json:"attempt" cbor:"5,keyasint"`
@@ -230,8 +243,17 @@
 	Refusal  *workload.Refusal `json:"refusal,omitempty" cbor:"10,keyasint,omitempty"`
 	Suspect  bool              `json:"suspect,omitempty" cbor:"11,keyasint,omitempty"`
 	Digest   uint64            `json:"digest,omitempty" cbor:"12,keyasint,omitempty"`
-	Try      int               `json:"try,omitempty" cbor:"13,keyasint,omitempty"`
 	Timeline []TimelineEvent   `json:"timeline,omitempty" cbor:"14,keyasint,omitempty"`
+	Canceled bool              `json:"canceled,omitempty" cbor:"15,keyasint,omitempty"`
+	// MayHaveRun is set when an earlier attempt may have run.
+	MayHaveRun bool `json:"may-have-run,omitempty" cbor:"16,keyasint,omitempty"`
+}
+
+// WaitingFront is a front with a connection that waits for a request, and its
+// newest try.
+type WaitingFront struct {
+	Name string `json:"name" cbor:"1,keyasint"`
+	Try  int    `json:"try" cbor:"2,keyasint"`
 }
 
 // HandoverTask is where one task of a handed-over request is.
@@ -253,6 +275,9 @@
 	// NotHome is set when the sender is not the home of the range; the front
 	// looks for the home again.
 	NotHome bool `json:"not-home,omitempty" cbor:"4,keyasint,omitempty"`
+	// AllTries extends NotHome to every try that this process of the sender got.
+	AllTries    bool   `json:"all-tries,omitempty" cbor:"5,keyasint,omitempty"`
+	Incarnation uint64 `json:"incarnation,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // Answered tells a front the outcome that the home has collected, or that a
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -77,12 +77,18 @@
 }
 
 type ownerRole struct {
-	engine       *placement.Engine
-	sessions     map[string]*session
-	opening      map[string]time.Time
-	tasks        map[placement.TaskID]*held
-	fenced       map[placement.TaskID]bool
-	fencedOrder  []placement.TaskID
+	engine   *placement.Engine
+	sessions map[string]*session
+	opening  map[string]time.Time
+	tasks    map[placement.TaskID]*held
+	fenced   map[placement.TaskID]bool
+	// holders are the newest leases that homes have named to this owner.
+	holders     map[tenure.Range]tenure.LeaseNumber
+	fencedOrder []placement.TaskID
+	// lost names the workers of tasks whose session ended here, so that a home
+	// which missed the news is not told that the task is unknown.
+	lost         map[placement.TaskID]string
+	lostOrder    []placement.TaskID
 	reservations map[workload.Key]*reservation
 	unacked      []*held
 	kept         []*held
@@ -97,6 +103,8 @@
 		opening:      map[string]time.Time{},
 		tasks:        map[placement.TaskID]*held{},
 		fenced:       map[placement.TaskID]bool{},
+		holders:      map[tenure.Range]tenure.LeaseNumber{},
+		lost:         map[placement.TaskID]string{},
 		reservations: map[workload.Key]*reservation{},
 	}
 }
@@ -155,7 +163,7 @@
 	case n.owner.fenced[a.Task.ID]:
 		return "the attempt was withdrawn"
 	}
-	if err := n.tenure.Check(n.now, a.Range(), lease); err != nil {
+	if err := n.checkLease(a.Range(), lease); err != nil {
 		n.event(EventAssignmentFenced, string(a.Task.ID.Key), err.Error())
 		return "the home's lease was replaced"
 	}
@@ -166,16 +174,40 @@
 func (n *Node) returnTask(home string, a *Assignment, state AssignState, reason string) {
 	n.fence(a.Task.ID)
 	delete(n.owner.tasks, a.Task.ID)
+	if home == "" {
+		return // The next home asks for the attempt.
+	}
 	n.send(home, &AssignResult{Task: a.Task.ID, Range: a.Range(), State: state, Reason: reason})
 }
 
 // tellHome sends a message to the present home of a range.
 func (n *Node) tellHome(r tenure.Range, message Message) {
-	if home := n.homeOf(r); home != "" {
+	if home := n.holderOf(r); home != "" {
 		n.send(home, message)
 	}
 }
 
+// holderOf returns the node that has to hear of a range's tasks: the newest
+// holder known here if it is live, since a lease can outlast its holder's being
+// first choice, or else the first choice.
+func (n *Node) holderOf(r tenure.Range) string {
+	if holder := n.owner.holders[r].Node; holder != "" && n.members.isLive(holder) {
+		return holder
+	}
+	return n.homeOf(r)
+}
+
+// checkLease refuses a lease that was replaced, and remembers the newest one.
+func (n *Node) checkLease(r tenure.Range, lease tenure.LeaseNumber) error {
+	if err := n.tenure.Check(n.now, r, lease); err != nil {
+		return err
+	}
+	if lease.Compare(n.owner.holders[r]) > 0 && (len(n.owner.holders) < tenure.MaxRanges || n.owner.holders[r].Node != "") {
+		n.owner.holders[r] = lease
+	}
+	return nil
+}
+
 // schedule carries out what the engine decides.
 func (n *Node) schedule() {
 	for _, decision := range n.owner.engine.Schedule(n.now, scheduleLimit) {
@@ -193,7 +225,7 @@
 	case placement.VerbExpire:
 		if t != nil {
 			reason := "its deadline passed at owner " + n.options.Name
-			home := n.homeOf(t.assignment.Range())
+			home := n.holderOf(t.assignment.Range())
 			n.returnTask(home, &t.assignment, AssignExpired, reason)
 		}
 	case placement.VerbStop, placement.VerbCheckpoint, placement.VerbThrottle:
@@ -255,7 +287,7 @@
 	}
 	s.starting--
 	t.state, t.startedAt = heldRunning, n.now
-	n.reportHeld(n.homeOf(t.assignment.Range()), t)
+	n.reportHeld(n.holderOf(t.assignment.Range()), t)
 }
 
 func (n *Node) startRefused(in *StartRefused) {
@@ -266,7 +298,7 @@
 	}
 	s.starting--
 	n.owner.engine.TaskEnded(n.now, in.ID, placement.Stopped)
-	n.returnTask(n.homeOf(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
+	n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
 	n.schedule()
 }
 
@@ -289,7 +321,7 @@
 
 // query answers a home that has not heard of its tasks for a while.
 func (n *Node) query(from string, m *Query) {
-	if n.tenure.Check(n.now, m.Range, m.Lease) != nil {
+	if n.checkLease(m.Range, m.Lease) != nil {
 		return
 	}
 	for _, id := range m.Tasks {
@@ -298,7 +330,42 @@
 			continue
 		}
 		n.fence(id)
-		n.send(from, &AssignResult{Task: id, Range: m.Range, State: AssignUnknown, Reason: "owner " + n.options.Name + " does not know the attempt"})
+		result := &AssignResult{
+			Task: id, Range: m.Range, State: AssignUnknown, Incarnation: n.options.Incarnation,
+			Reason: "owner " + n.options.Name + " does not know the attempt",
+		}
+		if worker, lost := n.owner.lost[id]; lost {
+			result.State, result.Worker, result.Reason = AssignLost, worker, "the session with "+worker+" ended"
+		}
+		n.send(from, result)
+	}
+}
+
+// rememberLost keeps the worker of a task whose session has ended.
+func (n *Node) rememberLost(id placement.TaskID, worker string) {
+	if _, known := n.owner.lost[id]; !known {
+		n.owner.lostOrder = append(n.owner.lostOrder, id)
+	}
+	n.owner.lost[id] = worker
+	if len(n.owner.lostOrder) > maxFencedTasks {
+		delete(n.owner.lost, n.owner.lostOrder[0])
+		n.owner.lostOrder = n.owner.lostOrder[1:]
+	}
+}
+
+// returnAllWaiting gives the tasks that wait for room back to their homes.
+func (n *Node) returnAllWaiting(reason string) {
+	var waiting []*held
+	for id, t := range n.owner.tasks {
+		if t.state == heldWaiting && n.owner.engine.Cancel(id) {
+			waiting = append(waiting, t)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *held) int {
+		return placement.CompareTaskIDs(a.assignment.Task.ID, b.assignment.Task.ID)
+	})
+	for _, t := range waiting {
+		n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, reason)
 	}
 }
 
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -49,12 +49,18 @@
 func (q *kindQueue) length() int { return q.waiting.Len() }
 
 func (q *kindQueue) push(e *entry) {
+	if e.queued {
+		return
+	}
 	e.queued = true
 	q.elements[e] = q.waiting.PushBack(e)
 }
 
 // pushFront puts back an entry that an owner returned; it keeps its turn.
 func (q *kindQueue) pushFront(e *entry) {
+	if e.queued {
+		return
+	}
 	e.queued = true
 	q.elements[e] = q.waiting.PushFront(e)
 }
@@ -134,7 +140,8 @@
 // complete, gangs for their reservations, everything else in its kind's queue.
 func (n *Node) queueEntry(h *home, e *entry) {
 	e.state = workload.StateQueued
-	if !e.startBy.IsZero() {
+	if !e.startBy.IsZero() && !e.timed {
+		e.timed = true
 		heap.Push(&h.deadlines, e)
 	}
 	if e.suspect && !h.recovery.complete {
@@ -146,6 +153,9 @@
 		return
 	}
 	switch {
+	case e.listedOnly():
+		// A worker's list or a front's question does not carry the payload.
+		n.awaitRequest(h, e)
 	case e.gangSize() > 1:
 		h.gangs = append(h.gangs, e)
 	default:
@@ -157,10 +167,22 @@
 	}
 }
 
+// awaitRequest keeps an entry whose whole request is not known until its front
+// has sent it again.
+func (n *Node) awaitRequest(h *home, e *entry) {
+	if e.incompleteSince.IsZero() {
+		e.incompleteSince = n.now
+	}
+	e.wait(n.now, "its request: only a front can send the whole of it")
+	e.tasks[0].state, e.tasks[0].retryAt = taskBackingOff, n.now
+	n.activate(h, e)
+}
+
 // expire refuses queued entries whose time to start has passed.
 func (n *Node) expire(h *home) {
 	for len(h.deadlines) > 0 && n.now.After(h.deadlines[0].startBy) {
 		e := heap.Pop(&h.deadlines).(*entry)
+		e.timed = false
 		if e.state != workload.StateQueued || e.ended() {
 			continue
 		}
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -25,6 +25,7 @@
 
 // startRecovery begins when a lease does.
 func (n *Node) startRecovery(h *home) {
+	n.suspectAll(h)
 	h.recovery = recovery{startedAt: n.now, first: h.number, uncovered: map[string]bool{}}
 	h.knownSince = n.now
 	for _, name := range n.workers.names {
@@ -39,7 +40,7 @@
 	h.recovery.askedAt = n.now
 	for _, owner := range n.members.names {
 		if n.members.isLive(owner) || owner == n.options.Name {
-			n.send(owner, &ListKeys{Range: h.place, Lease: h.number})
+			n.send(owner, &ListKeys{Range: h.place, Lease: h.number, Asked: n.now})
 		}
 	}
 }
@@ -70,6 +71,7 @@
 		return
 	}
 	h.recovery.complete = true
+	n.endBrokenGangs(h)
 	n.event(EventRecoveryComplete, h.place.Team, "every worker of the region is accounted for")
 	n.releaseSuspects(h)
 }
@@ -81,13 +83,79 @@
 	suspects := h.suspects
 	h.suspects = nil
 	for _, e := range suspects {
-		if e.ended() || e.state != workload.StateQueued {
+		if e.ended() || e.state != workload.StateQueued || e.active {
 			continue
 		}
+		if e.neverAssigned() && h.knowsAllSince(e.request.Key) {
+			e.suspect, e.mayHaveRun = false, false
+		}
 		n.queueEntry(h, e)
 	}
 }
 
+// suspectAll is called when a lease begins or ends: another home may have
+// acted on the range. Requests that this home never assigned go back to their
+// fronts, which submit them again if no other home can have them. Everything
+// else open is suspect.
+func (n *Node) suspectAll(h *home) {
+	waiting := h.suspects
+	for _, q := range h.queues {
+		for e := q.head(); e != nil; e = q.head() {
+			q.drop(e)
+			waiting = append(waiting, e)
+		}
+	}
+	waiting = append(waiting, h.gangs...)
+	h.gangs, h.suspects = nil, nil
+	for _, e := range waiting {
+		switch {
+		case e.ended() || e.state != workload.StateQueued:
+		case e.neverAssigned() && !e.recorded && !e.canceled:
+			n.returnToFronts(h, e)
+		default:
+			h.suspects = append(h.suspects, e)
+		}
+	}
+	for _, e := range h.entries {
+		if !e.ended() && !e.appending {
+			e.suspect = true
+			e.mayHaveRun = e.mayHaveRun || !e.neverAssigned()
+		}
+		if e.ended() && e.refusal != nil && e.refusal.Run == workload.NotRun {
+			// It may be untrue once another home has taken the request.
+			h.forget(e)
+		}
+	}
+}
+
+// neverAssigned reports whether no task of the entry was ever given to an owner.
+func (e *entry) neverAssigned() bool {
+	if e.attempt > 0 {
+		return false
+	}
+	for i := range e.tasks {
+		if e.tasks[i].id.Attempt != 0 || e.tasks[i].state != taskQueued {
+			return false
+		}
+	}
+	return true
+}
+
+// returnToFronts forgets a request that this home has not acted on.
+func (n *Node) returnToFronts(h *home, e *entry) {
+	if e.gang.reserving {
+		n.releaseGang(h, e)
+	}
+	delete(h.entries, e.request.Key)
+	e.state = workload.StateRefused // The table of deadlines still has it.
+	for _, front := range e.fronts {
+		n.send(front.Name, &Refused{
+			Key: e.request.Key, Try: front.Try, NotHome: true, AllTries: true, Incarnation: n.options.Incarnation,
+			Refusal: *workload.Refuse(workload.CodeNoHome, n.timing.RepeatAfter, "the lease of team %s began or ended here", h.place.Team),
+		})
+	}
+}
+
 // resolveSuspect decides a suspect that was found nowhere, once every worker is
 // accounted for. It reports whether the entry may be queued. A durable job's
 // result is acknowledged only after its end was read back from the log, so for
@@ -117,12 +185,16 @@
 		request: workload.Request{
 			Key: a.Task.ID.Key, Team: a.Task.Team, Kind: a.Task.Kind, Class: a.Task.Class, Region: a.Region,
 			NonIdempotent: a.NonIdempotent, Resources: a.Task.Resources, GangSize: a.Task.GangSize,
-			RunTimeMS: a.Task.RunTime.Milliseconds(),
+			RunTimeMS: a.Task.RunTime.Milliseconds(), Mode: a.Mode,
 		},
 		acceptedAt: a.Task.EnqueuedAt,
 		state:      workload.StateAssigned,
+		mayHaveRun: true,
 	}
-	e.addFront(a.Front)
+	// A durable job is assigned only after its record was read back.
+	e.durable = a.Mode == workload.ModeJob || a.Mode == workload.ModeService
+	e.recorded = e.durable
+	e.addFront(a.Front, 0)
 	e.resetTasks(n.now, taskQueued)
 	e.note(n.now, "found", "by the list of an owner")
 	if job := n.jobs.open[a.Task.ID.Key]; job != nil {
@@ -134,21 +206,25 @@
 
 // doubtTasksOf puts the tasks of a lost owner into doubt: each may run until
 // the workers that it may be on are cleared.
-func (n *Node) doubtTasksOf(h *home, owner string, workers []string) {
+func (n *Node) doubtTasksOf(h *home, owner string) {
 	for _, e := range h.active {
 		for i := range e.tasks {
 			t := &e.tasks[i]
 			if t.owner != owner || (t.state != taskAssigned && t.state != taskRunning) {
 				continue
 			}
-			n.doubt(e, t, workers, "its owner "+owner+" is lost")
+			n.doubt(e, t, nil, "its owner "+owner+" is lost")
 		}
 	}
 }
 
 // doubt marks a task as possibly running on one of the workers. A task that
-// was reported as started can only be on its worker.
+// was reported as started can only be on its worker. Without workers it is any
+// of the region: news of the owner's latest session may have been lost.
 func (n *Node) doubt(e *entry, t *task, workers []string, reason string) {
+	if len(workers) == 0 {
+		workers = n.workers.listed(n.options.Region)
+	}
 	if t.worker != "" {
 		workers = []string{t.worker}
 	}
@@ -168,6 +244,7 @@
 		}
 	}
 	started := t.worker != ""
+	e.mayHaveRun = true
 	if e.request.NonIdempotent && (started || proof == clearedByLapse) {
 		n.refuseEntry(h, e, outcomeUnknown("the worker or the owner that had it was lost"))
 		return
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -125,6 +125,7 @@
 			running = append(running, placement.Running{Task: a.Task, StartedAt: listed.StartedAt})
 		}
 		n.owner.tasks[listed.ID] = t
+		delete(n.owner.lost, listed.ID)
 	}
 	return running
 }
@@ -159,7 +160,7 @@
 // listKeys lists every worker of this node to a new home. From then on older
 // homes of the range are refused.
 func (n *Node) listKeys(from string, m *ListKeys) {
-	if n.tenure.Check(n.now, m.Range, m.Lease) != nil {
+	if n.checkLease(m.Range, m.Lease) != nil {
 		return
 	}
 	byWorker := map[string][]ListedTask{}
@@ -177,7 +178,7 @@
 	for _, name := range n.sessionNames() {
 		s := n.owner.sessions[name]
 		sortListed(byWorker[name])
-		n.send(from, &Listed{Worker: name, Token: s.token, Range: m.Range, Lease: m.Lease, Tasks: byWorker[name], Waiting: waiting})
+		n.send(from, &Listed{Worker: name, Token: s.token, Range: m.Range, Lease: m.Lease, Tasks: byWorker[name], Waiting: waiting, Asked: m.Asked})
 		waiting = nil
 	}
 }
@@ -213,6 +214,7 @@
 		return placement.CompareTaskIDs(a.assignment.Task.ID, b.assignment.Task.ID)
 	})
 	for _, t := range lost {
+		n.rememberLost(t.assignment.Task.ID, name)
 		if t.state == heldStarting || t.state == heldRunning {
 			n.tellHome(t.assignment.Range(), &AssignResult{
 				Task: t.assignment.Task.ID, Range: t.assignment.Range(), State: AssignLost, Worker: name, Reason: reason,
@@ -221,6 +223,11 @@
 	}
 	n.owner.unacked = slices.DeleteFunc(n.owner.unacked, func(t *held) bool { return t.worker == name })
 	n.owner.kept = slices.DeleteFunc(n.owner.kept, func(t *held) bool { return t.worker == name })
+	if len(n.owner.sessions) == 0 {
+		// Without a worker this node is in no list that a new home waits for, so
+		// it must not start these tasks under a later session.
+		n.returnAllWaiting("the owner has no worker left")
+	}
 	n.refreshOwnView()
 }
 
@@ -283,7 +290,10 @@
 		n.sendBulk(t.assignment.Front, &Finished{Task: t.assignment.Task.ID, Range: place, Result: *t.result, ToFront: true})
 	}
 	if !t.ackHome {
-		home := n.homeOf(place)
+		home := n.holderOf(place)
+		if home == "" {
+			return
+		}
 		message := &Finished{Task: t.assignment.Task.ID, Range: place, Result: *t.result}
 		if t.direct() {
 			message.Result.Body = nil
@@ -367,6 +377,7 @@
 		return
 	}
 	delete(n.owner.tasks, id)
+	n.rememberLost(id, t.worker)
 	n.owner.unacked = slices.DeleteFunc(n.owner.unacked, func(other *held) bool { return other == t })
 	s := n.owner.sessions[t.worker]
 	if s == nil {
--- /dev/null
+++ b/internal/control/sim_explain_test.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"strings"
+	"time"
+)
+
+// explain prints what the homes know of the requests that violations name.
+func (w *world) explain() {
+	text := strings.Join(w.checks.violations, "\n")
+	for _, caller := range w.callers {
+		if key := caller.request.Key; key == "" || !strings.Contains(text, string(key)) {
+			continue
+		}
+		w.trace("request %+v", caller.request)
+		for _, n := range w.nodes {
+			for place, h := range n.node.homes {
+				e := h.entries[caller.request.Key]
+				if e == nil {
+					continue
+				}
+				w.trace("%s of %v (up %t): state %s suspect %t active %t queued %t canceled %t durable %t recorded %t appending %t waiting %q",
+					n.name, place, n.up, e.state, e.suspect, e.active, e.queued, e.canceled, e.durable, e.recorded, e.appending, e.waiting)
+				for _, event := range e.timeline {
+					w.trace("  %8.3f %s: %s", w.virtual(n, event.At).Seconds(), event.Event, event.Detail)
+				}
+				for _, t := range e.tasks {
+					w.trace("  task %v %s owner %s worker %s doubts %v", t.id, t.state, t.owner, t.worker, t.doubtWorkers)
+				}
+			}
+			for id, t := range n.node.owner.tasks {
+				if id.Key == caller.request.Key {
+					w.trace("%s holds %v: %s on %s", n.name, id, t.state, t.worker)
+				}
+			}
+		}
+	}
+}
+
+// virtual is the time of the run at a reading of a node's clock.
+func (w *world) virtual(n *simNode, at time.Time) time.Duration {
+	return n.clock.real(at.Sub(epoch) - n.clock.offset)
+}
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -57,11 +57,39 @@
 	case AssignStarted:
 		n.taskStartedAtHome(h, e, t, m)
 	case AssignWaiting:
-	case AssignReturned, AssignExpired, AssignUnknown:
+	case AssignReturned, AssignExpired:
 		n.taskReturned(h, e, t, from, m)
+	case AssignUnknown:
+		// A process that was started after the assignment can't know what the
+		// former one did with it; its heartbeat puts the task into doubt.
+		if m.Incarnation == n.members.Incarnation(from) {
+			n.taskUnknown(h, e, t, from, m)
+		}
 	case AssignLost:
-		n.settleOutstanding(t)
-		n.doubt(e, t, []string{m.Worker}, "session with "+m.Worker+" was lost")
+		if t.state == taskAssigned || t.state == taskRunning {
+			n.settleOutstanding(t)
+			n.doubt(e, t, []string{m.Worker}, "session with "+m.Worker+" was lost")
+		}
+	}
+}
+
+// taskUnknown takes the word of an owner that does not know an attempt. It
+// proves that the attempt was not started only if no start was reported.
+func (n *Node) taskUnknown(h *home, e *entry, t *task, from string, m *AssignResult) {
+	switch t.state {
+	case taskAssigned:
+		n.taskReturned(h, e, t, from, m)
+	case taskRunning:
+		n.doubt(e, t, nil, m.Reason)
+	}
+}
+
+// countOutstanding counts the tasks of a taken-over entry that wait at owners.
+func (n *Node) countOutstanding(e *entry) {
+	for i := range e.tasks {
+		if t := &e.tasks[i]; t.state == taskAssigned {
+			n.ownerView(t.owner).outstanding[t.team]++
+		}
 	}
 }
 
@@ -83,6 +111,7 @@
 		return
 	}
 	n.settleOutstanding(t)
+	e.mayHaveRun = true
 	t.state, t.worker, t.changedAt, t.doubtWorkers = taskRunning, m.Worker, n.now, nil
 	e.state, e.waiting = workload.StateRunning, ""
 	e.note(n.now, "started", "on "+m.Worker)
@@ -115,6 +144,10 @@
 		if m.State == AssignReturned {
 			e.returnedBy = from
 		}
+		if e.suspect || e.listedOnly() {
+			n.queueEntry(h, e)
+			return
+		}
 		rule, _ := n.rules.kind(e.request.Kind)
 		h.queue(e.request.Kind, rule).pushFront(e)
 	}
@@ -123,20 +156,29 @@
 // finishedAtHome takes the end of a task.
 func (n *Node) finishedAtHome(from string, m *Finished) {
 	h := n.homes[m.Range]
-	if h == nil || !n.wants(h) {
+	if h == nil || !n.mayAct(h) {
 		// The node is not the home, so the owner has to ask the present one.
 		return
 	}
 	e, t := h.find(m.Task)
 	if e == nil {
-		n.send(from, &AcknowledgeAnswer{Task: m.Task, Final: h.recovery.complete && n.mayAct(h)})
+		final := h.recovery.complete && n.mayAct(h) && n.jobs.open[m.Task.Key] == nil
+		n.send(from, &AcknowledgeAnswer{Task: m.Task, Final: final})
 		return
 	}
-	if t == nil || e.ended() || t.state == taskEnded {
+	if t == nil || e.ended() {
 		n.acknowledgeAtHome(e, from, m.Task)
 		return
 	}
+	if t.state == taskEnded {
+		return // The rest of its gang still runs; the worker keeps the result.
+	}
 	n.settleOutstanding(t)
+	e.mayHaveRun = true
+	if e.queued {
+		h.queue(e.request.Kind, KindRule{}).drop(e)
+	}
+	h.dropSuspect(e)
 	t.owner, t.worker, t.changedAt = from, m.Result.Worker, n.now
 	result := m.Result
 	t.result = &result
@@ -145,7 +187,7 @@
 		e.note(n.now.Add(-result.Ran), "started", "on "+result.Worker)
 	}
 	n.taskEndedAtHome(h, e, t)
-	if e.ended() && !(e.durable && e.recorded && n.jobs.open[e.request.Key] != nil) {
+	if e.ended() {
 		n.acknowledgeAtHome(e, from, m.Task)
 	}
 }
@@ -153,7 +195,7 @@
 // acknowledgeAtHome lets the owner drop a result; for a durable job only after
 // its end was read back from the log.
 func (n *Node) acknowledgeAtHome(e *entry, owner string, id placement.TaskID) {
-	if e.durable && n.jobs.open[e.request.Key] != nil {
+	if e.durable && e.recorded && !e.endRead {
 		return
 	}
 	n.send(owner, &AcknowledgeAnswer{Task: id, Final: e.collected() || e.answer == nil || e.answer.Failed})
@@ -274,7 +316,7 @@
 // doubts that can be settled, assignments of which nothing was heard.
 func (n *Node) tickTasks(h *home) {
 	queries := map[string][]placement.TaskID{}
-	recalls := 0
+	recalls, doubts := 0, false
 	h.active = slices.DeleteFunc(h.active, func(e *entry) bool {
 		if e.ended() {
 			e.active = false
@@ -282,9 +324,14 @@
 		}
 		for i := range e.tasks {
 			n.tickTask(h, e, &e.tasks[i], queries, &recalls)
+			doubts = doubts || e.tasks[i].state == taskDoubtful
 		}
 		return false
 	})
+	if doubts && n.now.Sub(h.doubtsAskedAt) >= n.timing.RepeatAfter/2 {
+		h.doubtsAskedAt = n.now
+		n.askForLists(h)
+	}
 	for _, owner := range n.members.names {
 		if ids := queries[owner]; len(ids) > 0 {
 			n.send(owner, &Query{Range: h.place, Tasks: ids, Lease: h.number})
@@ -298,7 +345,14 @@
 	}
 	switch t.state {
 	case taskBackingOff:
-		if !n.now.Before(t.retryAt) && e.gangSize() == 1 {
+		switch {
+		case n.now.Before(t.retryAt):
+		case e.listedOnly() && !e.incompleteSince.IsZero() && n.now.Sub(e.incompleteSince) > unresolvedLimit:
+			n.refuseEntry(h, e, outcomeUnknown("an earlier attempt may have run and no front sent the request again"))
+		case e.listedOnly() && !e.incompleteSince.IsZero():
+		case e.canceled:
+			n.refuseEntry(h, e, workload.Refuse(workload.CodeCanceled, 0, "canceled between two attempts"))
+		default:
 			t.state = taskQueued
 			n.queueEntry(h, e)
 		}
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -33,16 +33,6 @@
 // listed returns the names of a region's workers in the VM list, sorted.
 func (v *workerViews) listed(region string) []string { return v.region[region] }
 
-func (v *workerViews) ownedBy(owner string) []string {
-	var names []string
-	for _, name := range v.names {
-		if v.byName[name].owner == owner {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 func (v *workerViews) rebuild() {
 	v.names, v.region = v.names[:0], map[string][]string{}
 	for name := range v.byName {
@@ -119,19 +109,7 @@
 
 // listed takes the list of one worker from its owner.
 func (n *Node) listed(from string, m *Listed) {
-	view := n.workers.byName[m.Worker]
-	if view == nil {
-		view = &workerView{}
-		n.workers.byName[m.Worker] = view
-		n.workers.rebuild()
-	}
-	if m.Worker != "" && m.Token >= view.token {
-		newSession := m.Token > view.token
-		view.owner, view.token = from, m.Token
-		if newSession || m.Lease != (tenure.LeaseNumber{}) {
-			view.listedAt = n.now
-		}
-	}
+	n.noteList(from, m)
 	for i := range m.Tasks {
 		n.taskListed(from, m.Worker, &m.Tasks[i])
 	}
@@ -143,6 +121,28 @@
 	}
 }
 
+// noteList notes which point in time a worker's list speaks for: the opening
+// of a new session, or else the time at which this node asked for it.
+func (n *Node) noteList(from string, m *Listed) {
+	view := n.workers.byName[m.Worker]
+	if view == nil {
+		view = &workerView{goneAt: n.now}
+		n.workers.byName[m.Worker] = view
+		n.workers.rebuild()
+	}
+	if m.Token < view.token {
+		return
+	}
+	at := m.Asked
+	if m.Token > view.token {
+		at = n.now
+	}
+	view.owner, view.token = from, m.Token
+	if at.After(view.listedAt) {
+		view.listedAt = at
+	}
+}
+
 // taskListed brings the home's entry in line with what an owner has listed.
 func (n *Node) taskListed(owner, worker string, listed *ListedTask) {
 	a := &listed.Assignment
@@ -154,11 +154,16 @@
 	if e == nil {
 		e = n.entryFromList(h, a)
 	}
-	e.listed = true
-	if e.ended() || a.Task.ID.Index >= len(e.tasks) {
+	if a.Task.ID.Index < 0 || a.Task.ID.Index >= len(e.tasks) {
 		return
 	}
 	t := &e.tasks[a.Task.ID.Index]
+	if e.ended() {
+		if t.id == a.Task.ID {
+			t.owner = owner // The answer is delivered from there.
+		}
+		return
+	}
 	if t.id.Attempt > a.Task.ID.Attempt || (t.id.Attempt == a.Task.ID.Attempt && t.state == taskEnded) {
 		return
 	}
@@ -169,11 +174,16 @@
 }
 
 func (n *Node) adoptListedTask(h *home, e *entry, t *task, owner, worker string, listed *ListedTask) {
+	n.settleOutstanding(t)
 	t.id = listed.Assignment.Task.ID
 	t.owner, t.worker, t.changedAt, t.doubtWorkers = owner, worker, n.now, nil
 	t.state = taskRunning
 	if listed.State == AssignWaiting {
 		t.state = taskAssigned
+		t.askedAt = n.now
+		n.ownerView(owner).outstanding[t.team]++
+	} else {
+		e.mayHaveRun = true
 	}
 	if e.queued {
 		h.queue(e.request.Kind, KindRule{}).drop(e)
@@ -184,8 +194,8 @@
 	n.count(h, e)
 	n.activate(h, e)
 	for _, front := range e.fronts {
-		if front != listed.Assignment.Front {
-			n.send(owner, &Redirect{Task: t.id, Front: front})
+		if front.Name != listed.Assignment.Front {
+			n.send(owner, &Redirect{Task: t.id, Front: front.Name})
 		}
 	}
 }
