Report results to a new home again, and count finished tasks no more

Cause: an owner that had an acknowledgement of the former home never told the new one, whose entries then stayed 'running', filled the quota and stopped the team. A 'log down' refusal stayed in the table and met every retry. A list of a newer attempt was ignored while the older one was listed first.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -148,9 +148,13 @@
 
 func (n *Node) takeHandoverEntry(h *home, m *HandoverEntry) {
 	if known := h.entries[m.Request.Key]; known != nil {
-		if !known.suspect || known.ended() {
+		if !known.suspect || known.ended() || known.counted {
 			return
 		}
+		known.state = workload.StateRefused // The table of deadlines still has it.
+		if known.queued {
+			h.queue(known.request.Kind, KindRule{}).drop(known)
+		}
 		h.dropSuspect(known)
 		m.Fronts = append(m.Fronts, known.fronts...)
 	}
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -14,8 +14,10 @@
 )
 
 var (
-	seedFlag   = flag.Uint64("seed", 0, "run this seed alone and print what happens")
-	faultsFlag = flag.String("faults", "", "faults of the run of -seed, separated by commas")
+	seedFlag    = flag.Uint64("seed", 0, "run this seed alone and print what happens")
+	keyFlag     = flag.String("key", "", "a key that the run of -seed explains as well")
+	verboseFlag = flag.Bool("messages", false, "print every message of the run of -seed")
+	faultsFlag  = flag.String("faults", "", "faults of the run of -seed, separated by commas")
 )
 
 // shortSeeds is the number of seeds in a plain run of the tests.
@@ -70,6 +72,7 @@
 	w.trace = func(format string, arguments ...any) {
 		fmt.Printf("%8.3fs "+format+"\n", append([]any{w.now.Seconds()}, arguments...)...)
 	}
+	w.verbose = *verboseFlag
 	simulate(w)
 	w.explain()
 	require.Empty(t, w.checks.violations, "seed %d", *seedFlag)
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -324,7 +324,7 @@
 	if m.Try != s.try || from != s.home {
 		return
 	}
-	if len(s.open) > 1 || s.request.Attempt > 0 && m.Refusal.Code == workload.CodeLeaving {
+	if s.openTries() > 1 || s.request.Attempt > 0 && m.Refusal.Code == workload.CodeLeaving {
 		// An earlier try may still be on its way to another home.
 		m.Refusal.Run = workload.MayHaveRun
 	}
@@ -350,6 +350,14 @@
 	}
 }
 
+func (s *submission) openTries() int {
+	total := 0
+	for _, count := range s.open {
+		total += count
+	}
+	return total
+}
+
 // connectionClosed forgets a connection. The answer stays with the worker, so
 // that the caller can come back for it.
 func (n *Node) connectionClosed(connection uint64) {
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -51,7 +51,7 @@
 			n.keepUnwritten(e)
 			return
 		}
-		n.refuseEntry(h, e, workload.Refuse(workload.CodeLogDown, logRetryAfter, "the log can't be written to, so the job can't be made durable"))
+		n.logDown(h, e)
 		return
 	}
 	n.appendAcceptance(e)
@@ -309,7 +309,21 @@
 		n.keepUnwritten(e)
 		return
 	}
-	n.refuseEntry(h, e, workload.Refuse(workload.CodeLogDown, logRetryAfter, "the log can't be written to, so the job can't be made durable"))
+	n.logDown(h, e)
+}
+
+// logDown refuses a job that can't be made durable and forgets it, so that the
+// next attempt is judged anew.
+func (n *Node) logDown(h *home, e *entry) {
+	delete(h.entries, e.request.Key)
+	e.state = workload.StateRefused
+	refusal := workload.Refuse(workload.CodeLogDown, logRetryAfter, "the log can't be written to, so the job can't be made durable")
+	if e.mayHaveRun {
+		refusal.Run = workload.MayHaveRun
+	}
+	for _, front := range e.fronts {
+		n.refuseAtFront(front.Name, e.request.Key, front.Try, refusal)
+	}
 }
 
 func keyOf(identity, prefix string) workload.Key {
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -83,7 +83,7 @@
 	suspects := h.suspects
 	h.suspects = nil
 	for _, e := range suspects {
-		if e.ended() || e.state != workload.StateQueued || e.active {
+		if e.ended() || e.state != workload.StateQueued {
 			continue
 		}
 		if e.neverAssigned() && h.knowsAllSince(e.request.Key) {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -163,6 +164,7 @@
 	if n.checkLease(m.Range, m.Lease) != nil {
 		return
 	}
+	n.reportAgain(m.Range)
 	byWorker := map[string][]ListedTask{}
 	for _, t := range n.owner.tasks {
 		if t.assignment.Range() == m.Range {
@@ -183,6 +185,26 @@
 	}
 }
 
+// reportAgain has the results of a range sent to its new home as well: the one
+// that acknowledged them may be gone.
+func (n *Node) reportAgain(place tenure.Range) {
+	var finished []*held
+	for _, t := range n.owner.tasks {
+		if t.ackHome && t.result != nil && t.assignment.Range() == place {
+			finished = append(finished, t)
+		}
+	}
+	slices.SortFunc(finished, func(a, b *held) int {
+		return placement.CompareTaskIDs(a.assignment.Task.ID, b.assignment.Task.ID)
+	})
+	for _, t := range finished {
+		t.ackHome, t.sentAt, t.repeats = false, time.Time{}, 0
+		if !slices.Contains(n.owner.unacked, t) {
+			n.owner.unacked = append(n.owner.unacked, t)
+		}
+	}
+}
+
 func (n *Node) sessionRefused(in *SessionRefused) {
 	n.owner.opening[in.Worker] = n.now
 }
--- a/internal/control/sim_explain_test.go
+++ b/internal/control/sim_explain_test.go
@@ -7,7 +7,20 @@
 
 // explain prints what the homes know of the requests that violations name.
 func (w *world) explain() {
-	text := strings.Join(w.checks.violations, "\n")
+	for _, n := range w.nodes {
+		for place, h := range n.node.homes {
+			counted := 0
+			for _, e := range h.entries {
+				if e.counted {
+					counted += e.gangSize()
+					w.trace("%s %v counts %s: %s active %t", n.name, place, e.request.Key, e.state, e.active)
+				}
+			}
+			w.trace("%s %v: running %d, entries count %d, lease %t, suspects %d, recovered %t, jobs known %t",
+				n.name, place, h.running, counted, n.node.mayAct(h), len(h.suspects), h.recovery.complete, h.jobsKnown)
+		}
+	}
+	text := strings.Join(w.checks.violations, "\n") + *keyFlag
 	for _, caller := range w.callers {
 		if key := caller.request.Key; key == "" || !strings.Contains(text, string(key)) {
 			continue
--- a/internal/control/sim_network_test.go
+++ b/internal/control/sim_network_test.go
@@ -57,6 +57,9 @@
 			w.checks.fail("frame from %s to %s can't be decoded: %v", p.from, p.to, err)
 			return
 		}
+		if w.verbose {
+			w.trace("%s <- %s %T %+v", p.to, p.from, message, message)
+		}
 		to.take(&PeerMessage{From: p.from, Message: message})
 	})
 }
--- a/internal/control/sim_world_test.go
+++ b/internal/control/sim_world_test.go
@@ -55,7 +55,9 @@
 	// guards are removed in variants that the checkers have to find.
 	guards guards
 	rules  *PolicyAccepted
-	trace  func(format string, arguments ...any)
+	// verbose adds every message between nodes to the trace.
+	verbose bool
+	trace   func(format string, arguments ...any)
 }
 
 func newWorld(seed uint64) *world {
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -167,9 +167,7 @@
 	if t.id.Attempt > a.Task.ID.Attempt || (t.id.Attempt == a.Task.ID.Attempt && t.state == taskEnded) {
 		return
 	}
-	if t.id.Attempt != a.Task.ID.Attempt && t.state != taskQueued && t.state != taskDoubtful && t.state != taskBackingOff {
-		return
-	}
+	// A newer attempt was begun only after the older one was known to be over.
 	n.adoptListedTask(h, e, t, owner, worker, listed)
 }
 
@@ -191,7 +189,9 @@
 	h.dropSuspect(e)
 	e.state = stateOf(t.state)
 	e.note(n.now, "found", "at owner "+owner+" on "+worker)
-	n.count(h, e)
+	if !listed.Finished {
+		n.count(h, e)
+	}
 	n.activate(h, e)
 	for _, front := range e.fronts {
 		if front.Name != listed.Assignment.Front {
