Keep entries whole over handovers and homes for ranges with open jobs

Cause: a request that a front had sent to both homes stayed queued at the new one beside the handed-over entry; a job's end was not written again after a handover; a range without requests had no home, so its open jobs waited for ever; two members moved workers at once and homes lost their leases.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -136,11 +136,8 @@
 	owners      map[string]*ownerView
 	draining    bool
 	drained     bool
-	// closingSince and closedInRound pace the sessions that a stopping node gives up.
-	closingSince  time.Time
-	closedInRound int
-	started       time.Time
-	guards        guards
+	started     time.Time
+	guards      guards
 }
 
 // guards switches single safety rules off. Only tests set a field, to show that
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/tenure"
@@ -14,10 +15,25 @@
 // so that their next owners don't all open at the same instant.
 const closingsPerTick = 2
 
-// closingRound is the time in which a stopping node closes at most one sixth of
-// its region's sessions. A moved worker counts for no home lease for 2.2 s, and
-// a lease needs more than two thirds of them.
-const closingRound = 2500 * time.Millisecond
+// movingTime is how long a worker counts as moving between owners: it counts
+// for no home lease for 2.2 s after its new session, and a lease needs more
+// than two thirds of the workers. At most one in movingShare moves at a time.
+const (
+	movingTime  = 2500 * time.Millisecond
+	movingShare = 6
+)
+
+// mayMoveWorker reports whether one more worker of the region may be given to
+// another owner without putting home leases at risk.
+func (n *Node) mayMoveWorker() bool {
+	names, moving := n.workers.listed(n.options.Region), 0
+	for _, name := range names {
+		if moved := n.workers.byName[name].movedAt; !moved.IsZero() && n.now.Sub(moved) < movingTime {
+			moving++
+		}
+	}
+	return moving < max(len(names)/movingShare, 1)
+}
 
 // drain begins the planned stop: no new requests, homes and sessions go to
 // other members, open requests are answered first.
@@ -41,19 +57,14 @@
 		}
 	}
 	closed := 0
-	if n.now.Sub(n.closingSince) >= closingRound {
-		n.closingSince, n.closedInRound = n.now, 0
-	}
-	allowed := max(len(n.workers.listed(n.options.Region))/6, 1)
 	for _, name := range n.sessionNames() {
 		s := n.owner.sessions[name]
 		left++
-		if !s.closing && n.closedInRound < allowed {
+		if !s.closing && n.mayMoveWorker() {
 			n.beginClosing(s)
 		}
-		if s.starting == 0 && closed < closingsPerTick && n.closedInRound < allowed {
+		if s.closing && s.starting == 0 && closed < closingsPerTick {
 			closed++
-			n.closedInRound++
 			n.closeSession(s, "the owner is stopping")
 		}
 	}
@@ -148,14 +159,16 @@
 
 func (n *Node) takeHandoverEntry(h *home, m *HandoverEntry) {
 	if known := h.entries[m.Request.Key]; known != nil {
-		if !known.suspect || known.ended() || known.counted {
+		if known.ended() || known.counted || !known.neverAssigned() {
 			return
 		}
+		// A front sent it here as well, before the handover came.
 		known.state = workload.StateRefused // The table of deadlines still has it.
 		if known.queued {
 			h.queue(known.request.Kind, KindRule{}).drop(known)
 		}
 		h.dropSuspect(known)
+		h.gangs = slices.DeleteFunc(h.gangs, func(other *entry) bool { return other == known })
 		m.Fronts = append(m.Fronts, known.fronts...)
 	}
 	e := &entry{
@@ -181,6 +194,10 @@
 	case e.ended():
 		e.endedAt = n.now
 		h.ended = append(h.ended, e)
+		e.endRead = n.jobs.ended[e.request.Key]
+		if e.durable && e.recorded && !e.endRead {
+			n.recordEnd(h, e)
+		}
 	case e.state == workload.StateQueued:
 		for i := range e.tasks {
 			e.tasks[i].state = taskQueued
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -46,6 +46,9 @@
 	starts, retries int
 	decayedAt       time.Time
 	handedOver      bool
+	// returned are keys that went back to their fronts when the lease began, for
+	// fronts that did not hear of it.
+	returned map[workload.Key]bool
 	// handoverParts counts the messages of a handover that came in order.
 	handoverParts int
 	// doubtsAskedAt is when the owners were last asked for lists to settle doubts.
@@ -84,6 +87,18 @@
 	return h
 }
 
+// wantedHome is homeFor for ranges that work runs for: the first choice becomes
+// the home also if no request comes in. It is nil on other nodes.
+func (n *Node) wantedHome(r tenure.Range) *home {
+	if h := n.homes[r]; h != nil {
+		return h
+	}
+	if r.Region != n.options.Region || n.draining || n.homeOf(r) != n.options.Name || len(n.homes) >= tenure.MaxRanges {
+		return nil
+	}
+	return n.homeFor(r)
+}
+
 func (h *home) applyRules(rules *Rules) {
 	for _, q := range h.queues {
 		q.rule, _ = rules.kind(q.name)
@@ -110,12 +125,18 @@
 		n.notHome(m, workload.CodeNoHome, "this node is not the home of team "+r.Team)
 		return
 	}
+	if h == nil && len(n.homes) >= tenure.MaxRanges {
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeQueueFull, time.Second, "this node is the home of %d ranges", tenure.MaxRanges))
+		return
+	}
 	h = n.homeFor(r)
 	if m.Wait {
 		n.waitForUnknown(h, m)
 		return
 	}
-	n.enqueueNew(h, m)
+	if !n.returnedBefore(h, m) {
+		n.enqueueNew(h, m)
+	}
 }
 
 func (n *Node) notHome(m *Enqueue, code workload.Code, reason string) {
@@ -193,6 +214,18 @@
 	}
 }
 
+// returnedBefore answers a front that did not hear that its request came back.
+func (n *Node) returnedBefore(h *home, m *Enqueue) bool {
+	if !h.returned[m.Request.Key] {
+		return false
+	}
+	delete(h.returned, m.Request.Key)
+	if m.Resent {
+		n.refuseAllTries(h, m.Request.Key, WaitingFront{m.Front, m.Try})
+	}
+	return m.Resent
+}
+
 // enqueueNew makes an entry for a key that is not in the table.
 func (n *Node) enqueueNew(h *home, m *Enqueue) {
 	e := &entry{
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -24,6 +24,9 @@
 // new home has them at hand.
 type jobTable struct {
 	open map[workload.Key]*JobAccepted
+	// openIn counts the open jobs of each range.
+	openIn    map[tenure.Range]int
+	checkedAt time.Time
 	// order lists open and ended jobs in the order of the log.
 	order []workload.Key
 	// ended remembers ended keys, so that a second acceptance record, written by
@@ -36,7 +39,11 @@
 }
 
 func newJobTable() jobTable {
-	return jobTable{open: map[workload.Key]*JobAccepted{}, ended: map[workload.Key]bool{}}
+	return jobTable{openIn: map[tenure.Range]int{}, open: map[workload.Key]*JobAccepted{}, ended: map[workload.Key]bool{}}
+}
+
+func (j *JobAccepted) place() tenure.Range {
+	return tenure.Range{Region: j.Region, Team: j.Request.Team}
 }
 
 func acceptIdentity(key workload.Key) string { return "accepted/" + string(key) }
@@ -109,6 +116,7 @@
 	}
 	if first {
 		n.jobs.open[key] = record
+		n.jobs.openIn[record.place()]++
 		n.jobs.order = append(n.jobs.order, key)
 	}
 	r := tenure.Range{Region: record.Region, Team: record.Request.Team}
@@ -188,8 +196,11 @@
 }
 
 func (n *Node) jobEnded(record *JobEnded) {
-	if n.jobs.open[record.Key] != nil {
+	if job := n.jobs.open[record.Key]; job != nil {
 		delete(n.jobs.open, record.Key)
+		if n.jobs.openIn[job.place()]--; n.jobs.openIn[job.place()] == 0 {
+			delete(n.jobs.openIn, job.place())
+		}
 	}
 	n.rememberEnded(record.Key)
 	h := n.homes[tenure.Range{Region: record.Region, Team: record.Team}]
@@ -346,8 +357,26 @@
 	n.log = *in
 }
 
+// keepHomes makes this node the home of ranges with open jobs for which it is
+// first choice, also if nothing else names them.
+func (n *Node) keepHomes() {
+	if n.now.Sub(n.jobs.checkedAt) < endRecordsEvery {
+		return
+	}
+	n.jobs.checkedAt = n.now
+	ranges := make([]tenure.Range, 0, len(n.jobs.openIn))
+	for r := range n.jobs.openIn {
+		ranges = append(ranges, r)
+	}
+	slices.SortFunc(ranges, tenure.Range.Compare)
+	for _, r := range ranges {
+		n.wantedHome(r)
+	}
+}
+
 // tickJobs writes held records once the log is up.
 func (n *Node) tickJobs() {
+	n.keepHomes()
 	if !n.log.Up || len(n.jobs.unrecorded) == 0 || n.now.Sub(n.jobs.retriedAt) < endRecordsEvery {
 		return
 	}
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -99,6 +99,7 @@
 // else open is suspect.
 func (n *Node) suspectAll(h *home) {
 	waiting := h.suspects
+	h.returned = map[workload.Key]bool{}
 	for _, q := range h.queues {
 		for e := q.head(); e != nil; e = q.head() {
 			q.drop(e)
@@ -141,6 +142,14 @@
 	return true
 }
 
+// refuseAllTries tells a front that no try which this process got had any effect.
+func (n *Node) refuseAllTries(h *home, key workload.Key, front WaitingFront) {
+	n.send(front.Name, &Refused{
+		Key: key, Try: front.Try, NotHome: true, AllTries: true, Incarnation: n.options.Incarnation,
+		Refusal: *workload.Refuse(workload.CodeNoHome, n.timing.RepeatAfter, "the lease of team %s began or ended here", h.place.Team),
+	})
+}
+
 // returnToFronts forgets a request that this home has not acted on.
 func (n *Node) returnToFronts(h *home, e *entry) {
 	if e.gang.reserving {
@@ -149,10 +158,10 @@
 	delete(h.entries, e.request.Key)
 	e.state = workload.StateRefused // The table of deadlines still has it.
 	for _, front := range e.fronts {
-		n.send(front.Name, &Refused{
-			Key: e.request.Key, Try: front.Try, NotHome: true, AllTries: true, Incarnation: n.options.Incarnation,
-			Refusal: *workload.Refuse(workload.CodeNoHome, n.timing.RepeatAfter, "the lease of team %s began or ended here", h.place.Team),
-		})
+		n.refuseAllTries(h, e.request.Key, front)
+	}
+	if !e.suspect && len(h.returned) < maxEndedPerHome {
+		h.returned[e.request.Key] = true
 	}
 }
 
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -61,12 +61,18 @@
 	if n.now.Sub(s.strangerSince) < n.timing.RebalanceAfter || n.now.Sub(n.owner.rebalancedAt) < rebalanceEvery {
 		return
 	}
+	if !n.mayMoveWorker() {
+		return
+	}
 	n.owner.rebalancedAt = n.now
 	n.beginClosing(s)
 }
 
 func (n *Node) beginClosing(s *session) {
 	s.closing = true
+	if view := n.workers.byName[s.worker.Name]; view != nil {
+		view.movedAt = n.now
+	}
 	n.owner.engine.SetLeaving(s.worker.Name, true)
 }
 
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -155,7 +155,7 @@
 
 // finishedAtHome takes the end of a task.
 func (n *Node) finishedAtHome(from string, m *Finished) {
-	h := n.homes[m.Range]
+	h := n.wantedHome(m.Range)
 	if h == nil || !n.mayAct(h) {
 		// The node is not the home, so the owner has to ask the present one.
 		return
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -17,6 +17,8 @@
 	owner    string
 	token    uint64
 	listedAt time.Time
+	// movedAt is when its session was opened anew, or began to be given away.
+	movedAt time.Time
 }
 
 // workerViews holds the VM list and the announced sessions.
@@ -135,7 +137,7 @@
 	}
 	at := m.Asked
 	if m.Token > view.token {
-		at = n.now
+		at, view.movedAt = n.now, n.now
 	}
 	view.owner, view.token = from, m.Token
 	if at.After(view.listedAt) {
@@ -146,7 +148,7 @@
 // taskListed brings the home's entry in line with what an owner has listed.
 func (n *Node) taskListed(owner, worker string, listed *ListedTask) {
 	a := &listed.Assignment
-	h := n.homes[a.Range()]
+	h := n.wantedHome(a.Range())
 	if h == nil || !n.wants(h) {
 		return
 	}
