Count a list of one range for that range alone

Cause: the answer to a home's question lists the tasks of its range, and was taken for a list of the whole worker by the homes of other ranges: their doubts were settled while the task ran. Gangs found in part after a recovery were never ended.

--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -191,18 +191,18 @@
 	n.gangEnded(h, e)
 }
 
-// endBrokenGangs ends the gangs of which a complete recovery has found a part:
-// the other tasks have ended unseen or were never started.
-func (n *Node) endBrokenGangs(h *home) {
-	for _, e := range slices.Clone(h.active) {
-		if e.gangSize() < 2 || e.ended() || e.state == workload.StateQueued {
-			continue
-		}
-		missing := slices.IndexFunc(e.tasks, func(t task) bool { return t.state == taskQueued })
-		if missing >= 0 {
-			e.tasks[missing].result = &Result{Outcome: placement.Lost}
-			n.gangTaskEnded(h, e, &e.tasks[missing])
-		}
+// endBrokenGang ends a gang of which lists show only a part after a complete
+// recovery: the other tasks have ended unseen or were never started.
+func (n *Node) endBrokenGang(h *home, e *entry) {
+	if e.gangSize() < 2 || e.ended() || e.state == workload.StateQueued || !h.recovery.complete {
+		return
+	}
+	missing := slices.IndexFunc(e.tasks, func(t task) bool {
+		return t.state == taskQueued && n.now.Sub(t.changedAt) >= n.timing.RepeatAfter
+	})
+	if missing >= 0 {
+		e.tasks[missing].result = &Result{Outcome: placement.Lost}
+		n.gangTaskEnded(h, e, &e.tasks[missing])
 	}
 }
 
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -51,6 +51,8 @@
 	returned map[workload.Key]bool
 	// handoverParts counts the messages of a handover that came in order.
 	handoverParts int
+	// listedAt is, by worker, when the newest list of the range's tasks was asked for.
+	listedAt map[string]time.Time
 	// doubtsAskedAt is when the owners were last asked for lists to settle doubts.
 	doubtsAskedAt time.Time
 	// strangerSince is since when another member is first choice.
@@ -81,7 +83,7 @@
 func (n *Node) homeFor(r tenure.Range) *home {
 	h := n.homes[r]
 	if h == nil {
-		h = &home{place: r, entries: map[workload.Key]*entry{}, decayedAt: n.now}
+		h = &home{place: r, entries: map[workload.Key]*entry{}, listedAt: map[string]time.Time{}, decayedAt: n.now}
 		n.homes[r] = h
 	}
 	return h
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -59,7 +59,7 @@
 		return
 	}
 	for _, name := range n.workers.names {
-		if h.recovery.uncovered[name] && n.cleared(name, h.recovery.startedAt) == clearedByLapse {
+		if h.recovery.uncovered[name] && n.cleared(h, name, h.recovery.startedAt) == clearedByLapse {
 			delete(h.recovery.uncovered, name)
 			h.recovery.lapsed = true
 		}
@@ -71,7 +71,6 @@
 		return
 	}
 	h.recovery.complete = true
-	n.endBrokenGangs(h)
 	n.event(EventRecoveryComplete, h.place.Team, "every worker of the region is accounted for")
 	n.releaseSuspects(h)
 }
@@ -245,7 +244,7 @@
 func (n *Node) settleDoubt(h *home, e *entry, t *task) {
 	proof := clearedByList
 	for _, worker := range t.doubtWorkers {
-		switch n.cleared(worker, t.doubtSince) {
+		switch n.cleared(h, worker, t.doubtSince) {
 		case notCleared:
 			return
 		case clearedByLapse:
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -326,6 +326,7 @@
 			n.tickTask(h, e, &e.tasks[i], queries, &recalls)
 			doubts = doubts || e.tasks[i].state == taskDoubtful
 		}
+		n.endBrokenGang(h, e)
 		return false
 	})
 	if doubts && n.now.Sub(h.doubtsAskedAt) >= n.timing.RepeatAfter/2 {
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -14,9 +14,12 @@
 	inList bool
 	goneAt time.Time
 	// owner and token are those of the newest session that was announced.
-	owner    string
-	token    uint64
-	listedAt time.Time
+	owner string
+	token uint64
+	// listedAt is when a list of all its tasks came, with a new session; the
+	// lists that a home asks for hold the tasks of its range alone.
+	listedAt  time.Time
+	announced uint64
 	// movedAt is when its session was opened anew, or began to be given away.
 	movedAt time.Time
 }
@@ -93,13 +96,13 @@
 	clearedByList
 )
 
-func (n *Node) cleared(worker string, since time.Time) clearance {
+func (n *Node) cleared(h *home, worker string, since time.Time) clearance {
 	view := n.workers.byName[worker]
 	if view == nil {
 		return clearedByLapse
 	}
 	switch {
-	case view.listedAt.After(since):
+	case view.listedAt.After(since), h.listedAt[worker].After(since):
 		return clearedByList
 	case !view.inList && n.now.Sub(view.goneAt) > n.timing.TaskLease:
 		return clearedByLapse
@@ -123,7 +126,7 @@
 	}
 }
 
-// noteList notes which point in time a worker's list speaks for: the opening
+// noteList notes for which range, and for which point in time a worker's list speaks for: the opening
 // of a new session, or else the time at which this node asked for it.
 func (n *Node) noteList(from string, m *Listed) {
 	view := n.workers.byName[m.Worker]
@@ -135,13 +138,17 @@
 	if m.Token < view.token {
 		return
 	}
-	at := m.Asked
 	if m.Token > view.token {
-		at, view.movedAt = n.now, n.now
+		view.movedAt = n.now
 	}
 	view.owner, view.token = from, m.Token
-	if at.After(view.listedAt) {
-		view.listedAt = at
+	switch h := n.homes[m.Range]; {
+	case m.Lease == (tenure.LeaseNumber{}):
+		if m.Token > view.announced {
+			view.announced, view.listedAt = m.Token, n.now
+		}
+	case h != nil && m.Asked.After(h.listedAt[m.Worker]):
+		h.listedAt[m.Worker] = m.Asked
 	}
 }
 
