Take a handover over what a paused home still has; prove nothing by silence

Cause: the entries of a home that came back from a pause outlived the handover of the present holder, which knew better. A worker that restarts between two lists shows nothing of a non-idempotent job that it has run, so the lists are no proof and such a job ends as 'may-have-run'.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -159,11 +159,16 @@
 
 func (n *Node) takeHandoverEntry(h *home, m *HandoverEntry) {
 	if known := h.entries[m.Request.Key]; known != nil {
-		if known.ended() || known.counted || !known.neverAssigned() {
+		if known.ended() || n.mayAct(h) {
 			return
 		}
-		// A front sent it here as well, before the handover came.
-		known.state = workload.StateRefused // The table of deadlines still has it.
+		// It is left from a former lease, or a front sent it here as well before
+		// the handover came; the former home knows better.
+		n.uncount(h, known)
+		for i := range known.tasks {
+			n.settleOutstanding(&known.tasks[i])
+		}
+		known.state = workload.StateRefused // Other tables still have it.
 		if known.queued {
 			h.queue(known.request.Kind, KindRule{}).drop(known)
 		}
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -26,6 +26,7 @@
 // startRecovery begins when a lease does.
 func (n *Node) startRecovery(h *home) {
 	n.suspectAll(h)
+	h.listedAt = map[string]time.Time{}
 	h.recovery = recovery{startedAt: n.now, first: h.number, uncovered: map[string]bool{}}
 	h.knownSince = n.now
 	for _, name := range n.workers.names {
@@ -165,15 +166,15 @@
 }
 
 // resolveSuspect decides a suspect that was found nowhere, once every worker is
-// accounted for. It reports whether the entry may be queued. A durable job's
-// result is acknowledged only after its end was read back from the log, so for
-// it a worker's list is proof; any other result may have been dropped.
+// accounted for. It reports whether the entry may be queued. That no worker
+// shows a non-idempotent request is no proof that it has not run: its result
+// may have been acknowledged and dropped, or its worker may have restarted.
 func (n *Node) resolveSuspect(h *home, e *entry) bool {
 	switch {
 	case e.canceled:
 		n.refuseEntry(h, e, outcomeUnknown("it was canceled while the home was recovering"))
 		return false
-	case e.request.NonIdempotent && (!e.durable || h.recovery.lapsed):
+	case e.request.NonIdempotent:
 		n.refuseEntry(h, e, outcomeUnknown("an earlier attempt reached a home whose records are gone"))
 		return false
 	}
