Set aside what the fleet has become too small for

Cause: a gang that no longer fitted after workers had left was the oldest one for ever and kept every younger gang of its range from collecting room; a single task did the same to its kind's queue.

Change: after ten seconds such a request is refused 'not-run', and a durable job waits aside until the fleet has grown. In the harness a VM that leaves or is gone is replaced by a new one.

--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/placement"
@@ -12,6 +13,13 @@
 // uses its own workers: it saves a message there and back.
 const localPreference = 0.5
 
+// tooLargeAfter is how long the fleet has to be too small for a request before
+// the request is set aside; an owner's restart takes less.
+const tooLargeAfter = 10 * time.Second
+
+// asidePerTick bounds the jobs set aside that one tick looks at.
+const asidePerTick = 4
+
 // ownerView is what a home knows of an owner's room.
 type ownerView struct {
 	summary placement.Summary
@@ -55,6 +63,9 @@
 		return false
 	}
 	owner := n.pickOwner(e)
+	if owner == "" && n.setAside(h, e) {
+		return true
+	}
 	if owner == "" {
 		e.wait(n.now, "room: no owner takes more work of this size now")
 		return false
@@ -186,6 +197,55 @@
 	}
 }
 
+// setAside takes a request out of the way of others once the fleet has been too
+// small for it for a while. A job waits aside until the fleet has grown; any
+// other request is refused. It reports whether the request was set aside.
+func (n *Node) setAside(h *home, e *entry) bool {
+	reason := n.neverRunnable(h, e)
+	if reason == "" {
+		e.tooLargeSince = time.Time{}
+		return false
+	}
+	if e.tooLargeSince.IsZero() {
+		e.tooLargeSince = n.now
+	}
+	if n.now.Sub(e.tooLargeSince) < tooLargeAfter {
+		return false
+	}
+	n.event(EventNeverRunnable, string(e.request.Key), reason)
+	if !e.durable {
+		n.refuseEntry(h, e, workload.Refuse(workload.CodeNeverRunnable, 0, "%s", reason))
+		return true
+	}
+	if e.queued {
+		h.queue(e.request.Kind, KindRule{}).drop(e)
+	}
+	if e.gang.reserving {
+		n.releaseGang(h, e)
+	}
+	h.gangs = slices.DeleteFunc(h.gangs, func(other *entry) bool { return other == e })
+	e.wait(n.now, "a larger fleet: "+reason)
+	h.aside = append(h.aside, e)
+	return true
+}
+
+// tickAside queues jobs again for which the fleet has become large enough. It
+// looks at a few in each tick, so that its work doesn't grow with their number.
+func (n *Node) tickAside(h *home) {
+	for range min(len(h.aside), asidePerTick) {
+		e := h.aside[0]
+		h.aside = h.aside[1:]
+		switch {
+		case e.ended() || e.state != workload.StateQueued:
+		case e.canceled || n.neverRunnable(h, e) == "":
+			e.tooLargeSince = time.Time{}
+			n.queueEntry(h, e)
+		default:
+			h.aside = append(h.aside, e)
+		}
+	}
+}
+
 // neverRunnable says why a request could not run on any worker of the region,
 // even if all were empty.
 func (n *Node) neverRunnable(h *home, e *entry) string {
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -115,6 +115,8 @@
 	canceled bool
 	// timed is set while the entry is in its home's deadlines.
 	timed bool
+	// tooLargeSince is since when the fleet is too small for the request.
+	tooLargeSince time.Time
 	// incompleteSince is when the entry first waited for its whole request.
 	incompleteSince time.Time
 	answer          *workload.Answer
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -44,6 +44,9 @@
 		return
 	}
 	e := slices.MinFunc(h.gangs, func(a, b *entry) int { return a.acceptedAt.Compare(b.acceptedAt) })
+	if n.setAside(h, e) {
+		return
+	}
 	if reason := n.quotaReached(h, e); reason != "" {
 		e.wait(n.now, reason)
 		return
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -25,9 +25,11 @@
 	ended  []*entry
 	queues []*kindQueue
 	// active are the entries with a task outside the queue.
-	active    []*entry
-	gangs     []*entry
-	suspects  []*entry
+	active   []*entry
+	gangs    []*entry
+	suspects []*entry
+	// aside are jobs for which the fleet is too small.
+	aside     []*entry
 	deadlines deadlines
 
 	// leaseSince is when the present, unbroken lease began; zero without one.
@@ -465,6 +467,7 @@
 			n.announceHome(h)
 		}
 		n.tickTasks(h)
+		n.tickAside(h)
 		n.tickGangs(h)
 		n.dispatch(h)
 	}
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -98,7 +98,8 @@
 // fronts, which submit them again if no other home can have them. Everything
 // else open is suspect.
 func (n *Node) suspectAll(h *home) {
-	waiting := h.suspects
+	waiting := slices.Concat(h.suspects, h.aside)
+	h.aside = nil
 	h.returned = map[workload.Key]bool{}
 	for _, q := range h.queues {
 		for e := q.head(); e != nil; e = q.head() {
--- a/internal/control/sim_faults_test.go
+++ b/internal/control/sim_faults_test.go
@@ -85,6 +85,7 @@
 		s := w.anyWorker()
 		s.fail()
 		w.after(w.between(0, 5*time.Second), func() { s.inList = false })
+		s.replaceLater()
 	}},
 	{"worker-unreachable", func(w *world) {
 		s, length := w.anyWorker(), w.between(time.Second, 25*time.Second)
--- a/internal/control/sim_worker_test.go
+++ b/internal/control/sim_worker_test.go
@@ -208,6 +208,17 @@
 func (s *simWorker) leave() {
 	s.world.trace("worker %s leaves", s.placed.Name)
 	s.leaving, s.leavingKnown = true, s.world.now
+	s.replaceLater()
+}
+
+// replaceLater adds a new VM in place of one that won't come back.
+func (s *simWorker) replaceLater() {
+	w := s.world
+	w.after(w.between(5*time.Second, 20*time.Second), func() {
+		name := fmt.Sprintf("vm-%02d", len(w.workers)+1)
+		w.trace("worker %s replaces %s", name, s.placed.Name)
+		w.addWorker(name, s.placed.Region, s.placed.FailureDomain, s.placed.Capacity)
+	})
 }
 
 // entries is the VM list as it is now.
