Take handovers before the drain is known, and tell when an answer is gone

Cause: a stopping node hands its ranges over at once, and the successor refused them until the next heartbeat told it of the drain, so that most planned stops cost the wait for the lease (2 s) and a recovery. A redirect for an answer that was lost with its worker was never answered. A job read from the log while its list showed it running was queued again.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -316,7 +316,7 @@
 	case *AcknowledgeAnswer:
 		n.acknowledgeAnswer(m)
 	case *Redirect:
-		n.redirect(m)
+		n.redirect(from, m)
 	}
 }
 
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -134,10 +134,13 @@
 
 // takeHandover takes a range over from a home that is stopping.
 func (n *Node) takeHandover(m *Handover) {
-	if n.homeOf(m.Range) != n.options.Name || n.draining {
+	// The sender knows of its own drain before this node does, so this node's
+	// view of who is first choice is not asked.
+	if m.Range.Region != n.options.Region || n.draining || (n.homes[m.Range] == nil && len(n.homes) >= tenure.MaxRanges) {
 		return
 	}
 	h := n.homeFor(m.Range)
+	h.handoverAt = n.now
 	if m.Part == 0 {
 		h.handoverParts = 0
 	}
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -51,6 +51,8 @@
 	// returned are keys that went back to their fronts when the lease began, for
 	// fronts that did not hear of it.
 	returned map[workload.Key]bool
+	// handoverAt is when a former home last sent a part of its table.
+	handoverAt time.Time
 	// handoverParts counts the messages of a handover that came in order.
 	handoverParts int
 	// listedAt is, by worker, when the newest list of the range's tasks was asked for.
@@ -374,13 +376,13 @@
 
 // redirectTasks has the owners of a request's tasks send the answer to a front
 // that has come to wait for it.
-func (n *Node) redirectTasks(_ *home, e *entry, front string) {
+func (n *Node) redirectTasks(h *home, e *entry, front string) {
 	if e.collected() {
 		return
 	}
 	for i := range e.tasks {
 		if t := &e.tasks[i]; t.owner != "" {
-			n.send(t.owner, &Redirect{Task: t.id, Front: front})
+			n.send(t.owner, &Redirect{Task: t.id, Front: front, Range: h.place})
 		}
 	}
 }
@@ -568,9 +570,15 @@
 		}
 		h.ended = h.ended[1:]
 		delete(h.entries, e.request.Key)
-		if issued, ok := e.request.Key.IssuedAt(); ok && issued.After(h.knownSince) {
-			h.knownSince = issued
-		}
+		h.passKey(e.request.Key)
+	}
+}
+
+// passKey notes that a key was dropped: it can't be told any more from one that
+// was never seen.
+func (h *home) passKey(key workload.Key) {
+	if issued, ok := key.IssuedAt(); ok && !h.knownSince.IsZero() && issued.After(h.knownSince) {
+		h.knownSince = issued
 	}
 }
 
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -191,6 +191,9 @@
 		for _, front := range e.fronts {
 			n.send(front.Name, &Answered{Key: e.request.Key, Accepted: true})
 		}
+		if e.state != workload.StateQueued {
+			return // A list has shown that it runs.
+		}
 		n.queueEntry(h, e)
 	}
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -229,7 +229,9 @@
 	})
 	var wanted []tenure.Range
 	for _, r := range n.sortedRanges() {
-		if r.Region == n.options.Region && n.homeOf(r) == n.options.Name && !n.homes[r].handedOver && !n.draining {
+		h := n.homes[r]
+		chosen := n.homeOf(r) == n.options.Name || n.now.Sub(h.handoverAt) < giveBackAfter
+		if r.Region == n.options.Region && chosen && !h.handedOver && !n.draining {
 			wanted = append(wanted, r)
 		}
 	}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -116,6 +116,9 @@
 	AssignReturned AssignState = "returned"
 	AssignExpired  AssignState = "expired"
 	AssignUnknown  AssignState = "unknown"
+	// AssignGone answers a Redirect whose answer is not kept. It says nothing of
+	// a task that has not ended: the Redirect may have overtaken its Assign.
+	AssignGone AssignState = "gone"
 	// AssignLost: the session with the task's worker ended; the task may run on.
 	AssignLost AssignState = "lost"
 )
@@ -442,6 +445,7 @@
 type Redirect struct {
 	Task  placement.TaskID `json:"task" cbor:"1,keyasint"`
 	Front string           `json:"front" cbor:"2,keyasint"`
+	Range tenure.Range     `json:"range" cbor:"3,keyasint"`
 }
 
 func (*Redirect) messageType() messageType { return typeRedirect }
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -341,6 +341,14 @@
 	}
 }
 
+// redirectUnknown tells a home that an answer which it wants delivered is not
+// kept here.
+func (n *Node) redirectUnknown(home string, m *Redirect) {
+	n.send(home, &AssignResult{
+		Task: m.Task, Range: m.Range, State: AssignGone, Reason: "the answer is not kept any more",
+	})
+}
+
 // rememberLost keeps the worker of a task whose session has ended.
 func (n *Node) rememberLost(id placement.TaskID, worker string) {
 	if _, known := n.owner.lost[id]; !known {
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -418,9 +418,10 @@
 }
 
 // redirect sends an answer to the front that has come to wait for it.
-func (n *Node) redirect(m *Redirect) {
+func (n *Node) redirect(from string, m *Redirect) {
 	t := n.owner.tasks[m.Task]
 	if t == nil {
+		n.redirectUnknown(from, m)
 		return
 	}
 	t.assignment.Front = m.Front
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -49,7 +49,11 @@
 		return
 	}
 	e, t := h.find(m.Task)
-	if t == nil || t.owner != from || e.ended() {
+	if t == nil || t.owner != from {
+		return
+	}
+	if e.ended() || m.State == AssignGone {
+		n.answerGone(h, e, m)
 		return
 	}
 	t.askedAt = n.now
@@ -73,6 +77,22 @@
 	}
 }
 
+// answerGone forgets an idempotent request whose answer was lost with its worker
+// or dropped after its retention, so that the fronts which wait submit it again.
+func (n *Node) answerGone(h *home, e *entry, m *AssignResult) {
+	if m.State != AssignGone || e.state != workload.StateEnded || e.collected() || e.request.NonIdempotent {
+		return
+	}
+	h.forget(e)
+	h.passKey(e.request.Key)
+	for _, front := range e.fronts {
+		n.send(front.Name, &Refused{
+			Key: e.request.Key, Try: front.Try, NotHome: true,
+			Refusal: *workload.Refuse(workload.CodeNoHome, n.timing.RepeatAfter, "the answer is not kept any more"),
+		})
+	}
+}
+
 // taskUnknown takes the word of an owner that does not know an attempt. It
 // proves that the attempt was not started only if no start was reported.
 func (n *Node) taskUnknown(h *home, e *entry, t *task, from string, m *AssignResult) {
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -204,7 +204,7 @@
 	n.activate(h, e)
 	for _, front := range e.fronts {
 		if front.Name != listed.Assignment.Front {
-			n.send(owner, &Redirect{Task: t.id, Front: front.Name})
+			n.send(owner, &Redirect{Task: t.id, Front: front.Name, Range: h.place})
 		}
 	}
 }
