Leave decisions on a range to the holder of its lease

Cause: a home without a lease, for example one that had just handed its range over, ended jobs in the log, canceled requests and took tasks back as 'not started' while the next home had them. The expected wait was computed from windows in which the queue was empty or the home held no lease, so requests were refused 'too late' by an idle cell (measured: an expected wait of 4 minutes). A lost cancellation was never repeated.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -92,7 +92,7 @@
 	complete := h.recovery.complete && n.mayAct(h)
 	lease, held := n.tenure.HandOver(n.now, h.place)
 	entries := n.handoverEntries(h)
-	h.leaseSince, h.knownSince = time.Time{}, time.Time{}
+	h.leaseSince, h.knownSince, h.recovery, h.jobsKnown = time.Time{}, time.Time{}, recovery{}, false
 	for part := 0; ; part++ {
 		count := min(len(entries), handoverBatch)
 		message := &Handover{Range: h.place, Entries: entries[:count], Since: known, Part: part}
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -38,7 +38,9 @@
 	// known not to run.
 	doubtWorkers []string
 	retryAt      time.Time
-	preempted    bool
+	// cancelAt is when the owner was last asked to end the task.
+	cancelAt  time.Time
+	preempted bool
 	// stopping is set once a gang task was asked to stop with its gang.
 	stopping bool
 	// notStarted is set when the owner has said that the task never started.
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -326,7 +326,7 @@
 	if within == 0 || e.durable || e.suspect || expected <= within {
 		return nil
 	}
-	return workload.Refuse(workload.CodeTooLate, expected-within,
+	return workload.Refuse(workload.CodeTooLate, min(expected-within, time.Minute),
 		"expected to wait %s, longer than its deadline of %s", expected.Round(time.Millisecond), within)
 }
 
@@ -425,11 +425,15 @@
 	}
 	e.canceled = true
 	e.note(n.now, "cancel-requested", "")
+	if !n.mayAct(h) {
+		return // Another home may have it; it is ended once the lease is held.
+	}
 	busy := false
 	for i := range e.tasks {
 		switch t := &e.tasks[i]; t.state {
 		case taskAssigned, taskRunning:
 			busy = true
+			t.cancelAt = n.now
 			n.send(t.owner, &Cancel{Key: m.Key, Range: m.Range, ToOwner: true, Task: t.id})
 		case taskDoubtful:
 			busy = true
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -24,7 +24,10 @@
 
 	starts      int
 	windowSince time.Time
-	// startRate is in starts a second; 0 until a window with starts has passed.
+	// emptied is set once the queue was empty in the window: its starts then
+	// follow the arrivals and say nothing of how fast it could drain.
+	emptied bool
+	// startRate is in starts a second; 0 while it is not known.
 	startRate float64
 }
 
@@ -78,6 +81,7 @@
 		delete(q.elements, e)
 	}
 	e.queued = false
+	q.emptied = q.emptied || q.length() == 0
 }
 
 // countStart counts a start for the rate.
@@ -95,12 +99,15 @@
 		return
 	}
 	rate := float64(q.starts) / elapsed.Seconds()
-	if q.startRate == 0 {
+	switch {
+	case q.emptied || q.length() == 0:
+		q.startRate = 0
+	case q.startRate == 0:
 		q.startRate = rate
-	} else {
+	default:
 		q.startRate += rateShare * (rate - q.startRate)
 	}
-	q.starts, q.windowSince = 0, now
+	q.starts, q.windowSince, q.emptied = 0, now, q.length() == 0
 }
 
 // expectedWait is the time that a new request would wait at the present start
@@ -144,7 +151,7 @@
 		e.timed = true
 		heap.Push(&h.deadlines, e)
 	}
-	if e.suspect && !h.recovery.complete {
+	if e.suspect && !(h.recovery.complete && n.mayAct(h)) {
 		e.wait(n.now, "recovery of the home: an earlier attempt may have run")
 		h.suspects = append(h.suspects, e)
 		return
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -27,6 +27,10 @@
 func (n *Node) startRecovery(h *home) {
 	n.suspectAll(h)
 	h.listedAt = map[string]time.Time{}
+	for _, q := range h.queues {
+		// Nothing was started without a lease.
+		q.starts, q.startRate, q.windowSince = 0, 0, n.now
+	}
 	h.recovery = recovery{startedAt: n.now, first: h.number, uncovered: map[string]bool{}}
 	h.knownSince = n.now
 	for _, name := range n.workers.names {
@@ -72,6 +76,12 @@
 		return
 	}
 	h.recovery.complete = true
+	for _, e := range h.active {
+		for i := range e.tasks {
+			// What was reported while no lease was held is asked for again.
+			e.tasks[i].askedAt = time.Time{}
+		}
+	}
 	n.event(EventRecoveryComplete, h.place.Team, "every worker of the region is accounted for")
 	n.releaseSuspects(h)
 }
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -45,8 +45,8 @@
 // assignResult takes what became of an assignment at its owner.
 func (n *Node) assignResult(from string, m *AssignResult) {
 	h := n.homes[m.Range]
-	if h == nil {
-		return
+	if h == nil || !n.mayAct(h) {
+		return // The task is asked after once a lease is held.
 	}
 	e, t := h.find(m.Task)
 	if t == nil || t.owner != from {
@@ -364,6 +364,10 @@
 	if e.ended() {
 		return
 	}
+	if e.canceled && (t.state == taskAssigned || t.state == taskRunning) && n.now.Sub(t.cancelAt) >= n.timing.RepeatAfter {
+		t.cancelAt = n.now
+		n.send(t.owner, &Cancel{Key: e.request.Key, Range: h.place, ToOwner: true, Task: t.id})
+	}
 	switch t.state {
 	case taskBackingOff:
 		switch {
