--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -49,6 +49,7 @@
 	maxEntriesPerHome     = 120_000
 	maxEndedPerHome       = 8_192
 	maxTimelineEvents     = 32
+	maxFrontsPerEntry     = 16
 	maxAssignmentsPerTeam = 32
 	maxFencedTasks        = 65_536
 	maxEventsPerStep      = 64
@@ -134,11 +135,15 @@
 	workers     workerViews
 	owners      map[string]*ownerView
 	draining    bool
-	// successors are the nodes to which ranges were handed over.
-	successors    map[tenure.Range]string
-	drainingSince time.Time
-	drained       bool
-	started       time.Time
+	drained     bool
+	started     time.Time
+	guards      guards
+}
+
+// guards switches single safety rules off. Only tests set a field, to show that
+// their checkers find what the rule prevents.
+type guards struct {
+	ignoreHomeLease bool
 }
 
 // New returns a node that knows its members from settings and nothing else. The
@@ -161,8 +166,9 @@
 		return nil, err
 	}
 	n.members = members
+	n.members.incarnations[options.Name] = options.Incarnation
 	n.tenure = tenure.New(tenure.Options{Self: options.Name, Seed: options.Seed})
-	n.front = newFrontRole()
+	n.front = newFrontRole(options)
 	n.owner = newOwnerRole(options)
 	n.workers = newWorkerViews()
 	n.jobs = newJobTable()
@@ -311,7 +317,7 @@
 	case *AcknowledgeAnswer:
 		n.acknowledgeAnswer(m)
 	case *Redirect:
-		n.redirect(m)
+		n.redirect(from, m)
 	}
 }
 
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/tenure"
@@ -29,6 +30,26 @@
 // so that their next owners don't all open at the same instant.
 const closingsPerTick = 2
 
+// movingTime is how long a worker counts as moving between owners: it counts
+// for no home lease for 2.2 s after its new session, and a lease needs more
+// than two thirds of the workers. At most one in movingShare moves at a time.
+const (
+	movingTime  = 2500 * time.Millisecond
+	movingShare = 6
+)
+
+// mayMoveWorker reports whether one more worker of the region may be given to
+// another owner without putting home leases at risk.
+func (n *Node) mayMoveWorker() bool {
+	names, moving := n.workers.listed(n.options.Region), 0
+	for _, name := range names {
+		if moved := n.workers.byName[name].movedAt; !moved.IsZero() && n.now.Sub(moved) < movingTime {
+			moving++
+		}
+	}
+	return moving < max(len(names)/movingShare, 1)
+}
+
 // drain begins the planned stop: no new requests, homes and sessions go to
 // other members, open requests are answered first.
 func (n *Node) drain() {
@@ -54,15 +75,15 @@
 	for _, name := range n.sessionNames() {
 		s := n.owner.sessions[name]
 		left++
-		if !s.closing {
+		if !s.closing && n.mayMoveWorker() {
 			n.beginClosing(s)
 		}
-		if s.starting == 0 && closed < closingsPerTick {
+		if s.closing && s.starting == 0 && closed < closingsPerTick {
 			closed++
 			n.closeSession(s, "the owner is stopping")
 		}
 	}
-	n.returnWaiting()
+	n.returnAllWaiting("the owner is stopping")
 	if left == 0 && len(n.front.byConnection) == 0 {
 		n.drained = true
 		n.event(EventNodeDrained, n.options.Name, "")
@@ -70,15 +91,6 @@
 	}
 }
 
-// returnWaiting gives tasks that wait for room back to their homes.
-func (n *Node) returnWaiting() {
-	for id, t := range n.owner.tasks {
-		if t.state == heldWaiting && n.owner.engine.Cancel(id) {
-			n.returnTask(n.actingHome(t.assignment.Range()), &t.assignment, AssignReturned, "the owner is stopping")
-		}
-	}
-}
-
 // handOver passes a range to the next home. The lease is given up first, so
 // that this node can't act on the range any more; nothing is then unknown to
 // the successor.
@@ -96,10 +108,10 @@
 	complete := h.recovery.complete && n.mayAct(h)
 	lease, held := n.tenure.HandOver(n.now, h.place)
 	entries := n.handoverEntries(h)
-	h.leaseSince, h.knownSince = time.Time{}, time.Time{}
-	for {
+	h.leaseSince, h.knownSince, h.recovery, h.jobsKnown = time.Time{}, time.Time{}, recovery{}, false
+	for part := 0; ; part++ {
 		count := min(len(entries), handoverBatch)
-		message := &Handover{Range: h.place, Entries: entries[:count], Since: known}
+		message := &Handover{Range: h.place, Entries: entries[:count], Since: known, Part: part}
 		entries = entries[count:]
 		if len(entries) == 0 && held {
 			message.Complete, message.Lease = complete, lease
@@ -137,7 +149,7 @@
 		entry := HandoverEntry{
 			Request: e.request, Fronts: e.fronts, Age: n.now.Sub(e.acceptedAt), State: e.state, Attempt: e.attempt,
 			Durable: e.durable, Accepted: e.recorded, Answer: e.answer, Refusal: e.refusal, Suspect: e.suspect,
-			Digest: e.digest, Try: e.try, Timeline: e.timeline,
+			Digest: e.digest, Timeline: e.timeline, Canceled: e.canceled, MayHaveRun: e.mayHaveRun,
 		}
 		for i := range e.tasks {
 			t := &e.tasks[i]
@@ -152,16 +164,26 @@
 
 // takeHandover takes a range over from a home that is stopping.
 func (n *Node) takeHandover(m *Handover) {
-	if n.draining {
+	// The sender knows of its own drain before this node does, so this node's
+	// view of who is first choice is not asked.
+	if m.Range.Region != n.options.Region || n.draining || (n.homes[m.Range] == nil && len(n.homes) >= tenure.MaxRanges) {
 		return
 	}
 	h := n.homeFor(m.Range)
+	h.handoverAt = n.now
+	if m.Part == 0 {
+		h.handoverParts = 0
+	}
+	if m.Part == h.handoverParts {
+		h.handoverParts++
+	}
 	for i := range m.Entries {
 		n.takeHandoverEntry(h, &m.Entries[i])
 	}
-	if !m.Complete {
+	if !m.Complete || h.handoverParts != m.Part+1 {
 		return
 	}
+	h.handoverParts = 0
 	n.tenure.ReceiveHandover(n.now, m.Lease)
 	h.takenOver, h.takenSince, h.takenAt = m.Lease.Number, n.now.Add(-m.Since), n.now
 	n.event(EventHandoverTaken, m.Range.Team, "")
@@ -170,19 +192,30 @@
 
 func (n *Node) takeHandoverEntry(h *home, m *HandoverEntry) {
 	if known := h.entries[m.Request.Key]; known != nil {
-		if !known.suspect || known.ended() {
+		if known.ended() || n.mayAct(h) {
 			return
 		}
+		// It is left from a former lease, or a front sent it here as well before
+		// the handover came; the former home knows better.
+		n.uncount(h, known)
+		for i := range known.tasks {
+			n.settleOutstanding(&known.tasks[i])
+		}
+		known.state = workload.StateRefused // Other tables still have it.
+		if known.queued {
+			h.queue(known.request.Kind, KindRule{}).drop(known)
+		}
 		h.dropSuspect(known)
+		h.gangs = slices.DeleteFunc(h.gangs, func(other *entry) bool { return other == known })
 		m.Fronts = append(m.Fronts, known.fronts...)
 	}
 	e := &entry{
 		request: m.Request, digest: m.Digest, acceptedAt: n.now.Add(-m.Age), state: m.State, attempt: m.Attempt,
 		durable: m.Durable, recorded: m.Accepted, answer: m.Answer, refusal: m.Refusal, suspect: m.Suspect,
-		try: m.Try, timeline: m.Timeline,
+		timeline: m.Timeline, canceled: m.Canceled, mayHaveRun: m.MayHaveRun,
 	}
 	for _, front := range m.Fronts {
-		e.addFront(front)
+		e.addFront(front.Name, front.Try)
 	}
 	for _, t := range m.Tasks {
 		e.tasks = append(e.tasks, task{
@@ -199,12 +232,17 @@
 	case e.ended():
 		e.endedAt = n.now
 		h.ended = append(h.ended, e)
+		e.endRead = n.jobs.ended[e.request.Key]
+		if e.durable && e.recorded && !e.endRead {
+			n.recordEnd(h, e)
+		}
 	case e.state == workload.StateQueued:
 		for i := range e.tasks {
 			e.tasks[i].state = taskQueued
 		}
 		n.queueEntry(h, e)
 	default:
+		n.countOutstanding(e)
 		n.count(h, e)
 		n.activate(h, e)
 	}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -230,18 +230,31 @@
 	n.members.SetReady(n.tenure.Ready(n.now, n.options.Region))
 	var wanted []tenure.Range
 	for _, r := range n.sortedRanges() {
-		if r.Region == n.options.Region && n.homeOf(r) == n.options.Name && !n.draining {
+		h := n.homes[r]
+		chosen := n.homeOf(r) == n.options.Name || n.now.Sub(h.handoverAt) < giveBackAfter
+		if r.Region == n.options.Region && chosen && !h.handedOver && !n.draining {
 			wanted = append(wanted, r)
 		}
 	}
 	n.tenure.SetWanted(n.now, wanted)
+	// A node that can't begin a lease yet leaves the ranges to others. A holder
+	// stays: its leases outlast a change of the list.
+	n.members.SetReady(n.tenure.Ready(n.now, n.options.Region) || n.holdsLease())
+}
+
+func (n *Node) holdsLease() bool {
+	for _, h := range n.homes {
+		if _, held := n.tenure.Held(n.now, h.place); held {
+			return true
+		}
+	}
+	return false
 }
 
 // memberLost puts every task that a lost or restarted member had into doubt.
 func (n *Node) memberLost(name string) {
 	delete(n.owners, name)
-	lost := n.workers.ownedBy(name)
 	for _, r := range n.sortedRanges() {
-		n.doubtTasksOf(n.homes[r], name, lost)
+		n.doubtTasksOf(n.homes[r], name)
 	}
 }
