--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -143,7 +143,19 @@
 // guards switches single safety rules off. Only tests set a field, to show that
 // their checkers find what the rule prevents.
 type guards struct {
-	ignoreHomeLease bool
+	// keepLapsedLease lets a home act on after its lease has ended.
+	keepLapsedLease bool
+	// skipRecovery lets a new home start suspects at once.
+	skipRecovery bool
+	// skipFencing lets an owner take an attempt that it has disowned.
+	skipFencing bool
+	// lapseAtOnce takes an unlisted worker's tasks as over without waiting for
+	// the ends of its leases.
+	lapseAtOnce bool
+	// takeOldLeases lets an owner take assignments of a replaced lease.
+	takeOldLeases bool
+	// skipReadBack lets a home act on jobs before it has read its own record.
+	skipReadBack bool
 }
 
 // New returns a node that knows its members from settings and nothing else. The
@@ -151,15 +163,14 @@
 func New(options Options) (*Node, error) {
 	timing := options.Timing.withDefaults()
 	n := &Node{
-		options:    options,
-		timing:     timing,
-		random:     rand.New(rand.NewPCG(options.Seed, uint64(len(options.Name)))),
-		homes:      map[tenure.Range]*home{},
-		owners:     map[string]*ownerView{},
-		successors: map[tenure.Range]string{},
-		started:    options.Start,
-		rules:      DefaultRules(),
-		now:        options.Start,
+		options: options,
+		timing:  timing,
+		random:  rand.New(rand.NewPCG(options.Seed, uint64(len(options.Name)))),
+		homes:   map[tenure.Range]*home{},
+		owners:  map[string]*ownerView{},
+		started: options.Start,
+		rules:   DefaultRules(),
+		now:     options.Start,
 	}
 	members, err := newMembers(options)
 	if err != nil {
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -8,21 +8,6 @@
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
-// announceDrain is the time between the first heartbeat that says that a node
-// is stopping and the handover: the others then agree on the successors.
-const announceDrain = 600 * time.Millisecond
-
-// takeoverWindow is how long a handover is worth anything. Until 1.5 s after the
-// sender gave its lease up, the promises to it keep every third node out; a
-// message may be on its way for peerSilence of that time. Later, another node
-// may have acted, and the entries of the handover can't be relied on.
-const takeoverWindow = 1500*time.Millisecond - peerSilence
-
-// successionAfter is how long another member has to be the preferred home
-// before the holder hands its range over. Fronts ask the preferred home at
-// once, so a long time would show as waiting.
-const successionAfter = 500 * time.Millisecond
-
 // handoverBatch bounds the entries of one handover message.
 const handoverBatch = 256
 
@@ -56,18 +41,18 @@
 	if n.draining {
 		return
 	}
-	n.draining, n.drainingSince = true, n.now
+	n.draining = true
 	n.members.SetDraining(true)
 }
 
 // tickDrain hands over what this node still has, and reports when nothing is left.
 func (n *Node) tickDrain() {
-	if !n.draining || n.drained || n.now.Sub(n.drainingSince) < announceDrain {
+	if !n.draining || n.drained {
 		return
 	}
 	left := 0
 	for _, r := range n.sortedRanges() {
-		if !n.handOver(n.homes[r]) {
+		if h := n.homes[r]; !h.handedOver && !n.handOver(h) {
 			left++
 		}
 	}
@@ -99,11 +84,10 @@
 	if successor == n.options.Name {
 		return false
 	}
-	delete(n.homes, h.place)
+	h.handedOver = true
 	if successor == "" {
 		return true
 	}
-	n.successors[h.place] = successor
 	known := n.now.Sub(h.knownSince)
 	complete := h.recovery.complete && n.mayAct(h)
 	lease, held := n.tenure.HandOver(n.now, h.place)
@@ -125,20 +109,6 @@
 	return true
 }
 
-// tickSuccession hands a range over whose home should be another member, once
-// that has been so for a while. A lease does not move by itself.
-func (n *Node) tickSuccession(h *home) bool {
-	home := n.homeOf(h.place)
-	if home == n.options.Name || home == "" {
-		h.strangerSince = n.now
-		return false
-	}
-	if h.strangerSince.IsZero() {
-		h.strangerSince = n.now
-	}
-	return n.now.Sub(h.strangerSince) >= successionAfter && n.mayAct(h) && n.handOver(h)
-}
-
 func (n *Node) handoverEntries(h *home) []HandoverEntry {
 	var entries []HandoverEntry
 	for _, e := range h.sortedEntries() {
@@ -185,7 +155,7 @@
 	}
 	h.handoverParts = 0
 	n.tenure.ReceiveHandover(n.now, m.Lease)
-	h.takenOver, h.takenSince, h.takenAt = m.Lease.Number, n.now.Add(-m.Since), n.now
+	h.takenOver, h.takenSince = m.Lease.Number, n.now.Add(-m.Since)
 	n.event(EventHandoverTaken, m.Range.Team, "")
 	n.tickLease(h)
 }
@@ -251,7 +221,7 @@
 // takeOverKnowledge skips the recovery of a lease that was handed over whole:
 // the former home knew of everything that it had started.
 func (n *Node) takeOverKnowledge(h *home, number tenure.LeaseNumber) bool {
-	if h.takenOver == (tenure.LeaseNumber{}) || number.Compare(h.takenOver) < 0 || n.now.Sub(h.takenAt) > takeoverWindow {
+	if h.takenOver == (tenure.LeaseNumber{}) || number.Compare(h.takenOver) < 0 || h.takenSince.IsZero() {
 		return false
 	}
 	h.recovery = recovery{startedAt: n.now, first: number, complete: true}
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -99,9 +99,6 @@
 	counted  bool
 	durable  bool
 	recorded bool
-	// resolveOnly is set for a front's question after a key; it has no payload
-	// and is never started.
-	resolveOnly bool
 	// active is set while the entry is in its home's list of active entries.
 	active bool
 	// returnedBy is the owner that returned the last attempt.
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -11,11 +11,6 @@
 
 // Intervals of the front role.
 const (
-	// probeEvery is the interval at which a range without a home is asked for.
-	probeEvery = 100 * time.Millisecond
-	// retryHomeEvery is how often a front asks again while no home has
-	// confirmed a request.
-	retryHomeEvery = 200 * time.Millisecond
 	// checkReceivedEvery is how often a front asks again for a request that the
 	// home has confirmed. A restarted home is noticed by its incarnation at
 	// once; this interval only covers a lost answer.
@@ -58,15 +53,6 @@
 	answeredBy string
 	task       placement.TaskID
 	answered   bool
-	parked     bool
-}
-
-// parking holds the requests of one range that wait for a home with a lease.
-// One of them asks for all, so that a takeover costs few messages.
-type parking struct {
-	place    tenure.Range
-	waiting  []*submission
-	probedAt time.Time
 }
 
 // process is one incarnation of a node.
@@ -106,9 +92,6 @@
 // submit takes a caller's request and passes it to its home.
 func (n *Node) submit(in *Submit) {
 	if refusal := n.admit(&in.Request); refusal != nil {
-		if in.Request.MayHaveRun() {
-			refusal.Run = workload.MayHaveRun
-		}
 		n.refuse(in.RequestID, refusal)
 		return
 	}
@@ -148,7 +131,7 @@
 
 func (n *Node) judge(request *workload.Request) *workload.Refusal {
 	if n.draining {
-		return workload.Refuse(workload.CodeLeaving, workload.LeavingRetryAfter, "this entry VM is stopping; try another one")
+		return workload.Refuse(workload.CodeLeaving, time.Second, "this entry VM is stopping; try another one")
 	}
 	if findings := request.Validate(n.now); len(findings) > 0 {
 		refusal := workload.Refuse(workload.CodeBadRequest, 0, "%d fields are wrong", len(findings))
@@ -178,12 +161,8 @@
 	for _, connection := range s.connections {
 		n.front.byConnection[connection] = s
 	}
-	if n.front.parkingOf(s.place) != nil {
-		n.park(s)
-	} else {
-		n.sendToHome(s)
-	}
-	s.checkAt = n.now.Add(retryHomeEvery)
+	n.sendToHome(s)
+	s.checkAt = n.now.Add(n.timing.RepeatAfter)
 	n.front.checks = append(n.front.checks, s)
 }
 
@@ -192,10 +171,8 @@
 func (n *Node) sendToHome(s *submission) {
 	home := n.homeOf(s.place)
 	if home == "" {
-		n.park(s)
 		return
 	}
-	s.parked = false
 	s.home, s.incarnation, s.received = home, n.members.Incarnation(home), false
 	n.front.nextTry++
 	s.try = n.front.nextTry
@@ -313,10 +290,8 @@
 	}
 	switch {
 	case m.Received:
-		s.received = true
-		n.unparkAll(s.place)
-		if from != s.home {
-			s.home, s.incarnation = from, n.members.Incarnation(from)
+		if from == s.home {
+			s.received = true
 		}
 	case m.Accepted:
 		s.answered = true
@@ -346,7 +321,7 @@
 		}
 		return
 	}
-	if m.Try != s.try {
+	if m.Try != s.try || from != s.home {
 		return
 	}
 	if s.openTries() > 1 || s.request.Attempt > 0 && m.Refusal.Code == workload.CodeLeaving {
@@ -481,11 +456,10 @@
 	}
 	moved := n.homeOf(s.place) != s.home || n.members.Incarnation(s.home) != s.incarnation
 	overdue := n.now.Sub(s.sentAt) >= checkReceivedEvery
-	unanswered := !s.received && n.now.Sub(s.sentAt) >= n.timing.RepeatAfter
-	if !s.parked && (unanswered || moved || overdue) {
+	if !s.received || moved || overdue {
 		n.sendToHome(s)
 	}
-	s.checkAt = n.now.Add(retryHomeEvery)
+	s.checkAt = n.now.Add(n.timing.RepeatAfter)
 	n.front.checks = append(n.front.checks, s)
 }
 
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -70,9 +70,6 @@
 	// that it knew since takenSince.
 	takenOver  tenure.LeaseNumber
 	takenSince time.Time
-	takenAt    time.Time
-	// strangerSince is when another member became the preferred home.
-	strangerSince time.Time
 }
 
 func (n *Node) sortedRanges() []tenure.Range {
@@ -117,7 +114,7 @@
 // mayAct reports whether the home may act: it holds the lease by its own clock.
 func (n *Node) mayAct(h *home) bool {
 	_, held := n.tenure.Held(n.now, h.place)
-	return held && !h.leaseSince.IsZero()
+	return (held || n.guards.keepLapsedLease) && !h.leaseSince.IsZero()
 }
 
 // enqueue takes a request, a caller's retry or a front's question.
@@ -130,12 +127,6 @@
 			return
 		}
 	}
-	if successor := n.successors[r]; successor != "" && successor != n.options.Name && !m.Forwarded {
-		forwarded := *m
-		forwarded.Forwarded = true
-		n.sendBulk(successor, &forwarded)
-		return
-	}
 	if n.homeOf(r) != n.options.Name || n.draining {
 		n.notHome(m, workload.CodeNoHome, "this node is not the home of team "+r.Team)
 		return
@@ -145,12 +136,6 @@
 		return
 	}
 	h = n.homeFor(r)
-	if !n.mayAct(h) {
-		// Taking a request in without the lease would leave it here when
-		// another node becomes the home and starts it.
-		n.notHome(m, workload.CodeNoHome, "this node has no lease of team "+r.Team+" yet")
-		return
-	}
 	if m.Wait {
 		n.waitForUnknown(h, m)
 		return
@@ -179,7 +164,7 @@
 
 // enqueueKnown attaches a front to a request that the home already has.
 func (n *Node) enqueueKnown(h *home, e *entry, m *Enqueue) {
-	if !m.Wait && !m.ResolveOnly && !e.resolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
+	if !m.Wait && !m.ResolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
 		n.event(EventConflictingKeyUsed, string(m.Request.Key), "the key was used before for another body")
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeKeyReused, 0, "key %s was used for a different request", m.Request.Key))
 		return
@@ -278,7 +263,6 @@
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
 		return
 	}
-	e.resolveOnly = m.ResolveOnly
 	e.resetTasks(n.now, taskQueued)
 	if !e.durable {
 		n.setStartBy(e)
@@ -481,7 +465,7 @@
 		}
 		n.decay(h)
 		h.dropEnded(n.now, n.timing.ResultRetention)
-		if n.tickSuccession(h) || !n.mayAct(h) {
+		if !n.mayAct(h) {
 			continue
 		}
 		n.tickRecovery(h)
@@ -499,24 +483,19 @@
 func (n *Node) tickLease(h *home) {
 	lease, held := n.tenure.Held(n.now, h.place)
 	if held && !h.leaseSince.IsZero() {
-		if !lease.Since.Equal(h.tenureSince) {
+		if !lease.Since.Equal(h.tenureSince) && !n.guards.keepLapsedLease {
 			n.loseLease(h)
-			return
 		}
 		h.number = lease.Number
 	}
 	switch {
 	case held && h.leaseSince.IsZero():
-		if n.now.Sub(h.takenAt) > takeoverWindow && len(h.entries) > 0 {
-			delete(n.homes, h.place)
-			h = n.homeFor(h.place)
-		}
 		h.leaseSince, h.tenureSince, h.number = n.now, lease.Since, lease.Number
 		n.event(EventHomeLeaseGained, h.place.Team, h.place.Region)
 		if !n.takeOverKnowledge(h, lease.Number) {
 			n.startRecovery(h)
 		}
-	case !held && !h.leaseSince.IsZero():
+	case !held && !h.leaseSince.IsZero() && !n.guards.keepLapsedLease:
 		n.loseLease(h)
 	}
 }
@@ -570,6 +549,8 @@
 // loseLease forgets what only a holder may count on. Another home may have
 // acted in the meantime, so everything open is suspect.
 func (n *Node) loseLease(h *home) {
+	h.leaseSince, h.knownSince, h.recovery = time.Time{}, time.Time{}, recovery{}
+	h.jobsKnown, h.askedLog = false, time.Time{}
 	n.event(EventHomeLeaseLost, h.place.Team, h.place.Region)
 	n.suspectAll(h)
 }
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -227,7 +227,6 @@
 		Workers: n.workers.listed(n.options.Region),
 		Owners:  n.members.liveInRegion(n.options.Region),
 	})
-	n.members.SetReady(n.tenure.Ready(n.now, n.options.Region))
 	var wanted []tenure.Range
 	for _, r := range n.sortedRanges() {
 		h := n.homes[r]
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -74,9 +74,6 @@
 	ResolveOnly bool `json:"resolve-only,omitempty" cbor:"6,keyasint,omitempty"`
 	// Wait attaches to the key without submitting it; it has no payload.
 	Wait bool `json:"wait,omitempty" cbor:"7,keyasint,omitempty"`
-	// Forwarded is set by a former home that passes the message to the home to
-	// which it has handed the range over.
-	Forwarded bool `json:"forwarded,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // Assignment is what an owner has to know of a task, also after a takeover:
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -26,10 +26,6 @@
 	// keptResultsPerWorker bounds acknowledged results that are kept for a
 	// caller who comes back.
 	keptResultsPerWorker = 64
-	// assignmentValidity is how long an assignment may wait without its home's
-	// question after it. A home that has lost its lease asks no more, so that
-	// its assignments end before a successor starts the same requests.
-	assignmentValidity = 2500 * time.Millisecond
 	// unclaimedLimit is how long a result waits for a caller who is gone.
 	unclaimedLimit = 10 * time.Minute
 )
@@ -64,8 +60,6 @@
 	state      heldState
 	worker     string
 	receivedAt time.Time
-	// validAt is when the home last vouched for the assignment.
-	validAt    time.Time
 	startedAt  time.Time
 	result     *Result
 	ackFront   bool
@@ -126,7 +120,7 @@
 
 // fence makes sure that a late assignment of a task is refused.
 func (n *Node) fence(id placement.TaskID) {
-	if n.owner.fenced[id] {
+	if n.owner.fenced[id] || n.guards.skipFencing {
 		return
 	}
 	n.owner.fenced[id] = true
@@ -157,7 +151,7 @@
 		return
 	}
 	m.Assignment.Task = task
-	n.owner.tasks[id] = &held{assignment: m.Assignment, payload: m.Payload, state: heldWaiting, receivedAt: n.now, validAt: n.now}
+	n.owner.tasks[id] = &held{assignment: m.Assignment, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
 	n.schedule()
 }
 
@@ -186,16 +180,7 @@
 	n.send(home, &AssignResult{Task: a.Task.ID, Range: a.Range(), State: state, Reason: reason})
 }
 
-// actingHome returns the node whose lease of a range is the newest that this
-// owner knows of. Membership may prefer another node that does not act yet.
-func (n *Node) actingHome(r tenure.Range) string {
-	if number := n.tenure.Newest(r); number.Node != "" {
-		return number.Node
-	}
-	return n.homeOf(r)
-}
-
-// tellHome sends a message to the acting home of a range.
+// tellHome sends a message to the present home of a range.
 func (n *Node) tellHome(r tenure.Range, message Message) {
 	if home := n.holderOf(r); home != "" {
 		n.send(home, message)
@@ -214,7 +199,7 @@
 
 // checkLease refuses a lease that was replaced, and remembers the newest one.
 func (n *Node) checkLease(r tenure.Range, lease tenure.LeaseNumber) error {
-	if err := n.tenure.Check(n.now, r, lease); err != nil {
+	if err := n.tenure.Check(n.now, r, lease); err != nil && !n.guards.takeOldLeases {
 		return err
 	}
 	if lease.Compare(n.owner.holders[r]) > 0 && (len(n.owner.holders) < tenure.MaxRanges || n.owner.holders[r].Node != "") {
@@ -234,13 +219,7 @@
 	t := n.owner.tasks[decision.Task.ID]
 	switch decision.Verb {
 	case placement.VerbStart:
-		switch {
-		case t == nil:
-			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
-		case n.now.Sub(t.validAt) > assignmentValidity:
-			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
-			n.returnTask(n.actingHome(t.assignment.Range()), &t.assignment, AssignReturned, "its home did not ask after it in time")
-		default:
+		if t != nil {
 			n.startHeld(t, decision.Worker)
 		}
 	case placement.VerbExpire:
@@ -328,9 +307,6 @@
 	if home == "" {
 		return
 	}
-	if t.state == heldStarting {
-		return
-	}
 	result := &AssignResult{Task: t.assignment.Task.ID, Range: t.assignment.Range(), State: AssignWaiting, Worker: t.worker}
 	switch t.state {
 	case heldRunning:
@@ -350,7 +326,6 @@
 	}
 	for _, id := range m.Tasks {
 		if t := n.owner.tasks[id]; t != nil {
-			t.validAt = n.now
 			n.reportHeld(from, t)
 			continue
 		}
@@ -480,7 +455,7 @@
 	}
 	for i := range m.Assignments {
 		a := m.Assignments[i]
-		n.owner.tasks[a.Task.ID] = &held{assignment: a, payload: m.Payload, state: heldWaiting, receivedAt: n.now, validAt: n.now}
+		n.owner.tasks[a.Task.ID] = &held{assignment: a, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
 	}
 	for _, decision := range decisions {
 		n.carryOut(decision)
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -9,15 +9,6 @@
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
-// formerAssignmentsOver is how long after the start of a lease an owner may
-// still start what a former home has assigned: the validity of an assignment on
-// a clock that runs a tenth slow, and the time for which a message may be on
-// its way before the silent connection is replaced.
-const formerAssignmentsOver = assignmentValidity*11/10 + peerSilence
-
-// peerSilence is the silence after which the transport replaces a connection.
-const peerSilence = 1250 * time.Millisecond
-
 // recovery is a new home's way to the knowledge of what its predecessor started.
 type recovery struct {
 	startedAt time.Time
@@ -47,6 +38,9 @@
 			h.recovery.uncovered[name] = true
 		}
 	}
+	if n.guards.skipRecovery {
+		h.recovery.uncovered = map[string]bool{}
+	}
 	n.askForLists(h)
 }
 
@@ -78,9 +72,6 @@
 			h.recovery.lapsed = true
 		}
 	}
-	if n.now.Sub(h.leaseSince) < formerAssignmentsOver {
-		return
-	}
 	if len(h.recovery.uncovered) > 0 {
 		if n.now.Sub(h.recovery.askedAt) >= n.timing.RepeatAfter/2 {
 			n.askForLists(h)
@@ -203,25 +194,9 @@
 	}
 	e.suspect = false
 	e.note(n.now, "recovered", "no worker runs it")
-	if e.resolveOnly {
-		n.answerQuestion(h, e)
-		return false
-	}
 	return true
 }
 
-// answerQuestion tells the fronts that asked after a key that it has not run,
-// so that they send the request again as a whole.
-func (n *Node) answerQuestion(h *home, e *entry) {
-	delete(h.entries, e.request.Key)
-	for _, front := range e.fronts {
-		n.send(front, &Refused{
-			Key: e.request.Key, Try: e.try, NotHome: true,
-			Refusal: *workload.Refuse(workload.CodeNotFound, n.timing.RepeatAfter, "the request never reached this home"),
-		})
-	}
-}
-
 func (h *home) dropSuspect(e *entry) {
 	e.suspect = false
 	h.suspects = slices.DeleteFunc(h.suspects, func(other *entry) bool { return other == e })
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -94,9 +94,6 @@
 	name := in.Worker.Name
 	delete(n.owner.opening, name)
 	if old := n.owner.sessions[name]; old != nil {
-		if old.token >= in.Token {
-			return
-		}
 		n.dropSession(old, "a newer session was opened")
 	}
 	if n.draining || n.members.fenced {
@@ -177,7 +174,6 @@
 	byWorker := map[string][]ListedTask{}
 	for _, t := range n.owner.tasks {
 		if t.assignment.Range() == m.Range {
-			n.repeatToNewHome(t)
 			worker, state := t.worker, AssignStarted
 			if t.state == heldWaiting {
 				worker, state = "", AssignWaiting
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -143,7 +143,7 @@
 
 // taskReturned puts a task back that its owner has not started and won't.
 func (n *Node) taskReturned(h *home, e *entry, t *task, from string, m *AssignResult) {
-	if t.state != taskAssigned {
+	if t.state != taskAssigned && t.state != taskRunning {
 		return
 	}
 	n.settleOutstanding(t)
@@ -287,7 +287,7 @@
 		return "canceled", false
 	case e.request.Mode == workload.ModeService:
 		return "a service is started again when it ends", true
-	case e.request.NonIdempotent && (t.result.Outcome != placement.Lost || t.worker != ""):
+	case e.request.NonIdempotent && t.result.Outcome != placement.Lost:
 		return "a non-idempotent request runs at most once", false
 	case t.preempted:
 		return "it gave its room back", true
