Bound how long an owner may start a waiting assignment

Cause: an owner that wakes from a pause and opens its sessions anew still has the assignments of a home that has lost its lease in the meantime; it never saw the newer lease and would start them. Change: an assignment may start only within 2.5 s after its home last asked for it, and a new home starts suspects only once such assignments have ended. An earlier attempt that was refused as not-run no longer makes a request suspect. Ruled out: checking the lease at the start alone, since a paused owner knows no newer one.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -154,6 +154,9 @@
 	lapseAtOnce bool
 	// takeOldLeases lets an owner take assignments of a replaced lease.
 	takeOldLeases bool
+	// keepOldAssignments lets an owner start assignments for which no home has
+	// asked, and a new home start suspects without waiting for their end.
+	keepOldAssignments bool
 	// skipReadBack lets a home act on jobs before it has read its own record.
 	skipReadBack bool
 }
--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -122,7 +122,7 @@
 // admit refuses what can be seen to be wrong without the home.
 func (n *Node) admit(request *workload.Request) *workload.Refusal {
 	refusal := n.judge(request)
-	if refusal != nil && request.Attempt > 0 {
+	if refusal != nil && request.MayHaveRun() {
 		// An earlier attempt went to another node and may have run.
 		refusal.Run = workload.MayHaveRun
 	}
@@ -131,7 +131,7 @@
 
 func (n *Node) judge(request *workload.Request) *workload.Refusal {
 	if n.draining {
-		return workload.Refuse(workload.CodeLeaving, time.Second, "this entry VM is stopping; try another one")
+		return workload.Refuse(workload.CodeLeaving, workload.LeavingRetryAfter, "this entry VM is stopping; try another one")
 	}
 	if findings := request.Validate(n.now); len(findings) > 0 {
 		refusal := workload.Refuse(workload.CodeBadRequest, 0, "%d fields are wrong", len(findings))
@@ -324,7 +324,7 @@
 	if m.Try != s.try || from != s.home {
 		return
 	}
-	if s.openTries() > 1 || s.request.Attempt > 0 && m.Refusal.Code == workload.CodeLeaving {
+	if s.openTries() > 1 || s.request.MayHaveRun() && m.Refusal.Code == workload.CodeLeaving {
 		// An earlier try may still be on its way to another home.
 		m.Refusal.Run = workload.MayHaveRun
 	}
--- a/internal/control/guards_test.go
+++ b/internal/control/guards_test.go
@@ -18,10 +18,10 @@
 	finds  string
 }{
 	"home lease check":                {guards{keepLapsedLease: true}, []string{"isolation", "pause"}, ""},
-	"recovery before suspects start":  {guards{skipRecovery: true}, []string{"crash", "all-crash"}, "two places"},
+	"recovery before suspects start":  {guards{skipRecovery: true, keepOldAssignments: true}, []string{"crash", "all-crash"}, "two places"},
 	"fencing of withdrawn attempts":   {guards{skipFencing: true}, []string{"slow-bulk", "slow-bulk"}, ""},
 	"lapse rule":                      {guards{lapseAtOnce: true}, []string{"isolation", "owner-worker-cut"}, ""},
-	"assignments of a replaced lease": {guards{takeOldLeases: true}, []string{"slow-bulk", "isolation"}, ""},
+	"assignments of a replaced lease": {guards{takeOldLeases: true, keepOldAssignments: true}, []string{"slow-bulk", "isolation"}, ""},
 	"read-back of the own log record": {guards{skipReadBack: true}, []string{"slow-readers", "crash"}, ""},
 }
 
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -242,7 +242,7 @@
 		durable:    m.Request.Mode == workload.ModeJob || m.Request.Mode == workload.ModeService,
 	}
 	e.addFront(m.Front, m.Try)
-	e.suspect = (m.Resent || m.Request.Attempt > 0 || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
+	e.suspect = (m.Resent || m.Request.MayHaveRun() || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
 	if m.ResolveOnly {
 		e.digest = 0
 	}
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -26,6 +26,11 @@
 	// keptResultsPerWorker bounds acknowledged results that are kept for a
 	// caller who comes back.
 	keptResultsPerWorker = 64
+	// assignmentValidity is how long an assignment may wait without its home's
+	// question after it. A home that has lost its lease asks no more, so that
+	// its assignments end before a successor starts the same requests, also at
+	// an owner that was paused and opens its sessions anew.
+	assignmentValidity = 2500 * time.Millisecond
 	// unclaimedLimit is how long a result waits for a caller who is gone.
 	unclaimedLimit = 10 * time.Minute
 )
@@ -60,6 +65,8 @@
 	state      heldState
 	worker     string
 	receivedAt time.Time
+	// validAt is when the home last vouched for the assignment.
+	validAt    time.Time
 	startedAt  time.Time
 	result     *Result
 	ackFront   bool
@@ -151,7 +158,7 @@
 		return
 	}
 	m.Assignment.Task = task
-	n.owner.tasks[id] = &held{assignment: m.Assignment, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
+	n.owner.tasks[id] = &held{assignment: m.Assignment, payload: m.Payload, state: heldWaiting, receivedAt: n.now, validAt: n.now}
 	n.schedule()
 }
 
@@ -219,7 +226,13 @@
 	t := n.owner.tasks[decision.Task.ID]
 	switch decision.Verb {
 	case placement.VerbStart:
-		if t != nil {
+		switch {
+		case t == nil:
+			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
+		case n.now.Sub(t.validAt) > assignmentValidity && !n.guards.keepOldAssignments:
+			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
+			n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, "its home did not ask after it in time")
+		default:
 			n.startHeld(t, decision.Worker)
 		}
 	case placement.VerbExpire:
@@ -326,6 +339,7 @@
 	}
 	for _, id := range m.Tasks {
 		if t := n.owner.tasks[id]; t != nil {
+			t.validAt = n.now
 			n.reportHeld(from, t)
 			continue
 		}
@@ -455,7 +469,7 @@
 	}
 	for i := range m.Assignments {
 		a := m.Assignments[i]
-		n.owner.tasks[a.Task.ID] = &held{assignment: a, payload: m.Payload, state: heldWaiting, receivedAt: n.now}
+		n.owner.tasks[a.Task.ID] = &held{assignment: a, payload: m.Payload, state: heldWaiting, receivedAt: n.now, validAt: n.now}
 	}
 	for _, decision := range decisions {
 		n.carryOut(decision)
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -9,6 +9,15 @@
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
+// formerAssignmentsOver is how long after the start of a lease an owner may
+// still start what a former home has assigned: the validity of an assignment on
+// a clock that runs a tenth slow, and the time for which a message may be on
+// its way before the transport replaces the silent connection.
+const formerAssignmentsOver = assignmentValidity*11/10 + peerSilence
+
+// peerSilence is the silence after which the transport replaces a connection.
+const peerSilence = 1250 * time.Millisecond
+
 // recovery is a new home's way to the knowledge of what its predecessor started.
 type recovery struct {
 	startedAt time.Time
@@ -72,6 +81,9 @@
 			h.recovery.lapsed = true
 		}
 	}
+	if n.now.Sub(h.leaseSince) < formerAssignmentsOver && !n.guards.keepOldAssignments {
+		return
+	}
 	if len(h.recovery.uncovered) > 0 {
 		if n.now.Sub(h.recovery.askedAt) >= n.timing.RepeatAfter/2 {
 			n.askForLists(h)
