Show that the checkers see each missing safety rule

New faults: slow messages with payloads, readers that lag behind the log. Runs with planned stops alone lose no messages, since a lost message is a fault.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -143,7 +143,19 @@
 // guards switches single safety rules off. Only tests set a field, to show that
 // their checkers find what the rule prevents.
 type guards struct {
-	ignoreHomeLease bool
+	// keepLapsedLease lets a home act on after its lease has ended.
+	keepLapsedLease bool
+	// skipRecovery lets a new home start suspects at once.
+	skipRecovery bool
+	// skipFencing lets an owner take an attempt that it has disowned.
+	skipFencing bool
+	// lapseAtOnce takes an unlisted worker's tasks as over without waiting for
+	// the ends of its leases.
+	lapseAtOnce bool
+	// takeOldLeases lets an owner take assignments of a replaced lease.
+	takeOldLeases bool
+	// skipReadBack lets a home act on jobs before it has read its own record.
+	skipReadBack bool
 }
 
 // New returns a node that knows its members from settings and nothing else. The
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -114,7 +114,7 @@
 // mayAct reports whether the home may act: it holds the lease by its own clock.
 func (n *Node) mayAct(h *home) bool {
 	_, held := n.tenure.Held(n.now, h.place)
-	return held && !h.leaseSince.IsZero()
+	return (held || n.guards.keepLapsedLease) && !h.leaseSince.IsZero()
 }
 
 // enqueue takes a request, a caller's retry or a front's question.
@@ -483,7 +483,7 @@
 func (n *Node) tickLease(h *home) {
 	lease, held := n.tenure.Held(n.now, h.place)
 	if held && !h.leaseSince.IsZero() {
-		if !lease.Since.Equal(h.tenureSince) {
+		if !lease.Since.Equal(h.tenureSince) && !n.guards.keepLapsedLease {
 			n.loseLease(h)
 		}
 		h.number = lease.Number
@@ -495,7 +495,7 @@
 		if !n.takeOverKnowledge(h, lease.Number) {
 			n.startRecovery(h)
 		}
-	case !held && !h.leaseSince.IsZero():
+	case !held && !h.leaseSince.IsZero() && !n.guards.keepLapsedLease:
 		n.loseLease(h)
 	}
 }
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -90,6 +90,10 @@
 // that it has read what former homes of the range wrote.
 func (n *Node) announceHome(h *home) {
 	h.askedLog = n.now
+	if n.guards.skipReadBack {
+		h.jobsKnown = true
+		n.adoptJobs(h)
+	}
 	n.emit(&AppendRecord{
 		Identity: fmt.Sprintf("began/%s/%s/%d/%s", h.place.Region, h.place.Team, h.number.At, h.number.Node),
 		Began:    &HomeBegan{Region: h.place.Region, Team: h.place.Team, Lease: h.number},
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -120,7 +120,7 @@
 
 // fence makes sure that a late assignment of a task is refused.
 func (n *Node) fence(id placement.TaskID) {
-	if n.owner.fenced[id] {
+	if n.owner.fenced[id] || n.guards.skipFencing {
 		return
 	}
 	n.owner.fenced[id] = true
@@ -199,7 +199,7 @@
 
 // checkLease refuses a lease that was replaced, and remembers the newest one.
 func (n *Node) checkLease(r tenure.Range, lease tenure.LeaseNumber) error {
-	if err := n.tenure.Check(n.now, r, lease); err != nil {
+	if err := n.tenure.Check(n.now, r, lease); err != nil && !n.guards.takeOldLeases {
 		return err
 	}
 	if lease.Compare(n.owner.holders[r]) > 0 && (len(n.owner.holders) < tenure.MaxRanges || n.owner.holders[r].Node != "") {
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -38,6 +38,9 @@
 			h.recovery.uncovered[name] = true
 		}
 	}
+	if n.guards.skipRecovery {
+		h.recovery.uncovered = map[string]bool{}
+	}
 	n.askForLists(h)
 }
 
--- a/internal/control/sim_check_test.go
+++ b/internal/control/sim_check_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/internal/tenure"
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
@@ -95,6 +96,10 @@
 			c.fail("not-run: %v starts on %s after the refusal %s at %.3fs (%s)", at, s.placed.Name, refusal.code, refusal.at.Seconds(), refusal.message)
 		}
 	}
+	place := tenure.Range{Region: caller.request.Region, Team: caller.request.Team}
+	if ended := w.log.endedAt[t.id.Key]; ended > 0 && ended < w.log.beganAt[place] {
+		c.fail("durable: %v starts on %s; its end is record %d, before its home's record %d", at, s.placed.Name, ended, w.log.beganAt[place])
+	}
 	if string(t.payload) != string(caller.request.Payload) {
 		c.fail("payload: %v starts with %q", at, t.payload)
 	}
--- a/internal/control/sim_faults_test.go
+++ b/internal/control/sim_faults_test.go
@@ -76,6 +76,11 @@
 		w.network.loss, w.network.slowest = 0.15, 150*time.Millisecond
 		w.after(length, func() { w.network.loss, w.network.slowest = 0.002, 3*time.Millisecond })
 	}},
+	{"slow-bulk", func(w *world) {
+		w.trace("messages with payloads are slow")
+		w.network.slowBulk = 3 * time.Second
+		w.after(w.between(2*time.Second, 10*time.Second), func() { w.network.slowBulk = 0 })
+	}},
 	{"worker-loss", func(w *world) {
 		s := w.anyWorker()
 		s.fail()
@@ -107,6 +112,14 @@
 		w.log.latency = 2 * time.Second
 		w.after(w.between(2*time.Second, 15*time.Second), func() { w.log.latency = 20 * time.Millisecond })
 	}},
+	{"slow-readers", func(w *world) {
+		for _, n := range w.nodes {
+			if w.chance(0.6) {
+				w.trace("%s reads the log late", n.name)
+				n.readsFrom = w.now + w.between(2*time.Second, 12*time.Second)
+			}
+		}
+	}},
 	{"drain", func(w *world) { w.replace([]*simNode{w.anyNode()}) }},
 	{"rolling-replacement", func(w *world) { w.replace(w.nodes) }},
 	{"broken-connections", func(w *world) {
@@ -203,6 +216,9 @@
 	for _, name := range faults {
 		w.checks.strict = w.checks.strict && (name == "drain" || name == "rolling-replacement")
 	}
+	if w.checks.strict {
+		w.network.loss = 0 // A lost message is a fault of its own.
+	}
 	return w
 }
 
--- a/internal/control/sim_log_test.go
+++ b/internal/control/sim_log_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"yuccalanding.example/yuccalanding/internal/tenure"
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
@@ -14,6 +15,10 @@
 	latency time.Duration
 	records []RecordRead
 	written map[string]bool
+	// endedAt and beganAt are the positions, from 1, of the first record of a
+	// job's end and of the newest record of a range's home.
+	endedAt map[workload.Key]int
+	beganAt map[tenure.Range]int
 }
 
 // append writes a record. In an outage it is either certainly not written, or
@@ -41,9 +46,6 @@
 // write appends a record unless its identity is in the log, which a client
 // looks up before it repeats an append.
 func (s *simLog) write(out *AppendRecord) {
-	if s.written == nil {
-		s.written = map[string]bool{}
-	}
 	if s.written[out.Identity] && s.world.chance(0.5) {
 		return
 	}
@@ -55,6 +57,12 @@
 		record.Accepted = &accepted
 	}
 	s.records = append(s.records, record)
+	switch {
+	case record.Ended != nil && s.endedAt[record.Ended.Key] == 0:
+		s.endedAt[record.Ended.Key] = len(s.records)
+	case record.Began != nil:
+		s.beganAt[tenure.Range{Region: record.Began.Region, Team: record.Began.Team}] = len(s.records)
+	}
 	s.world.checks.recorded(&record)
 }
 
@@ -98,7 +106,7 @@
 // followLog reads the log from the first record on.
 func (n *simNode) followLog() {
 	s := n.log()
-	for limit := 50; s.up && n.logOffset < len(s.records) && limit > 0; limit-- {
+	for limit := 50; s.up && n.world.now >= n.readsFrom && n.logOffset < len(s.records) && limit > 0; limit-- {
 		record := s.records[n.logOffset]
 		if record.Accepted != nil {
 			accepted := *record.Accepted
--- a/internal/control/sim_network_test.go
+++ b/internal/control/sim_network_test.go
@@ -16,8 +16,10 @@
 	// cuts are the paths that lose everything.
 	cuts map[path]int
 	// loss is the share of messages lost on every path.
-	loss     float64
-	slowest  time.Duration
+	loss    float64
+	slowest time.Duration
+	// slowBulk delays messages with payloads further.
+	slowBulk time.Duration
 	lastSent map[connection]time.Duration
 }
 
@@ -44,6 +46,9 @@
 	if to.region != n.region {
 		delay += 30 * time.Millisecond
 	}
+	if out.Bulk && s.slowBulk > 0 {
+		delay += w.between(0, s.slowBulk)
+	}
 	on := connection{p, out.Bulk}
 	at := max(w.now+delay, s.lastSent[on]+1)
 	s.lastSent[on] = at
--- a/internal/control/sim_world_test.go
+++ b/internal/control/sim_world_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/membership"
+	"yuccalanding.example/yuccalanding/internal/tenure"
+	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
 // epoch is the virtual time at which every run begins.
@@ -66,7 +68,10 @@
 		trace: func(string, ...any) {},
 	}
 	w.network = newSimNetwork(w)
-	w.log = &simLog{world: w, up: true, latency: 20 * time.Millisecond}
+	w.log = &simLog{
+		world: w, up: true, latency: 20 * time.Millisecond,
+		written: map[string]bool{}, endedAt: map[workload.Key]int{}, beganAt: map[tenure.Range]int{},
+	}
 	w.checks = newChecker(w)
 	return w
 }
@@ -130,6 +135,7 @@
 	drained     bool
 	pending     []*AppendRecord
 	logOffset   int
+	readsFrom   time.Duration
 	pausedAt    time.Duration
 }
 
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -106,6 +106,8 @@
 		return clearedByList
 	case !view.inList && n.now.Sub(view.goneAt) > n.timing.TaskLease:
 		return clearedByLapse
+	case n.guards.lapseAtOnce:
+		return clearedByLapse
 	case n.now.Sub(since) >= n.lapseTime() && n.lapseAllowed(view.entry.Region):
 		return clearedByLapse
 	}
