Measure how soon the workers of a killed node start work again

A node of three has a third of the workers, so the others' leases end; the workers count again after their sessions have ended (3 s) and 1.1 T (2.2 s). Ruled out: asking for sessions every 100 ms in place of 250 ms; it saves 0.1 s.

--- /dev/null
+++ b/internal/control/availability_test.go
@@ -0,0 +1,126 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+const (
+	availabilitySeeds = 6
+	// busyWorkers is a ledger service of section 1.6.
+	busyWorkers = 35
+	diesAt      = 14 * time.Second
+	// takeOverLimit and restartLimit are the targets of section 1.7.
+	takeOverLimit = 5 * time.Second
+	restartLimit  = 10 * time.Second
+)
+
+// buildBusy makes a cell of one region whose workers always have work waiting.
+func buildBusy(seed uint64, count int) *world {
+	w := newWorld(seed)
+	w.network.loss = 0
+	for i := range count {
+		w.addNode([]string{"a", "b", "c", "d", "e", "f", "g"}[i], "punjab", []string{"lahore", "faisalabad"}[i%2])
+	}
+	for i := range busyWorkers {
+		w.addWorker(fmt.Sprintf("vm-%02d", i), "punjab", []string{"lahore", "faisalabad"}[i%2], workload.Resources{MilliCPU: 2000, MemoryMB: 8000})
+	}
+	for _, n := range w.nodes {
+		w.after(w.between(0, 100*time.Millisecond), n.start)
+	}
+	for range 2400 {
+		w.addCaller(w.between(7*time.Second, 24*time.Second), workload.Request{
+			Team: []string{"ledger", "camera", "claims"}[w.random.IntN(3)], Kind: "check", Region: "punjab",
+			Resources: workload.Resources{MilliCPU: 1000, MemoryMB: 1000}, RunTimeMS: 300 + w.random.Int64N(900),
+		})
+	}
+	return w
+}
+
+func quantile(values []time.Duration, share float64) time.Duration {
+	slices.Sort(values)
+	return values[min(int(share*float64(len(values))), len(values)-1)]
+}
+
+// firstAfter is the time from an instant to the first start on a worker.
+func (w *world) firstAfter(worker string, at time.Duration) time.Duration {
+	for _, start := range w.checks.startsBy[worker] {
+		if start > at {
+			return start - at
+		}
+	}
+	return time.Minute
+}
+
+// Guards against a takeover that takes longer than the target: the workers of a
+// killed node take new work again, p99 within 5 s. The time depends on the share
+// of the region's workers that the node had, so each size is judged alone.
+func TestWorkersOfAKilledNodeTakeWorkAgain(t *testing.T) {
+	for count := 3; count <= 7; count++ {
+		t.Run(fmt.Sprintf("%d nodes", count), func(t *testing.T) {
+			t.Parallel()
+			var waits []time.Duration
+			for seed := uint64(1); seed <= availabilitySeeds; seed++ {
+				waits = append(waits, killOne(t, seed, count)...)
+			}
+			t.Logf("%d workers: %s", len(waits), summary(waits))
+			require.LessOrEqual(t, quantile(waits, 0.99), takeOverLimit)
+		})
+	}
+}
+
+// killOne returns the time from a node's death to the next start for each of
+// its workers.
+func killOne(t *testing.T, seed uint64, count int) []time.Duration {
+	w := buildBusy(seed, count)
+	dead := w.nodes[w.random.IntN(len(w.nodes))]
+	var orphans []string
+	w.after(diesAt, func() {
+		orphans = sortedKeys(dead.links)
+		dead.crash()
+	})
+	w.run(24 * time.Second)
+	require.Empty(t, w.checks.violations, "seed %d", seed)
+	var waits []time.Duration
+	for _, worker := range orphans {
+		waits = append(waits, w.firstAfter(worker, diesAt))
+	}
+	return waits
+}
+
+func summary(waits []time.Duration) string {
+	return fmt.Sprintf("p50 %s, p99 %s, longest %s", quantile(waits, 0.5).Round(time.Millisecond),
+		quantile(waits, 0.99).Round(time.Millisecond), quantile(waits, 1).Round(time.Millisecond))
+}
+
+// Guards against a cell that takes longer than the target to place again after
+// all its nodes were restarted, and against restarts that disturb running work.
+func TestAllNodesRestartedPlaceAgain(t *testing.T) {
+	var waits []time.Duration
+	for seed := uint64(1); seed <= availabilitySeeds; seed++ {
+		w := buildBusy(seed, 3+int(seed)%5)
+		for _, n := range w.nodes {
+			w.after(diesAt, func() { w.crashAndRestart(n, w.between(0, 100*time.Millisecond)) })
+		}
+		w.run(24 * time.Second)
+		require.Empty(t, w.checks.violations, "seed %d", seed)
+		first := time.Minute
+		for _, s := range w.workers {
+			first = min(first, w.firstAfter(s.placed.Name, diesAt+10*time.Millisecond))
+		}
+		waits = append(waits, first)
+		for _, runs := range w.checks.runs {
+			for _, r := range runs {
+				require.NotEqual(t, "stopped", string(r.outcome), "seed %d: %v", seed, r.id)
+			}
+		}
+	}
+	t.Logf("%d cells: %s", len(waits), summary(waits))
+	require.LessOrEqual(t, quantile(waits, 1), restartLimit)
+}
