--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -15,9 +15,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/control"
@@ -28,6 +31,7 @@
 	"yuccalanding.example/yuccalanding/internal/standin/vmlistservice"
 	"yuccalanding.example/yuccalanding/internal/standin/workervm"
 	"yuccalanding.example/yuccalanding/internal/vmlist"
+	"yuccalanding.example/yuccalanding/internal/worker"
 	"yuccalanding.example/yuccalanding/pkg/caller"
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
@@ -35,6 +39,9 @@
 // secret is the cluster secret of every cell; a cell lives on loopback only.
 const secret = "a cell that lives on loopback only"
 
+// appendPath is where the log takes appends.
+const appendPath = "/append"
+
 // NodeSpec is one entry VM.
 type NodeSpec struct {
 	Name          string
@@ -50,6 +57,14 @@
 	// VMs and from an entry VM to a worker; nil is none.
 	PeerDelay   func(from, to NodeSpec) time.Duration
 	WorkerDelay func(from NodeSpec, to placement.Worker) time.Duration
+	// ClientDelay is the one-way distance between callers and entry VMs. The
+	// cell only states it; whoever calls adds it.
+	ClientDelay time.Duration
+	// CutOnKill passes callers' connections through relays of the cell, so that
+	// KillNode cuts them at once, as the death of a process does. Without it a
+	// killed node keeps its callers' connections open until its front has given
+	// up waiting for them.
+	CutOnKill bool
 	// Log takes the nodes' events; nil discards them.
 	Log io.Writer
 	// TaskLease shortens the workers' and the nodes' task leases; 0 is the default.
@@ -58,9 +73,12 @@
 
 // Node is one running entry VM.
 type Node struct {
-	Spec      NodeSpec
-	Settings  settings.Settings
-	Process   *node.Process
+	Spec     NodeSpec
+	Settings settings.Settings
+	Process  *node.Process
+	relay    *relay
+	// callers is the address of the relay, which a replacement keeps.
+	callers   netip.AddrPort
 	cancel    context.CancelFunc
 	ended     chan error
 	isRunning bool
@@ -79,6 +97,7 @@
 	platform  settings.Platform
 	servers   []*http.Server
 	addresses []settings.Addresses
+	appends   atomic.Int64
 }
 
 // SmallNodes returns entry VMs in one region and one failure domain.
@@ -132,7 +151,7 @@
 	c.Log = logservice.New(logservice.Options{})
 	c.VMList = vmlistservice.New(vmlistservice.Options{})
 	var err error
-	if c.platform.Log, err = c.serve(c.Log); err != nil {
+	if c.platform.Log, err = c.serve(c.countAppends()); err != nil {
 		return err
 	}
 	if c.platform.VMList, err = c.serve(c.VMList); err != nil {
@@ -149,6 +168,62 @@
 	return nil
 }
 
+// countAppends serves the log and counts the appends that reach it.
+func (c *Cell) countAppends() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && r.URL.Path == appendPath {
+			c.appends.Add(1)
+		}
+		c.Log.ServeHTTP(w, r)
+	})
+}
+
+// Appends returns how many appends the log has received, repeated and refused
+// ones included.
+func (c *Cell) Appends() int64 { return c.appends.Load() }
+
+// WorkerStates returns what each worker saw.
+func (c *Cell) WorkerStates() []worker.State {
+	states := make([]worker.State, len(c.Fleet.VMs))
+	for i, vm := range c.Fleet.VMs {
+		states[i] = vm.State()
+	}
+	return states
+}
+
+// Regions returns the regions that have entry VMs, in the order of the nodes.
+func (c *Cell) Regions() []string {
+	var regions []string
+	for _, spec := range c.Options.Nodes {
+		if !slices.Contains(regions, spec.Region) {
+			regions = append(regions, spec.Region)
+		}
+	}
+	return regions
+}
+
+// CallerAddresses returns the callers' addresses of a region's entry VMs, or
+// of all if the region is empty.
+func (c *Cell) CallerAddresses(region string) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for i, spec := range c.Options.Nodes {
+		if region == "" || spec.Region == region {
+			addresses = append(addresses, c.callerAddress(i))
+		}
+	}
+	return addresses
+}
+
+func (c *Cell) callerAddress(i int) netip.AddrPort {
+	if c.Options.CutOnKill {
+		return c.Nodes[i].callers
+	}
+	return c.addresses[i].Callers
+}
+
+// OperatorAddress returns a node's operators' address.
+func (c *Cell) OperatorAddress(i int) netip.AddrPort { return c.addresses[i].Operators }
+
 // ListedVMs returns the VM list of all workers.
 func (c *Cell) ListedVMs() []vmlist.VM {
 	var listed []vmlist.VM
@@ -171,27 +246,58 @@
 	return netip.ParseAddrPort(listener.Addr().String())
 }
 
+// Ports of nodes are below the range that systems take for outgoing
+// connections, so that a replaced node finds its ports free again.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+	portTries = 100
+)
+
 // freeAddresses finds three free ports. Another process may take one before
 // the node listens, in which case the node's start fails with a clear error.
 func freeAddresses() (settings.Addresses, error) {
 	var addresses settings.Addresses
-	for _, address := range []*netip.AddrPort{&addresses.Callers, &addresses.Operators} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var opened []io.Closer
+	defer func() {
+		for _, each := range opened {
+			_ = each.Close()
+		}
+	}()
+	for _, address := range []*netip.AddrPort{&addresses.Callers, &addresses.Operators, &addresses.Peers} {
+		found, closers, err := freePort()
 		if err != nil {
 			return addresses, err
 		}
-		*address = netip.MustParseAddrPort(listener.Addr().String())
-		defer listener.Close()
+		*address = found
+		opened = append(opened, closers...)
 	}
-	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
-	if err != nil {
-		return addresses, err
-	}
-	defer socket.Close()
-	addresses.Peers = netip.MustParseAddrPort(socket.LocalAddr().String())
 	return addresses, nil
 }
 
+// freePort finds a port that is free for TCP and UDP and holds it until the
+// closers are called.
+func freePort() (netip.AddrPort, []io.Closer, error) {
+	var last error
+	for range portTries {
+		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			last = err
+			continue
+		}
+		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+		if err != nil {
+			_ = listener.Close()
+			last = err
+			continue
+		}
+		return address, []io.Closer{listener, socket}, nil
+	}
+	return netip.AddrPort{}, nil, fmt.Errorf("no free port after %d tries: %w", portTries, last)
+}
+
 // Settings returns the settings of a node.
 func (c *Cell) Settings(i int) settings.Settings {
 	spec := c.Options.Nodes[i]
@@ -225,6 +331,13 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	n.Process, n.cancel, n.ended, n.isRunning = process, cancel, make(chan error, 1), true
 	go func() { n.ended <- process.Run(ctx) }()
+	if c.Options.CutOnKill {
+		n.relay, err = startRelay(c.ctx, n.callers, n.Settings.Addresses.Callers)
+		if err != nil {
+			return fmt.Errorf("relay of node %s: %w", n.Spec.Name, err)
+		}
+		n.callers = n.relay.address()
+	}
 	return nil
 }
 
@@ -253,6 +366,9 @@
 // KillNode ends a node without a drain.
 func (c *Cell) KillNode(i int) error {
 	n := c.Nodes[i]
+	if n.relay != nil {
+		n.relay.cut()
+	}
 	n.cancel()
 	return c.await(n)
 }
@@ -269,7 +385,11 @@
 		return nil
 	}
 	n.isRunning = false
-	return <-n.ended
+	err := <-n.ended
+	if n.relay != nil {
+		n.relay.cut()
+	}
+	return err
 }
 
 // Client returns a client that calls the given nodes, or all if none is given.
@@ -281,7 +401,7 @@
 		}
 	}
 	for _, i := range nodes {
-		addresses = append(addresses, c.addresses[i].Callers)
+		addresses = append(addresses, c.callerAddress(i))
 	}
 	return caller.New(caller.Options{Addresses: addresses})
 }
@@ -291,6 +411,9 @@
 	return c.Nodes[i].Process.Dump(ctx)
 }
 
+// Running reports whether a node runs.
+func (c *Cell) Running(i int) bool { return c.Nodes[i].isRunning }
+
 // AwaitReady waits until every worker has an owner among the running nodes.
 func (c *Cell) AwaitReady(ctx context.Context) error {
 	for {
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -219,9 +219,11 @@
 	t := n.owner.tasks[decision.Task.ID]
 	switch decision.Verb {
 	case placement.VerbStart:
-		if t != nil {
-			n.startHeld(t, decision.Worker)
+		if t == nil {
+			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
+			return
 		}
+		n.startHeld(t, decision.Worker)
 	case placement.VerbExpire:
 		if t != nil {
 			reason := "its deadline passed at owner " + n.options.Name
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -183,7 +183,10 @@
 	e, t := h.find(m.Task)
 	if e == nil {
 		final := h.recovery.complete && n.mayAct(h) && n.jobs.open[m.Task.Key] == nil
-		n.send(from, &AcknowledgeAnswer{Task: m.Task, Final: final})
+		if final {
+			// Before the home knows every key it must not let a result go.
+			n.send(from, &AcknowledgeAnswer{Task: m.Task, Final: true})
+		}
 		return
 	}
 	if t == nil || e.ended() {
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -54,6 +54,8 @@
 	Identity string    `json:"identity"`
 	Since    time.Time `json:"since"`
 	Meaning  string    `json:"meaning"`
+	// Affected says whose work suffers.
+	Affected string `json:"affected,omitempty"`
 	// Action is what a person has to do.
 	Action string `json:"action"`
 }
@@ -106,14 +108,22 @@
 	Reason      string   `json:"reason"`
 	Sections    []string `json:"sections,omitempty"`
 	Files       []File   `json:"files"`
+	// Identity names the change, so that its outcome can be looked up in the
+	// history after a lost answer; the node makes one if it is empty.
+	Identity string `json:"identity,omitempty"`
 	// Author is set by the node from the token.
 	Author string `json:"-"`
 }
 
+// UnknownBase stands for a base version that is not known.
+const UnknownBase = -1
+
 // Change is an accepted or rejected change.
 type Change struct {
 	// Version is the version that the change made; 0 if it was rejected.
-	Version     int64 `json:"version"`
+	Version int64 `json:"version"`
+	// BaseVersion is UnknownBase in the history of accepted changes, which does
+	// not keep it.
 	BaseVersion int64 `json:"base-version"`
 	// State is "accepted" or "rejected".
 	State    string    `json:"state"`
@@ -122,6 +132,7 @@
 	Reason   string    `json:"reason"`
 	Sections []string  `json:"sections"`
 	Digest   string    `json:"digest,omitempty"`
+	Identity string    `json:"identity,omitempty"`
 }
 
 // Diff is how a folder differs from the configuration in force.
--- a/internal/tenure/tenure_test.go
+++ b/internal/tenure/tenure_test.go
@@ -21,6 +21,7 @@
 	nodes    map[string]*Leases
 	lists    map[string][]string
 	cut      map[string]bool
+	deaf     map[string]bool // gets no answers
 	messages int
 	bytes    int
 	events   []Event
@@ -29,6 +30,7 @@
 func newGroup(nodes, workers int) *group {
 	g := &group{
 		now: time.Unix(1_800_000_000, 0), nodes: map[string]*Leases{}, lists: map[string][]string{}, cut: map[string]bool{},
+		deaf: map[string]bool{},
 	}
 	var list []string
 	for i := range workers {
@@ -74,7 +76,9 @@
 					continue
 				}
 				answer := g.nodes[o.To].ReceiveRequest(g.now, name, o.Request)
-				node.ReceivePromise(g.now, o.To, answer)
+				if !g.deaf[name] {
+					node.ReceivePromise(g.now, o.To, answer)
+				}
 				request, _ := cbor.Marshal(o.Request)
 				reply, _ := cbor.Marshal(answer)
 				g.messages, g.bytes = g.messages+2, g.bytes+len(request)+len(reply)
@@ -99,8 +103,8 @@
 	}
 	cases := map[string][]step{
 		"renewed":                {{0, "a", ask(old), ""}, {time.Second, "a", ask(old), ""}},
-		"held by another":        {{0, "a", ask(old), ""}, {Length - 1, "b", ask(newer), ReasonHeld}},
-		"expired":                {{0, "a", ask(old), ""}, {Length, "b", ask(newer), ""}, {0, "a", ask(old), ReasonStale}},
+		"held by another":        {{0, "a", ask(old), ""}, {promiseLength - 1, "b", ask(newer), ReasonHeld}},
+		"expired":                {{0, "a", ask(old), ""}, {promiseLength, "b", ask(newer), ""}, {0, "a", ask(old), ReasonStale}},
 		"released":               {{0, "a", ask(old), ""}, {0, "a", release(old), ""}, {0, "b", ask(newer), ""}},
 		"released, asked late":   {{0, "a", ask(old), ""}, {0, "a", release(old), ""}, {0, "a", ask(old), ReasonStale}},
 		"late release":           {{0, "a", ask(old), ""}, {0, "a", ask(LeaseNumber{300, "a"}), ""}, {0, "a", release(old), ""}, {0, "b", ask(LeaseNumber{400, "b"}), ReasonHeld}},
@@ -152,14 +156,14 @@
 	owner.SessionOpened(opened.Add(-100*time.Millisecond), opened, "vm")
 	require.False(t, counts(2200*time.Millisecond-1))
 	require.True(t, counts(2200*time.Millisecond))
-	require.True(t, counts(2600*time.Millisecond-1))
-	require.False(t, counts(2600*time.Millisecond))
+	require.True(t, counts(2300*time.Millisecond-1))
+	require.False(t, counts(2300*time.Millisecond))
 	owner.SessionRenewed(opened.Add(time.Second), "vm")
 	owner.SessionRenewed(opened, "vm") // late
-	require.True(t, counts(3700*time.Millisecond-1))
-	require.False(t, counts(3700*time.Millisecond))
+	require.True(t, counts(3400*time.Millisecond-1))
+	require.False(t, counts(3400*time.Millisecond))
 	owner.SessionClosed("vm")
-	require.False(t, counts(2300*time.Millisecond))
+	require.False(t, counts(2250*time.Millisecond))
 }
 
 // Guards against a lease that comes back to life through a late answer after
@@ -222,6 +226,41 @@
 	require.True(t, g.held("n1"))
 }
 
+// Guards against a node that hears nobody and whose requests keep renewing
+// promises that it never learns of.
+func TestDeafNodeGivesWay(t *testing.T) {
+	for name, wasHome := range map[string]bool{"former home": true, "candidate": false} {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(5, 15)
+			g.deaf["n0"] = !wasHome
+			g.want("n0", modelRange)
+			g.run(time.Second)
+			require.Equal(t, wasHome, g.held("n0"))
+			g.deaf["n0"] = true
+			g.want("n1", modelRange)
+			g.run(8 * time.Second)
+			require.True(t, g.held("n1"))
+		})
+	}
+}
+
+// Guards against candidates that split the promises and block each other.
+func TestCompetingCandidatesSettle(t *testing.T) {
+	g := newGroup(5, 12)
+	for _, name := range g.names {
+		g.want(name, modelRange)
+	}
+	g.run(3 * time.Second)
+	homes := 0
+	for _, name := range g.names {
+		if g.held(name) {
+			homes++
+		}
+	}
+	require.Equal(t, 1, homes)
+	require.Len(t, g.events, 1)
+}
+
 // Guards against two candidates with a large difference between their lists,
 // and against a list that is used before it is stable.
 func TestListRule(t *testing.T) {
