--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -226,15 +226,16 @@
 	t := n.owner.tasks[decision.Task.ID]
 	switch decision.Verb {
 	case placement.VerbStart:
-		switch {
-		case t == nil:
+		if t == nil {
 			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
-		case n.now.Sub(t.validAt) > assignmentValidity && !n.guards.keepOldAssignments:
+			return
+		}
+		if n.now.Sub(t.validAt) > assignmentValidity && !n.guards.keepOldAssignments {
 			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
 			n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, "its home did not ask after it in time")
-		default:
-			n.startHeld(t, decision.Worker)
+			return
 		}
+		n.startHeld(t, decision.Worker)
 	case placement.VerbExpire:
 		if t != nil {
 			reason := "its deadline passed at owner " + n.options.Name
--- a/internal/control/sim_caller_test.go
+++ b/internal/control/sim_caller_test.go
@@ -212,6 +212,7 @@
 		return
 	}
 	if refusal.Run == workload.NotRun {
+		c.request.NotRunAttempts++
 		c.notRun = append(c.notRun, notRun{at: c.world.now, attempt: c.request.Attempt, code: refusal.Code, message: refusal.Message})
 		c.world.checks.saidNotRun(c, refusal)
 	}
