--- a/internal/alarm/alarm_test.go
+++ b/internal/alarm/alarm_test.go
@@ -148,6 +148,7 @@
 		"fenced":                 {func(s *alarm.State) { s.Isolated = true }, []string{"node-fenced/entry-1"}},
 		"this node behind":       {func(s *alarm.State) { s.Members[1].Version = 8 }, []string{"policy-behind/entry-1", "policy-behind/entry-3"}},
 		"other node behind":      {func(s *alarm.State) { s.Members[1].Version = 6 }, []string{"policy-behind/entry-2"}},
+		"records missing":        {func(s *alarm.State) { s.PolicyIncomplete = true }, []string{"policy-incomplete/entry-1"}},
 		"contents differ":        {func(s *alarm.State) { s.Members[1].Digest = 2 }, []string{"policy-differs/configuration"}},
 		"stale VM list":          {func(s *alarm.State) { s.VMListAge = time.Hour }, []string{"vm-list-stale/vm-list"}},
 	} {
--- a/internal/alarm/state.go
+++ b/internal/alarm/state.go
@@ -61,6 +61,8 @@
 	Blamed          []Noted
 	Unknown         []Noted
 	VMListAge       time.Duration
+	// PolicyIncomplete is set while records of the log are missing here.
+	PolicyIncomplete bool
 }
 
 // Sightings returns the conditions that hold in a state.
@@ -182,6 +184,9 @@
 		digests[m.Version] = m.Digest
 	}
 	var found []Sighting
+	if s.PolicyIncomplete {
+		found = one(PolicyIncomplete, s.Name, "it has version %d", newest)
+	}
 	for _, m := range s.Members {
 		if m.Live && m.Version < newest {
 			found = append(found, one(PolicyBehind, m.Name, "it has version %d, the newest is %d", m.Version, newest)...)
--- a/internal/alarm/table.go
+++ b/internal/alarm/table.go
@@ -73,6 +73,12 @@
 		Remedy: "It follows the log and asks peers for a copy every second.", Hold: time.Minute, Clear: 15 * time.Second,
 		Affected: "Teams whose work the node places by the older version.", Action: "Compare the program versions of the nodes, then drain and restart the node.",
 	})
+	PolicyIncomplete = add(Condition{
+		Name: "policy-incomplete", Holds: "The log dropped records before a node read them, and neither the log nor a peer has a snapshot that includes them.",
+		Remedy: "The node asks its peers for a copy every second and looks for a snapshot in the log.", Hold: 2 * time.Minute, Clear: 15 * time.Second,
+		Affected: "Operators: no change of the configuration is accepted on the node.",
+		Action:   "If other nodes don't have this alarm, drain and restart the node; if all have it, run config recover on the node with the newest version, and then apply the folder.",
+	})
 	PolicyDiffers = add(Condition{
 		Name: "policy-differs", Holds: "Two live nodes have different contents under one version of the configuration.",
 		Remedy: "None: the nodes replay the same rule, so that one of them has a fault.", Hold: 10 * time.Second, Clear: 15 * time.Second,
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -116,6 +116,7 @@
 	configDiffVerb,
 	configApplyVerb,
 	configHistoryVerb,
+	configRecoverVerb,
 	settingsCheckVerb,
 }
 
--- /dev/null
+++ b/internal/command/configrecover.go
@@ -0,0 +1,33 @@
+package command
+
+import (
+	"context"
+	"net/http"
+
+	"yuccalanding.example/yuccalanding/internal/operator"
+)
+
+var configRecoverVerb = Verb{
+	Name:    "config recover",
+	Usage:   "Start a new history from the version in force, if the log has lost records that no node has read.",
+	Example: Program + " config recover --reason \"the log lost a day\" --operator 10.0.1.1:8081",
+	New:     newConfigRecover,
+}
+
+type configRecoverFlags struct {
+	operatorFlags
+	Reason string `help:"Why it is needed, for the log of events." required:""`
+}
+
+func newConfigRecover() (any, Run) {
+	flags := &configRecoverFlags{}
+	return flags, flags.run
+}
+
+func (f *configRecoverFlags) run(ctx context.Context, environment *Environment) error {
+	config, err := call[operator.Config](ctx, &f.operatorFlags, http.MethodPost, "/config/recover", operator.Recovery{Reason: f.Reason})
+	if err != nil {
+		return err
+	}
+	return writeConfig(environment, config, f.JSON)
+}
--- a/internal/command/configshow.go
+++ b/internal/command/configshow.go
@@ -30,7 +30,11 @@
 	if err != nil {
 		return err
 	}
-	if f.JSON {
+	return writeConfig(environment, config, f.JSON)
+}
+
+func writeConfig(environment *Environment, config operator.Config, asJSON bool) error {
+	if asJSON {
 		return writeJSON(environment.Out, config)
 	}
 	fmt.Fprintf(environment.Out, "# version %d, digest %s, accepted %s\n", config.Version, config.Digest, instant(config.AcceptedAt))
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -61,6 +61,7 @@
 	// A node refuses such a snapshot, so that its version never goes down.
 	PolicySnapshotBad = define(413, "policy-snapshot-bad", Error, "A snapshot of the configuration can't be used; the version in force stays.", "If it repeats, compare the versions and digests that the command nodes shows.")
 	PolicyIncomplete  = define(414, "policy-incomplete", Warn, "The log dropped records before the node read them; it waits for a snapshot and keeps its version.", noAction)
+	PolicyRecovered   = define(415, "policy-recovered", Warn, "An operator started a new history of the configuration from the version in force.", "Compare config show with the folder and apply what is missing.")
 
 	RefusalCounts  = define(500, "refusal-counts", Info, "The number of refusals by code since the last such event.", noAction)
 	NeverRunnable  = define(501, "never-runnable", Warn, "Work fits no worker of the fleet, empty or not.", "Tell the team, or add workers of the size that the work needs.")
--- a/internal/node/alarms.go
+++ b/internal/node/alarms.go
@@ -114,7 +114,8 @@
 func (p *Process) alarmState(view *control.View, now time.Time) alarm.State {
 	state := alarm.State{
 		Now: now, Name: view.Name, Region: view.Region, Workers: map[string]int{}, LogUp: view.LogUp, HeldJobs: view.HeldJobs,
-		Isolated: view.Isolated, Quarantined: p.observed.quarantinedWorkers(), VMListAge: p.poller.Current().Age(now),
+		Isolated: view.Isolated, PolicyIncomplete: p.configuration.position().Incomplete,
+		Quarantined: p.observed.quarantinedWorkers(), VMListAge: p.poller.Current().Age(now),
 	}
 	for i := range view.Members.Members {
 		m := &view.Members.Members[i]
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -25,8 +25,9 @@
 	// dropped is asked for again with a later heartbeat.
 	copyQueue = 4
 	// renewCopyEvery is how often the copy for members is brought up to the
-	// offset of the log that was read.
-	renewCopyEvery = 10 * time.Second
+	// offset of the log that was read. A node that starts after retention
+	// dropped records waits this long for its configuration.
+	renewCopyEvery = 2 * time.Second
 )
 
 // version is one effective set and when it was accepted.
@@ -62,6 +63,11 @@
 	handed   int64
 	versions []version
 	rejected []rejected
+	// next is the offset of the log that is read next, lostTo the end of the
+	// newest gap. complete is the newest whole state, from which recover starts.
+	next     int64
+	lostTo   int64
+	complete policy.Snapshot
 	// waiting are the changes of this node's operators that were not read back
 	// yet. changed is closed and replaced when the version grows.
 	waiting map[string]chan outcome
@@ -80,6 +86,7 @@
 		waiting: map[string]chan outcome{}, changed: make(chan struct{}),
 	}
 	c.versions = []version{{Version: c.history.Version(), set: c.history.Set()}}
+	c.complete, _ = c.history.Snapshot()
 	c.snapshots = newSnapshots(p, time.Now())
 	return c
 }
@@ -104,6 +111,7 @@
 		case copied := <-c.copies:
 			c.adoptCopy(ctx, copied)
 		case <-ticker.C:
+			c.requestCopies()
 			c.renewCopy(ctx)
 			c.writeSnapshot(ctx)
 		}
@@ -140,6 +148,7 @@
 func (c *configuration) lost(to int64) {
 	c.mu.Lock()
 	c.history.Lost(to)
+	c.lostTo = max(c.lostTo, to)
 	incomplete := c.history.Incomplete()
 	c.mu.Unlock()
 	if incomplete {
@@ -194,6 +203,7 @@
 func (c *configuration) advance(ctx context.Context, next int64, caughtUp bool) {
 	c.mu.Lock()
 	c.history.Advance(next - 1)
+	c.next = max(c.next, next)
 	c.ready = c.ready || (caughtUp && !c.history.Incomplete())
 	c.mu.Unlock()
 	c.publish(ctx)
@@ -250,6 +260,7 @@
 		return
 	}
 	c.handed = present.Number
+	c.keepComplete(&snapshot)
 	c.renewed.at, c.renewed.through = time.Now(), snapshot.Through
 	set := c.history.Set()
 	c.mu.Unlock()
@@ -282,6 +293,7 @@
 		c.mu.Unlock()
 		return
 	}
+	c.keepComplete(&snapshot)
 	c.renewed.at, c.renewed.through = time.Now(), snapshot.Through
 	c.mu.Unlock()
 	if encoded, err := encodeSnapshot(&snapshot); err == nil {
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -7,15 +7,20 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/cell"
+	"yuccalanding.example/yuccalanding/internal/journal"
 	"yuccalanding.example/yuccalanding/internal/operator"
+	"yuccalanding.example/yuccalanding/internal/policy"
 	"yuccalanding.example/yuccalanding/internal/standin/logservice"
 )
 
@@ -34,13 +39,16 @@
 
 // call makes one operator's call; a refusal is an error of type *operator.Failure.
 func call[T any](ctx context.Context, c *cell.Cell, node int, method, path string, body any) (T, error) {
+	return callAt[T](ctx, c.Nodes[node].Settings.Addresses.Operators.String(), method, path, body)
+}
+
+func callAt[T any](ctx context.Context, address, method, path string, body any) (T, error) {
 	var answer T
 	content, err := json.Marshal(body)
 	if err != nil {
 		return answer, err
 	}
-	url := "http://" + c.Nodes[node].Settings.Addresses.Operators.String() + path
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(content))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(content))
 	if err != nil {
 		return answer, err
 	}
@@ -198,22 +206,169 @@
 	awaitVersion(ctx, t, c, 6)
 }
 
-// Guards against a node that stays without a configuration after retention
-// dropped the changes, although peers have it.
+// fill appends records of no kind to the log.
+func fill(t *testing.T, c *cell.Cell, number int64) {
+	appendRecords(t, c, fmt.Sprint("filler", number), make([][]byte, 600))
+}
+
+func appendRecords(t *testing.T, c *cell.Cell, identity string, records [][]byte) {
+	body, err := json.Marshal(logservice.AppendRequest{Identity: identity, Records: records})
+	require.NoError(t, err)
+	answer := httptest.NewRecorder()
+	c.Log.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/append", bytes.NewReader(body)))
+	require.Equal(t, http.StatusOK, answer.Code)
+}
+
+// Guards against a node that applies the changes that retention has left to an
+// empty configuration, and against one that stays without a configuration
+// although its peers have it.
 func TestNodeStartedAfterRetentionTakesThePolicyOfAPeer(t *testing.T) {
-	c, ctx := startCell(t, 3)
-	for version := range int64(3) {
-		_, err := apply(ctx, c, 0, folder(version, fmt.Sprintf("[kind balance]\nweight = %d\n", 2+version)))
+	for name, cutBefore := range map[string]int64{"some changes": 2, "all changes": 3, "all records": 603} {
+		t.Run(name, func(t *testing.T) {
+			c, ctx := startCell(t, 2)
+			digest := ""
+			for version := range int64(3) {
+				change, err := apply(ctx, c, 0, folder(version, fmt.Sprintf("[kind kind-%d]\n", version)))
+				require.NoError(t, err)
+				digest = change.Digest
+			}
+			fill(t, c, 0)
+			awaitVersion(ctx, t, c, 3)
+			awaitOffset(ctx, t, c, 0, 603)
+			require.NoError(t, c.KillNode(1))
+			c.Log.SetFault(logservice.Fault{CutBefore: cutBefore})
+			require.NoError(t, c.StartNode(1))
+			awaitVersion(ctx, t, c, 3)
+			config, err := call[operator.Config](ctx, c, 1, http.MethodGet, "/config", nil)
+			require.NoError(t, err)
+			require.Equal(t, digest, config.Digest)
+			change, err := apply(ctx, c, 1, folder(3, "[kind kind-0]\nweight = 77\n"))
+			require.NoError(t, err)
+			require.EqualValues(t, 4, change.Version)
+			awaitVersion(ctx, t, c, 4)
+		})
+	}
+}
+
+type dumped struct {
+	Configuration struct {
+		Next       int64 `json:"next-offset"`
+		Incomplete bool  `json:"incomplete"`
+	} `json:"configuration"`
+}
+
+func awaitOffset(ctx context.Context, t *testing.T, c *cell.Cell, node int, offset int64) (last dumped) {
+	require.Eventually(t, func() bool {
+		var err error
+		last, err = call[dumped](ctx, c, node, http.MethodGet, "/dump", nil)
+		return err == nil && last.Configuration.Next >= offset
+	}, 10*time.Second, 5*time.Millisecond)
+	return last
+}
+
+// Guards against a cell whose configuration can't be changed any more after the
+// log lost records that no node has read, against changes behind the gap that are
+// left out, and against a recovery without need.
+func TestRecoverAfterRecordsThatNoNodeRead(t *testing.T) {
+	c, ctx := startCell(t, 2)
+	_, err := apply(ctx, c, 0, folder(0, "[kind balance]\n"))
+	require.NoError(t, err)
+	awaitVersion(ctx, t, c, 1)
+	recovery := operator.Recovery{Reason: "test"}
+	_, err = call[operator.Config](ctx, c, 0, http.MethodPost, "/config/recover", recovery)
+	require.ErrorContains(t, err, "nothing to recover")
+	for i := range 2 {
+		require.NoError(t, c.KillNode(i))
+	}
+	fill(t, c, 0)
+	held, err := journal.NewRecord(journal.KindPolicyChange, "entry-9", time.Now(), policy.Change{
+		Identity: "behind-the-gap", Who: "test", Why: "test", Sections: []policy.SectionChange{{Name: "kind audit"}},
+	})
+	require.NoError(t, err)
+	encoded, err := cbor.Marshal(held)
+	require.NoError(t, err)
+	appendRecords(t, c, "held", [][]byte{encoded})
+	c.Log.SetFault(logservice.Fault{CutBefore: 601})
+	for i := range 2 {
+		require.NoError(t, c.StartNode(i))
+	}
+	for i := range 2 {
+		require.True(t, awaitOffset(ctx, t, c, i, 602).Configuration.Incomplete)
+	}
+	_, err = apply(ctx, c, 0, folder(0, "[kind balance]\nweight = 3\n"))
+	require.ErrorContains(t, err, "waits for a snapshot")
+	_, err = call[operator.Config](ctx, c, 0, http.MethodPost, "/config/recover", recovery)
+	require.NoError(t, err)
+	awaitVersion(ctx, t, c, 1)
+	for i := range 2 {
+		history, err := call[operator.History](ctx, c, i, http.MethodGet, "/config/history", nil)
 		require.NoError(t, err)
+		require.Len(t, history.Changes, 1)
+		require.Equal(t, "behind-the-gap", history.Changes[0].Identity)
 	}
-	awaitVersion(ctx, t, c, 3)
-	require.NoError(t, c.KillNode(2))
-	c.Log.SetFault(logservice.Fault{CutBefore: 1 << 40})
-	require.NoError(t, c.StartNode(2))
-	awaitVersion(ctx, t, c, 3)
-	_, err := apply(ctx, c, 2, folder(3, "[kind balance]\nweight = 77\n"))
+	change, err := apply(ctx, c, 1, folder(1, "[kind balance]\nweight = 3\n"))
 	require.NoError(t, err)
+	awaitVersion(ctx, t, c, change.Version)
+}
+
+// Guards against an operator who is told that a change is not applied although
+// it is accepted a moment later.
+func TestUnknownOutcomeIsSaidAndCanBeLookedUp(t *testing.T) {
+	c, ctx := startCell(t, 2)
+	c.Log.SetFault(logservice.Fault{AppendDelayMS: 1000})
+	failed := make(chan error, 1)
+	go func() {
+		body := folder(0, "[kind balance]\n")
+		body.Identity = "the-change"
+		_, err := apply(ctx, c, 0, body)
+		failed <- err
+	}()
+	time.Sleep(400 * time.Millisecond)
+	require.NoError(t, c.KillNode(0))
+	var failure *operator.Failure
+	require.ErrorAs(t, <-failed, &failure)
+	require.Equal(t, http.StatusGatewayTimeout, failure.Status)
+	require.Contains(t, failure.Message, "config history --identity the-change")
+	require.Eventually(t, func() bool {
+		history, err := call[operator.History](ctx, c, 1, http.MethodGet, "/config/history", nil)
+		return err == nil && len(history.Changes) == 1 && history.Changes[0].Identity == "the-change" && history.Changes[0].State == "accepted"
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
+// lockedBuffer takes the events of several nodes.
+type lockedBuffer struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.Write(data)
+}
+
+// Guards against a restarted node that decides by old versions while it reads a
+// log that is longer than one read.
+func TestRestartedNodeSkipsOldVersions(t *testing.T) {
+	events := &lockedBuffer{}
+	ctx, cancel := context.WithTimeout(t.Context(), testBound)
+	defer cancel()
+	c, err := cell.Start(ctx, cell.Options{Nodes: cell.SmallNodes(1), Workers: cell.SmallWorkers(1), Log: events})
+	require.NoError(t, err)
+	require.NoError(t, c.AwaitReady(ctx))
+	for version := range int64(4) {
+		_, err := apply(ctx, c, 0, folder(version, fmt.Sprintf("[kind balance]\nweight = %d\n", 2+version)))
+		require.NoError(t, err)
+		fill(t, c, version)
+	}
+	awaitVersion(ctx, t, c, 4)
+	require.NoError(t, c.KillNode(0))
+	events.content.Reset()
+	require.NoError(t, c.StartNode(0))
 	awaitVersion(ctx, t, c, 4)
+	require.NoError(t, c.Stop())
+	require.Equal(t, 1, strings.Count(events.content.String(), "name=policy-in-force"), events.content.String())
 }
 
 // Guards against findings that are reported one at a time, reach the log, or
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -36,6 +36,7 @@
 		Check:        p.configuration.check,
 		Diff:         p.configuration.diff,
 		Apply:        p.configuration.apply,
+		Recover:      p.configuration.recover,
 		WriteMetrics: p.metrics.write,
 		TLS:          p.certificates.config(),
 		Authorize:    p.access.Authorize,
@@ -67,6 +68,7 @@
 	control.Dump
 	Isolated      bool              `json:"isolated"`
 	PolicyDigest  string            `json:"policy-digest"`
+	Configuration position          `json:"configuration"`
 	MemberVersion map[string]uint64 `json:"member-policy-versions"`
 	OpenCalls     int               `json:"open-calls"`
 	Inputs        control.Use       `json:"inputs"`
@@ -83,7 +85,8 @@
 	alarms, err := p.alarms.list(ctx)
 	dump := wholeDump{
 		Dump: view.Dump, Isolated: view.Isolated, PolicyDigest: digestText(view.PolicyDigest), MemberVersion: map[string]uint64{},
-		OpenCalls: p.calls.open(), Inputs: control.Use{Used: len(p.inputs), Bound: cap(p.inputs)}, DroppedInputs: p.dropped.Load(),
+		Configuration: p.configuration.position(),
+		OpenCalls:     p.calls.open(), Inputs: control.Use{Used: len(p.inputs), Bound: cap(p.inputs)}, DroppedInputs: p.dropped.Load(),
 		Quarantined: p.observed.quarantinedWorkers(), Alarms: alarms,
 	}
 	for _, member := range view.Members.Members {
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -35,3 +35,16 @@
 	defer v.mu.Unlock()
 	return v.members[name]
 }
+
+// fresh returns the members whose newest heartbeat is not older than a time.
+func (v *views) fresh(since time.Time) map[string]memberView {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	members := map[string]memberView{}
+	for name, view := range v.members {
+		if view.at.After(since) {
+			members[name] = view
+		}
+	}
+	return members
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 //	POST /config/check    Folder to {"findings": [Finding]}
 //	POST /config/diff     Folder to {"against-version": N, "sections": [SectionDiff]}
 //	POST /config/apply    Apply to Change, once its record was read back
+//	POST /config/recover  Recovery to Config, where retention dropped unread records
 //	POST /drain           DrainState; the node stops taking work
 //
 // Reading needs role support or operator, changing needs role operator. A
@@ -75,6 +76,8 @@
 	Check   func(ctx context.Context, folder Folder) ([]Finding, error)
 	Diff    func(ctx context.Context, folder Folder) (Diff, error)
 	Apply   func(ctx context.Context, apply Apply) (Change, error)
+	// Recover starts a new history from the version in force.
+	Recover func(ctx context.Context, author, reason string) (Config, error)
 	// WriteMetrics writes the metrics; nil writes all registered ones.
 	WriteMetrics func(out io.Writer)
 	// TLS is the configuration for TLS; nil is plain HTTP.
@@ -142,6 +145,17 @@
 		return diff, err
 	})
 	o.route(http.MethodPost, "/config/apply", change, seams.Apply != nil, o.apply)
+	o.route(http.MethodPost, "/config/recover", change, seams.Recover != nil, func(c echo.Context) (any, error) {
+		recovery, err := readBody[Recovery](c)
+		if err != nil {
+			return nil, err
+		}
+		if strings.TrimSpace(recovery.Reason) == "" {
+			return nil, &Failure{Status: http.StatusBadRequest, Message: "a recovery needs a reason"}
+		}
+		grant, _ := c.Get(grantField).(access.Grant)
+		return seams.Recover(c.Request().Context(), grant.Name, recovery.Reason)
+	})
 	o.route(http.MethodPost, "/drain", change, seams.Drain != nil, func(c echo.Context) (any, error) {
 		return seams.Drain(c.Request().Context())
 	})
@@ -274,9 +288,14 @@
 func (o *Operator) Handler() http.Handler { return o.echo }
 
 // Serve answers operators until the context ends, and then up to 5 s longer
-// for open calls.
+// for open calls. Their contexts end with it, since the parts of the process
+// that a change waits for end at the same time; the change is then answered
+// with what is known of it.
 func (o *Operator) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: o.echo, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10}
+	server := &http.Server{
+		Handler: o.echo, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: 16 << 10,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
 	if o.options.TLS != nil {
 		listener = tls.NewListener(listener, o.options.TLS)
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -92,3 +94,30 @@
 		})
 	}
 }
+
+// Guards against a node whose stop waits for a change that can't be read back
+// any more, and against a call that is cut without an answer.
+func TestStopAnswersOpenCalls(t *testing.T) {
+	options, entered := seams(), make(chan struct{})
+	options.Apply = func(ctx context.Context, _ operator.Apply) (operator.Change, error) {
+		close(entered)
+		<-ctx.Done()
+		return operator.Change{}, &operator.Failure{Status: 504, Message: "the outcome is unknown"}
+	}
+	served, err := operator.New(options)
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- served.Serve(ctx, listener) }()
+	go func() { <-entered; cancel() }()
+	request, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+listener.Addr().String()+"/config/apply", strings.NewReader(`{"base-version":2,"reason":"x","files":[]}`))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer operator")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, 504, response.StatusCode)
+	require.NoError(t, <-ended)
+}
--- a/internal/operator/wire.go
+++ b/internal/operator/wire.go
@@ -115,6 +115,11 @@
 	Author string `json:"-"`
 }
 
+// Recovery asks a node to start a new history from its version in force.
+type Recovery struct {
+	Reason string `json:"reason"`
+}
+
 // UnknownBase stands for a base version that is not known.
 const UnknownBase = -1
 
