--- /dev/null
+++ b/internal/load/target.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"syscall"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/cell"
+	"yuccalanding.example/yuccalanding/internal/vmlist"
+	"yuccalanding.example/yuccalanding/internal/worker"
+	"yuccalanding.example/yuccalanding/pkg/caller"
+)
+
+// listTime and maxListBytes bound the reading of the VM list.
+const (
+	listTime     = 5 * time.Second
+	maxListBytes = 16 << 20
+)
+
+// newClient returns a client that opens a connection for each open request, so
+// that no request waits in the client.
+func newClient(mix *Mix, addresses []netip.AddrPort, token string) (*caller.Client, error) {
+	return caller.New(caller.Options{Addresses: addresses, Token: token, Attempts: mix.Attempts, Connections: mix.Open + 1})
+}
+
+// CellTarget returns a cell of this process as a target.
+func CellTarget(mix *Mix, c *cell.Cell) (Target, error) {
+	target := Target{
+		Clients: map[string]*caller.Client{}, ClientDelay: c.Options.ClientDelay,
+		Workers: func(context.Context) ([]worker.State, error) { return c.WorkerStates(), nil },
+		Cost:    func() Cost { return Cost{processCPU(), c.Appends()} },
+		About:   "of the whole process, which holds all nodes, the stand-ins of workers and log, and the load driver",
+	}
+	for _, region := range append(c.Regions(), "") {
+		client, err := newClient(mix, c.CallerAddresses(region), "")
+		if err != nil {
+			return target, err
+		}
+		target.Clients[region] = client
+	}
+	return target, nil
+}
+
+// processCPU returns the processor time of this process.
+func processCPU() time.Duration {
+	var used syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &used) != nil {
+		return -1
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
+// RemoteTarget returns a running system as a target. Arrivals of all regions
+// call all the addresses. Without the address of a VM list the workers' records
+// are not checked.
+func RemoteTarget(mix *Mix, addresses []netip.AddrPort, vmList netip.AddrPort, token string) (Target, error) {
+	client, err := newClient(mix, addresses, token)
+	if err != nil {
+		return Target{}, err
+	}
+	target := Target{Clients: map[string]*caller.Client{"": client}}
+	for i := range mix.Arrivals {
+		target.Clients[mix.Arrivals[i].Region] = client
+	}
+	if vmList.IsValid() {
+		target.Workers = func(ctx context.Context) ([]worker.State, error) { return remoteStates(ctx, vmList) }
+	}
+	return target, nil
+}
+
+func remoteStates(ctx context.Context, address netip.AddrPort) ([]worker.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+vmlist.Path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var list vmlist.Body
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
+		return nil, fmt.Errorf("VM list: %w", err)
+	}
+	states := []worker.State{}
+	for _, entry := range list.VMs {
+		var vm vmlist.VM
+		if err := json.Unmarshal(entry, &vm); err != nil {
+			return nil, fmt.Errorf("VM list: %w", err)
+		}
+		state, err := worker.New(worker.Options{Address: vm.Address}).State(ctx)
+		if err != nil {
+			return nil, fmt.Errorf("worker %s: %w", vm.Name, err)
+		}
+		states = append(states, state)
+	}
+	return states, nil
+}
+
+// CellOptions returns the cell that a mix asks for.
+func CellOptions(mix *Mix) cell.Options {
+	options := cell.Options{Nodes: cell.SmallNodes(mix.Cell.Nodes), Workers: cell.SmallWorkers(mix.Cell.Workers)}
+	switch mix.Cell.Deployment {
+	case "ravi-levy":
+		options = cell.RaviLevy()
+	case "guild":
+		options = cell.Guild()
+	}
+	for _, end := range mix.Ends {
+		options.CutOnKill = options.CutOnKill || !end.Drain
+	}
+	return options
+}
+
+// CellActions returns the ends of nodes that a mix asks for.
+func CellActions(mix *Mix, c *cell.Cell) ([]Action, error) {
+	var actions []Action
+	for _, end := range mix.Ends {
+		i := slices.IndexFunc(c.Options.Nodes, func(spec cell.NodeSpec) bool { return spec.Name == end.Node })
+		if i < 0 {
+			return nil, fmt.Errorf("the cell has no node %s", end.Node)
+		}
+		name := fmt.Sprintf("%s (%s, %s)", end.Node, c.Options.Nodes[i].FailureDomain, c.Options.Nodes[i].Region)
+		if end.Drain {
+			actions = append(actions, Action{At: end.At, Name: "drain " + name, Do: func() error { return c.DrainNode(i) }})
+		} else {
+			actions = append(actions, Action{At: end.At, Name: "kill " + name, Do: func() error { return c.KillNode(i) }})
+		}
+		if end.ReplaceAfter > 0 {
+			actions = append(actions, Action{At: end.At + end.ReplaceAfter, Name: "replace " + name, Do: func() error { return c.StartNode(i) }})
+		}
+	}
+	return actions, nil
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -10,20 +10,21 @@
 // queueFullRetry is the advice to callers when a queue is full.
 const queueFullRetry = time.Second
 
-// entry is one waiting task, or the ticket of a complete gang.
+// entry is one waiting task, or the ticket of a complete gang. The links come
+// first, so that unlinking a neighbour touches one cache line of it.
 type entry struct {
-	task Task
 	// bucket, before and after place the entry in its queue. Members of gangs
 	// are in no queue; their gang's ticket is.
-	bucket        *bucket
 	before, after *entry
+	expiry        expiryLink
+	bucket        *bucket
 	gang          *gang
-	gangPosition  int
 	kind          *kindState
 	team          *teamState
+	gangPosition  int
 	sequence      uint64
 	runTime       time.Duration
-	expiry        expiryLink
+	task          Task
 }
 
 // lane holds the waiting work of one team in one kind, by shape.
@@ -72,9 +73,11 @@
 	if rejection := e.full(kind); rejection != nil {
 		return rejection
 	}
-	en := &entry{task: task, kind: kind, team: team, runTime: e.runTime(&task)}
+	en := e.entries.take()
+	en.task, en.kind, en.team, en.runTime = task, kind, team, e.runTime(&task)
 	if task.GangSize > 1 {
 		if message := e.joinGang(en); message != "" {
+			e.entries.give(en)
 			return &Rejection{Code: workload.CodeBadRequest, Message: message}
 		}
 	} else {
@@ -88,14 +91,17 @@
 func (e *Engine) admit(now time.Time, en *entry) {
 	e.waiting[en.task.ID] = en
 	en.kind.waiting++
+	en.kind.asked = en.kind.asked.plus(taskDemand(&en.task))
 	en.team.waiting++
 	en.kind.activeAt = now
 	if en.task.Resources.Accelerators > 0 {
 		e.acceleratorsWaiting++
 		e.acceleratorWork = now
 	}
-	if en.kind.policy.Guaranteed > 0 {
-		e.widenProfile(en.kind, taskDemand(&en.task))
+	if en.kind.guaranteed > 0 {
+		demand := taskDemand(&en.task)
+		en.kind.largest = en.kind.largest.highest(demand)
+		e.kindChanged(en.kind)
 	}
 	e.expiry.add(now, en)
 }
@@ -188,6 +194,7 @@
 func (e *Engine) forget(en *entry) {
 	delete(e.waiting, en.task.ID)
 	en.kind.waiting--
+	en.kind.asked = en.kind.asked.minus(taskDemand(&en.task))
 	en.team.waiting--
 	e.expiry.remove(en)
 	if en.gang != nil {
@@ -200,4 +207,5 @@
 			e.wake++ // Other work may now use workers with accelerators.
 		}
 	}
+	e.entries.give(en)
 }
