Leave out the time of acceptance of version 0

Cause: config show ended the line of version 0, which nobody accepted, with an empty time. Change: the time is shown for accepted versions only. Ruled out: a placeholder, which would read as a fault.

--- a/internal/command/configshow.go
+++ b/internal/command/configshow.go
@@ -37,7 +37,11 @@
 	if asJSON {
 		return writeJSON(environment.Out, config)
 	}
-	fmt.Fprintf(environment.Out, "# version %d, digest %s, accepted %s\n", config.Version, config.Digest, instant(config.AcceptedAt))
+	accepted := ""
+	if !config.AcceptedAt.IsZero() {
+		accepted = ", accepted " + instant(config.AcceptedAt)
+	}
+	fmt.Fprintf(environment.Out, "# version %d, digest %s%s\n", config.Version, config.Digest, accepted)
 	for _, section := range config.Sections {
 		fmt.Fprintf(environment.Out, "\n[%s]\n", section.Name)
 		for _, setting := range section.Settings {
