--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -39,6 +39,9 @@
 	stop := make(chan struct{})
 	watched := make(chan struct{})
 	go func() { defer close(watched); r.watch(count, stop) }()
+	metered := make(chan struct{})
+	meterContext, stopMeter := context.WithCancel(ctx)
+	go func() { defer close(metered); r.traffic.run(meterContext) }()
 	r.startWaves(ctx)
 	r.startActions(ctx)
 	for _, each := range r.records {
@@ -59,6 +62,8 @@
 	r.group.Wait()
 	close(stop)
 	<-watched
+	stopMeter()
+	<-metered
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
@@ -83,9 +88,12 @@
 	reported := time.Duration(0)
 	for {
 		now := time.Since(r.start)
+		current := sample{at: now, cost: Cost{CPU: -1, Appends: -1}}
+		current.sent, current.links = r.traffic.sums()
 		if r.options.Target.Cost != nil {
-			r.samples = append(r.samples, sample{now, r.options.Target.Cost()})
+			current.cost = r.options.Target.Cost()
 		}
+		r.samples = append(r.samples, current)
 		if now-reported >= progressEvery {
 			reported = now
 			sent, done := count.sent.Load(), count.done.Load()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -75,7 +75,9 @@
 	Workers func(ctx context.Context) ([]worker.State, error)
 	// Cost returns the resources used since some fixed time; nil is not known.
 	Cost func() Cost
-	// About says what CostCPU covers.
+	// Metrics are the nodes whose traffic is measured.
+	Metrics []MetricsSource
+	// About says what the CPU time of Cost covers.
 	About string
 }
 
@@ -109,6 +111,8 @@
 type sample struct {
 	at   time.Duration
 	cost Cost
+	// sent and links are the bytes that nodes sent, and those between regions.
+	sent, links int64
 }
 
 // run lives for one Run.
@@ -119,6 +123,7 @@
 	samples []sample
 	actions []ActionResult
 	group   sync.WaitGroup
+	traffic *trafficMeter
 }
 
 // Run drives the target and returns what was measured. The error is that of
@@ -133,7 +138,7 @@
 			return nil, fmt.Errorf("arrivals %s: the target has no entry VM in region %q", mix.Arrivals[i].Name, mix.Arrivals[i].Region)
 		}
 	}
-	r := &run{options: options, records: schedule(mix)}
+	r := &run{options: options, records: schedule(mix), traffic: newTrafficMeter(options.Target.Metrics)}
 	ctx, cancel := context.WithTimeout(ctx, mix.Duration+mix.Settle)
 	defer cancel()
 	r.start = time.Now()
--- a/internal/load/measures.go
+++ b/internal/load/measures.go
@@ -98,6 +98,11 @@
 	if first.cost.Appends >= 0 {
 		cost.AppendsASecond = float64(last.cost.Appends-first.cost.Appends) / (last.at - first.at).Seconds()
 	}
+	if first.sent >= 0 {
+		nodes := float64(len(r.options.Target.Metrics))
+		cost.NodeBytesASecond = float64(last.sent-first.sent) / (last.at - first.at).Seconds() / nodes
+		cost.RegionLinkASecond = float64(last.links-first.links) / (last.at - first.at).Seconds()
+	}
 	return cost
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -81,7 +81,9 @@
 	Known    bool    `json:"known"`
 }
 
-// ControlCost is what control used. Negative fields were not measured.
+// ControlCost is what control used. Negative fields were not measured. Bytes
+// are those that a node sent to other nodes on average and those that crossed
+// between regions, both with requests, answers and UDP and IP headers.
 type ControlCost struct {
 	TaskStarts        int     `json:"task-starts"`
 	CPUPerStartMicros float64 `json:"cpu-per-start-us"`
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -44,6 +44,9 @@
 		}
 		target.Clients[region] = client
 	}
+	for i, spec := range c.Options.Nodes {
+		target.Metrics = append(target.Metrics, MetricsSource{Operators: c.OperatorAddress(i), Region: spec.Region})
+	}
 	return target, nil
 }
 
--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -74,7 +74,7 @@
 
 func (r *Report) writeCost(out io.Writer) {
 	table(out, func(row func(...any)) {
-		row("WINDOW", "WORK WAITS", "PACKED MEAN", "P10", "SCARCEST", "STRANDED ACC.", "STARTS", "CPU/START", "APPENDS/S", "NODE BYTES/S", "LINK BYTES/S")
+		row("WINDOW", "WORK WAITS", "PACKED MEAN", "P10", "SCARCEST", "STRANDED ACC.", "STARTS", "CPU/START", "APPENDS/S", "BYTES/S SENT BY A NODE", "BYTES/S BETWEEN REGIONS")
 		for _, window := range r.Windows {
 			p, c := window.Packing, window.Control
 			row(window.Name, fmt.Sprintf("%.0f%%", 100*p.WaitingShare), fmt.Sprintf("%.1f%%", 100*p.Mean), fmt.Sprintf("%.1f%%", 100*p.P10),
