--- a/internal/daemon/load.go
+++ b/internal/daemon/load.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"runtime/pprof"
 	"strings"
 
 	"yuccalanding.example/yuccalanding/internal/cell"
@@ -38,6 +39,7 @@
 	Compare   []string  `help:"Compare two JSON reports, older and newer, in place of a run." placeholder:"FILE" sep:"none"`
 	Check     bool      `help:"Only check the mix file."`
 	Dump      string    `help:"Write the states of a cell's nodes at the end of the run into a folder." placeholder:"FOLDER"`
+	Profile   string    `name:"cpu-profile" help:"Write a CPU profile of this process during the run." placeholder:"FILE"`
 	Log       string    `help:"Write the events of a cell's nodes to a file." placeholder:"FILE"`
 }
 
@@ -56,7 +58,12 @@
 	if err != nil || f.Check {
 		return err
 	}
+	stopProfile, err := startProfile(f.Profile)
+	if err != nil {
+		return err
+	}
 	report, err := f.drive(ctx, environment, mix)
+	stopProfile()
 	if err != nil {
 		return err
 	}
@@ -69,6 +76,21 @@
 	return nil
 }
 
+// startProfile writes a CPU profile until the returned function is called.
+func startProfile(name string) (stop func(), err error) {
+	if name == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return func() { pprof.StopCPUProfile(); _ = file.Close() }, nil
+}
+
 func (f *loadFlags) compare(environment *command.Environment) error {
 	files := f.Compare
 	if f.Mix != "" {
