--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,43 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/load"
+)
+
+// Guards against lost, doubled or wrong answers on the whole path with a flood,
+// a drained and a killed node, and against a demo that does not run.
+func TestShortDemo(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	result, err := Run(ctx, Options{Deployments: []Deployment{{Name: "short", Mix: mustRead("short"), Folder: "ravi-levy"}}, Examples: "../../examples"})
+	require.NoError(t, err)
+	require.Empty(t, result.Faults, result.Deployments[0].Report.Checks.Examples)
+	require.NotZero(t, result.Deployments[0].Report.Checks.TaskStarts)
+	var text bytes.Buffer
+	require.NoError(t, result.WriteText(&text))
+	require.Contains(t, text.String(), "No answer was lost, doubled or wrong.")
+}
+
+// Guards against mixes of the demo that don't read, lack their overloads, or
+// have windows at different times, which the shared CPU figure needs.
+func TestDeployments(t *testing.T) {
+	deployments := Deployments()
+	require.Len(t, deployments, 2)
+	for _, deployment := range deployments {
+		require.Len(t, deployment.Mix.Floods, 2)
+		require.Len(t, load.CellOptions(deployment.Mix).Nodes, 6)
+		require.Len(t, load.CellOptions(deployment.Mix).Workers, 48)
+		for i, flood := range deployment.Mix.Floods {
+			require.Equal(t, deployments[0].Mix.Floods[i].From, flood.From)
+			require.Equal(t, deployments[0].Mix.Floods[i].Until, flood.Until)
+		}
+		require.Equal(t, deployments[0].Mix.Windows, deployment.Mix.Windows)
+	}
+}
