--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -207,7 +207,8 @@
 	starts := c.starts[r.key]
 	if r.outcome == NotRun && len(starts) > 0 {
 		c.checks.FalselyRefused++
-		c.example("%s %s was refused (%s) and started on %s", r.arrivals.Name, r.key, r.code, starts[0].worker)
+		c.example("%s %s, sent at %.3f s, was refused at %.3f s (%s) and has %d starts, the first on %s",
+			r.arrivals.Name, r.key, r.at.Seconds(), r.doneAt.Seconds(), r.message, len(starts), c.describe(&starts[0]))
 	}
 	if r.outcome == Answered && !allStarted(starts, max(r.arrivals.GangSize, 1)) {
 		c.checks.Wrong++
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -96,9 +96,13 @@
 		want   func(c *Checks) int
 	}{
 		"unanswered": {func(r *record, _ []worker.State) { r.outcome = Unanswered }, func(c *Checks) int { return c.Lost }},
-		"job lost": {func(r *record, _ []worker.State) { r.outcome, r.accepted, r.code = MayHaveRun, true, workload.CodeOutcome },
+		"job lost": {func(r *record, _ []worker.State) {
+			r.outcome, r.accepted, r.code = MayHaveRun, true, workload.CodeOutcome
+		},
 			func(c *Checks) int { return c.Lost }},
-		"wrong body": {func(r *record, _ []worker.State) { r.message = checkBody(r, &workload.Answer{Key: r.key, Body: []byte(`{}`)}) },
+		"wrong body": {func(r *record, _ []worker.State) {
+			r.message = checkBody(r, &workload.Answer{Key: r.key, Body: []byte(`{}`)})
+		},
 			func(c *Checks) int { return c.Wrong }},
 		"cut body": {func(r *record, _ []worker.State) {
 			r.message = checkBody(r, &workload.Answer{Key: r.key, Body: r.body[:len(r.body)-1]})
