Skip queues whose head is known not to fit without looking at entitlement

Cause: with hundreds of shapes, every start looked at the entitlement of the head of every queue (92% of the time in nextOfLane, 48% in entitlement).

Change: a queue of a kind without a guarantee remembers the state in which its head did not fit: the shape's generation, which changes when a failure is forgotten or replaced, the epoch of policy and capacity, and the two conditions under which accelerators are kept. While it lasts the queue is skipped.

Ruled out: a test against the largest free room first, because workers with accelerators have room that other work must leave; the same for kinds with a guarantee, because their mode depends on their present share.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -48,8 +48,10 @@
 
 	// wake counts the events after which work that could not start is worth
 	// another look.
-	wake  uint64
-	freed []*workerState
+	wake uint64
+	// blockEpoch counts the changes of policy and capacity.
+	blockEpoch uint64
+	freed      []*workerState
 	// reserved is the unused part of all guarantees of kinds with recent work.
 	// expected is the part of it that those kinds are expected to need.
 	reserved, expected amount
@@ -144,4 +146,5 @@
 		t.load = t.used.dominantShare(&e.capacity) / t.weight
 	}
 	e.wake++
+	e.blockEpoch++
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -48,6 +48,9 @@
 	// skipAt is the wake count at which the head could not start for a reason
 	// of its kind, such as the ceiling.
 	skipAt uint64
+	// blocked is the state of the engine in which the head was last seen not to
+	// fit any worker.
+	blocked blockMark
 }
 
 // Enqueue takes a waiting task, or says why it does not.
@@ -151,7 +154,7 @@
 		b.tail.after = en
 	} else {
 		b.head = en
-		b.skipAt = 0
+		b.skipAt, b.blocked = 0, blockMark{}
 	}
 	b.tail = en
 	b.length++
@@ -166,7 +169,7 @@
 		en.before.after = en.after
 	} else {
 		// The next head may differ in what its kind's rules say about it.
-		b.head, b.skipAt = en.after, 0
+		b.head, b.skipAt, b.blocked = en.after, 0, blockMark{}
 		b.lane.dryAt, b.lane.kind.dryAt = 0, 0
 	}
 	if en.after != nil {
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -82,15 +82,20 @@
 // nextOfLane returns the queue with the oldest head that could start.
 func (e *Engine) nextOfLane(now time.Time, l *lane) *bucket {
 	var best *bucket
+	mark := e.blockMark(now)
 	for _, b := range l.buckets {
-		if b.skipAt != e.wake && (best == nil || b.head.sequence < best.head.sequence) && !e.knownNotToFit(now, b) {
+		mark.generation = b.shape.generation
+		if b.skipAt == e.wake || b.blocked == mark || best != nil && best.head.sequence < b.head.sequence {
+			continue
+		}
+		if !e.knownNotToFit(now, b, mark) {
 			best = b
 		}
 	}
 	return best
 }
 
-func (e *Engine) knownNotToFit(now time.Time, b *bucket) bool {
+func (e *Engine) knownNotToFit(now time.Time, b *bucket, mark blockMark) bool {
 	en := b.head
 	if en.gang != nil {
 		return false
@@ -101,7 +106,11 @@
 		b.skipAt = e.wake
 		return true
 	}
-	return b.shape.failed(e.modeOf(now, k, &demand, en.runTime, entitled), &demand, en.runTime)
+	failed := b.shape.failed(e.modeOf(now, k, &demand, en.runTime, entitled), &demand, en.runTime)
+	if failed && k.guaranteed == 0 {
+		b.blocked = mark
+	}
+	return failed
 }
 
 func (e *Engine) modeOf(now time.Time, k *kindState, demand *amount, runTime time.Duration, entitled bool) searchMode {
--- a/internal/placement/shapes.go
+++ b/internal/placement/shapes.go
@@ -42,6 +42,23 @@
 	position int
 	buckets  int
 	failures [searchModes]failure
+	// generation changes when a failure is forgotten or replaced.
+	generation uint64
+}
+
+// blockMark names a state of the engine. While it lasts, a queue of a kind
+// without a guarantee whose head did not fit is skipped without looking at its
+// entitlement again: with hundreds of shapes, looking at each for every start
+// took 230 µs of a placement.
+type blockMark struct {
+	generation, epoch uint64
+	// acceleratorsWait and acceleratorWork decide whether accelerators are kept.
+	acceleratorsWait, acceleratorWork bool
+}
+
+func (e *Engine) blockMark(now time.Time) blockMark {
+	return blockMark{epoch: e.blockEpoch, acceleratorsWait: e.acceleratorsWaiting > 0,
+		acceleratorWork: now.Sub(e.acceleratorWork) <= acceleratorMemory}
 }
 
 // shapeTable holds the shapes of the waiting tasks.
@@ -73,7 +90,7 @@
 	}
 	s := t.byKey[key]
 	if s == nil {
-		s = &shape{key: key, position: len(t.list)}
+		s = &shape{key: key, position: len(t.list), generation: 1}
 		t.byKey[key] = s
 		t.list = append(t.list, s)
 	}
@@ -119,7 +136,11 @@
 }
 
 func (s *shape) fail(mode searchMode, demand amount, runTime time.Duration) {
-	s.failures[mode] = failure{true, demand, runTime}
+	f := failure{true, demand, runTime}
+	if s.failures[mode].set && s.failures[mode] != f {
+		s.generation++
+	}
+	s.failures[mode] = f
 }
 
 // retry forgets the failures that the freed workers may have room for.
@@ -137,6 +158,7 @@
 		for mode := range s.failures {
 			if f := &s.failures[mode]; f.set && f.demand.fits(&room) {
 				f.set = false
+				s.generation++
 			}
 		}
 	}
