Keep queues whose head does not fit apart from those that are ready

Change: a lane lists its ready queues first. A shape whose failure is forgotten or replaced makes its queues ready again; a change of policy, capacity or of what decides about accelerators makes all ready.

Conclusion: the walk is gone; searches that fail remain.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -49,8 +49,10 @@
 	// wake counts the events after which work that could not start is worth
 	// another look.
 	wake uint64
-	// blockEpoch counts the changes of policy and capacity.
+	// blockEpoch counts the changes of policy and capacity; blocksSeen is the
+	// state for which queues are blocked.
 	blockEpoch uint64
+	blocksSeen blockState
 	freed      []*workerState
 	// reserved is the unused part of all guarantees of kinds with recent work.
 	// expected is the part of it that those kinds are expected to need.
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -32,25 +32,27 @@
 	kind     *kindState
 	team     *teamState
 	position int
-	buckets  []*bucket
-	byShape  map[*shape]*bucket
+	// buckets has the ready queues first; the rest are blocked.
+	buckets []*bucket
+	ready   int
+	byShape map[*shape]*bucket
 	// dryAt is the wake count at which nothing in the lane could start.
 	dryAt uint64
 }
 
 // bucket is the first-in-first-out queue of one shape in a lane.
 type bucket struct {
-	lane       *lane
-	shape      *shape
-	position   int
-	head, tail *entry
-	length     int
+	lane  *lane
+	shape *shape
+	// position and shapePosition are the places in the lists of the lane and
+	// of the shape.
+	position      int
+	shapePosition int
+	head, tail    *entry
+	length        int
 	// skipAt is the wake count at which the head could not start for a reason
 	// of its kind, such as the ceiling.
 	skipAt uint64
-	// blocked is the state of the engine in which the head was last seen not to
-	// fit any worker.
-	blocked blockMark
 }
 
 // Enqueue takes a waiting task, or says why it does not.
@@ -144,17 +146,19 @@
 	s := e.shapes.of(en)
 	b := l.byShape[s]
 	if b == nil {
-		b = &bucket{lane: l, shape: s, position: len(l.buckets)}
+		b = &bucket{lane: l, shape: s, position: len(l.buckets), shapePosition: len(s.buckets)}
 		l.buckets = append(l.buckets, b)
 		l.byShape[s] = b
-		s.buckets++
+		s.buckets = append(s.buckets, b)
+		l.unblock(b)
 	}
 	en.bucket, en.before = b, b.tail
 	if b.tail != nil {
 		b.tail.after = en
 	} else {
 		b.head = en
-		b.skipAt, b.blocked = 0, blockMark{}
+		b.skipAt = 0
+		l.unblock(b)
 	}
 	b.tail = en
 	b.length++
@@ -169,7 +173,8 @@
 		en.before.after = en.after
 	} else {
 		// The next head may differ in what its kind's rules say about it.
-		b.head, b.skipAt, b.blocked = en.after, 0, blockMark{}
+		b.head, b.skipAt = en.after, 0
+		b.lane.unblock(b)
 		b.lane.dryAt, b.lane.kind.dryAt = 0, 0
 	}
 	if en.after != nil {
@@ -183,16 +188,36 @@
 		return
 	}
 	l := b.lane
-	last := l.buckets[len(l.buckets)-1]
-	l.buckets[b.position], last.position = last, b.position
+	l.block(b)
+	l.swap(b.position, len(l.buckets)-1)
 	l.buckets = l.buckets[:len(l.buckets)-1]
 	delete(l.byShape, b.shape)
-	e.shapes.release(b.shape)
+	e.shapes.release(b)
 	if len(l.buckets) == 0 {
 		l.kind.removeLane(l)
 	}
 }
 
+func (l *lane) swap(i, j int) {
+	l.buckets[i], l.buckets[j] = l.buckets[j], l.buckets[i]
+	l.buckets[i].position, l.buckets[j].position = i, j
+}
+
+// block sets a queue aside whose head fits no worker until unblock.
+func (l *lane) block(b *bucket) {
+	if b.position < l.ready {
+		l.ready--
+		l.swap(b.position, l.ready)
+	}
+}
+
+func (l *lane) unblock(b *bucket) {
+	if b.position >= l.ready {
+		l.swap(b.position, l.ready)
+		l.ready++
+	}
+}
+
 // forget removes a waiting task from every table.
 func (e *Engine) forget(en *entry) {
 	delete(e.waiting, en.task.ID)
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -79,23 +79,30 @@
 	}
 }
 
-// nextOfLane returns the queue with the oldest head that could start.
+// nextOfLane returns the queue with the oldest head that could start. Queues of
+// kinds without a guarantee that don't fit are set aside: with hundreds of
+// shapes, looking at each of them for every start took 230 µs of a placement.
 func (e *Engine) nextOfLane(now time.Time, l *lane) *bucket {
+	e.renewBlocks(now)
 	var best *bucket
-	mark := e.blockMark(now)
-	for _, b := range l.buckets {
-		mark.generation = b.shape.generation
-		if b.skipAt == e.wake || b.blocked == mark || best != nil && best.head.sequence < b.head.sequence {
+	for i := 0; i < l.ready; {
+		b := l.buckets[i]
+		if b.skipAt == e.wake || best != nil && best.head.sequence < b.head.sequence {
+			i++
 			continue
 		}
-		if !e.knownNotToFit(now, b, mark) {
+		if !e.knownNotToFit(now, b) {
 			best = b
 		}
+		// A queue that was set aside has left its place to another.
+		if b.position == i {
+			i++
+		}
 	}
 	return best
 }
 
-func (e *Engine) knownNotToFit(now time.Time, b *bucket, mark blockMark) bool {
+func (e *Engine) knownNotToFit(now time.Time, b *bucket) bool {
 	en := b.head
 	if en.gang != nil {
 		return false
@@ -108,7 +115,7 @@
 	}
 	failed := b.shape.failed(e.modeOf(now, k, &demand, en.runTime, entitled), &demand, en.runTime)
 	if failed && k.guaranteed == 0 {
-		b.blocked = mark
+		b.lane.block(b)
 	}
 	return failed
 }
--- a/internal/placement/shapes.go
+++ b/internal/placement/shapes.go
@@ -40,25 +40,36 @@
 type shape struct {
 	key      shapeKey
 	position int
-	buckets  int
+	buckets  []*bucket
 	failures [searchModes]failure
-	// generation changes when a failure is forgotten or replaced.
-	generation uint64
 }
 
-// blockMark names a state of the engine. While it lasts, a queue of a kind
-// without a guarantee whose head did not fit is skipped without looking at its
-// entitlement again: with hundreds of shapes, looking at each for every start
-// took 230 µs of a placement.
-type blockMark struct {
-	generation, epoch uint64
+// unblock makes the shape's queues ready, after a failure was forgotten or
+// replaced.
+func (s *shape) unblock() {
+	for _, b := range s.buckets {
+		b.lane.unblock(b)
+	}
+}
+
+// blockState is what decides, besides the shape's failures and the head, that
+// a queue of a kind without a guarantee is blocked.
+type blockState struct {
+	// epoch counts the changes of policy and capacity.
+	epoch uint64
 	// acceleratorsWait and acceleratorWork decide whether accelerators are kept.
 	acceleratorsWait, acceleratorWork bool
 }
 
-func (e *Engine) blockMark(now time.Time) blockMark {
-	return blockMark{epoch: e.blockEpoch, acceleratorsWait: e.acceleratorsWaiting > 0,
-		acceleratorWork: now.Sub(e.acceleratorWork) <= acceleratorMemory}
+// renewBlocks makes all queues ready when the state has changed.
+func (e *Engine) renewBlocks(now time.Time) {
+	state := blockState{e.blockEpoch, e.acceleratorsWaiting > 0, now.Sub(e.acceleratorWork) <= acceleratorMemory}
+	if state != e.blocksSeen {
+		e.blocksSeen = state
+		for _, s := range e.shapes.list {
+			s.unblock()
+		}
+	}
 }
 
 // shapeTable holds the shapes of the waiting tasks.
@@ -90,7 +101,7 @@
 	}
 	s := t.byKey[key]
 	if s == nil {
-		s = &shape{key: key, position: len(t.list), generation: 1}
+		s = &shape{key: key, position: len(t.list)}
 		t.byKey[key] = s
 		t.list = append(t.list, s)
 	}
@@ -110,8 +121,13 @@
 	return k
 }
 
-func (t *shapeTable) release(s *shape) {
-	if s.buckets--; s.buckets > 0 {
+// release removes a queue from its shape, and a shape without queues.
+func (t *shapeTable) release(b *bucket) {
+	s, end := b.shape, len(b.shape.buckets)-1
+	s.buckets[b.shapePosition] = s.buckets[end]
+	s.buckets[b.shapePosition].shapePosition = b.shapePosition
+	s.buckets[end] = nil
+	if s.buckets = s.buckets[:end]; end > 0 {
 		return
 	}
 	last := t.list[len(t.list)-1]
@@ -138,7 +154,7 @@
 func (s *shape) fail(mode searchMode, demand amount, runTime time.Duration) {
 	f := failure{true, demand, runTime}
 	if s.failures[mode].set && s.failures[mode] != f {
-		s.generation++
+		s.unblock()
 	}
 	s.failures[mode] = f
 }
@@ -158,7 +174,7 @@
 		for mode := range s.failures {
 			if f := &s.failures[mode]; f.set && f.demand.fits(&room) {
 				f.set = false
-				s.generation++
+				s.unblock()
 			}
 		}
 	}
