Tell the quarantine of every start before the next decision

Cause: with a worker that fails everything from the start, 9 tasks were lost before quarantine. One call of Schedule could fill the worker after Excluded had allowed one more task, and the smoothed rate of unknown peers counted 8 failures as 7.6. A probe of one task could become 8 in the same way.

Change: placement.Options.Started is told of every start before the next decision; quarantine.Tracker.Started has its form. The hold counts the task that would come next.

Ruled out: a hold after the first failure until a task completes, because a single ordinary failure would then close a worker; an allowance that each call of Excluded uses up, because the engine asks for workers that it does not take.

A gang is still one decision, so that all its members may start on a worker that is open to one task.

--- a/internal/benchmark/cell.go
+++ b/internal/benchmark/cell.go
@@ -379,9 +379,6 @@
 	if c.estimator != nil {
 		c.estimator.Started(c.now, j.task)
 	}
-	if c.tracker != nil {
-		c.tracker.Started(c.now, j.task, worker)
-	}
 	end := event{at: c.now.Add(j.runs), what: eventEnd, job: j, attempt: j.task.ID.Attempt, outcome: placement.Completed}
 	if worker == c.bad {
 		end.at, end.outcome = c.now.Add(failureTime), placement.Failed
--- a/internal/benchmark/engine.go
+++ b/internal/benchmark/engine.go
@@ -53,7 +53,7 @@
 func newPlacement() *subject {
 	s := &subject{name: "placement", estimator: estimate.New(estimate.Options{})}
 	s.tracker = quarantine.New(quarantine.Options{FitnessChanged: func(worker string) { s.engine.FitnessChanged(worker) }})
-	s.engine = placement.New(placement.Options{Estimate: s.estimator.RunTime, Excluded: s.tracker.Excluded})
+	s.engine = placement.New(placement.Options{Estimate: s.estimator.RunTime, Excluded: s.tracker.Excluded, Started: s.tracker.Started})
 	return s
 }
 
--- a/internal/benchmark/scenarios.go
+++ b/internal/benchmark/scenarios.go
@@ -18,6 +18,7 @@
 	nameGang                  = "gang of half the accelerators"
 	nameGangWrong             = "gang of half the accelerators, run times wrong by up to 5x"
 	nameBlackHole             = "black-hole worker"
+	nameBlackHoleCold         = "black-hole worker from the start"
 )
 
 // scenario is one load on one fleet. Its run gives the same arrivals to every
@@ -220,14 +221,17 @@
 	return time.Duration(c.measure.kinds["gang"].all.Max()) * time.Microsecond
 }
 
-// blackHoleScenario has a worker that fails every task in 20 ms, from some
-// time on, in a fleet at 90% of its capacity.
-func blackHoleScenario() *scenario {
-	return &scenario{name: nameBlackHole, length: func(size Size) time.Duration { return 2 * time.Duration(size.Seconds) * time.Second },
+// blackHoleScenario has a worker that fails every task in 20 ms in a fleet at
+// 90% of its capacity; from the start, when nothing is known of its peers, or
+// after all have worked for a while.
+func blackHoleScenario(name string) *scenario {
+	return &scenario{name: name, length: func(size Size) time.Duration { return 2 * time.Duration(size.Seconds) * time.Second },
 		build: func(s *subject, size Size, seed uint64) *cell {
 			policy := placement.Policy{Kinds: []placement.KindPolicy{{Name: "a", QueueBound: queueBound}, {Name: "b", QueueBound: queueBound}}}
 			c := newCell(s, size, policy, seed, slotSource("a", constant(0.45*carries(size))), slotSource("b", constant(0.45*carries(size))))
-			c.run(time.Duration(size.Seconds) * time.Second)
+			if name == nameBlackHole {
+				c.run(time.Duration(size.Seconds) * time.Second)
+			}
 			c.bad = c.fleet.order[size.Plain/2].Name
 			return c
 		}}
@@ -243,6 +247,7 @@
 		overloadScenario(nameMostUrgentPreemptible, "alarm", overloadPolicy(placement.VerbCheckpoint)),
 		gangScenario(nameGang, 1),
 		gangScenario(nameGangWrong, 5),
-		blackHoleScenario(),
+		blackHoleScenario(nameBlackHole),
+		blackHoleScenario(nameBlackHoleCold),
 	}
 }
--- a/internal/benchmark/table_test.go
+++ b/internal/benchmark/table_test.go
@@ -68,11 +68,13 @@
 // Guards against a black hole that loses more than 8 tasks with other seeds.
 func TestBlackHoleLosesAtMostEight(t *testing.T) {
 	for s := range uint64(10) {
-		c := blackHoleScenario().run(newPlacement(), today, *seed+s)
-		t.Log("seed", *seed+s, "lost", c.lostBefore)
-		require.LessOrEqual(t, c.lostBefore, blackHoleLost)
-		require.True(t, c.isOut)
-		require.Empty(t, c.fleet.breaches)
+		for _, name := range []string{nameBlackHole, nameBlackHoleCold} {
+			c := blackHoleScenario(name).run(newPlacement(), today, *seed+s)
+			t.Log("seed", *seed+s, name, "lost", c.lostBefore)
+			require.LessOrEqual(t, c.lostBefore, blackHoleLost)
+			require.True(t, c.isOut)
+			require.Empty(t, c.fleet.breaches)
+		}
 	}
 }
 
--- a/internal/benchmark/targets.go
+++ b/internal/benchmark/targets.go
@@ -138,7 +138,7 @@
 		case nameGang, nameGangWrong:
 			wait := func(c *cell) float64 { return gangWait(c).Seconds() }
 			t.add("start of a "+p.title(), "at most 2 x 20 s", wait(p.engine), p.ofNaive(wait), "s", gangStart.Seconds(), false)
-		case nameBlackHole:
+		case nameBlackHole, nameBlackHoleCold:
 			lost := func(c *cell) float64 { return float64(c.lostBefore) }
 			all := func(c *cell) float64 { return float64(c.lostBefore + c.lostAfter) }
 			t.add("tasks lost before quarantine, "+p.title(), "at most 8", lost(p.engine), p.ofNaive(all), "", blackHoleLost, false)
--- a/internal/placement/gangs.go
+++ b/internal/placement/gangs.go
@@ -144,6 +144,7 @@
 	for i, member := range append([]*entry(nil), g.members...) {
 		e.forget(member)
 		e.place[member.task.ID] = placed[i]
+		e.tellStarted(now, placed[i])
 		decisions = append(decisions, Decision{Verb: VerbStart, Task: member.task, Worker: placed[i].worker.worker.Name})
 	}
 	return decisions, true
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -177,6 +177,10 @@
 	// it is quarantined; nil excludes none. Call FitnessChanged when the result
 	// for a worker changes.
 	Excluded func(worker string) bool
+	// Started, if set, is told of every start before the engine makes its next
+	// decision, so that Excluded can limit the tasks of a worker within one
+	// call of Schedule. It may call FitnessChanged.
+	Started func(now time.Time, task Task, worker string)
 }
 
 // Summary is the compact view of an engine that homes choose owners by.
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -194,4 +194,11 @@
 	if task.Resources.Accelerators > 0 {
 		e.acceleratorWork = now
 	}
+	e.tellStarted(now, r)
+}
+
+func (e *Engine) tellStarted(now time.Time, r *runningTask) {
+	if e.options.Started != nil {
+		e.options.Started(now, r.task, r.worker.worker.Name)
+	}
 }
--- /dev/null
+++ b/internal/placement/started_test.go
@@ -0,0 +1,34 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+)
+
+// Guards against one call of Schedule that fills a worker which is open to one
+// task only, because Excluded hears of the starts after the call.
+func TestStartedIsToldBeforeTheNextDecision(t *testing.T) {
+	var engine *placement.Engine
+	running := map[string]int{}
+	engine = withWorkers(placement.Options{
+		Excluded: func(worker string) bool { return running[worker] > 0 },
+		Started: func(now time.Time, task placement.Task, worker string) {
+			require.Equal(t, start, now)
+			require.Equal(t, "kind", task.Kind)
+			running[worker]++
+			engine.FitnessChanged(worker)
+		},
+	}, 3, 0)
+	enqueueMany(t, engine, start, 20, "task", newTask("", "kind"))
+	require.Len(t, starts(engine.Schedule(start, 100)), 3)
+	gang := newTask("gang", "kind")
+	enqueueGang(t, engine, start, 2, gang)
+	clear(running)
+	engine.FitnessChanged("plain-000")
+	engine.Schedule(start, 100)
+	require.Equal(t, 20+2-3-3, engine.Summary(start).Waiting)
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -6,9 +6,8 @@
 // # Usage
 //
 //	tracker := quarantine.New(quarantine.Options{FitnessChanged: engine.FitnessChanged})
-//	engine := placement.New(placement.Options{Excluded: tracker.Excluded})
+//	engine := placement.New(placement.Options{Excluded: tracker.Excluded, Started: tracker.Started})
 //	tracker.AddWorker(now, worker, running)
-//	tracker.Started(now, task, worker)
 //	for _, decision := range tracker.Ended(now, task, worker, placement.Failed) {
 //		// Record the quarantine, release or blame.
 //	}
@@ -166,7 +165,9 @@
 // that are being probed.
 func (t *Tracker) Quarantined() int { return len(t.out) }
 
-// Started counts a task in progress on the worker.
+// Started counts a task in progress on the worker. It has the form of
+// placement.Options.Started: a tracker that heard of starts only after a whole
+// call of Schedule would let one call fill a worker that is being probed.
 func (t *Tracker) Started(now time.Time, _ placement.Task, name string) {
 	if w := t.workers[name]; w != nil {
 		w.inFlight++
@@ -293,7 +294,7 @@
 			w.unshared += 1 - o.class.peerRate(w.name).mean
 		}
 	}
-	if w.unshared < 0.5 || w.unshared+float64(w.inFlight) < MaxLost {
+	if w.unshared < 0.5 || w.unshared+float64(w.inFlight)+1 <= MaxLost {
 		return false
 	}
 	return slices.Contains(t.held, w) || len(t.held) < t.bound(heldShare)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -111,6 +111,33 @@
 	}
 }
 
+// Guards against losing task after task while nothing is known of the peers,
+// because their tasks are long: the worker has to be held back until then. It
+// fails without the hold.
+func TestFastFailuresBeforePeersEnd(t *testing.T) {
+	f := newFleet(t, 5, 6, func(string, string) float64 { return 0 })
+	task := placement.Task{Class: "a"}
+	for _, name := range f.names[1:] {
+		for range slots {
+			f.tracker.Started(f.now, task, name)
+		}
+	}
+	lost := 0
+	for range 1000 {
+		if f.tracker.Excluded("worker-000") {
+			break
+		}
+		f.tracker.Started(f.now, task, "worker-000")
+		require.Empty(t, f.tracker.Ended(f.now, task, "worker-000", placement.Failed))
+		lost++
+	}
+	require.LessOrEqual(t, lost, quarantine.MaxLost)
+	for _, name := range f.names[1:] {
+		f.decisions = append(f.decisions, f.tracker.Ended(f.now, task, name, placement.Completed)...)
+	}
+	require.Equal(t, 1, f.count(placement.VerbQuarantine, "worker-000"))
+}
+
 // Guards against a worker that stays out after its repair, and against probes
 // that cost many tasks while it is still broken.
 func TestProbesReleaseRepairedWorker(t *testing.T) {
