--- a/internal/benchmark/scenarios.go
+++ b/internal/benchmark/scenarios.go
@@ -229,10 +229,14 @@
 		build: func(s *subject, size Size, seed uint64) *cell {
 			policy := placement.Policy{Kinds: []placement.KindPolicy{{Name: "a", QueueBound: queueBound}, {Name: "b", QueueBound: queueBound}}}
 			c := newCell(s, size, policy, seed, slotSource("a", constant(0.45*carries(size))), slotSource("b", constant(0.45*carries(size))))
+			// The worker that the engine prefers is the worst one to be bad from
+			// the start.
+			bad := c.fleet.order[0].Name
 			if name == nameBlackHole {
 				c.run(time.Duration(size.Seconds) * time.Second)
+				bad = c.fleet.order[size.Plain/2].Name
 			}
-			c.bad = c.fleet.order[size.Plain/2].Name
+			c.bad = bad
 			return c
 		}}
 }
