Test that the fake workers see each breach of an invariant

Cause: the differential tests rely on checks that were not themselves tested.

Change: a table of breaches, and an engine that splits gangs.

Conclusion: each check fails without what it guards.

--- /dev/null
+++ b/internal/benchmark/fleet_test.go
@@ -0,0 +1,82 @@
+package benchmark
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// Guards against fake workers that accept everything: each breach of an
+// invariant has to be seen, and a legal start must not be one.
+func TestFleetSeesBreaches(t *testing.T) {
+	task := placement.Task{ID: placement.TaskID{Key: "task"}, Resources: workload.Resources{MilliCPU: 9000}, Connections: 33}
+	other := task
+	other.ID.Key = "other"
+	for name, test := range map[string]struct {
+		act    func(f *fleet)
+		breach string
+	}{
+		"legal": {func(f *fleet) {
+			f.start(startTime, &task, "plain-000")
+			f.end(&task)
+			f.start(startTime, &other, "plain-000")
+		}, ""},
+		"unknown worker": {func(f *fleet) { f.start(startTime, &task, "plain-009") }, "unknown worker"},
+		"overfull": {func(f *fleet) {
+			f.start(startTime, &task, "plain-000")
+			f.start(startTime, &other, "plain-000")
+		}, "plain-000 holds"},
+		"two places, another attempt": {func(f *fleet) {
+			f.start(startTime, &task, "plain-000")
+			again := task
+			again.ID.Attempt = 1
+			f.start(startTime, &again, "plain-001")
+		}, "runs on plain-000"},
+		"leaving": {func(f *fleet) {
+			f.byName["plain-000"].leaving = true
+			f.start(startTime, &task, "plain-000")
+		}, "leaving worker"},
+		"late": {func(f *fleet) {
+			dated := task
+			dated.StartBy = startTime
+			f.start(startTime.Add(time.Second), &dated, "plain-000")
+		}, "after its start-by time"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(Size{Plain: 2}.workers())
+			test.act(f)
+			if test.breach == "" {
+				require.Empty(t, f.breaches)
+				return
+			}
+			require.Len(t, f.breaches, 1)
+			require.Contains(t, f.breaches[0], test.breach)
+		})
+	}
+}
+
+// splitGangs starts gangs only in part.
+type splitGangs struct{ Engine }
+
+func (s *splitGangs) Schedule(now time.Time, limit int) []placement.Decision {
+	decisions := s.Engine.Schedule(now, limit)
+	for i, d := range decisions {
+		if d.Task.GangSize > 1 {
+			return decisions[:i+1]
+		}
+	}
+	return decisions
+}
+
+// Guards against a driver that does not see a gang of which only a part starts.
+func TestCellSeesSplitGangs(t *testing.T) {
+	subject := newNaive()
+	subject.engine = &splitGangs{subject.engine}
+	c := mixedScenario("", 1).run(subject, Size{Plain: 2, Accelerators: 4, Seconds: 20}, *seed)
+	require.NotEmpty(t, c.fleet.breaches)
+	require.Contains(t, c.fleet.breaches[0], "started without")
+}
