Try shapes again only on the workers that were freed

Cause: with hundreds of shapes, 50 searches failed for every start at 650 workers. Each call forgot the failures of all shapes that fit the largest room of the freed workers in each dimension; the first start used that room up, and every other shape had to search in vain. Besides, room that was kept for accelerators and opened when they were taken was not seen until other room was freed.

Change: such a failure becomes stale. Before a search, a stale failure is compared with the workers freed before this call, at most 64; if none has room, it holds. Workers whose accelerators are taken count as freed. Leftover stale failures are forgotten at the next call, and their queues made ready.

--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -54,6 +54,8 @@
 	blockEpoch uint64
 	blocksSeen blockState
 	freed      []*workerState
+	// retryOn lists the workers freed before this call of Schedule.
+	retryOn []*workerState
 	// reserved is the unused part of all guarantees of kinds with recent work.
 	// expected is the part of it that those kinds are expected to need.
 	reserved, expected amount
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -92,6 +92,11 @@
 // roomFreed lets shapes that did not fit be tried again on the worker.
 func (e *Engine) roomFreed(w *workerState) {
 	e.wake++
+	e.tryAgain(w)
+}
+
+// tryAgain lets shapes be tried again on the worker from the next call on.
+func (e *Engine) tryAgain(w *workerState) {
 	if !w.freed {
 		w.freed = true
 		e.freed = append(e.freed, w)
--- /dev/null
+++ b/internal/placement/ready_test.go
@@ -0,0 +1,73 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// requireHeadsBlocked checks that no head of a queue fits any worker.
+func requireHeadsBlocked(t *testing.T, e *Engine) {
+	for _, k := range e.kinds {
+		for _, l := range k.lanes {
+			for _, b := range l.buckets {
+				demand := taskDemand(&b.head.task)
+				for _, w := range e.index.leaves {
+					fits := demand.fits(&w.free) && (w.capacity[dimAccelerators] == 0 || leavesAcceleratorsUsable(w, &demand))
+					require.False(t, fits, "%v fits %s with %v free", demand, w.worker.Name, w.free)
+				}
+			}
+		}
+	}
+}
+
+// Guards against queues that stay set aside although room for their head was
+// freed: without guarantees and gangs, no head may fit after a call of Schedule
+// that ends below its limit. The many sizes make shapes share entries of the
+// table; accelerators that are taken open room to other work.
+func TestNoHeadThatFitsIsLeftWaiting(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for seed := range uint64(8) {
+		t.Log("seed", seed)
+		random, engine := rand.New(rand.NewPCG(seed, 0)), New(Options{})
+		for i := range 10 {
+			accelerators := int64(max(i-7, 0)) * 4
+			engine.AddWorker(now, Worker{Name: fmt.Sprint("worker-", i), Slots: 8, Connections: 64,
+				Capacity: workload.Resources{MilliCPU: 16_000, MemoryMB: 32_000, Accelerators: accelerators}}, nil)
+		}
+		var running []TaskID
+		for next, round := 0, 0; round < 300; round++ {
+			now = now.Add(10 * time.Millisecond)
+			for len(engine.waiting) < 900 {
+				next++
+				task := Task{ID: TaskID{Key: workload.Key(fmt.Sprint("task-", next))}, Kind: fmt.Sprint("kind-", random.IntN(3)),
+					Team: fmt.Sprint("team-", random.IntN(3)), RunTime: time.Duration(random.IntN(50)) * time.Second, EnqueuedAt: now,
+					Resources: workload.Resources{MilliCPU: 1 + random.Int64N(12_000), MemoryMB: 1 + random.Int64N(24_000)}}
+				if random.IntN(20) == 0 {
+					task.Resources = workload.Resources{MilliCPU: 100, MemoryMB: 100, Accelerators: 1 + random.Int64N(4)}
+				}
+				require.Nil(t, engine.Enqueue(now, task))
+			}
+			for range min(random.IntN(4), len(running)) {
+				i := random.IntN(len(running))
+				engine.TaskEnded(now, running[i], Completed)
+				running[i] = running[len(running)-1]
+				running = running[:len(running)-1]
+			}
+			limit := []int{1, 3, 1000}[random.IntN(3)]
+			decisions := engine.Schedule(now, limit)
+			for _, d := range decisions {
+				running = append(running, d.Task.ID)
+			}
+			// Room that taken accelerators have opened is used by the next call.
+			if len(decisions) == 0 {
+				requireHeadsBlocked(t, engine)
+			}
+		}
+	}
+}
--- a/internal/placement/schedule.go
+++ b/internal/placement/schedule.go
@@ -9,7 +9,7 @@
 	e.lapseReservations(now)
 	e.lendIdleGuarantees(now)
 	decisions := e.expire(now, limit, nil)
-	e.retryShapes()
+	e.retryShapes(true)
 	decisions = e.fulfilClaims(now, limit, decisions)
 	made := len(decisions)
 	if h := e.hold; h != nil && made < limit {
@@ -18,7 +18,7 @@
 			made++
 		}
 	}
-	e.retryShapes()
+	e.retryShapes(false)
 	for made < limit {
 		b := e.nextBucket(now)
 		if b == nil {
@@ -113,7 +113,8 @@
 		b.skipAt = e.wake
 		return true
 	}
-	failed := b.shape.failed(e.modeOf(now, k, &demand, en.runTime, entitled), &demand, en.runTime)
+	mode := e.modeOf(now, k, &demand, en.runTime, entitled)
+	failed := b.shape.failed(mode, &demand, en.runTime) && e.stillFails(b.shape, mode, &demand)
 	if failed && k.guaranteed == 0 {
 		b.lane.block(b)
 	}
@@ -197,7 +198,12 @@
 	e.tellStarted(now, r)
 }
 
+// tellStarted follows every start that was decided on. Where accelerators are
+// taken, the room that was kept for them is open to other work.
 func (e *Engine) tellStarted(now time.Time, r *runningTask) {
+	if r.demand[dimAccelerators] > 0 {
+		e.tryAgain(r.worker)
+	}
 	if e.options.Started != nil {
 		e.options.Started(now, r.task, r.worker.worker.Name)
 	}
--- a/internal/placement/shapes.go
+++ b/internal/placement/shapes.go
@@ -34,6 +34,8 @@
 	set     bool
 	demand  amount
 	runTime time.Duration
+	// stale is set when only the workers in Engine.retryOn can have room now.
+	stale bool
 }
 
 // shape is shared by all queues whose tasks fit the same workers.
@@ -152,30 +154,65 @@
 }
 
 func (s *shape) fail(mode searchMode, demand amount, runTime time.Duration) {
-	f := failure{true, demand, runTime}
-	if s.failures[mode].set && s.failures[mode] != f {
+	f := failure{set: true, demand: demand, runTime: runTime}
+	if was := &s.failures[mode]; was.set && (was.demand != demand || was.runTime != runTime) {
 		s.unblock()
 	}
 	s.failures[mode] = f
 }
 
-// retry forgets the failures that the freed workers may have room for.
-func (e *Engine) retryShapes() {
-	if len(e.freed) == 0 {
-		return
+// retryOnLimit is how many workers a stale failure is compared with at most;
+// beyond it a search is cheaper.
+const retryOnLimit = 64
+
+// retryShapes makes the failures stale that the freed workers may have room
+// for. The first time in a call of Schedule, stale failures that were not
+// looked at since the call before are forgotten.
+func (e *Engine) retryShapes(first bool) {
+	if first {
+		e.retryOn = e.retryOn[:0]
 	}
 	room := unavailable
 	for _, w := range e.freed {
 		w.freed = false
 		room = room.highest(w.offered())
 	}
+	e.retryOn = append(e.retryOn, e.freed...)
 	e.freed = e.freed[:0]
 	for _, s := range e.shapes.list {
 		for mode := range s.failures {
-			if f := &s.failures[mode]; f.set && f.demand.fits(&room) {
+			f := &s.failures[mode]
+			if f.set && f.stale && (first || len(e.retryOn) > retryOnLimit) {
+				// Queues with larger demands may have been set aside by it.
 				f.set = false
 				s.unblock()
+				e.wake++
 			}
+			if f.set && f.demand.fits(&room) {
+				f.set, f.stale = len(e.retryOn) <= retryOnLimit, true
+				s.unblock()
+				e.wake++
+			}
+		}
+	}
+}
+
+// stillFails reports whether none of the workers that were freed has room.
+// Holds are left to the search. If none has, the failure holds until more room
+// is freed.
+func (e *Engine) stillFails(s *shape, mode searchMode, demand *amount) bool {
+	f := &s.failures[mode]
+	if !f.stale {
+		return true
+	}
+	for _, w := range e.retryOn {
+		offered := w.offered()
+		if demand.fits(&offered) && (mode&modeKeepAccelerators == 0 || w.capacity[dimAccelerators] == 0 || leavesAcceleratorsUsable(w, demand)) {
+			return false
 		}
 	}
+	// The failure is for the smallest demand that is known to fail, so that
+	// only an equal one makes it hold.
+	f.stale = *demand != f.demand
+	return true
 }
