--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,4 @@
-.PHONY: build test lint demo load
-
-# MIX is the mix file of make load.
-MIX ?= examples/load/mixed.ini
+.PHONY: build test lint demo load bench
 
 build:
 	go build -o bin/yuccalanding ./cmd/yuccalanding
@@ -20,3 +17,7 @@
 
 load: build
 	@bin/yuccalanding load $(MIX) $(if $(JSON),--json)
+# Runs every benchmark of the decision engine, about 5 minutes, and writes the
+# table into docs/decisions.md.
+bench:
+	go test ./internal/benchmark -run '^TestTable$$' -v -count=1 -timeout 30m -args -full -document=$(CURDIR)/docs/decisions.md
