--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo load
+.PHONY: build test lint demo load capacity
 
 # MIX is the mix file of make load.
 MIX ?= examples/load/mixed.ini
@@ -20,3 +20,7 @@
 
 load: build
 	@bin/yuccalanding load $(MIX) $(if $(JSON),--json)
+
+# make capacity measures the tables of docs/CAPACITY.md again.
+capacity: build
+	@bin/yuccalanding capacity docs/CAPACITY.md
--- /dev/null
+++ b/internal/capacity/tables.go
@@ -0,0 +1,413 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"yuccalanding.example/yuccalanding/internal/control"
+)
+
+// Table is one generated table of the page.
+type Table struct {
+	// Name goes into the markers around the table.
+	Name   string
+	Header []string
+	Rows   [][]string
+}
+
+func (t *Table) add(cells ...string) { t.Rows = append(t.Rows, cells) }
+
+// Markdown returns the table with a line for its header.
+func (t *Table) Markdown() string {
+	var text strings.Builder
+	rule := strings.Repeat("|---", len(t.Header)) + "|"
+	fmt.Fprintf(&text, "| %s |\n%s\n", strings.Join(t.Header, " | "), rule)
+	for _, row := range t.Rows {
+		fmt.Fprintf(&text, "| %s |\n", strings.Join(row, " | "))
+	}
+	return text.String()
+}
+
+// number formats a figure with three significant digits.
+func number(value float64) string {
+	magnitude := math.Abs(value)
+	switch {
+	case magnitude >= 99.95 || magnitude == 0:
+		return fmt.Sprintf("%.0f", value)
+	case magnitude >= 9.995:
+		return fmt.Sprintf("%.1f", value)
+	case magnitude >= 0.9995:
+		return fmt.Sprintf("%.2f", value)
+	case magnitude >= 0.0995:
+		return fmt.Sprintf("%.3f", value)
+	}
+	return fmt.Sprintf("%.2g", value)
+}
+
+func percent(share float64) string { return number(share*100) + "%" }
+func kilobytes(v float64) string   { return number(v/1e3) + " KB" }
+func megabytes(v float64) string   { return number(v/1e6) + " MB" }
+
+// verdict compares a value with an upper limit.
+func verdict(value, limit float64) string {
+	if value <= limit {
+		return "met"
+	}
+	return fmt.Sprintf("missed by %s%%", number((value/limit-1)*100))
+}
+
+// Tables returns the tables of the page.
+func (m *Measurement) Tables() []Table {
+	return []Table{
+		m.limitTable(), m.firstTable(), m.targetTable(), m.roleTable(), m.splitTable(), m.slopeTable(),
+		m.messageTable(), m.workerTable(), m.quicTable(), m.logTable(), m.failureTable(),
+	}
+}
+
+func (m *Measurement) limitTable() Table {
+	t := Table{Name: "limits", Header: []string{"limit for control", "parts at the target", "at the target", "limit", "verdict"}}
+	processor, bytes, memory := m.nodeProcessor(), m.nodeBytes(), m.nodeMemory()
+	t.add("processor time of a node, all control", fmt.Sprintf("control thread %s, QUIC %s, idle watches %s", percent(processor.thread), percent(processor.quic), percent(processor.watches)),
+		percent(processor.sum()), percent(limitProcessor), verdict(processor.sum(), limitProcessor))
+	t.add("processor time of a node, control thread only", "Step, encoding and decoding", percent(processor.thread), percent(limitProcessor), verdict(processor.thread, limitProcessor))
+	t.add("bytes a second sent by a node, all control", fmt.Sprintf("messages %s, QUIC, UDP and IP %s, watches with HTTP %s, TCP and IP %s",
+		kilobytes(bytes.payload), kilobytes(bytes.quic), kilobytes(bytes.watchSent), kilobytes(bytes.tcpIP)), kilobytes(bytes.sent()), kilobytes(limitBytes), verdict(bytes.sent(), limitBytes))
+	t.add("bytes a second sent by a node to nodes", fmt.Sprintf("messages %s, QUIC, UDP and IP %s", kilobytes(bytes.payload), kilobytes(bytes.quic)),
+		kilobytes(bytes.peers()), kilobytes(limitBytes), verdict(bytes.peers(), limitBytes))
+	t.add("bytes a second sent and received by a node, all control", "the row of all control for both directions", kilobytes(2*bytes.peers()+bytes.watchSent+bytes.watchReceived+2*bytes.tcpIP),
+		kilobytes(limitBytes), verdict(2*bytes.peers()+bytes.watchSent+bytes.watchReceived+2*bytes.tcpIP, limitBytes))
+	t.add("memory of a node, with garbage", fmt.Sprintf("%d times the live heap: control thread %s, workers' clients %s, configuration %s, a day's jobs open %s",
+		garbageFactor, megabytes(memory.thread), megabytes(memory.clients), megabytes(memory.configuration), megabytes(memory.jobs)),
+		megabytes(garbageFactor*memory.sum()), megabytes(limitMemory), verdict(garbageFactor*memory.sum(), limitMemory))
+	payload, link := m.linkBytes()
+	t.add("control over the region link, busier direction", fmt.Sprintf("messages %s, headers %s", kilobytes(payload), kilobytes(link-payload)), kilobytes(link), kilobytes(limitLinkBytes), verdict(link, limitLinkBytes))
+	bound := float64(appendsPerNode * m.plan.Target.Members)
+	t.add("log appends a second, all nodes", fmt.Sprintf("grouping allows %d for each node", appendsPerNode), "at most "+number(bound), "below "+number(limitAppends), verdict(bound+1, limitAppends))
+	return t
+}
+
+// firstTable says at which size each limit is reached, from the value at the
+// target and the slope of one axis.
+func (m *Measurement) firstTable() Table {
+	t := Table{Name: "first", Header: []string{"limit", "what grows", "growth for each", "reached at", "target"}}
+	processor, bytes, memory := m.nodeProcessor(), m.nodeBytes(), m.nodeMemory()
+	_, link := m.linkBytes()
+	sent, _, watch, clientHeap := m.watch()
+	members := float64(m.plan.Target.Members)
+	for _, limit := range []struct {
+		name         string
+		of           metric
+		value, limit float64
+		perWorker    float64
+		unit         func(float64) string
+	}{
+		{"processor time of a node", metricControl, processor.sum(), limitProcessor, watch / 2 / members, percent},
+		{"bytes a second sent by a node", metricBytes, bytes.sent(), limitBytes, (sent + callHeaders) / members, kilobytes},
+		{"memory of a node", metricHeap, garbageFactor * memory.sum(), limitMemory, garbageFactor * clientHeap * workerHeapOwnerShare / members, kilobytes},
+		{"control over the region link", metricLink, link, limitLinkBytes, 0, kilobytes},
+	} {
+		for _, axis := range axes {
+			slope := m.line(limit.of, axis).Slope
+			if limit.of.name == metricHeap.name {
+				slope *= garbageFactor
+			}
+			if axis == "workers" {
+				slope += limit.perWorker
+			}
+			size := m.plan.Target
+			at := float64(*size.axis(axis))
+			reached := "not by this"
+			if slope > 0 && at+(limit.limit-limit.value)/slope > 0 {
+				reached = number(at + (limit.limit-limit.value)/slope)
+			} else if slope > 0 {
+				reached = "at every size"
+			}
+			t.add(limit.name, axis, limit.unit(slope), reached, number(at))
+		}
+	}
+	return t
+}
+
+func (m *Measurement) targetTable() Table {
+	t := Table{Name: "target", Header: []string{"figure of the target", "mechanism that carries it", "measured or worked out at the target", "result"}}
+	m.addSizes(&t)
+	m.addRecords(&t)
+	for _, f := range failures {
+		samples := m.failures[f.name]
+		last := samples[len(samples)-1]
+		t.add(f.name+", "+f.frequency, failureMechanisms[f.name],
+			fmt.Sprintf("%s extra control messages, %s; every live worker owned after %.1f s; %s KB/s at the busiest node in the worst second; %d refusals",
+				number(last.extraMessages), kilobytes(last.extraBytes), last.ownedAfter.Seconds(), number(last.peakBytes/1e3), last.refused),
+			"measured")
+	}
+	for _, row := range m.limitTable().Rows {
+		t.add("limit: "+row[0], "see the table of limits", row[2]+", limit "+row[3], row[4])
+	}
+	return t
+}
+
+func (m *Measurement) addSizes(t *Table) {
+	watchSent, watchReceived, watch, _ := m.watch()
+	nodes := m.workersPerNode()
+	startSent, startReceived, startProcessor := m.perStart()
+	rate := float64(m.plan.Target.Starts) / float64(m.plan.Target.Members)
+	t.add("650 workers", "ownership by rendezvous hashing; one session and one long poll for each worker, of its owner only",
+		fmt.Sprintf("%s workers a node; idle watches send %s and receive %s a second without TCP and IP, %s of a core", number(nodes), kilobytes(watchSent*nodes), kilobytes(watchReceived*nodes), percent(watch/2*nodes)), "measured")
+	t.add("870 accelerators", "one more dimension of the owner's ledger; a worker has 8 or none, and no message grows with them",
+		fmt.Sprintf("the measured cell has %d", m.accelerators()), "no cost of its own")
+	t.add("430 task starts a second at the peak", "home queues, owner places, results go from owner to front; bulk stream apart from heartbeats",
+		fmt.Sprintf("control thread %s of a core for the work, %s messages a second with %s; to workers %s sent and %s received a second without TCP and IP, %s of a core with the stand-in's part",
+			percent(m.larger(metricWork)), number(m.larger(metricWorkMessages)), kilobytes(m.larger(metricWorkBytes)),
+			kilobytes(startSent.Slope*rate), kilobytes(startReceived.Slope*rate), percent(startProcessor.Slope*rate)), "work, not control")
+	running := m.line(metricHeap, "running tasks").Slope
+	t.add("2,900 running tasks", "the owner's ledger and the home's key table; leases are renewed for all tasks of a worker by its watch",
+		fmt.Sprintf("%s KB of heap in the cell for each, %s MB a node", number(running*float64(m.plan.Target.Members)/1e3), number(running*float64(m.plan.Target.Running)/1e6)), "measured")
+	t.add("a fifth long-running services", "as running tasks; each is a durable job, started again by its home when it ends",
+		fmt.Sprintf("%d services in the measured cell", m.plan.Target.Running/5), "measured")
+	line := m.line(metricBytes, "teams")
+	t.add("61 teams with quotas", "one range for each team and region; one request to each owner renews all ranges of a home; quotas are checked by the home",
+		fmt.Sprintf("%s B/s for each team and node, %s B/s at the target", number(line.Slope), number(line.Slope*float64(m.plan.Target.Teams))), "measured")
+	t.add("urgent work within 1.8 s", "kinds are ordered by urgency at home and owner; every hop acts at once, without waiting for a tick",
+		fmt.Sprintf("p99 %s ms of virtual time (messages and ticks, no processor time, fleet not full)", number(m.target.UrgentWait)), verdict(m.target.UrgentWait, limitUrgentWait))
+	payload, withHeaders := m.linkBytes()
+	t.add("2 regions", "work stays in its region; heartbeats to the other region carry a summary every 2 s only",
+		fmt.Sprintf("%s a second of control, %s with headers", kilobytes(payload), kilobytes(withHeaders)), verdict(withHeaders, limitLinkBytes))
+	t.add("7 failure domains", "services are spread by the owner's scoring; owners outside a worker's domain are preferred",
+		fmt.Sprintf("the measured cell has %d and %d", domainsOf[0], domainsOf[1]), "no cost of its own")
+}
+
+func (m *Measurement) accelerators() int {
+	count := 0
+	for i := range m.plan.Target.Workers {
+		if i/2%6 == 0 {
+			count += 8
+		}
+	}
+	return count
+}
+
+func (m *Measurement) addRecords(t *Table) {
+	records, bytes := m.recordsPerJob()
+	t.add("7,400 jobs a day", "two records for each job, grouped into appends; every node reads them",
+		fmt.Sprintf("%s records a second on average, %s MB a day, %s MB of heap a node if all were open at once",
+			number(records.Slope*jobsADay/secondsADay), number(bytes.Slope*jobsADay/1e6), number(m.jobHeap().At(jobsADay)/1e6)), "measured")
+	last := m.configurations[len(m.configurations)-1]
+	inForce := 2*slowAppend + last.apply + last.inForce
+	t.add("910 configuration changes a day in force within 6 s", "log order; every node follows the log and replays the change; heartbeats show who is behind",
+		fmt.Sprintf("one record of %d B; %s ms to replay and put in force; with a wait for the append before it and 1 s per append %.2f s; snapshot for a node that is behind %s",
+			last.recordBytes, number((last.apply+last.inForce).Seconds()*1e3), inForce.Seconds(), kilobytes(float64(last.snapshotBytes))), verdict(inForce.Seconds(), limitConfiguration.Seconds()))
+}
+
+var failureMechanisms = map[string]string{
+	failures[0].name: "the session ends, its tasks become doubtful and are tried again after proof",
+	failures[1].name: "suspicion after 1.5 s, other owners open the sessions after 3 s and list them to the homes",
+	failures[2].name: "as five VM failures; the worker list changes by less than a third, so leases go on",
+	failures[3].name: "as a node's death and as many VM failures; leases need two thirds of the workers that are left",
+	failures[4].name: "no state is shared between regions but configuration; a cut only ends the other region's liveness",
+}
+
+// stateOfRole says what a role keeps, for the table of roles.
+var stateOfRole = map[Role]string{
+	Front:    "open requests with their payload until the answer is delivered",
+	Home:     "key table, queues, quota in use, lease of each range",
+	Owner:    "sessions, ledger, tasks with labels, kept results, promises",
+	MemberOf: "member table, worker views, summaries of others",
+	Follower: "effective set, history, open durable jobs",
+}
+
+func (m *Measurement) roleTable() Table {
+	t := Table{Name: "roles", Header: []string{"role", "state", "messages/s", "payload B/s", "control, % of a core", "work, % of a core", "memory at the target"}}
+	members := float64(m.plan.Target.Members)
+	heap := func(axis string, size int) float64 { return max(m.line(metricHeap, axis).Slope, 0) * float64(size) }
+	memory := map[Role]string{
+		Front:    megabytes(heap("open requests", m.plan.Target.Open)) + " with the home, for the open requests",
+		Home:     megabytes(heap("teams", m.plan.Target.Teams)+heap("running tasks", m.plan.Target.Running)) + " with the owner, for teams and running tasks",
+		Owner:    megabytes(heap("workers", m.plan.Target.Workers)+heap("starts a second", m.plan.Target.Starts)) + " for workers, and results kept for 30 s",
+		MemberOf: megabytes(heap("members", m.plan.Target.Members)) + " for members",
+		Follower: megabytes(m.nodeMemory().configuration+m.nodeMemory().jobs) + " for the set and a day's jobs",
+	}
+	for _, role := range roles {
+		of := func(c class) bool { return c.role == role }
+		messages, bytes, _, _ := m.target.meter.perSecond(-1, of)
+		var controlShare, workShare float64
+		for i := range m.plan.Target.Members {
+			controlShare += m.target.meter.processorShare(i, func(c class) bool { return of(c) && c.control }) / members
+			workShare += m.target.meter.processorShare(i, func(c class) bool { return of(c) && isWork(c) }) / members
+		}
+		t.add(string(role), stateOfRole[role], number(messages/members), number(bytes/members), number(controlShare*100), number(workShare*100), memory[role])
+	}
+	return t
+}
+
+func (m *Measurement) splitTable() Table {
+	t := Table{Name: "split", Header: []string{"input or message", "role", "counts as", "steps/s a node", "µs a step"}}
+	members := float64(m.plan.Target.Members)
+	for _, c := range classes {
+		kind := "work"
+		if c.control {
+			kind = "control"
+		}
+		steps, micros := m.target.meter.stepCost(c.label)
+		t.add(c.label, string(c.role), kind, number(steps/members), number(micros))
+	}
+	return t
+}
+
+func (m *Measurement) slopeTable() Table {
+	t := Table{Name: "slopes", Header: []string{"figure of a node", "by", "sizes", "measured", "slope", "intercept", "residual", "line at the target's size"}}
+	for _, of := range metrics {
+		for _, axis := range axes {
+			var sizes, values []string
+			for _, s := range m.axes[axis] {
+				size := s.Size
+				sizes = append(sizes, fmt.Sprint(*size.axis(axis)))
+				values = append(values, number(of.value(s)*of.scale))
+			}
+			line, target := m.line(of, axis), m.plan.Target
+			t.add(of.name+", "+of.unit, axis, strings.Join(sizes, ", "), strings.Join(values, ", "), number(line.Slope*of.scale),
+				number(line.Intercept*of.scale), number(line.Residual*of.scale), number(line.At(float64(*target.axis(axis)))*of.scale))
+		}
+		t.add(of.name+", "+of.unit, "all", "the target", number(of.value(m.target)*of.scale), "", "", "", number(m.extrapolated(of, m.plan.Target)*of.scale))
+	}
+	return t
+}
+
+func (m *Measurement) messageTable() Table {
+	t := Table{Name: "messages", Header: []string{"message", "counts as", "sent/s a node", "bytes each", "B/s a node", "over the link, B/s one way"}}
+	members, seconds := float64(m.plan.Target.Members), float64(m.plan.Seconds)
+	for _, c := range classes {
+		if !isMessage(c.label) {
+			continue
+		}
+		var sum traffic
+		for k, sent := range m.target.meter.sent {
+			if k.label == c.label {
+				sum.messages += sent.messages
+				sum.bytes += sent.bytes
+				sum.linkBytes[0] += sent.linkBytes[0]
+				sum.linkBytes[1] += sent.linkBytes[1]
+			}
+		}
+		kind := "work"
+		if c.control {
+			kind = "control"
+		}
+		t.add(c.label, kind, number(float64(sum.messages)/seconds/members), number(float64(sum.bytes)/float64(max(sum.messages, 1))),
+			number(float64(sum.bytes)/seconds/members), number(float64(max(sum.linkBytes[0], sum.linkBytes[1]))/seconds))
+	}
+	return t
+}
+
+var messageLabels = func() map[string]bool {
+	labels := map[string]bool{}
+	for _, message := range []control.Message{
+		&control.Heartbeat{}, &control.Promises{}, &control.ListKeys{}, &control.Query{}, &control.Handover{}, &control.Listed{},
+		&control.PolicyRequest{}, &control.PolicyCopy{}, &control.Enqueue{}, &control.AcknowledgeAnswer{}, &control.Answered{},
+		&control.Refused{}, &control.Assign{}, &control.Recall{}, &control.Redirect{}, &control.AssignResult{}, &control.Finished{},
+	} {
+		labels[typeName(message)] = true
+	}
+	return labels
+}()
+
+func isMessage(label string) bool { return messageLabels[label] }
+
+func (m *Measurement) workerTable() Table {
+	t := Table{Name: "workers", Header: []string{"traffic with workers", "sizes", "measured", "slope", "intercept", "residual"}}
+	add := func(name, format string, scale float64, sizes []string, points []Point) {
+		line := Fit(points)
+		var values []string
+		for _, p := range points {
+			values = append(values, fmt.Sprintf(format, p.Value*scale))
+		}
+		t.add(name, strings.Join(sizes, ", "), strings.Join(values, ", "), number(line.Slope*scale), number(line.Intercept*scale), number(line.Residual*scale))
+	}
+	var sizes []string
+	var columns [7][]Point
+	for _, s := range m.watches {
+		sizes = append(sizes, fmt.Sprint(s.workers))
+		for i, value := range []float64{s.sent, s.received, s.processor.Seconds(), s.heap} {
+			columns[i] = append(columns[i], Point{float64(s.workers), value})
+		}
+	}
+	add("idle watch, bytes sent with HTTP, by workers", "%.0f", 1, sizes, columns[0])
+	add("idle watch, bytes received with HTTP, by workers", "%.0f", 1, sizes, columns[1])
+	add("idle watch, µs of client and stand-in, by workers", "%.0f", 1e6, sizes, columns[2])
+	add("open client, KB of heap of client and stand-in, by workers", "%.1f", 1e-3, sizes, columns[3])
+	var tasks []string
+	for _, s := range m.starts {
+		tasks = append(tasks, fmt.Sprint(s.tasks))
+		for i, value := range []float64{s.sent, s.received, s.processor.Seconds()} {
+			columns[4+i] = append(columns[4+i], Point{float64(s.tasks), value})
+		}
+	}
+	add("start, result and acknowledgement, bytes sent with HTTP, by tasks", "%.0f", 1, tasks, columns[4])
+	add("start, result and acknowledgement, bytes received with HTTP, by tasks", "%.0f", 1, tasks, columns[5])
+	add("start, result and acknowledgement, µs of client and stand-in, by tasks", "%.0f", 1e6, tasks, columns[6])
+	t.add("TCP and IPv4 headers of one call in each direction, worked out", "", fmt.Sprint(callHeaders), "", "", "")
+	return t
+}
+
+func (m *Measurement) quicTable() Table {
+	t := Table{Name: "quic", Header: []string{"one QUIC connection, one direction", "frames/s", "measured", "slope for a frame/s", "intercept", "residual"}}
+	var rates, overheads, processors []string
+	for _, s := range m.quic {
+		rates = append(rates, number(s.frames))
+		overheads = append(overheads, number(s.overhead))
+		processors = append(processors, number(s.processor*100))
+	}
+	line := m.quicOverhead()
+	t.add("wire bytes a second above payload, with QUIC, UDP and IPv4", strings.Join(rates, ", "), strings.Join(overheads, ", "), number(line.Slope), number(line.Intercept), number(line.Residual))
+	line = m.quicProcessor()
+	t.add("processor time of one transport, % of a core", strings.Join(rates, ", "), strings.Join(processors, ", "), number(line.Slope*100), number(line.Intercept*100), number(line.Residual*100))
+	return t
+}
+
+func (m *Measurement) logTable() Table {
+	t := Table{Name: "log", Header: []string{"log and configuration", "sizes", "measured", "slope", "intercept", "residual"}}
+	add := func(name string, scale float64, points []Point) {
+		line := Fit(points)
+		var sizes, values []string
+		for _, p := range points {
+			sizes, values = append(sizes, number(p.Size)), append(values, number(p.Value*scale))
+		}
+		t.add(name, strings.Join(sizes, ", "), strings.Join(values, ", "), number(line.Slope*scale), number(line.Intercept*scale), number(line.Residual*scale))
+	}
+	var columns [6][]Point
+	for _, s := range m.jobs {
+		columns[0] = append(columns[0], Point{float64(s.jobs), float64(s.records)})
+		columns[1] = append(columns[1], Point{float64(s.jobs), float64(s.bytes)})
+		columns[2] = append(columns[2], Point{float64(s.jobs * 20), s.heapPerNodeOpen})
+	}
+	for _, s := range m.configurations {
+		columns[3] = append(columns[3], Point{float64(s.teams), float64(s.snapshotBytes)})
+		columns[4] = append(columns[4], Point{float64(s.teams), s.apply.Seconds()})
+		columns[5] = append(columns[5], Point{float64(s.teams), s.inForce.Seconds()})
+	}
+	add("records, by durable jobs", 1, columns[0])
+	add("bytes of records in CBOR, by durable jobs", 1, columns[1])
+	add("KB of heap of a node that is not their home, by open jobs", 1e-3, columns[2])
+	add("KB of a snapshot after a day's changes, by teams", 1e-3, columns[3])
+	add("µs to replay a change, by teams", 1e6, columns[4])
+	add("µs of the control thread to put it in force, by teams", 1e6, columns[5])
+	return t
+}
+
+func (m *Measurement) failureTable() Table {
+	t := Table{Name: "failures", Header: []string{"failure", "workers", "owned again after s", "extra control messages", "extra control KB", "busiest node, KB/s", "answered", "refused"}}
+	for _, f := range failures {
+		var columns [7][]string
+		for _, s := range m.failures[f.name] {
+			for i, value := range []float64{float64(s.workers), s.ownedAfter.Seconds(), s.extraMessages, s.extraBytes / 1e3, s.peakBytes / 1e3, float64(s.answered), float64(s.refused)} {
+				columns[i] = append(columns[i], number(value))
+			}
+		}
+		row := []string{f.name}
+		for _, column := range columns {
+			row = append(row, strings.Join(column, ", "))
+		}
+		t.add(row...)
+	}
+	return t
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,7 +26,7 @@
 
 // Verbs returns the table of this package's verbs.
 func Verbs() []command.Verb {
-	return []command.Verb{nodeVerb, demoVerb, loadVerb, standinLogVerb, standinVMListVerb, standinWorkerVerb}
+	return []command.Verb{nodeVerb, demoVerb, loadVerb, capacityVerb, standinLogVerb, standinVMListVerb, standinWorkerVerb}
 }
 
 // address is a flag with an IP address and a port.
