--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -60,6 +60,7 @@
 	StartTasks     []int
 	FrameRates     []int
 	FrameTime      time.Duration
+	MeshMembers    []int
 	Jobs           []int
 	Configurations []int
 	Changes        int
@@ -74,9 +75,9 @@
 			"workers": {48, 162, 325, 650}, "running tasks": {240, 480, 960}, "starts a second": {54, 108, 215, 430},
 			"teams": {1, 15, 61}, "members": {3, 6, 9}, "open requests": {0, 1000, 2000, 4000},
 		},
-		Target: Target, Steady: 32 * time.Second, Seconds: 10,
+		Target: Target, Steady: 32 * time.Second, Seconds: 30,
 		WatchWorkers: []int{8, 16, 32}, WatchRounds: 3, WatchWait: watchWait, StartTasks: []int{20, 40, 80},
-		FrameRates: []int{4, 20, 50, 100}, FrameTime: 3 * time.Second,
+		FrameRates: []int{6, 12, 25, 50}, FrameTime: 4 * time.Second, MeshMembers: []int{3, 6, 9},
 		Jobs: []int{50, 100, 200}, Configurations: []int{1, 15, 61}, Changes: 910, FailureWorkers: []int{162, 325, 650},
 	}
 }
@@ -91,7 +92,7 @@
 		},
 		Target: Size{Workers: 48, Running: 40, Starts: 40, Teams: 4, Members: 9, Open: 40}, Steady: time.Second, Seconds: 2,
 		WatchWorkers: []int{1, 2, 3}, WatchRounds: 1, WatchWait: 10 * time.Millisecond, StartTasks: []int{1, 2, 3},
-		FrameRates: []int{10, 20, 40}, FrameTime: 200 * time.Millisecond,
+		FrameRates: []int{10, 20, 40}, FrameTime: 200 * time.Millisecond, MeshMembers: []int{2, 3, 4},
 		Jobs: []int{5, 10, 20}, Configurations: []int{1, 2, 3}, Changes: 10, FailureWorkers: []int{12, 18, 24},
 	}
 }
@@ -104,6 +105,7 @@
 	watches        []workerSample
 	starts         []startSample
 	quic           []quicSample
+	mesh           []meshSample
 	jobs           []jobSample
 	configurations []configurationSample
 	failures       map[string][]failureSample
@@ -164,6 +166,13 @@
 		}
 		m.quic = append(m.quic, sample)
 	}
+	for _, members := range m.plan.MeshMembers {
+		sample, err := measureMesh(ctx, members, m.plan.FrameTime)
+		if err != nil {
+			return err
+		}
+		m.mesh = append(m.mesh, sample)
+	}
 	return nil
 }
 
--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -67,7 +68,8 @@
 	sample.apply = time.Duration(median(applies) * float64(time.Second))
 	sample.inForce = time.Duration(median(steps) * float64(time.Second))
 	sample.heap = float64(heapInUse()) - float64(before)
-	_ = history.Version()
+	runtime.KeepAlive(c)
+	runtime.KeepAlive(history)
 	return sample, nil
 }
 
--- a/internal/capacity/failures.go
+++ b/internal/capacity/failures.go
@@ -10,17 +10,22 @@
 	// ownedAfter is the time until every live worker has a live owner again.
 	ownedAfter time.Duration
 	// extraMessages and extraBytes are control messages and payload of all
-	// nodes in failureWindow, above those of as long a time before.
+	// nodes in failureWindow, above the rate before the failure.
 	extraMessages, extraBytes float64
-	// peakBytes is the control payload of the busiest node in one second.
-	peakBytes float64
+	// peakBytes is the control payload of the busiest node in one second, and
+	// peakLink that of the busier direction of the region link.
+	peakBytes, peakLink float64
 	answered  int
 	refused   int
 }
 
-// failureWindow is longer than a node's suspicion, its sessions' end and the
-// takeover of its ranges together.
-const failureWindow = 15
+// failureWindow is longer than a node's suspicion, its sessions' end, the
+// takeover of its ranges and the task lease of a lost worker together.
+// calmSeconds is how long the cell is measured before the failure.
+const (
+	failureWindow = 30
+	calmSeconds   = 10
+)
 
 // failure is one row of section 1.6 about failures.
 type failure struct {
@@ -67,7 +72,7 @@
 		return failureSample{}, err
 	}
 	sample := failureSample{workers: size.Workers}
-	before := c.measure(failureWindow)
+	before := c.measure(calmSeconds)
 	messages, bytes, _, _ := before.perSecond(-1, isControl)
 	clear(c.refused)
 	c.answered = 0
@@ -83,7 +88,8 @@
 				sample.ownedAfter = c.now.Sub(struck)
 			}
 		}
-		sent, size, _, _ := second.perSecond(-1, isControl)
+		sent, size, _, link := second.perSecond(-1, isControl)
+		sample.peakLink = max(sample.peakLink, link[0], link[1])
 		sample.extraMessages += sent - messages
 		sample.extraBytes += size - bytes
 		for i := range c.entries {
--- a/internal/capacity/figures.go
+++ b/internal/capacity/figures.go
@@ -51,8 +51,8 @@
 	return max(m.extrapolated(of, m.plan.Target), of.value(m.target))
 }
 
-// workersOfBusiest is the number of workers of the node with the most control
-// traffic, taken as even shares, since rendezvous hashing spreads them.
+// workersPerNode is the mean number of workers of a node; rendezvous hashing
+// inside small failure domains spreads them by up to a factor of two or three.
 func (m *Measurement) workersPerNode() float64 {
 	return float64(m.plan.Target.Workers) / float64(m.plan.Target.Members)
 }
@@ -75,6 +75,23 @@
 	return Fit(points)
 }
 
+// meshOverhead and meshProcessor are lines of a node's figures by members.
+func (m *Measurement) meshOverhead() Line {
+	var points []Point
+	for _, s := range m.mesh {
+		points = append(points, Point{float64(s.members), s.overhead})
+	}
+	return Fit(points)
+}
+
+func (m *Measurement) meshProcessor() Line {
+	var points []Point
+	for _, s := range m.mesh {
+		points = append(points, Point{float64(s.members), s.processor})
+	}
+	return Fit(points)
+}
+
 // watch returns the medians of the idle watches.
 func (m *Measurement) watch() (sent, received, processor, heap float64) {
 	var columns [4][]float64
@@ -98,11 +115,11 @@
 
 // nodeBytes returns the control traffic of the busiest node at the target.
 func (m *Measurement) nodeBytes() nodeBytes {
-	others := float64(m.plan.Target.Members - 1)
+	members := float64(m.plan.Target.Members)
 	sent, received, _, _ := m.watch()
 	payload := max(m.target.BusiestControlBytes, m.extrapolated(metricBytes, m.plan.Target))
 	return nodeBytes{
-		payload: payload, quic: others * max(m.quicOverhead().At(m.target.BusiestControlMessages/others), 0),
+		payload: payload, quic: max(m.meshOverhead().At(members), 0) * m.target.BusiestControlMessages / (members - 1) / meshRate,
 		watchSent: sent * m.workersPerNode(), watchReceived: received * m.workersPerNode(),
 		tcpIP: callHeaders * m.workersPerNode(),
 	}
@@ -111,11 +128,10 @@
 // linkBytes returns control over the region link in the busier direction with
 // all headers.
 func (m *Measurement) linkBytes() (payload, withHeaders float64) {
-	first := float64((m.plan.Target.Members + 1) / 2)
-	connections := first * (float64(m.plan.Target.Members) - first)
 	payload = m.larger(metricLink)
-	overhead := m.quicOverhead().At(m.target.LinkMessages / connections)
-	return payload, payload + connections*max(overhead, 0)
+	members := float64(m.plan.Target.Members)
+	perConnection := max(m.meshOverhead().At(members), 0) / (members - 1)
+	return payload, payload + perConnection*m.target.LinkMessages/meshRate
 }
 
 // nodeProcessor are the parts of a node's processor time for control.
@@ -127,11 +143,10 @@
 // Half of the time of a watch is counted, since the stand-in of the worker in
 // the same process takes the other half.
 func (m *Measurement) nodeProcessor() nodeProcessor {
-	others := float64(m.plan.Target.Members - 1)
 	_, _, watch, _ := m.watch()
 	thread := max(m.target.BusiestControl, m.extrapolated(metricControl, m.plan.Target))
 	return nodeProcessor{
-		thread: thread, quic: others * max(m.quicProcessor().At(m.target.BusiestControlMessages/others), 0),
+		thread: thread, quic: max(m.meshProcessor().At(float64(m.plan.Target.Members)), 0),
 		watches: watch / 2 * m.workersPerNode(),
 	}
 }
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -83,52 +83,86 @@
 	payload, link := m.linkBytes()
 	t.add("control over the region link, busier direction", fmt.Sprintf("messages %s, headers %s", kilobytes(payload), kilobytes(link-payload)), kilobytes(link), kilobytes(limitLinkBytes), verdict(link, limitLinkBytes))
 	bound := float64(appendsPerNode * m.plan.Target.Members)
-	t.add("log appends a second, all nodes", fmt.Sprintf("grouping allows %d for each node", appendsPerNode), "at most "+number(bound), "below "+number(limitAppends), verdict(bound+1, limitAppends))
+	t.add("log appends a second, all nodes", fmt.Sprintf("grouping allows %d for each node", appendsPerNode), "at most "+number(bound), "below "+number(limitAppends), verdict(bound, limitAppends))
 	return t
 }
 
-// firstTable says at which size each limit is reached, from the value at the
-// target and the slope of one axis.
-func (m *Measurement) firstTable() Table {
-	t := Table{Name: "first", Header: []string{"limit", "what grows", "growth for each", "reached at", "target"}}
+// growth is how the cost behind one limit grows.
+type growth struct {
+	name  string
+	of    metric
+	limit float64
+	// value is the cost at the target, and factor what the metric is
+	// multiplied with, for example for garbage.
+	value, factor float64
+	// perWorker is what a worker adds outside of the metric.
+	perWorker float64
+	unit      func(float64) string
+}
+
+func (m *Measurement) growths() []growth {
 	processor, bytes, memory := m.nodeProcessor(), m.nodeBytes(), m.nodeMemory()
 	_, link := m.linkBytes()
 	sent, _, watch, clientHeap := m.watch()
 	members := float64(m.plan.Target.Members)
-	for _, limit := range []struct {
-		name         string
-		of           metric
-		value, limit float64
-		perWorker    float64
-		unit         func(float64) string
-	}{
-		{"processor time of a node", metricControl, processor.sum(), limitProcessor, watch / 2 / members, percent},
-		{"bytes a second sent by a node", metricBytes, bytes.sent(), limitBytes, (sent + callHeaders) / members, kilobytes},
-		{"memory of a node", metricHeap, garbageFactor * memory.sum(), limitMemory, garbageFactor * clientHeap * workerHeapOwnerShare / members, kilobytes},
-		{"control over the region link", metricLink, link, limitLinkBytes, 0, kilobytes},
-	} {
+	return []growth{
+		{"processor time, all control", metricControl, limitProcessor, processor.sum(), 1, watch / 2 / members, percent},
+		{"processor time, control thread only", metricControl, limitProcessor, processor.thread, 1, 0, percent},
+		{"bytes a second sent, all control", metricBytes, limitBytes, bytes.sent(), 1, (sent + callHeaders) / members, kilobytes},
+		{"bytes a second sent to nodes", metricBytes, limitBytes, bytes.peers(), 1, 0, kilobytes},
+		{"memory", metricHeap, limitMemory, garbageFactor * memory.sum(), garbageFactor, garbageFactor * clientHeap * workerHeapOwnerShare / members, kilobytes},
+		{"control over the region link", metricLink, limitLinkBytes, link, 1, 0, kilobytes},
+	}
+}
+
+// slope returns the growth by one axis.
+func (m *Measurement) slope(g growth, axis string) float64 {
+	slope := m.line(g.of, axis).Slope * g.factor
+	if axis == "workers" {
+		slope += g.perWorker
+	}
+	return slope
+}
+
+// firstTable says at which size each limit is reached, from the value at the
+// target and the slopes: for everything but the members together, in multiples
+// of the target, and for one axis at a time.
+func (m *Measurement) firstTable() Table {
+	t := Table{Name: "first", Header: []string{"limit for a node", "what grows", "growth for each", "reached at", "target"}}
+	for _, g := range m.growths() {
+		whole := 0.0
 		for _, axis := range axes {
-			slope := m.line(limit.of, axis).Slope
-			if limit.of.name == metricHeap.name {
-				slope *= garbageFactor
-			}
-			if axis == "workers" {
-				slope += limit.perWorker
+			if size := m.plan.Target; axis != "members" {
+				whole += m.slope(g, axis) * float64(*size.axis(axis))
 			}
+		}
+		t.add(g.name, "all but members, together", g.unit(whole), reachedAt(1, g, whole), "1")
+		for _, axis := range axes {
 			size := m.plan.Target
 			at := float64(*size.axis(axis))
-			reached := "not by this"
-			if slope > 0 && at+(limit.limit-limit.value)/slope > 0 {
-				reached = number(at + (limit.limit-limit.value)/slope)
-			} else if slope > 0 {
-				reached = "at every size"
-			}
-			t.add(limit.name, axis, limit.unit(slope), reached, number(at))
+			t.add(g.name, axis, g.unit(m.slope(g, axis)), reachedAt(at, g, m.slope(g, axis)), number(at))
 		}
 	}
 	return t
 }
 
+// reachedAt returns the size at which a limit is reached if the value at a
+// size goes on along a slope.
+func reachedAt(size float64, g growth, slope float64) string {
+	over := g.value > g.limit
+	if slope <= 0 {
+		if over {
+			return "missed at every size of it"
+		}
+		return "not by this"
+	}
+	reached := size + (g.limit-g.value)/slope
+	if reached <= 0 {
+		return "missed at every size of it"
+	}
+	return number(reached)
+}
+
 func (m *Measurement) targetTable() Table {
 	t := Table{Name: "target", Header: []string{"figure of the target", "mechanism that carries it", "measured or worked out at the target", "result"}}
 	m.addSizes(&t)
@@ -137,8 +171,8 @@
 		samples := m.failures[f.name]
 		last := samples[len(samples)-1]
 		t.add(f.name+", "+f.frequency, failureMechanisms[f.name],
-			fmt.Sprintf("%s extra control messages, %s; every live worker owned after %.1f s; %s KB/s at the busiest node in the worst second; %d refusals",
-				number(last.extraMessages), kilobytes(last.extraBytes), last.ownedAfter.Seconds(), number(last.peakBytes/1e3), last.refused),
+			fmt.Sprintf("%s extra control messages, %s; every live worker owned after %.1f s; %s KB/s at the busiest node and %s KB/s over the link in the worst second; %d refusals",
+				number(last.extraMessages), kilobytes(last.extraBytes), last.ownedAfter.Seconds(), number(last.peakBytes/1e3), number(last.peakLink/1e3), last.refused),
 			"measured")
 	}
 	for _, row := range m.limitTable().Rows {
@@ -163,7 +197,7 @@
 	running := m.line(metricHeap, "running tasks").Slope
 	t.add("2,900 running tasks", "the owner's ledger and the home's key table; leases are renewed for all tasks of a worker by its watch",
 		fmt.Sprintf("%s KB of heap in the cell for each, %s MB a node", number(running*float64(m.plan.Target.Members)/1e3), number(running*float64(m.plan.Target.Running)/1e6)), "measured")
-	t.add("a fifth long-running services", "as running tasks; each is a durable job, started again by its home when it ends",
+	t.add("a fifth long-running services", "as running tasks; each is a durable job, which its home starts again when it ends",
 		fmt.Sprintf("%d services in the measured cell", m.plan.Target.Running/5), "measured")
 	line := m.line(metricBytes, "teams")
 	t.add("61 teams with quotas", "one range for each team and region; one request to each owner renews all ranges of a home; quotas are checked by the home",
@@ -173,7 +207,7 @@
 	payload, withHeaders := m.linkBytes()
 	t.add("2 regions", "work stays in its region; heartbeats to the other region carry a summary every 2 s only",
 		fmt.Sprintf("%s a second of control, %s with headers", kilobytes(payload), kilobytes(withHeaders)), verdict(withHeaders, limitLinkBytes))
-	t.add("7 failure domains", "services are spread by the owner's scoring; owners outside a worker's domain are preferred",
+	t.add("7 failure domains", "services are spread by the owner's scoring; an owner in the worker's own domain is preferred, so that a lost domain takes its owners and workers together",
 		fmt.Sprintf("the measured cell has %d and %d", domainsOf[0], domainsOf[1]), "no cost of its own")
 }
 
@@ -203,7 +237,7 @@
 	failures[0].name: "the session ends, its tasks become doubtful and are tried again after proof",
 	failures[1].name: "suspicion after 1.5 s, other owners open the sessions after 3 s and list them to the homes",
 	failures[2].name: "as five VM failures; the worker list changes by less than a third, so leases go on",
-	failures[3].name: "as a node's death and as many VM failures; leases need two thirds of the workers that are left",
+	failures[3].name: "as a node's death and as many VM failures; a new home covers lost workers only when their task leases have ended (20 s)",
 	failures[4].name: "no state is shared between regions but configuration; a cut only ends the other region's liveness",
 }
 
@@ -224,7 +258,7 @@
 		Front:    megabytes(heap("open requests", m.plan.Target.Open)) + " with the home, for the open requests",
 		Home:     megabytes(heap("teams", m.plan.Target.Teams)+heap("running tasks", m.plan.Target.Running)) + " with the owner, for teams and running tasks",
 		Owner:    megabytes(heap("workers", m.plan.Target.Workers)+heap("starts a second", m.plan.Target.Starts)) + " for workers, and results kept for 30 s",
-		MemberOf: megabytes(heap("members", m.plan.Target.Members)) + " for members",
+		MemberOf: megabytes(heap("members", m.plan.Target.Members)) + " for members (the slope by members is negative, since ranges and tasks are spread over more nodes)",
 		Follower: megabytes(m.nodeMemory().configuration+m.nodeMemory().jobs) + " for the set and a day's jobs",
 	}
 	for _, role := range roles {
@@ -350,7 +384,7 @@
 }
 
 func (m *Measurement) quicTable() Table {
-	t := Table{Name: "quic", Header: []string{"one QUIC connection, one direction", "frames/s", "measured", "slope for a frame/s", "intercept", "residual"}}
+	t := Table{Name: "quic", Header: []string{"one QUIC connection, one direction", "frames/s or members", "measured", "slope", "intercept", "residual"}}
 	var rates, overheads, processors []string
 	for _, s := range m.quic {
 		rates = append(rates, number(s.frames))
@@ -361,9 +395,25 @@
 	t.add("wire bytes a second above payload, with QUIC, UDP and IPv4", strings.Join(rates, ", "), strings.Join(overheads, ", "), number(line.Slope), number(line.Intercept), number(line.Residual))
 	line = m.quicProcessor()
 	t.add("processor time of one transport, % of a core", strings.Join(rates, ", "), strings.Join(processors, ", "), number(line.Slope*100), number(line.Intercept*100), number(line.Residual*100))
+	m.addMesh(&t)
 	return t
 }
 
+func (m *Measurement) addMesh(t *Table) {
+	var members, overheads, processors []string
+	for _, s := range m.mesh {
+		members = append(members, fmt.Sprint(s.members))
+		overheads = append(overheads, number(s.overhead))
+		processors = append(processors, number(s.processor*100))
+	}
+	line := m.meshOverhead()
+	t.add(fmt.Sprintf("a node with all others at %d frames/s each: wire bytes a second above payload, by members", meshRate),
+		strings.Join(members, ", "), strings.Join(overheads, ", "), number(line.Slope), number(line.Intercept), number(line.Residual))
+	line = m.meshProcessor()
+	t.add(fmt.Sprintf("a node with all others at %d frames/s each: processor time, %% of a core, by members", meshRate),
+		strings.Join(members, ", "), strings.Join(processors, ", "), number(line.Slope*100), number(line.Intercept*100), number(line.Residual*100))
+}
+
 func (m *Measurement) logTable() Table {
 	t := Table{Name: "log", Header: []string{"log and configuration", "sizes", "measured", "slope", "intercept", "residual"}}
 	add := func(name string, scale float64, points []Point) {
@@ -395,11 +445,11 @@
 }
 
 func (m *Measurement) failureTable() Table {
-	t := Table{Name: "failures", Header: []string{"failure", "workers", "owned again after s", "extra control messages", "extra control KB", "busiest node, KB/s", "answered", "refused"}}
+	t := Table{Name: "failures", Header: []string{"failure", "workers", "owned again after s", "extra control messages", "extra control KB", "busiest node, KB/s", "link, KB/s", "answered", "refused"}}
 	for _, f := range failures {
-		var columns [7][]string
+		var columns [8][]string
 		for _, s := range m.failures[f.name] {
-			for i, value := range []float64{float64(s.workers), s.ownedAfter.Seconds(), s.extraMessages, s.extraBytes / 1e3, s.peakBytes / 1e3, float64(s.answered), float64(s.refused)} {
+			for i, value := range []float64{float64(s.workers), s.ownedAfter.Seconds(), s.extraMessages, s.extraBytes / 1e3, s.peakBytes / 1e3, s.peakLink / 1e3, float64(s.answered), float64(s.refused)} {
 				columns[i] = append(columns[i], number(value))
 			}
 		}
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -196,62 +196,134 @@
 	processor float64
 }
 
+// meshSample is the traffic and processor time of one of several transports
+// that are all connected and exchange frames at meshRate on each connection.
+type meshSample struct {
+	members int
+	// overhead is wire bytes a second above payload that a node sends.
+	overhead, processor float64
+}
+
+// meshRate is about the control frames a second that a node sends to each of
+// the others at the target: four heartbeats and two lease messages.
+const meshRate = 6
+
+// settleQUIC covers a new connection's search for the largest packet size.
+const settleQUIC = 700 * time.Millisecond
+
 // frameBytes is the size of the frames of the measurement, about that of a
 // heartbeat with a summary.
 const frameBytes = 130
 
-// measureQUIC sends frames both ways between two transports on loopback.
-func measureQUIC(ctx context.Context, rate int, length time.Duration) (quicSample, error) {
+// exchange is what transports sent in a time, all together.
+type exchange struct {
+	frames, wire float64
+	seconds      float64
+	processor    float64
+}
+
+// runTransports connects transports on loopback and has each send frames to
+// each of the others at a rate.
+func runTransports(ctx context.Context, count, rate int, length time.Duration) (exchange, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	var members []peer.Member
-	var transports [2]*peer.Transport
-	ended := make(chan error, len(transports))
-	for i, name := range []string{"a", "b"} {
+	var transports []*peer.Transport
+	ended := make(chan error, count)
+	for i := range count {
+		name := fmt.Sprintf("entry-%d", i+1)
 		transport, err := peer.New(peer.Options{
 			Self: name, Region: regionNames[0], Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 			Secret: []byte("a secret of the capacity measurement"), Seed: 1, Receive: func(string, peer.Purpose, []byte) {},
 		})
 		if err != nil {
 			cancel()
-			return quicSample{}, err
+			for range transports {
+				err = errors.Join(err, <-ended)
+			}
+			return exchange{}, err
 		}
-		transports[i] = transport
+		transports = append(transports, transport)
 		members = append(members, peer.Member{Name: name, Address: transport.Address(), Region: regionNames[0]})
 		go func() { ended <- transport.Run(ctx) }()
 	}
-	sample, err := runQUIC(transports, members, rate, length)
+	result, err := sendFrames(transports, members, rate, length)
 	cancel()
-	return sample, errors.Join(err, <-ended, <-ended)
+	for range transports {
+		err = errors.Join(err, <-ended)
+	}
+	return result, err
 }
 
-func runQUIC(transports [2]*peer.Transport, members []peer.Member, rate int, length time.Duration) (quicSample, error) {
+func sendFrames(transports []*peer.Transport, members []peer.Member, rate int, length time.Duration) (exchange, error) {
 	for _, transport := range transports {
 		if err := transport.SetMembers(members); err != nil {
-			return quicSample{}, err
+			return exchange{}, err
 		}
 	}
-	for waited := 0; !transports[0].Connected("b") || !transports[1].Connected("a"); waited++ {
+	for waited := 0; !allConnected(transports); waited++ {
 		if waited > 5000 {
-			return quicSample{}, errNotConnected
+			return exchange{}, errNotConnected
 		}
 		time.Sleep(time.Millisecond)
 	}
-	// Path probes of a new connection are not part of its steady traffic.
-	time.Sleep(300 * time.Millisecond)
-	before, began, start := transports[0].Counters().Peers[0], processTime(), time.Now()
+	time.Sleep(settleQUIC)
+	before, began, start := countSent(transports), processTime(), time.Now()
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	for time.Since(start) < length {
 		<-ticker.C
-		transports[0].Send("b", peer.Control, make([]byte, frameBytes))
-		transports[1].Send("a", peer.Control, make([]byte, frameBytes))
+		for i, transport := range transports {
+			for j := range members {
+				if i != j {
+					transport.Send(members[j].Name, peer.Control, make([]byte, frameBytes))
+				}
+			}
+		}
 	}
-	took := time.Since(start).Seconds()
-	after := transports[0].Counters().Peers[0]
-	frames := float64(after.Control.FramesSent - before.Control.FramesSent)
-	wire := float64(after.WireSent - before.WireSent)
+	result := countSent(transports)
+	result.frames -= before.frames
+	result.wire -= before.wire
+	result.seconds, result.processor = time.Since(start).Seconds(), (processTime() - began).Seconds()
+	return result, nil
+}
+
+func allConnected(transports []*peer.Transport) bool {
+	for _, transport := range transports {
+		for _, c := range transport.Counters().Peers {
+			if !c.Connected {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func countSent(transports []*peer.Transport) exchange {
+	var sum exchange
+	for _, transport := range transports {
+		for _, c := range transport.Counters().Peers {
+			sum.frames += float64(c.Control.FramesSent)
+			sum.wire += float64(c.WireSent)
+		}
+	}
+	return sum
+}
+
+// measureQUIC sends frames both ways between two transports.
+func measureQUIC(ctx context.Context, rate int, length time.Duration) (quicSample, error) {
+	sum, err := runTransports(ctx, 2, rate, length)
 	return quicSample{
-		frames: frames / took, overhead: (wire - frames*frameBytes) / took,
-		processor: (processTime() - began).Seconds() / took / 2,
-	}, nil
+		frames: sum.frames / sum.seconds / 2, overhead: (sum.wire - sum.frames*frameBytes) / sum.seconds / 2,
+		processor: sum.processor / sum.seconds / 2,
+	}, err
+}
+
+// measureMesh exchanges frames between as many transports as the cell has nodes.
+func measureMesh(ctx context.Context, members int, length time.Duration) (meshSample, error) {
+	sum, err := runTransports(ctx, members, meshRate, length)
+	count := float64(members)
+	return meshSample{
+		members: members, overhead: (sum.wire - sum.frames*frameBytes) / sum.seconds / count,
+		processor: sum.processor / sum.seconds / count,
+	}, err
 }
