--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo load bench
+.PHONY: build test lint demo load bench capacity faults faults-long docs
 
 build:
 	go build -o bin/yuccalanding ./cmd/yuccalanding
@@ -21,3 +21,8 @@
 # table into docs/decisions.md.
 bench:
 	go test ./internal/benchmark -run '^TestTable$$' -v -count=1 -timeout 30m -args -full -document=$(CURDIR)/docs/decisions.md
+
+
+# make capacity measures the tables of docs/CAPACITY.md again.
+capacity: build
+	@bin/yuccalanding capacity docs/CAPACITY.md
