--- /dev/null
+++ b/internal/control/regression_test.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/membership"
+	"yuccalanding.example/yuccalanding/internal/placement"
+	"yuccalanding.example/yuccalanding/internal/tenure"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+var (
+	testRange = tenure.Range{Region: "punjab", Team: "ledger"}
+	testKey   = workload.Key("019b8d2b-d883-7a0d-99b0-25d739d0f8e2")
+	testTask  = placement.TaskID{Key: testKey, Attempt: 7}
+)
+
+// newHolder returns a node that acts as the home of testRange, and its home.
+func newHolder(t *testing.T) (*Node, *home) {
+	t.Helper()
+	members := []membership.Member{
+		{Name: "a", Region: "punjab", FailureDomain: "lahore", Address: netip.MustParseAddrPort("127.0.0.1:1")},
+		{Name: "b", Region: "punjab", FailureDomain: "lahore", Address: netip.MustParseAddrPort("127.0.0.1:2")},
+	}
+	n, err := New(Options{Name: "a", Region: "punjab", FailureDomain: "lahore", Incarnation: 1, Members: members, Start: epoch})
+	require.NoError(t, err)
+	n.guards.keepLapsedLease = true
+	n.log.Up = true
+	h := n.homeFor(testRange)
+	h.leaseSince, h.tenureSince = epoch, epoch
+	h.recovery = recovery{first: tenure.LeaseNumber{At: 1, Node: "a"}, complete: true}
+	return n, h
+}
+
+// addEntry puts a request with one task into a home's table.
+func addEntry(n *Node, h *home, mode workload.Mode, state taskState) *entry {
+	e := &entry{
+		request: workload.Request{Key: testKey, Team: "ledger", Kind: "check", Region: "punjab", Mode: mode, Resources: workload.Resources{MilliCPU: 1}},
+		digest:  1, state: stateOf(state), durable: mode == workload.ModeJob,
+	}
+	e.resetTasks(epoch, state)
+	e.tasks[0].id, e.tasks[0].owner = testTask, "b"
+	e.addFront("b", 3)
+	h.entries[testKey] = e
+	n.activate(h, e)
+	return e
+}
+
+func sent[M Message](outputs []Output) []M {
+	var messages []M
+	for _, output := range outputs {
+		if peer, ok := output.(*SendPeer); ok {
+			if message, ok := peer.Message.(M); ok {
+				messages = append(messages, message)
+			}
+		}
+	}
+	return messages
+}
+
+func fromPeer(message Message) Input { return &PeerMessage{From: "b", Message: message} }
+
+// Guards against an owner that says of a task which it has lost, or whose result
+// it has dropped, that it was never started.
+func TestOwnerTellsLostFromUnknown(t *testing.T) {
+	n, _ := newHolder(t)
+	n.rememberLost(testTask, "vm-1")
+	other := placement.TaskID{Key: testKey, Attempt: 8}
+	outputs := n.Step(epoch, fromPeer(&Query{Range: testRange, Tasks: []placement.TaskID{testTask, other}, Lease: tenure.LeaseNumber{At: 5, Node: "b"}}))
+	results := sent[*AssignResult](outputs)
+	require.Len(t, results, 2)
+	require.Equal(t, AssignLost, results[0].State)
+	require.Equal(t, "vm-1", results[0].Worker)
+	require.Equal(t, AssignUnknown, results[1].State)
+	require.True(t, n.owner.fenced[other])
+}
+
+// Guards against a home that starts a task again because of an answer which
+// does not prove that the task was not started.
+func TestHomeKeepsTasksWithoutProof(t *testing.T) {
+	cases := map[string]struct {
+		state  taskState
+		result AssignResult
+		want   taskState
+	}{
+		"unknown to the same process":   {taskAssigned, AssignResult{State: AssignUnknown, Incarnation: 4}, taskQueued},
+		"unknown to a restarted owner":  {taskAssigned, AssignResult{State: AssignUnknown, Incarnation: 5}, taskAssigned},
+		"unknown after a started task":  {taskRunning, AssignResult{State: AssignUnknown, Incarnation: 4}, taskDoubtful},
+		"answer of a redirect":          {taskAssigned, AssignResult{State: AssignGone}, taskAssigned},
+		"session of the worker is over": {taskRunning, AssignResult{State: AssignLost, Worker: "vm-1"}, taskDoubtful},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			n, h := newHolder(t)
+			n.members.incarnations["b"] = 4
+			e := addEntry(n, h, workload.ModeRequest, test.state)
+			test.result.Task, test.result.Range = testTask, testRange
+			n.Step(epoch, fromPeer(&test.result))
+			require.Equal(t, test.want, e.tasks[0].state)
+		})
+	}
+}
+
+// Guards against a list of one range's tasks that settles another range's doubts.
+func TestListOfOneRangeSettlesNoOther(t *testing.T) {
+	n, h := newHolder(t)
+	other := n.homeFor(tenure.Range{Region: "punjab", Team: "camera"})
+	since := epoch.Add(time.Second)
+	n.workers.byName["vm-1"] = &workerView{inList: true}
+	n.Step(since, fromPeer(&Listed{
+		Worker: "vm-1", Token: 9, Range: other.place, Lease: tenure.LeaseNumber{At: 1, Node: "a"}, Asked: since.Add(time.Millisecond),
+	}))
+	require.Equal(t, clearedByList, n.cleared(other, "vm-1", since))
+	require.Equal(t, notCleared, n.cleared(h, "vm-1", since))
+	n.Step(since.Add(time.Second), fromPeer(&Listed{Worker: "vm-1", Token: 9}))
+	require.Equal(t, clearedByList, n.cleared(h, "vm-1", since), "the list of a new session holds every range")
+}
+
+// Guards against refusals that say "not-run" of a request that may have run.
+func TestRefusalAfterAnAttemptSaysMayHaveRun(t *testing.T) {
+	n, h := newHolder(t)
+	e := addEntry(n, h, workload.ModeRequest, taskQueued)
+	e.mayHaveRun = true
+	n.refuseEntry(h, e, workload.Refuse(workload.CodeTooLate, 0, "late"))
+	require.Equal(t, workload.MayHaveRun, e.refusal.Run)
+	require.Equal(t, workload.StateUnknown, e.state)
+}
+
+// Guards against a cancellation that is told before the log has it: the next
+// home would start the job.
+func TestCanceledJobIsToldOnceItsEndIsRead(t *testing.T) {
+	n, h := newHolder(t)
+	e := addEntry(n, h, workload.ModeJob, taskQueued)
+	e.recorded = true
+	outputs := n.Step(epoch, fromPeer(&Cancel{Key: testKey, Range: testRange, Front: "b"}))
+	require.Empty(t, sent[*Refused](outputs))
+	record, ok := outputs[len(outputs)-1].(*AppendRecord)
+	require.True(t, ok)
+	refused := sent[*Refused](n.Step(epoch, &RecordRead{Ended: record.Ended}))
+	require.Len(t, refused, 1)
+	require.Equal(t, workload.NotRun, refused[0].Refusal.Run)
+}
+
+// Guards against a "log down" refusal that stays in the table and meets retries.
+func TestLogDownRefusalIsForgotten(t *testing.T) {
+	n, h := newHolder(t)
+	n.log.Up = false
+	request := workload.Request{Key: testKey, Team: "ledger", Kind: "check", Region: "punjab", Mode: workload.ModeJob}
+	for try := 1; try <= 2; try++ {
+		n.enqueueNew(h, &Enqueue{Request: request, Front: "b", Try: try})
+		require.Empty(t, h.entries)
+	}
+}
+
+// Guards against a handover that is taken for whole though a part was lost.
+func TestHandoverWithoutAPartIsNotWhole(t *testing.T) {
+	for name, parts := range map[string][]int{"whole": {0, 1, 2}, "first lost": {1, 2}, "middle lost": {0, 2}} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newHolder(t)
+			delete(n.homes, testRange)
+			for _, part := range parts {
+				n.Step(epoch, fromPeer(&Handover{Range: testRange, Part: part, Complete: part == 2, Lease: tenure.Handover{Range: testRange, Number: tenure.LeaseNumber{At: 1, Node: "b"}}}))
+			}
+			require.Equal(t, name == "whole", n.homes[testRange].takenOver != (tenure.LeaseNumber{}))
+		})
+	}
+}
+
+// Guards against an idle queue whose few starts are taken for its speed.
+func TestIdleQueueExpectsNoWait(t *testing.T) {
+	q := newHomeQueue()
+	for second := range 20 {
+		e := &entry{}
+		q.push(e)
+		q.drop(e)
+		q.countStart(epoch.Add(time.Duration(second) * time.Second))
+	}
+	for range 10 {
+		q.push(&entry{})
+	}
+	require.Zero(t, q.expectedWait(epoch.Add(21*time.Second)))
+}
+
+func newHomeQueue() *kindQueue {
+	return (&home{}).queue("check", KindRule{})
+}
