Refuse new waits at a stopping node, and claim less of unknown keys

Cause: a stopping node went on taking calls that wait for an answer, so that its stop had no end while callers came; a wait for a key that was dropped after its end, or whose record had not been read yet, was refused as 'not-run'. Names of workers that were gone stayed in the table of openings.

--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -207,6 +207,13 @@
 		n.front.byConnection[in.RequestID] = s
 		return
 	}
+	if n.draining || len(n.front.byKey) >= maxOpenSubmissions {
+		// It says nothing of the earlier request.
+		refusal := workload.Refuse(workload.CodeLeaving, workload.LeavingRetryAfter, "this entry VM takes no more calls; try another one")
+		refusal.Run = workload.MayHaveRun
+		n.refuse(in.RequestID, refusal)
+		return
+	}
 	s := &submission{
 		connections: []uint64{in.RequestID},
 		request:     workload.Request{Key: in.Key, Team: in.Team, Region: in.Region},
@@ -247,7 +254,9 @@
 	}
 	delete(n.front.asks, m.Ask)
 	if !m.Known {
-		n.refuse(ask.connection, workload.Refuse(workload.CodeNotFound, 0, "the key is not known; it was never accepted or was dropped after its retention"))
+		refusal := workload.Refuse(workload.CodeNotFound, 0, "the key is not known; it was never accepted or was dropped after its retention")
+		refusal.Run = workload.MayHaveRun
+		n.refuse(ask.connection, refusal)
 		return
 	}
 	status := m.Status
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -129,8 +129,14 @@
 // waitForUnknown answers a caller who asks for a key that is not in the table.
 // Before the recovery is complete the key may still turn up.
 func (n *Node) waitForUnknown(h *home, m *Enqueue) {
-	if h.recovery.complete {
-		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeNotFound, 0, "the key is not known"))
+	// An accepted job may be in a part of the log that was not read yet.
+	jobsRead := n.jobs.open[m.Request.Key] == nil && (h.jobsKnown || !n.log.Up)
+	if h.recovery.complete && jobsRead {
+		refusal := workload.Refuse(workload.CodeNotFound, 0, "the key is not known")
+		if !h.knowsAllSince(m.Request.Key) {
+			refusal.Run = workload.MayHaveRun // It may have been dropped after its end.
+		}
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
 		return
 	}
 	n.notHome(m, workload.CodeNoHome, "the home is recovering")
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -76,6 +76,7 @@
 		}
 		if !view.inList && n.now.Sub(view.goneAt) > 2*n.lapseTime() {
 			delete(n.workers.byName, name)
+			delete(n.owner.opening, name)
 		}
 	}
 	n.workers.rebuild()
