--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,14 +45,14 @@
 
 // Bounds of the tables of one node. The dump shows each beside its use.
 const (
-	maxOpenSubmissions    = 20_000
-	maxEntriesPerHome     = 120_000
-	maxEndedPerHome       = 8_192
-	maxTimelineEvents     = 32
-	maxFrontsPerEntry     = 16
-	maxAssignmentsPerTeam = 32
-	maxFencedTasks        = 65_536
-	maxEventsPerStep      = 64
+	maxOpenSubmissions = 20_000
+	maxEntriesPerHome  = 120_000
+	maxEndedPerHome    = 8_192
+	maxTimelineEvents  = 32
+	maxFrontsPerEntry  = 16
+	maxAssignments     = 32
+	maxFencedTasks     = 65_536
+	maxEventsPerStep   = 64
 )
 
 // Timing holds the intervals of a node; the zero value takes the defaults.
--- a/internal/control/dispatch.go
+++ b/internal/control/dispatch.go
@@ -24,16 +24,18 @@
 type ownerView struct {
 	summary placement.Summary
 	at      time.Time
+	// draining is set while the owner is stopping and returns what it is given.
+	draining bool
 	// sentSince counts assignments since the summary.
 	sentSince int
-	// outstanding counts assignments without a start, by team.
-	outstanding map[string]int
+	// outstanding counts assignments without a start.
+	outstanding map[work]int
 }
 
 func (n *Node) ownerView(name string) *ownerView {
 	view := n.owners[name]
 	if view == nil {
-		view = &ownerView{outstanding: map[string]int{}}
+		view = &ownerView{outstanding: map[work]int{}}
 		n.owners[name] = view
 	}
 	return view
@@ -88,7 +90,7 @@
 		{"accelerators", wanted.Accelerators, rule.Quota.Accelerators},
 		{"running-tasks", int64(h.running + e.gangSize()), int64(rule.RunningTasks)},
 	} {
-		if limit.max > 0 && limit.wanted > limit.max {
+		if limit.max != 0 && limit.wanted > max(limit.max, 0) {
 			return fmt.Sprintf("quota: team %s has %s in use up to its quota of %d", h.place.Team, limit.name, limit.max)
 		}
 	}
@@ -113,23 +115,25 @@
 
 // pickOwner chooses the owner with the most free room for a request, or the one
 // with the fewest outstanding assignments if none has room. It is empty if
-// every owner has its fill of this team's work.
+// every owner has its fill of this work. The bound is by team and kind: a flood
+// of one kind must not keep another kind of the team away from the owners, who
+// alone know the shares.
 func (n *Node) pickOwner(e *entry) string {
 	best, bestFree := "", 0.0
 	waiting, least := "", 0.0
-	team := e.request.Team
+	wanted := work{e.request.Team, e.request.Kind}
 	for _, name := range n.regionOwners(n.options.Region) {
 		view := n.ownerView(name)
 		s := &view.summary
-		if s.Workers == 0 || !e.request.Resources.Fits(s.LargestTotal) || e.avoids(name) {
+		if view.draining || s.Workers == 0 || !e.request.Resources.Fits(s.LargestTotal) || e.avoids(name) {
 			continue
 		}
 		free := float64(s.FreeSlots-view.sentSince) / float64(s.Workers)
 		if free > 0 && e.request.Resources.Fits(s.LargestFree) && free > bestFree {
 			best, bestFree = name, free
 		}
-		share := float64(view.outstanding[team]) / float64(s.Workers)
-		if view.outstanding[team] < min(maxAssignmentsPerTeam, 2*s.Workers) && (waiting == "" || share < least) {
+		share := float64(view.outstanding[wanted]) / float64(s.Workers)
+		if view.outstanding[wanted] < min(maxAssignments, 2*s.Workers) && (waiting == "" || share < least) {
 			waiting, least = name, share
 		}
 	}
@@ -162,7 +166,7 @@
 	n.activate(h, e)
 	view := n.ownerView(owner)
 	view.sentSince++
-	view.outstanding[h.place.Team]++
+	view.outstanding[t.work]++
 	e.note(n.now, "assigned", "to owner "+owner)
 	message := &Assign{
 		Assignment: e.assignment(index, h.place.Region, e.front(), e.acceptedAt),
--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -189,7 +189,7 @@
 	}
 	for _, t := range m.Tasks {
 		e.tasks = append(e.tasks, task{
-			state: t.State, id: t.ID, team: m.Request.Team, owner: t.Owner, worker: t.Worker, result: t.Outcome,
+			state: t.State, id: t.ID, work: work{m.Request.Team, m.Request.Kind}, owner: t.Owner, worker: t.Worker, result: t.Outcome,
 			doubtWorkers: t.DoubtWorkers, doubtSince: n.now, changedAt: n.now, askedAt: n.now,
 		})
 	}
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -24,11 +24,14 @@
 	taskEnded      taskState = "ended"
 )
 
+// work names the work that counts together against an owner's bound.
+type work struct{ team, kind string }
+
 // task is one task of a request at its home.
 type task struct {
 	state      taskState
 	id         placement.TaskID
-	team       string
+	work       work
 	owner      string
 	worker     string
 	changedAt  time.Time
@@ -189,7 +192,7 @@
 func (e *entry) resetTasks(now time.Time, state taskState) {
 	e.tasks = e.tasks[:0]
 	for i := range e.gangSize() {
-		e.tasks = append(e.tasks, task{state: state, id: taskID(e.request.Key, i, 0), team: e.request.Team, changedAt: now})
+		e.tasks = append(e.tasks, task{state: state, id: taskID(e.request.Key, i, 0), work: work{e.request.Team, e.request.Kind}, changedAt: now})
 	}
 }
 
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -72,7 +72,7 @@
 	wanted := e.gangSize()
 	for _, owner := range n.regionOwners(h.place.Region) {
 		summary := n.ownerView(owner).summary
-		if summary.Workers == 0 || !e.request.Resources.Fits(summary.LargestTotal) {
+		if n.ownerView(owner).draining || summary.Workers == 0 || !e.request.Resources.Fits(summary.LargestTotal) {
 			continue
 		}
 		held := e.gang.held[owner]
@@ -132,7 +132,7 @@
 		for range min(held.count, len(e.tasks)-next) {
 			t := &e.tasks[next]
 			t.state, t.owner, t.worker, t.changedAt, t.askedAt = taskAssigned, owner, "", n.now, n.now
-			n.ownerView(owner).outstanding[h.place.Team]++
+			n.ownerView(owner).outstanding[t.work]++
 			confirm.Assignments = append(confirm.Assignments, e.assignment(next, h.place.Region, e.front(), e.acceptedAt))
 			next++
 		}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -207,6 +207,7 @@
 // to every member of the region when it opens a session, and for each of its
 // workers in answer to ListKeys.
 type Listed struct {
+	// Worker is empty if the owner has no session and only answers ListKeys.
 	Worker string `json:"worker" cbor:"1,keyasint"`
 	Token  uint64 `json:"token" cbor:"2,keyasint"`
 	// Range and Lease are those of the ListKeys that is answered; both are
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -26,6 +26,8 @@
 	askedAt time.Time
 	// uncovered are the workers that no owner has listed to this lease yet.
 	uncovered map[string]bool
+	// answered are the members that have answered to this lease.
+	answered map[string]bool
 	// lapsed is set when a worker was covered by the end of its leases alone,
 	// so that "not found" does not prove "not run".
 	lapsed   bool
@@ -40,7 +42,7 @@
 		// Nothing was started without a lease.
 		q.starts, q.startRate, q.windowSince = 0, 0, n.now
 	}
-	h.recovery = recovery{startedAt: n.now, first: h.number, uncovered: map[string]bool{}}
+	h.recovery = recovery{startedAt: n.now, first: h.number, uncovered: map[string]bool{}, answered: map[string]bool{}}
 	h.knownSince = n.now
 	for _, name := range n.workers.names {
 		if n.workers.byName[name].entry.Region == h.place.Region {
@@ -63,12 +65,29 @@
 }
 
 // recoveryListed marks a worker as covered by a list that was made for this lease.
-func (n *Node) recoveryListed(h *home, _ string, m *Listed) {
-	if m.Worker != "" && m.Lease.Node == n.options.Name && m.Lease.Compare(h.recovery.first) >= 0 {
+func (n *Node) recoveryListed(h *home, from string, m *Listed) {
+	if h.recovery.answered != nil && m.Lease.Node == n.options.Name && m.Lease.Compare(h.recovery.first) >= 0 {
+		h.recovery.answered[from] = true
 		delete(h.recovery.uncovered, m.Worker)
 	}
 }
 
+// formerAssignmentsEnded reports whether no owner starts what a former home has
+// assigned any more: every member of the region has listed such assignments and
+// fenced the others, or they have ended by their validity. A member that does
+// not answer may be paused and wake with them.
+func (n *Node) formerAssignmentsEnded(h *home) bool {
+	if n.guards.keepOldAssignments || n.now.Sub(h.leaseSince) >= formerAssignmentsOver {
+		return true
+	}
+	for _, name := range n.members.regions[h.place.Region] {
+		if !h.recovery.answered[name] {
+			return false
+		}
+	}
+	return true
+}
+
 // tickRecovery asks again for missing lists, covers workers whose leases have
 // run out, and lets suspects go once every worker is covered.
 func (n *Node) tickRecovery(h *home) {
@@ -81,10 +100,7 @@
 			h.recovery.lapsed = true
 		}
 	}
-	if n.now.Sub(h.leaseSince) < formerAssignmentsOver && !n.guards.keepOldAssignments {
-		return
-	}
-	if len(h.recovery.uncovered) > 0 {
+	if len(h.recovery.uncovered) > 0 || !n.formerAssignmentsEnded(h) {
 		if n.now.Sub(h.recovery.askedAt) >= n.timing.RepeatAfter/2 {
 			n.askForLists(h)
 		}
--- a/internal/control/rules.go
+++ b/internal/control/rules.go
@@ -20,9 +20,11 @@
 // TeamRule is the effective policy of one team in one region.
 type TeamRule struct {
 	placement.TeamPolicy
-	// Quota is the room that the team may have in use; a zero field is no limit.
+	// Quota is the room that the team may have in use. A zero field is no limit, a
+	// negative one allows nothing.
 	Quota workload.Resources
-	// RunningTasks is the number of tasks that the team may have in use; 0 is no limit.
+	// RunningTasks is the number of tasks that the team may have in use; 0 is no
+	// limit, and a negative number allows nothing.
 	RunningTasks int
 }
 
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -189,6 +189,9 @@
 		n.send(from, &Listed{Worker: name, Token: s.token, Range: m.Range, Lease: m.Lease, Tasks: byWorker[name], Waiting: waiting, Asked: m.Asked})
 		waiting = nil
 	}
+	if len(n.owner.sessions) == 0 {
+		n.send(from, &Listed{Range: m.Range, Lease: m.Lease, Waiting: waiting, Asked: m.Asked})
+	}
 }
 
 // reportAgain has the results of a range sent to its new home as well: the one
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -108,7 +108,7 @@
 func (n *Node) countOutstanding(e *entry) {
 	for i := range e.tasks {
 		if t := &e.tasks[i]; t.state == taskAssigned {
-			n.ownerView(t.owner).outstanding[t.team]++
+			n.ownerView(t.owner).outstanding[t.work]++
 		}
 	}
 }
@@ -117,7 +117,7 @@
 func (n *Node) settleOutstanding(t *task) {
 	if t.state == taskAssigned {
 		view := n.ownerView(t.owner)
-		view.outstanding[t.team] = max(view.outstanding[t.team]-1, 0)
+		view.outstanding[t.work] = max(view.outstanding[t.work]-1, 0)
 	}
 }
 
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -76,6 +76,7 @@
 		}
 		if !view.inList && n.now.Sub(view.goneAt) > 2*n.lapseTime() {
 			delete(n.workers.byName, name)
+			delete(n.owner.opening, name)
 		}
 	}
 	n.workers.rebuild()
@@ -116,7 +117,9 @@
 
 // listed takes the list of one worker from its owner.
 func (n *Node) listed(from string, m *Listed) {
-	n.noteList(from, m)
+	if m.Worker != "" {
+		n.noteList(from, m)
+	}
 	for i := range m.Tasks {
 		n.taskListed(from, m.Worker, &m.Tasks[i])
 	}
@@ -190,7 +193,7 @@
 	if listed.State == AssignWaiting {
 		t.state = taskAssigned
 		t.askedAt = n.now
-		n.ownerView(owner).outstanding[t.team]++
+		n.ownerView(owner).outstanding[t.work]++
 	} else {
 		e.mayHaveRun = true
 	}
