--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -94,9 +94,6 @@
 	name := in.Worker.Name
 	delete(n.owner.opening, name)
 	if old := n.owner.sessions[name]; old != nil {
-		if old.token >= in.Token {
-			return
-		}
 		n.dropSession(old, "a newer session was opened")
 	}
 	if n.draining || n.members.fenced {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -48,8 +48,14 @@
 
 	// wake counts the events after which work that could not start is worth
 	// another look.
-	wake  uint64
-	freed []*workerState
+	wake uint64
+	// blockEpoch counts the changes of policy and capacity; blocksSeen is the
+	// state for which queues are blocked.
+	blockEpoch uint64
+	blocksSeen blockState
+	freed      []*workerState
+	// retryOn lists the workers freed before this call of Schedule.
+	retryOn []*workerState
 	// reserved is the unused part of all guarantees of kinds with recent work.
 	// expected is the part of it that those kinds are expected to need.
 	reserved, expected amount
@@ -144,4 +150,5 @@
 		t.load = t.used.dominantShare(&e.capacity) / t.weight
 	}
 	e.wake++
+	e.blockEpoch++
 }
