--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -60,11 +60,12 @@
 	// ClientDelay is the one-way distance between callers and entry VMs. The
 	// cell only states it; whoever calls adds it.
 	ClientDelay time.Duration
-	// CutOnKill passes callers' connections through relays of the cell, so that
-	// KillNode cuts them at once, as the death of a process does. Without it a
-	// killed node keeps its callers' connections open until its front has given
-	// up waiting for them.
-	CutOnKill bool
+	// CutOnKill names nodes whose callers connect through a relay of the cell,
+	// so that KillNode cuts the connections at once, as the death of a process
+	// does. Any other node that is killed keeps its callers' connections open
+	// until its front has given up waiting for them. A relay doubles the open
+	// files of a connection.
+	CutOnKill []string
 	// Log takes the nodes' events; nil discards them.
 	Log io.Writer
 	// TaskLease shortens the workers' and the nodes' task leases; 0 is the default.
@@ -215,7 +216,7 @@
 }
 
 func (c *Cell) callerAddress(i int) netip.AddrPort {
-	if c.Options.CutOnKill {
+	if c.Nodes[i].callers.IsValid() {
 		return c.Nodes[i].callers
 	}
 	return c.addresses[i].Callers
@@ -331,7 +332,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	n.Process, n.cancel, n.ended, n.isRunning = process, cancel, make(chan error, 1), true
 	go func() { n.ended <- process.Run(ctx) }()
-	if c.Options.CutOnKill {
+	if slices.Contains(c.Options.CutOnKill, n.Spec.Name) {
 		n.relay, err = startRelay(c.ctx, n.callers, n.Settings.Addresses.Callers)
 		if err != nil {
 			return fmt.Errorf("relay of node %s: %w", n.Spec.Name, err)
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -193,7 +193,8 @@
 		c.example("%s %s, sent at %.1f s, was not answered: %s", r.arrivals.Name, r.key, r.at.Seconds(), r.message)
 	case r.accepted && (r.outcome == NotRun || r.outcome == MayHaveRun) && r.code != workload.CodeTooLate:
 		c.checks.Lost++
-		c.example("%s %s was accepted as durable and lost: %s", r.arrivals.Name, r.key, r.message)
+		c.example("%s %s, sent at %.3f s, was accepted as durable at %.3f s and lost at %.3f s: %s",
+			r.arrivals.Name, r.key, r.at.Seconds(), r.acceptedAt.Seconds(), r.doneAt.Seconds(), r.message)
 	case (r.outcome == Answered || r.outcome == Failed) && r.message != "":
 		c.checks.Wrong++
 		c.example("%s", r.message)
--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -165,7 +165,7 @@
 	if each.arrivals.Mode == workload.ModeRequest {
 		answer, err = client.Submit(ctx, request)
 	} else if _, err = client.SubmitJob(ctx, request); err == nil {
-		each.accepted = true
+		each.accepted, each.acceptedAt = true, time.Since(r.start)
 		if each.arrivals.Mode == workload.ModeJob {
 			answer, err = r.await(ctx, client, each)
 		}
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -29,8 +29,9 @@
 	outcome    Outcome
 	code       workload.Code
 	message    string
-	// accepted is set for a durable job whose receipt came.
-	accepted bool
+	// accepted is set for a durable job whose receipt came, at acceptedAt.
+	accepted   bool
+	acceptedAt time.Duration
 	// sentAt is when the driver really sent, doneAt when the outcome was whole.
 	sentAt, doneAt time.Duration
 	waited, ran    time.Duration
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -118,7 +118,9 @@
 		options = cell.Guild()
 	}
 	for _, end := range mix.Ends {
-		options.CutOnKill = options.CutOnKill || !end.Drain
+		if !end.Drain {
+			options.CutOnKill = append(options.CutOnKill, end.Node)
+		}
 	}
 	return options
 }
