--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -44,6 +44,9 @@
 		return
 	}
 	e := slices.MinFunc(h.gangs, func(a, b *entry) int { return a.acceptedAt.Compare(b.acceptedAt) })
+	if n.setAside(h, e) {
+		return
+	}
 	if reason := n.quotaReached(h, e); reason != "" {
 		e.wait(n.now, reason)
 		return
@@ -180,6 +183,9 @@
 			}
 		case taskDoubtful:
 			open = true
+		case taskQueued, taskBackingOff:
+			// Only a part of the gang was found after a change of the home.
+			t.state, t.result = taskEnded, &Result{Outcome: placement.Lost}
 		}
 	}
 	if open {
@@ -188,6 +194,21 @@
 	n.gangEnded(h, e)
 }
 
+// endBrokenGang ends a gang of which lists show only a part after a complete
+// recovery: the other tasks have ended unseen or were never started.
+func (n *Node) endBrokenGang(h *home, e *entry) {
+	if e.gangSize() < 2 || e.ended() || e.state == workload.StateQueued || !h.recovery.complete {
+		return
+	}
+	missing := slices.IndexFunc(e.tasks, func(t task) bool {
+		return t.state == taskQueued && n.now.Sub(t.changedAt) >= n.timing.RepeatAfter
+	})
+	if missing >= 0 {
+		e.tasks[missing].result = &Result{Outcome: placement.Lost}
+		n.gangTaskEnded(h, e, &e.tasks[missing])
+	}
+}
+
 func (n *Node) gangEnded(h *home, e *entry) {
 	worst := e.tasks[0].result
 	ran := false
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -9,6 +9,14 @@
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
+// unwantedLimit is how long a node keeps the table of a range of which it is no
+// longer the home, for fronts that still ask here.
+const unwantedLimit = 30 * time.Second
+
+// giveBackAfter is how long another member has to be first choice before the
+// holder hands the range over; the views of all members agree by then.
+const giveBackAfter = time.Second
+
 // home is this node's role for one range: its key table, queues and quota.
 type home struct {
 	place   tenure.Range
@@ -17,9 +25,11 @@
 	ended  []*entry
 	queues []*kindQueue
 	// active are the entries with a task outside the queue.
-	active    []*entry
-	gangs     []*entry
-	suspects  []*entry
+	active   []*entry
+	gangs    []*entry
+	suspects []*entry
+	// aside are jobs for which the fleet is too small.
+	aside     []*entry
 	deadlines deadlines
 
 	// leaseSince is when the present, unbroken lease began; zero without one.
@@ -37,6 +47,22 @@
 	// starts and retries are counted for the retry budget, halved each minute.
 	starts, retries int
 	decayedAt       time.Time
+	handedOver      bool
+	// returned are keys that went back to their fronts when the lease began, for
+	// fronts that did not hear of it.
+	returned map[workload.Key]bool
+	// handoverAt is when a former home last sent a part of its table.
+	handoverAt time.Time
+	// handoverParts counts the messages of a handover that came in order.
+	handoverParts int
+	// listedAt is, by worker, when the newest list of the range's tasks was asked for.
+	listedAt map[string]time.Time
+	// doubtsAskedAt is when the owners were last asked for lists to settle doubts.
+	doubtsAskedAt time.Time
+	// strangerSince is since when another member is first choice.
+	strangerSince time.Time
+	// unwantedSince is since when the node is neither holder nor first choice.
+	unwantedSince time.Time
 	// jobsKnown is set once every record of former homes has been read.
 	jobsKnown bool
 	askedLog  time.Time
@@ -44,9 +70,6 @@
 	// that it knew since takenSince.
 	takenOver  tenure.LeaseNumber
 	takenSince time.Time
-	takenAt    time.Time
-	// strangerSince is when another member became the preferred home.
-	strangerSince time.Time
 }
 
 func (n *Node) sortedRanges() []tenure.Range {
@@ -64,13 +87,24 @@
 func (n *Node) homeFor(r tenure.Range) *home {
 	h := n.homes[r]
 	if h == nil {
-		delete(n.successors, r)
-		h = &home{place: r, entries: map[workload.Key]*entry{}, decayedAt: n.now}
+		h = &home{place: r, entries: map[workload.Key]*entry{}, listedAt: map[string]time.Time{}, decayedAt: n.now}
 		n.homes[r] = h
 	}
 	return h
 }
 
+// wantedHome is homeFor for ranges that work runs for: the first choice becomes
+// the home also if no request comes in. It is nil on other nodes.
+func (n *Node) wantedHome(r tenure.Range) *home {
+	if h := n.homes[r]; h != nil {
+		return h
+	}
+	if r.Region != n.options.Region || n.draining || n.homeOf(r) != n.options.Name || len(n.homes) >= tenure.MaxRanges {
+		return nil
+	}
+	return n.homeFor(r)
+}
+
 func (h *home) applyRules(rules *Rules) {
 	for _, q := range h.queues {
 		q.rule, _ = rules.kind(q.name)
@@ -80,7 +114,7 @@
 // mayAct reports whether the home may act: it holds the lease by its own clock.
 func (n *Node) mayAct(h *home) bool {
 	_, held := n.tenure.Held(n.now, h.place)
-	return held && !h.leaseSince.IsZero()
+	return (held || n.guards.keepLapsedLease) && !h.leaseSince.IsZero()
 }
 
 // enqueue takes a request, a caller's retry or a front's question.
@@ -93,28 +127,22 @@
 			return
 		}
 	}
-	if successor := n.successors[r]; successor != "" && successor != n.options.Name && !m.Forwarded {
-		forwarded := *m
-		forwarded.Forwarded = true
-		n.sendBulk(successor, &forwarded)
-		return
-	}
 	if n.homeOf(r) != n.options.Name || n.draining {
 		n.notHome(m, workload.CodeNoHome, "this node is not the home of team "+r.Team)
 		return
 	}
-	h = n.homeFor(r)
-	if !n.mayAct(h) {
-		// Taking a request in without the lease would leave it here when
-		// another node becomes the home and starts it.
-		n.notHome(m, workload.CodeNoHome, "this node has no lease of team "+r.Team+" yet")
+	if h == nil && len(n.homes) >= tenure.MaxRanges {
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeQueueFull, time.Second, "this node is the home of %d ranges", tenure.MaxRanges))
 		return
 	}
+	h = n.homeFor(r)
 	if m.Wait {
 		n.waitForUnknown(h, m)
 		return
 	}
-	n.enqueueNew(h, m)
+	if !n.returnedBefore(h, m) {
+		n.enqueueNew(h, m)
+	}
 }
 
 func (n *Node) notHome(m *Enqueue, code workload.Code, reason string) {
@@ -136,7 +164,7 @@
 
 // enqueueKnown attaches a front to a request that the home already has.
 func (n *Node) enqueueKnown(h *home, e *entry, m *Enqueue) {
-	if !m.Wait && !m.ResolveOnly && !e.resolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
+	if !m.Wait && !m.ResolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
 		n.event(EventConflictingKeyUsed, string(m.Request.Key), "the key was used before for another body")
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeKeyReused, 0, "key %s was used for a different request", m.Request.Key))
 		return
@@ -144,15 +172,12 @@
 	if e.listedOnly() && !m.Wait && !m.ResolveOnly {
 		e.request, e.digest = m.Request, m.Request.Digest()
 	}
-	if e.state == workload.StateRefused && e.refusal.Run == workload.NotRun && m.Try > e.try && e.refusal.Code != workload.CodeKeyReused && !m.Wait {
+	if e.refusal != nil && e.refusal.Run == workload.NotRun && !m.Wait && e.newSubmission(m) {
 		n.resubmit(h, e, m)
 		return
 	}
-	if e.resolveOnly && !m.ResolveOnly && !m.Wait {
-		e.request, e.digest, e.resolveOnly = m.Request, m.Request.Digest(), false
-	}
-	e.try = max(e.try, m.Try)
-	e.addFront(m.Front)
+	e.request.Attempt = max(e.request.Attempt, m.Request.Attempt)
+	e.addFront(m.Front, m.Try)
 	switch {
 	case e.ended():
 		n.tellOutcome(h, e, m.Front, m.Try)
@@ -164,6 +189,13 @@
 	}
 }
 
+// newSubmission reports whether a message belongs to a submission that was made
+// after the entry was refused, and not to a late try of the refused one.
+func (e *entry) newSubmission(m *Enqueue) bool {
+	try := e.tryOf(m.Front)
+	return try > 0 && m.Try > try || m.Request.Attempt > e.request.Attempt
+}
+
 // listedOnly reports whether the entry is known from a worker's list alone, so
 // that its digest is not known.
 func (e *entry) listedOnly() bool { return e.digest == 0 }
@@ -188,6 +220,18 @@
 	}
 }
 
+// returnedBefore answers a front that did not hear that its request came back.
+func (n *Node) returnedBefore(h *home, m *Enqueue) bool {
+	if !h.returned[m.Request.Key] {
+		return false
+	}
+	delete(h.returned, m.Request.Key)
+	if m.Resent {
+		n.refuseAllTries(h, m.Request.Key, WaitingFront{m.Front, m.Try})
+	}
+	return m.Resent
+}
+
 // enqueueNew makes an entry for a key that is not in the table.
 func (n *Node) enqueueNew(h *home, m *Enqueue) {
 	e := &entry{
@@ -195,24 +239,30 @@
 		digest:     m.Request.Digest(),
 		acceptedAt: n.now.Add(-m.Age),
 		state:      workload.StateQueued,
-		try:        m.Try,
 		durable:    m.Request.Mode == workload.ModeJob || m.Request.Mode == workload.ModeService,
 	}
-	e.addFront(m.Front)
+	e.addFront(m.Front, m.Try)
 	e.suspect = (m.Resent || m.Request.MayHaveRun() || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
+	if m.ResolveOnly {
+		e.digest = 0
+	}
+	if e.durable && h.jobsKnown {
+		// Every job that was recorded before is in the table.
+		e.suspect = false
+	}
+	e.mayHaveRun = e.suspect
 	if m.ResolveOnly && !e.suspect {
 		// The key was never here, and any run of it would have been seen.
 		n.notHome(m, workload.CodeNotFound, "the request never reached this home")
 		return
 	}
 	if refusal := n.admitAtHome(h, e); refusal != nil {
-		if e.suspect {
+		if e.mayHaveRun {
 			refusal.Run = workload.MayHaveRun
 		}
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
 		return
 	}
-	e.resolveOnly = m.ResolveOnly
 	e.resetTasks(n.now, taskQueued)
 	if !e.durable {
 		n.setStartBy(e)
@@ -276,7 +326,7 @@
 	if within == 0 || e.durable || e.suspect || expected <= within {
 		return nil
 	}
-	return workload.Refuse(workload.CodeTooLate, expected-within,
+	return workload.Refuse(workload.CodeTooLate, min(expected-within, time.Minute),
 		"expected to wait %s, longer than its deadline of %s", expected.Round(time.Millisecond), within)
 }
 
@@ -290,6 +340,9 @@
 		return
 	}
 	n.uncount(h, e)
+	for i := range e.tasks {
+		n.settleOutstanding(&e.tasks[i])
+	}
 	e.state, e.endedAt, e.waiting = state, n.now, ""
 	e.note(n.now, string(state), "")
 	if e.gang.reserving {
@@ -304,7 +357,7 @@
 		n.recordEnd(h, e)
 	}
 	for _, front := range e.fronts {
-		n.tellOutcome(h, e, front, e.try)
+		n.tellOutcome(h, e, front.Name, front.Try)
 	}
 }
 
@@ -323,18 +376,25 @@
 
 // redirectTasks has the owners of a request's tasks send the answer to a front
 // that has come to wait for it.
-func (n *Node) redirectTasks(_ *home, e *entry, front string) {
+func (n *Node) redirectTasks(h *home, e *entry, front string) {
 	if e.collected() {
 		return
 	}
 	for i := range e.tasks {
 		if t := &e.tasks[i]; t.owner != "" {
-			n.send(t.owner, &Redirect{Task: t.id, Front: front})
+			n.send(t.owner, &Redirect{Task: t.id, Front: front, Range: h.place})
 		}
 	}
 }
 
 func (n *Node) refuseEntry(h *home, e *entry, refusal *workload.Refusal) {
+	if e.mayHaveRun {
+		refusal.Run = workload.MayHaveRun
+	}
+	if e.durable && e.recorded && refusal.Run == workload.NotRun {
+		n.refuseJob(h, e, refusal)
+		return
+	}
 	e.refusal = refusal
 	state := workload.StateRefused
 	if refusal.Run == workload.MayHaveRun {
@@ -365,17 +425,21 @@
 	}
 	e.canceled = true
 	e.note(n.now, "cancel-requested", "")
+	if !n.mayAct(h) {
+		return // Another home may have it; it is ended once the lease is held.
+	}
 	busy := false
 	for i := range e.tasks {
 		switch t := &e.tasks[i]; t.state {
 		case taskAssigned, taskRunning:
 			busy = true
+			t.cancelAt = n.now
 			n.send(t.owner, &Cancel{Key: m.Key, Range: m.Range, ToOwner: true, Task: t.id})
 		case taskDoubtful:
 			busy = true
 		}
 	}
-	if !busy && !e.suspect {
+	if !busy && !e.suspect && !e.appending {
 		n.refuseEntry(h, e, workload.Refuse(workload.CodeCanceled, 0, "canceled before it started"))
 	}
 }
@@ -396,12 +460,12 @@
 	for _, r := range n.sortedRanges() {
 		h := n.homes[r]
 		n.tickLease(h)
-		if n.homes[r] != h || n.dropIdleHome(h) {
+		if n.giveBack(h) || n.dropUnwanted(h) {
 			continue
 		}
 		n.decay(h)
 		h.dropEnded(n.now, n.timing.ResultRetention)
-		if n.tickSuccession(h) || !n.mayAct(h) {
+		if !n.mayAct(h) {
 			continue
 		}
 		n.tickRecovery(h)
@@ -409,6 +473,7 @@
 			n.announceHome(h)
 		}
 		n.tickTasks(h)
+		n.tickAside(h)
 		n.tickGangs(h)
 		n.dispatch(h)
 	}
@@ -418,61 +483,78 @@
 func (n *Node) tickLease(h *home) {
 	lease, held := n.tenure.Held(n.now, h.place)
 	if held && !h.leaseSince.IsZero() {
-		if !lease.Since.Equal(h.tenureSince) {
+		if !lease.Since.Equal(h.tenureSince) && !n.guards.keepLapsedLease {
 			n.loseLease(h)
-			return
 		}
 		h.number = lease.Number
 	}
 	switch {
 	case held && h.leaseSince.IsZero():
-		if n.now.Sub(h.takenAt) > takeoverWindow && len(h.entries) > 0 {
-			delete(n.homes, h.place)
-			h = n.homeFor(h.place)
-		}
 		h.leaseSince, h.tenureSince, h.number = n.now, lease.Since, lease.Number
 		n.event(EventHomeLeaseGained, h.place.Team, h.place.Region)
 		if !n.takeOverKnowledge(h, lease.Number) {
 			n.startRecovery(h)
 		}
-	case !held && !h.leaseSince.IsZero():
+	case !held && !h.leaseSince.IsZero() && !n.guards.keepLapsedLease:
 		n.loseLease(h)
 	}
 }
 
-// loseLease forgets the range. Another home may act from now on, so that
-// nothing that this node knows of the range can be relied on, even if it gets
-// the lease back. The fronts ask the next home.
-func (n *Node) loseLease(h *home) {
-	n.event(EventHomeLeaseLost, h.place.Team, h.place.Region)
-	for _, e := range h.sortedEntries() {
-		if e.ended() {
-			continue
-		}
-		neverSent := e.sequence == 0 && !e.listed && !e.suspect && !e.durable
-		for _, front := range e.fronts {
-			n.send(front, &Refused{
-				Key: e.request.Key, Try: e.try, NotHome: true, Reached: !neverSent,
-				Refusal: *workload.Refuse(workload.CodeNoHome, n.timing.RepeatAfter, "the home has lost its lease"),
-			})
+// dropUnwanted forgets the table of a range that another node has had for a
+// while. Its fronts have turned to the new home, and what is open here would
+// otherwise stay in the table for ever.
+func (n *Node) dropUnwanted(h *home) bool {
+	if n.wants(h) || n.draining {
+		h.unwantedSince = time.Time{}
+		return false
+	}
+	if h.unwantedSince.IsZero() {
+		h.unwantedSince = n.now
+	}
+	if n.now.Sub(h.unwantedSince) < unwantedLimit {
+		return false
+	}
+	n.dropHome(h)
+	return true
+}
+
+// dropHome forgets a range with everything that this node knows of it.
+func (n *Node) dropHome(h *home) {
+	for _, e := range h.active {
+		for i := range e.tasks {
+			n.settleOutstanding(&e.tasks[i])
 		}
 	}
 	delete(n.homes, h.place)
 }
 
-// dropIdleHome forgets a range that this node neither holds nor should hold,
-// and the entries of a handover that came to nothing.
-func (n *Node) dropIdleHome(h *home) bool {
-	if !h.leaseSince.IsZero() || n.now.Sub(h.takenAt) <= takeoverWindow {
+// giveBack hands a range over to the member that rendezvous hashing prefers now,
+// for example one that has come back: fronts ask there.
+func (n *Node) giveBack(h *home) bool {
+	successor := n.homeOf(h.place)
+	if successor == "" || successor == n.options.Name || !n.mayAct(h) || n.draining {
+		h.strangerSince = time.Time{}
 		return false
 	}
-	if n.homeOf(h.place) == n.options.Name && len(h.entries) == 0 {
+	if h.strangerSince.IsZero() {
+		h.strangerSince = n.now
+	}
+	if n.now.Sub(h.strangerSince) < giveBackAfter || !n.handOver(h) {
 		return false
 	}
-	delete(n.homes, h.place)
+	n.dropHome(h)
 	return true
 }
 
+// loseLease forgets what only a holder may count on. Another home may have
+// acted in the meantime, so everything open is suspect.
+func (n *Node) loseLease(h *home) {
+	h.leaseSince, h.knownSince, h.recovery = time.Time{}, time.Time{}, recovery{}
+	h.jobsKnown, h.askedLog = false, time.Time{}
+	n.event(EventHomeLeaseLost, h.place.Team, h.place.Region)
+	n.suspectAll(h)
+}
+
 // decay halves the counters of the retry budget each minute.
 func (n *Node) decay(h *home) {
 	if n.now.Sub(h.decayedAt) >= time.Minute {
@@ -492,9 +574,15 @@
 		}
 		h.ended = h.ended[1:]
 		delete(h.entries, e.request.Key)
-		if issued, ok := e.request.Key.IssuedAt(); ok && issued.After(h.knownSince) {
-			h.knownSince = issued
-		}
+		h.passKey(e.request.Key)
+	}
+}
+
+// passKey notes that a key was dropped: it can't be told any more from one that
+// was never seen.
+func (h *home) passKey(key workload.Key) {
+	if issued, ok := key.IssuedAt(); ok && !h.knownSince.IsZero() && issued.After(h.knownSince) {
+		h.knownSince = issued
 	}
 }
 
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -28,7 +28,8 @@
 	keptResultsPerWorker = 64
 	// assignmentValidity is how long an assignment may wait without its home's
 	// question after it. A home that has lost its lease asks no more, so that
-	// its assignments end before a successor starts the same requests.
+	// its assignments end before a successor starts the same requests, also at
+	// an owner that was paused and opens its sessions anew.
 	assignmentValidity = 2500 * time.Millisecond
 	// unclaimedLimit is how long a result waits for a caller who is gone.
 	unclaimedLimit = 10 * time.Minute
@@ -83,12 +84,18 @@
 }
 
 type ownerRole struct {
-	engine       *placement.Engine
-	sessions     map[string]*session
-	opening      map[string]time.Time
-	tasks        map[placement.TaskID]*held
-	fenced       map[placement.TaskID]bool
-	fencedOrder  []placement.TaskID
+	engine   *placement.Engine
+	sessions map[string]*session
+	opening  map[string]time.Time
+	tasks    map[placement.TaskID]*held
+	fenced   map[placement.TaskID]bool
+	// holders are the newest leases that homes have named to this owner.
+	holders     map[tenure.Range]tenure.LeaseNumber
+	fencedOrder []placement.TaskID
+	// lost names the workers of tasks whose session ended here, so that a home
+	// which missed the news is not told that the task is unknown.
+	lost         map[placement.TaskID]string
+	lostOrder    []placement.TaskID
 	reservations map[workload.Key]*reservation
 	unacked      []*held
 	kept         []*held
@@ -103,6 +110,8 @@
 		opening:      map[string]time.Time{},
 		tasks:        map[placement.TaskID]*held{},
 		fenced:       map[placement.TaskID]bool{},
+		holders:      map[tenure.Range]tenure.LeaseNumber{},
+		lost:         map[placement.TaskID]string{},
 		reservations: map[workload.Key]*reservation{},
 	}
 }
@@ -118,7 +127,7 @@
 
 // fence makes sure that a late assignment of a task is refused.
 func (n *Node) fence(id placement.TaskID) {
-	if n.owner.fenced[id] {
+	if n.owner.fenced[id] || n.guards.skipFencing {
 		return
 	}
 	n.owner.fenced[id] = true
@@ -161,7 +170,7 @@
 	case n.owner.fenced[a.Task.ID]:
 		return "the attempt was withdrawn"
 	}
-	if err := n.tenure.Check(n.now, a.Range(), lease); err != nil {
+	if err := n.checkLease(a.Range(), lease); err != nil {
 		n.event(EventAssignmentFenced, string(a.Task.ID.Key), err.Error())
 		return "the home's lease was replaced"
 	}
@@ -172,23 +181,38 @@
 func (n *Node) returnTask(home string, a *Assignment, state AssignState, reason string) {
 	n.fence(a.Task.ID)
 	delete(n.owner.tasks, a.Task.ID)
+	if home == "" {
+		return // The next home asks for the attempt.
+	}
 	n.send(home, &AssignResult{Task: a.Task.ID, Range: a.Range(), State: state, Reason: reason})
 }
 
-// actingHome returns the node whose lease of a range is the newest that this
-// owner knows of. Membership may prefer another node that does not act yet.
-func (n *Node) actingHome(r tenure.Range) string {
-	if number := n.tenure.Newest(r); number.Node != "" {
-		return number.Node
+// tellHome sends a message to the present home of a range.
+func (n *Node) tellHome(r tenure.Range, message Message) {
+	if home := n.holderOf(r); home != "" {
+		n.send(home, message)
+	}
+}
+
+// holderOf returns the node that has to hear of a range's tasks: the newest
+// holder known here if it is live, since a lease can outlast its holder's being
+// first choice, or else the first choice.
+func (n *Node) holderOf(r tenure.Range) string {
+	if holder := n.owner.holders[r].Node; holder != "" && n.members.isLive(holder) {
+		return holder
 	}
 	return n.homeOf(r)
 }
 
-// tellHome sends a message to the acting home of a range.
-func (n *Node) tellHome(r tenure.Range, message Message) {
-	if home := n.actingHome(r); home != "" {
-		n.send(home, message)
+// checkLease refuses a lease that was replaced, and remembers the newest one.
+func (n *Node) checkLease(r tenure.Range, lease tenure.LeaseNumber) error {
+	if err := n.tenure.Check(n.now, r, lease); err != nil && !n.guards.takeOldLeases {
+		return err
 	}
+	if lease.Compare(n.owner.holders[r]) > 0 && (len(n.owner.holders) < tenure.MaxRanges || n.owner.holders[r].Node != "") {
+		n.owner.holders[r] = lease
+	}
+	return nil
 }
 
 // schedule carries out what the engine decides.
@@ -202,19 +226,20 @@
 	t := n.owner.tasks[decision.Task.ID]
 	switch decision.Verb {
 	case placement.VerbStart:
-		switch {
-		case t == nil:
+		if t == nil {
 			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
-		case n.now.Sub(t.validAt) > assignmentValidity:
+			return
+		}
+		if n.now.Sub(t.validAt) > assignmentValidity && !n.guards.keepOldAssignments {
 			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
-			n.returnTask(n.actingHome(t.assignment.Range()), &t.assignment, AssignReturned, "its home did not ask after it in time")
-		default:
-			n.startHeld(t, decision.Worker)
+			n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, "its home did not ask after it in time")
+			return
 		}
+		n.startHeld(t, decision.Worker)
 	case placement.VerbExpire:
 		if t != nil {
 			reason := "its deadline passed at owner " + n.options.Name
-			home := n.actingHome(t.assignment.Range())
+			home := n.holderOf(t.assignment.Range())
 			n.returnTask(home, &t.assignment, AssignExpired, reason)
 		}
 	case placement.VerbStop, placement.VerbCheckpoint, placement.VerbThrottle:
@@ -276,7 +301,7 @@
 	}
 	s.starting--
 	t.state, t.startedAt = heldRunning, n.now
-	n.reportHeld(n.actingHome(t.assignment.Range()), t)
+	n.reportHeld(n.holderOf(t.assignment.Range()), t)
 }
 
 func (n *Node) startRefused(in *StartRefused) {
@@ -287,7 +312,7 @@
 	}
 	s.starting--
 	n.owner.engine.TaskEnded(n.now, in.ID, placement.Stopped)
-	n.returnTask(n.actingHome(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
+	n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
 	n.schedule()
 }
 
@@ -296,9 +321,6 @@
 	if home == "" {
 		return
 	}
-	if t.state == heldStarting {
-		return
-	}
 	result := &AssignResult{Task: t.assignment.Task.ID, Range: t.assignment.Range(), State: AssignWaiting, Worker: t.worker}
 	switch t.state {
 	case heldRunning:
@@ -313,7 +335,7 @@
 
 // query answers a home that has not heard of its tasks for a while.
 func (n *Node) query(from string, m *Query) {
-	if n.tenure.Check(n.now, m.Range, m.Lease) != nil {
+	if n.checkLease(m.Range, m.Lease) != nil {
 		return
 	}
 	for _, id := range m.Tasks {
@@ -323,7 +345,50 @@
 			continue
 		}
 		n.fence(id)
-		n.send(from, &AssignResult{Task: id, Range: m.Range, State: AssignUnknown, Reason: "owner " + n.options.Name + " does not know the attempt"})
+		result := &AssignResult{
+			Task: id, Range: m.Range, State: AssignUnknown, Incarnation: n.options.Incarnation,
+			Reason: "owner " + n.options.Name + " does not know the attempt",
+		}
+		if worker, lost := n.owner.lost[id]; lost {
+			result.State, result.Worker, result.Reason = AssignLost, worker, "the session with "+worker+" ended"
+		}
+		n.send(from, result)
+	}
+}
+
+// redirectUnknown tells a home that an answer which it wants delivered is not
+// kept here.
+func (n *Node) redirectUnknown(home string, m *Redirect) {
+	n.send(home, &AssignResult{
+		Task: m.Task, Range: m.Range, State: AssignGone, Reason: "the answer is not kept any more",
+	})
+}
+
+// rememberLost keeps the worker of a task whose session has ended.
+func (n *Node) rememberLost(id placement.TaskID, worker string) {
+	if _, known := n.owner.lost[id]; !known {
+		n.owner.lostOrder = append(n.owner.lostOrder, id)
+	}
+	n.owner.lost[id] = worker
+	if len(n.owner.lostOrder) > maxFencedTasks {
+		delete(n.owner.lost, n.owner.lostOrder[0])
+		n.owner.lostOrder = n.owner.lostOrder[1:]
+	}
+}
+
+// returnAllWaiting gives the tasks that wait for room back to their homes.
+func (n *Node) returnAllWaiting(reason string) {
+	var waiting []*held
+	for id, t := range n.owner.tasks {
+		if t.state == heldWaiting && n.owner.engine.Cancel(id) {
+			waiting = append(waiting, t)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *held) int {
+		return placement.CompareTaskIDs(a.assignment.Task.ID, b.assignment.Task.ID)
+	})
+	for _, t := range waiting {
+		n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, reason)
 	}
 }
 
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -24,7 +24,10 @@
 
 	starts      int
 	windowSince time.Time
-	// startRate is in starts a second; 0 until a window with starts has passed.
+	// emptied is set once the queue was empty in the window: its starts then
+	// follow the arrivals and say nothing of how fast it could drain.
+	emptied bool
+	// startRate is in starts a second; 0 while it is not known.
 	startRate float64
 }
 
@@ -49,12 +52,18 @@
 func (q *kindQueue) length() int { return q.waiting.Len() }
 
 func (q *kindQueue) push(e *entry) {
+	if e.queued {
+		return
+	}
 	e.queued = true
 	q.elements[e] = q.waiting.PushBack(e)
 }
 
 // pushFront puts back an entry that an owner returned; it keeps its turn.
 func (q *kindQueue) pushFront(e *entry) {
+	if e.queued {
+		return
+	}
 	e.queued = true
 	q.elements[e] = q.waiting.PushFront(e)
 }
@@ -72,6 +81,7 @@
 		delete(q.elements, e)
 	}
 	e.queued = false
+	q.emptied = q.emptied || q.length() == 0
 }
 
 // countStart counts a start for the rate.
@@ -89,12 +99,15 @@
 		return
 	}
 	rate := float64(q.starts) / elapsed.Seconds()
-	if q.startRate == 0 {
+	switch {
+	case q.emptied || q.length() == 0:
+		q.startRate = 0
+	case q.startRate == 0:
 		q.startRate = rate
-	} else {
+	default:
 		q.startRate += rateShare * (rate - q.startRate)
 	}
-	q.starts, q.windowSince = 0, now
+	q.starts, q.windowSince, q.emptied = 0, now, q.length() == 0
 }
 
 // expectedWait is the time that a new request would wait at the present start
@@ -134,10 +147,11 @@
 // complete, gangs for their reservations, everything else in its kind's queue.
 func (n *Node) queueEntry(h *home, e *entry) {
 	e.state = workload.StateQueued
-	if !e.startBy.IsZero() {
+	if !e.startBy.IsZero() && !e.timed {
+		e.timed = true
 		heap.Push(&h.deadlines, e)
 	}
-	if e.suspect && !h.recovery.complete {
+	if e.suspect && !(h.recovery.complete && n.mayAct(h)) {
 		e.wait(n.now, "recovery of the home: an earlier attempt may have run")
 		h.suspects = append(h.suspects, e)
 		return
@@ -146,6 +160,9 @@
 		return
 	}
 	switch {
+	case e.listedOnly():
+		// A worker's list or a front's question does not carry the payload.
+		n.awaitRequest(h, e)
 	case e.gangSize() > 1:
 		h.gangs = append(h.gangs, e)
 	default:
@@ -157,10 +174,22 @@
 	}
 }
 
+// awaitRequest keeps an entry whose whole request is not known until its front
+// has sent it again.
+func (n *Node) awaitRequest(h *home, e *entry) {
+	if e.incompleteSince.IsZero() {
+		e.incompleteSince = n.now
+	}
+	e.wait(n.now, "its request: only a front can send the whole of it")
+	e.tasks[0].state, e.tasks[0].retryAt = taskBackingOff, n.now
+	n.activate(h, e)
+}
+
 // expire refuses queued entries whose time to start has passed.
 func (n *Node) expire(h *home) {
 	for len(h.deadlines) > 0 && n.now.After(h.deadlines[0].startBy) {
 		e := heap.Pop(&h.deadlines).(*entry)
+		e.timed = false
 		if e.state != workload.StateQueued || e.ended() {
 			continue
 		}
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -14,9 +14,14 @@
 	inList bool
 	goneAt time.Time
 	// owner and token are those of the newest session that was announced.
-	owner    string
-	token    uint64
-	listedAt time.Time
+	owner string
+	token uint64
+	// listedAt is when a list of all its tasks came, with a new session; the
+	// lists that a home asks for hold the tasks of its range alone.
+	listedAt  time.Time
+	announced uint64
+	// movedAt is when its session was opened anew, or began to be given away.
+	movedAt time.Time
 }
 
 // workerViews holds the VM list and the announced sessions.
@@ -33,16 +38,6 @@
 // listed returns the names of a region's workers in the VM list, sorted.
 func (v *workerViews) listed(region string) []string { return v.region[region] }
 
-func (v *workerViews) ownedBy(owner string) []string {
-	var names []string
-	for _, name := range v.names {
-		if v.byName[name].owner == owner {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 func (v *workerViews) rebuild() {
 	v.names, v.region = v.names[:0], map[string][]string{}
 	for name := range v.byName {
@@ -101,16 +96,18 @@
 	clearedByList
 )
 
-func (n *Node) cleared(worker string, since time.Time) clearance {
+func (n *Node) cleared(h *home, worker string, since time.Time) clearance {
 	view := n.workers.byName[worker]
 	if view == nil {
 		return clearedByLapse
 	}
 	switch {
-	case view.listedAt.After(since):
+	case view.listedAt.After(since), h.listedAt[worker].After(since):
 		return clearedByList
 	case !view.inList && n.now.Sub(view.goneAt) > n.timing.TaskLease:
 		return clearedByLapse
+	case n.guards.lapseAtOnce:
+		return clearedByLapse
 	case n.now.Sub(since) >= n.lapseTime() && n.lapseAllowed(view.entry.Region):
 		return clearedByLapse
 	}
@@ -119,19 +116,7 @@
 
 // listed takes the list of one worker from its owner.
 func (n *Node) listed(from string, m *Listed) {
-	view := n.workers.byName[m.Worker]
-	if view == nil {
-		view = &workerView{}
-		n.workers.byName[m.Worker] = view
-		n.workers.rebuild()
-	}
-	if m.Worker != "" && m.Token >= view.token {
-		newSession := m.Token > view.token
-		view.owner, view.token = from, m.Token
-		if newSession || m.Lease != (tenure.LeaseNumber{}) {
-			view.listedAt = n.now
-		}
-	}
+	n.noteList(from, m)
 	for i := range m.Tasks {
 		n.taskListed(from, m.Worker, &m.Tasks[i])
 	}
@@ -143,10 +128,36 @@
 	}
 }
 
+// noteList notes for which range, and for which point in time a worker's list speaks for: the opening
+// of a new session, or else the time at which this node asked for it.
+func (n *Node) noteList(from string, m *Listed) {
+	view := n.workers.byName[m.Worker]
+	if view == nil {
+		view = &workerView{goneAt: n.now}
+		n.workers.byName[m.Worker] = view
+		n.workers.rebuild()
+	}
+	if m.Token < view.token {
+		return
+	}
+	if m.Token > view.token {
+		view.movedAt = n.now
+	}
+	view.owner, view.token = from, m.Token
+	switch h := n.homes[m.Range]; {
+	case m.Lease == (tenure.LeaseNumber{}):
+		if m.Token > view.announced {
+			view.announced, view.listedAt = m.Token, n.now
+		}
+	case h != nil && m.Asked.After(h.listedAt[m.Worker]):
+		h.listedAt[m.Worker] = m.Asked
+	}
+}
+
 // taskListed brings the home's entry in line with what an owner has listed.
 func (n *Node) taskListed(owner, worker string, listed *ListedTask) {
 	a := &listed.Assignment
-	h := n.homes[a.Range()]
+	h := n.wantedHome(a.Range())
 	if h == nil || !n.wants(h) {
 		return
 	}
@@ -154,26 +165,34 @@
 	if e == nil {
 		e = n.entryFromList(h, a)
 	}
-	e.listed = true
-	if e.ended() || a.Task.ID.Index >= len(e.tasks) {
+	if a.Task.ID.Index < 0 || a.Task.ID.Index >= len(e.tasks) {
 		return
 	}
 	t := &e.tasks[a.Task.ID.Index]
-	if t.id.Attempt > a.Task.ID.Attempt || (t.id.Attempt == a.Task.ID.Attempt && t.state == taskEnded) {
+	if e.ended() {
+		if t.id == a.Task.ID {
+			t.owner = owner // The answer is delivered from there.
+		}
 		return
 	}
-	if t.id.Attempt != a.Task.ID.Attempt && t.state != taskQueued && t.state != taskDoubtful && t.state != taskBackingOff {
+	if t.id.Attempt > a.Task.ID.Attempt || (t.id.Attempt == a.Task.ID.Attempt && t.state == taskEnded) {
 		return
 	}
+	// A newer attempt was begun only after the older one was known to be over.
 	n.adoptListedTask(h, e, t, owner, worker, listed)
 }
 
 func (n *Node) adoptListedTask(h *home, e *entry, t *task, owner, worker string, listed *ListedTask) {
+	n.settleOutstanding(t)
 	t.id = listed.Assignment.Task.ID
 	t.owner, t.worker, t.changedAt, t.doubtWorkers = owner, worker, n.now, nil
 	t.state = taskRunning
 	if listed.State == AssignWaiting {
 		t.state = taskAssigned
+		t.askedAt = n.now
+		n.ownerView(owner).outstanding[t.team]++
+	} else {
+		e.mayHaveRun = true
 	}
 	if e.queued {
 		h.queue(e.request.Kind, KindRule{}).drop(e)
@@ -181,11 +200,13 @@
 	h.dropSuspect(e)
 	e.state = stateOf(t.state)
 	e.note(n.now, "found", "at owner "+owner+" on "+worker)
-	n.count(h, e)
+	if !listed.Finished {
+		n.count(h, e)
+	}
 	n.activate(h, e)
 	for _, front := range e.fronts {
-		if front != listed.Assignment.Front {
-			n.send(owner, &Redirect{Task: t.id, Front: front})
+		if front.Name != listed.Assignment.Front {
+			n.send(owner, &Redirect{Task: t.id, Front: front.Name, Range: h.place})
 		}
 	}
 }
