Start a node's replacement after its end

Cause: a drain of 2.8 s to 6.6 s was overtaken by the replacement 2 s after its start, which then found its ports taken. Change: the replacement waits for the end of the node.

--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -134,13 +134,16 @@
 			return nil, fmt.Errorf("the cell has no node %s", end.Node)
 		}
 		name := fmt.Sprintf("%s (%s, %s)", end.Node, c.Options.Nodes[i].FailureDomain, c.Options.Nodes[i].Region)
+		ended := make(chan struct{})
+		do, verb := c.KillNode, "kill "
 		if end.Drain {
-			actions = append(actions, Action{At: end.At, Name: "drain " + name, Do: func() error { return c.DrainNode(i) }})
-		} else {
-			actions = append(actions, Action{At: end.At, Name: "kill " + name, Do: func() error { return c.KillNode(i) }})
+			do, verb = c.DrainNode, "drain "
 		}
+		actions = append(actions, Action{At: end.At, Name: verb + name, Do: func() error { defer close(ended); return do(i) }})
 		if end.ReplaceAfter > 0 {
-			actions = append(actions, Action{At: end.At + end.ReplaceAfter, Name: "replace " + name, Do: func() error { return c.StartNode(i) }})
+			// A replacement takes the name and the addresses, so it waits for the end.
+			replace := func() error { <-ended; return c.StartNode(i) }
+			actions = append(actions, Action{At: end.At + end.ReplaceAfter, Name: "replace " + name, Do: replace})
 		}
 	}
 	return actions, nil
