--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -70,8 +70,8 @@
 	FailureWorkers []int
 }
 
-// FullPlan returns the plan of make capacity. The measured seconds include the
-// 10 s of questions that homes ask after running tasks every 30 s.
+// FullPlan returns the plan of make capacity. The measured 30 s are one period of
+// the questions that homes ask after running tasks.
 func FullPlan() Plan {
 	return Plan{
 		Seed: 1, Base: Size{Workers: 162, Running: 240, Starts: 54, Teams: 15, Members: 9},
@@ -79,7 +79,7 @@
 			"workers": {48, 162, 325, 650}, "running tasks": {240, 480, 960}, "starts a second": {54, 108, 215, 430},
 			"teams": {1, 15, 61}, "members": {3, 6, 9}, "open requests": {0, 1000, 2000, 4000},
 		},
-		Target: Target, Steady: 32 * time.Second, Seconds: 20,
+		Target: Target, Steady: 32 * time.Second, Seconds: 30,
 		WatchWorkers: []int{8, 16, 32}, WatchRounds: 3, WatchWait: watchWait, StartTasks: []int{20, 40, 80},
 		FrameRates: []int{6, 12, 25, 50}, FrameTime: 3 * time.Second, Settle: 2 * time.Second, MeshMembers: []int{3, 6, 9},
 		Jobs: []int{50, 100, 200}, Configurations: []int{1, 15, 61}, Changes: 910, FailureWorkers: []int{162, 325, 650},
