Strike workers that run tasks, and say why a loss loads the region link

The lost worker of the first row had no task, since accelerator workers are kept free, so nothing was in doubt. The repaired control package asks all owners of both regions every 500 ms while a task is in doubt (tickTasks, askForLists), which the row has to show.

--- a/internal/capacity/failures.go
+++ b/internal/capacity/failures.go
@@ -35,14 +35,17 @@
 }
 
 var failures = []failure{
-	{"VM failure (one worker)", "9 a day", func(c *cell) { c.loseWorkers(func(i int) bool { return i == 0 }) }},
+	{"VM failure (one worker)", "9 a day", func(c *cell) {
+		busy := c.busyWorker()
+		c.loseWorkers(func(i int) bool { return c.workers[i] == busy })
+	}},
 	{"node restart or replacement", "150 a day", func(c *cell) { c.entries[0].stopped = true }},
 	{"rack or switch (five workers)", "every month or two", func(c *cell) {
-		rack := c.workers[0].entry.Rack
+		rack := c.busyWorker().entry.Rack
 		c.loseWorkers(func(i int) bool { return c.workers[i].entry.Rack == rack })
 	}},
 	{"failure domain (its workers and nodes)", "once or twice a year", func(c *cell) {
-		domain := c.workers[0].entry.FailureDomain
+		domain := c.busyWorker().entry.FailureDomain
 		for _, e := range c.entries {
 			if domainName(e.region, e.domain) == domain {
 				e.stopped = true
@@ -56,6 +59,17 @@
 	}},
 }
 
+// busyWorker returns the first worker that runs a task, since a lost worker
+// without tasks puts nothing in doubt.
+func (c *cell) busyWorker() *fakeWorker {
+	for _, w := range c.workers {
+		if len(w.tasks) > 0 {
+			return w
+		}
+	}
+	return c.workers[0]
+}
+
 func (c *cell) loseWorkers(lost func(i int) bool) {
 	for i, w := range c.workers {
 		if lost(i) {
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -239,10 +239,10 @@
 }
 
 var failureMechanisms = map[string]string{
-	failures[0].name: "the session ends, its tasks become doubtful and are tried again after proof",
+	failures[0].name: "the session ends and its tasks are in doubt; their homes ask all owners every 500 ms until the task leases have ended, then try the tasks again",
 	failures[1].name: "suspicion after 1.5 s, other owners open the sessions after 3 s and list them to the homes",
-	failures[2].name: "as five VM failures; the worker list changes by less than a third, so leases go on",
-	failures[3].name: "as a node's death and as many VM failures; a new home covers lost workers only when their task leases have ended (20 s)",
+	failures[2].name: "as VM failures; the worker list changes by less than a third, so leases go on",
+	failures[3].name: "as a node's death and VM failures; a new home covers lost workers only when their task leases have ended (20 s)",
 	failures[4].name: "no state is shared between regions but configuration; a cut only ends the other region's liveness",
 }
 
