Test the conditions of a running cell; list alarms of several nodes

Cause: nothing showed that a healthy cell has no conditions that would turn into false alarms. Some conditions are seen by one node only.

Ruled out: counting every unsent record, since a home's own record would then raise log-down without a job.

Conclusion: in a healthy cell the conditions are gone once the nodes have heard each other.

--- a/internal/alarm/state.go
+++ b/internal/alarm/state.go
@@ -48,7 +48,8 @@
 	// Workers is the number of workers in the VM list that are not leaving, by region.
 	Workers map[string]int
 	LogUp   bool
-	// HeldJobs are durable jobs that wait for the log.
+	// HeldJobs are durable jobs that wait for the log, those with an append under
+	// way included.
 	HeldJobs int
 	// Homeless are the teams whose range this node has to be the home of and
 	// holds no lease of.
@@ -93,7 +94,7 @@
 	if s.LogUp || s.HeldJobs == 0 {
 		return nil
 	}
-	return one(LogDown, "log", "%d durable jobs are held at %s", s.HeldJobs, s.Name)
+	return one(LogDown, "log", "%d records of durable jobs wait at %s", s.HeldJobs, s.Name)
 }
 
 // seeOwners reports regions without a live node, and workers without an owner in
--- a/internal/command/alarms.go
+++ b/internal/command/alarms.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"slices"
+	"strings"
 
 	"yuccalanding.example/yuccalanding/internal/operator"
 )
@@ -14,7 +17,10 @@
 	New:     newAlarms,
 }
 
-type alarmsFlags struct{ operatorFlags }
+type alarmsFlags struct {
+	operatorFlags
+	Also []string `help:"Operators' addresses of further entry VMs; some conditions are seen by one node only." placeholder:"IP:PORT"`
+}
 
 func newAlarms() (any, Run) {
 	flags := &alarmsFlags{}
@@ -22,17 +28,40 @@
 }
 
 func (f *alarmsFlags) run(ctx context.Context, environment *Environment) error {
-	answer, err := call[operator.Alarms](ctx, &f.operatorFlags, http.MethodGet, "/alarms", nil)
-	if err != nil {
-		return err
-	}
+	answer, err := f.collect(ctx)
 	if f.JSON {
-		return writeJSON(environment.Out, answer)
+		return errors.Join(err, writeJSON(environment.Out, answer))
+	}
+	if err != nil && len(answer.Alarms) == 0 {
+		return err
 	}
 	rows := make([][]string, len(answer.Alarms))
 	for i, alarm := range answer.Alarms {
 		rows[i] = []string{alarm.Identity, instant(alarm.Since), alarm.Meaning, alarm.Action}
 	}
 	writeTable(environment.Out, []string{"IDENTITY", "SINCE", "MEANING", "ACTION"}, rows)
-	return nil
+	return err
+}
+
+// collect asks all nodes. An alarm that several nodes see is one alarm, since its
+// earliest observation.
+func (f *alarmsFlags) collect(ctx context.Context) (operator.Alarms, error) {
+	merged, failures := operator.Alarms{Alarms: []operator.Alarm{}}, []error(nil)
+	for _, address := range append([]string{f.Operator}, f.Also...) {
+		flags := f.operatorFlags
+		flags.Operator = address
+		answer, err := call[operator.Alarms](ctx, &flags, http.MethodGet, "/alarms", nil)
+		failures = append(failures, err)
+		for _, alarm := range answer.Alarms {
+			i := slices.IndexFunc(merged.Alarms, func(known operator.Alarm) bool { return known.Identity == alarm.Identity })
+			switch {
+			case i < 0:
+				merged.Alarms = append(merged.Alarms, alarm)
+			case alarm.Since.Before(merged.Alarms[i].Since):
+				merged.Alarms[i] = alarm
+			}
+		}
+	}
+	slices.SortStableFunc(merged.Alarms, func(a, b operator.Alarm) int { return strings.Compare(a.Identity, b.Identity) })
+	return merged, errors.Join(failures...)
 }
--- a/internal/node/alarms.go
+++ b/internal/node/alarms.go
@@ -113,7 +113,7 @@
 // alarmState returns what the conditions are observed from.
 func (p *Process) alarmState(view *control.View, now time.Time) alarm.State {
 	state := alarm.State{
-		Now: now, Name: view.Name, Region: view.Region, Workers: map[string]int{}, LogUp: view.LogUp, HeldJobs: view.HeldJobs,
+		Now: now, Name: view.Name, Region: view.Region, Workers: map[string]int{}, LogUp: view.LogUp, HeldJobs: view.HeldJobs + p.records.waitingJobs(),
 		Isolated: view.Isolated, PolicyIncomplete: p.configuration.position().Incomplete,
 		Quarantined: p.observed.quarantinedWorkers(), VMListAge: p.poller.Current().Age(now),
 	}
--- a/internal/node/configapply.go
+++ b/internal/node/configapply.go
@@ -70,8 +70,8 @@
 		return operator.Change{}, notApplied(err.Error())
 	}
 	c.process.metrics.appended(string(journal.KindPolicyChange))
-	c.process.records.mark(change.Identity, true)
-	defer c.process.records.mark(change.Identity, false)
+	c.process.records.mark(change.Identity, journal.KindPolicyChange)
+	defer c.process.records.unmark(change.Identity)
 	return c.awaitOutcome(ctx, &change, read, written)
 }
 
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"yuccalanding.example/yuccalanding/internal/command"
 	"yuccalanding.example/yuccalanding/internal/operator"
+	"yuccalanding.example/yuccalanding/internal/standin/logservice"
 	"yuccalanding.example/yuccalanding/pkg/workload"
 )
 
@@ -113,3 +115,62 @@
 	require.Equal(t, "draining", state.State)
 	require.NoError(t, c.DrainNode(0))
 }
+
+// Guards against conditions that hold in a healthy cell and would become false
+// alarms, and against those of an outage that nodes don't see or that stay.
+func TestConditionsFollowTheCell(t *testing.T) {
+	c, ctx := startCell(t, 3)
+	client, err := c.Client()
+	require.NoError(t, err)
+	defer client.Close()
+	submit := func(mode workload.Mode) {
+		_, err := client.Submit(ctx, workload.Request{
+			Key: workload.NewKey(), Team: "ledger", Kind: "balance", Mode: mode, Resources: workload.Resources{MilliCPU: 100}, Payload: []byte(`{"run-ms":1}`),
+		})
+		require.NoError(t, err)
+	}
+	submit(workload.ModeRequest)
+	_, err = apply(ctx, c, 0, folder(0, "[kind balance]\n[team ledger]\n"))
+	require.NoError(t, err)
+	await := func(what string, nodes []int, want ...string) {
+		require.Eventually(t, func() bool {
+			for _, i := range nodes {
+				conditions, err := c.Nodes[i].Process.Conditions(ctx)
+				if err != nil || !slices.Equal(conditions, want) {
+					t.Logf("%s: node %d sees %v, %v", what, i, conditions, err)
+					return false
+				}
+			}
+			return true
+		}, 30*time.Second, 200*time.Millisecond, what)
+	}
+	all := []int{0, 1, 2}
+	await("healthy", all)
+	time.Sleep(3 * time.Second)
+	await("healthy for 3 s", all)
+	c.Log.SetFault(logservice.Fault{Outage: true})
+	require.NoError(t, c.KillNode(2))
+	await("a node is dead in an outage of the log without held jobs", []int{0, 1})
+	require.NoError(t, c.StartNode(2))
+	held := make(chan error, 1)
+	go func() {
+		_, err := client.SubmitJob(ctx, workload.Request{
+			Key: workload.NewKey(), Team: "ledger", Kind: "balance", Mode: workload.ModeJob, HoldInOutage: true,
+			Resources: workload.Resources{MilliCPU: 100}, Payload: []byte(`{"run-ms":1}`),
+		})
+		held <- err
+	}()
+	require.Eventually(t, func() bool {
+		seen := false
+		for _, n := range c.Nodes {
+			conditions, err := n.Process.Conditions(ctx)
+			seen = seen || (err == nil && slices.Contains(conditions, "log-down/log"))
+		}
+		return seen
+	}, 20*time.Second, 100*time.Millisecond, "a job is held")
+	c.Log.SetFault(logservice.Fault{})
+	require.NoError(t, <-held)
+	await("healthy again", all)
+	submit(workload.ModeRequest)
+	await("healthy after a request", all)
+}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -16,14 +16,14 @@
 	process *Process
 
 	mu sync.Mutex
-	// unsent are the identities of appends whose outcome is not known yet.
-	unsent map[string]bool
+	// unsent are the identities and kinds of records whose outcome is not known yet.
+	unsent map[string]journal.Kind
 	// up is false while the log takes no appends.
 	up atomic.Bool
 }
 
 func newRecords(p *Process) *records {
-	return &records{process: p, unsent: map[string]bool{}}
+	return &records{process: p, unsent: map[string]journal.Kind{}}
 }
 
 // append writes a record in the background.
@@ -43,7 +43,7 @@
 		var result <-chan journal.Result
 		if result, err = r.process.journal.Append(record); err == nil {
 			r.process.metrics.appended(string(kind))
-			r.mark(out.Identity, true)
+			r.mark(out.Identity, kind)
 			go r.await(ctx, out.Identity, result)
 			return
 		}
@@ -51,14 +51,30 @@
 	go r.process.push(ctx, &control.AppendFailed{Identity: out.Identity, Reason: err.Error()})
 }
 
-func (r *records) mark(identity string, unsent bool) {
+func (r *records) mark(identity string, kind journal.Kind) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if unsent {
-		r.unsent[identity] = true
-	} else {
-		delete(r.unsent, identity)
+	r.unsent[identity] = kind
+}
+
+func (r *records) unmark(identity string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.unsent, identity)
+}
+
+// waitingJobs returns the number of records of durable jobs whose outcome is not
+// known yet.
+func (r *records) waitingJobs() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	jobs := 0
+	for _, kind := range r.unsent {
+		if kind == journal.KindJobAccepted || kind == journal.KindJobEnded {
+			jobs++
+		}
 	}
+	return jobs
 }
 
 func (r *records) await(ctx context.Context, identity string, result <-chan journal.Result) {
@@ -69,7 +85,7 @@
 			r.process.push(ctx, &control.AppendFailed{Identity: identity, Reason: end.Err.Error()})
 		}
 	}
-	r.mark(identity, false)
+	r.unmark(identity)
 }
 
 // withdraw takes back what was not sent yet when the log goes down, so that
