Pass a lease on also while its home still recovers

Cause: a handover within 4 s of a lease's start was not complete, so the successor waited for the promises to end (2 s) although the sender had given the lease up. Now it takes the lease at once and recovers by lists. The test of lost parts sent the lease with every part; it now sends it with the last one, as the sender does, and checks the same.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -161,11 +161,15 @@
 	for i := range m.Entries {
 		n.takeHandoverEntry(h, &m.Entries[i])
 	}
-	if !m.Complete || h.handoverParts != m.Part+1 {
+	if m.Lease.Number == (tenure.LeaseNumber{}) {
 		return
 	}
+	whole := m.Complete && h.handoverParts == m.Part+1
 	h.handoverParts = 0
 	n.tenure.ReceiveHandover(n.now, m.Lease)
+	if !whole {
+		return // The lease is passed on; what was started is recovered from lists.
+	}
 	h.takenOver, h.takenSince = m.Lease.Number, n.now.Add(-m.Since)
 	n.event(EventHandoverTaken, m.Range.Team, "")
 	n.tickLease(h)
