Learn run times and quarantine failing workers in the owner

Change: the engine's seams are fed from the ends of tasks and usage reports; messages keep nanoseconds; only the region's own owners are asked; a node is isolated with less than half of its region, and takes a silent owner's tasks as over only with more than half of it. Ruled out: asking other regions in case a region has lost all its nodes; such workers are covered by the ends of their leases.

--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -161,7 +161,7 @@
 // three members has no such rule, since half of it can't be told from a death.
 func (n *Node) tickIsolation() {
 	region := n.members.regions[n.options.Region]
-	if len(region) < 3 || 2*len(n.members.liveInRegion(n.options.Region)) > len(region) {
+	if len(region) < 3 || 2*len(n.members.liveInRegion(n.options.Region)) >= len(region) {
 		n.members.unheardSince, n.members.fenced = time.Time{}, false
 		return
 	}
@@ -180,7 +180,8 @@
 // live to this node, or not heard by anybody for long enough.
 func (n *Node) lapseAllowed(region string) bool {
 	names := n.members.regions[region]
-	if len(names) < 3 || region != n.options.Region {
+	if len(names) < 3 || region != n.options.Region || 2*len(n.members.liveInRegion(region)) <= len(names) {
+		// The other half may go on with its sessions.
 		return false
 	}
 	for _, name := range names {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -415,11 +415,21 @@
 	typeRedirect:          func() Message { return &Redirect{} },
 }
 
+// encodeMode keeps the fractions of seconds, which the default mode drops:
+// waits and the age of gangs are counted from such times.
+var encodeMode = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 var errEmptyFrame = errors.New("empty frame")
 
 // Encode returns the frame of a message: its type in one byte and its CBOR form.
 func Encode(message Message) ([]byte, error) {
-	body, err := cbor.Marshal(message)
+	body, err := encodeMode.Marshal(message)
 	if err != nil {
 		return nil, fmt.Errorf("encode message type %d: %w", message.messageType(), err)
 	}
--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"yuccalanding.example/yuccalanding/internal/placement"
 	"yuccalanding.example/yuccalanding/internal/tenure"
 	"yuccalanding.example/yuccalanding/pkg/workload"
@@ -85,6 +83,7 @@
 
 type ownerRole struct {
 	engine   *placement.Engine
+	learning *learning
 	sessions map[string]*session
 	opening  map[string]time.Time
 	tasks    map[placement.TaskID]*held
@@ -104,8 +103,10 @@
 }
 
 func newOwnerRole(options Options) ownerRole {
+	learning := &learning{}
 	return ownerRole{
-		engine:       placement.New(placement.Options{Seed: options.Seed}),
+		learning:     learning,
+		engine:       learning.newEngine(options.Seed),
 		sessions:     map[string]*session{},
 		opening:      map[string]time.Time{},
 		tasks:        map[placement.TaskID]*held{},
@@ -231,7 +232,8 @@
 			return
 		}
 		if n.now.Sub(t.validAt) > assignmentValidity && !n.guards.keepOldAssignments {
-			n.owner.engine.TaskEnded(n.now, decision.Task.ID, placement.Stopped)
+			t.worker = decision.Worker
+			n.endTask(t, placement.Stopped)
 			n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, "its home did not ask after it in time")
 			return
 		}
@@ -260,7 +262,7 @@
 	if s == nil {
 		return
 	}
-	label, err := cbor.Marshal(&t.assignment)
+	label, err := encodeMode.Marshal(&t.assignment)
 	if err != nil {
 		return
 	}
@@ -311,7 +313,7 @@
 		return
 	}
 	s.starting--
-	n.owner.engine.TaskEnded(n.now, in.ID, placement.Stopped)
+	n.endTask(t, placement.Stopped)
 	n.returnTask(n.holderOf(t.assignment.Range()), &t.assignment, AssignReturned, "worker "+in.Worker+": "+in.Reason)
 	n.schedule()
 }
--- a/internal/control/recovery.go
+++ b/internal/control/recovery.go
@@ -57,7 +57,9 @@
 
 func (n *Node) askForLists(h *home) {
 	h.recovery.askedAt = n.now
-	for _, owner := range n.members.names {
+	// Owners of another region hold no worker of this one, unless it has lost
+	// all its nodes; asking them would load the region link.
+	for _, owner := range n.members.regions[h.place.Region] {
 		if n.members.isLive(owner) || owner == n.options.Name {
 			n.send(owner, &ListKeys{Range: h.place, Lease: h.number, Asked: n.now})
 		}
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -24,6 +24,7 @@
 			}
 		}
 	}
+	n.tickFitness()
 	n.schedule()
 }
 
@@ -105,6 +106,7 @@
 	n.tenure.SessionOpened(in.SentAt, n.now, name)
 	running := n.takeListedTasks(in)
 	n.owner.engine.AddWorker(n.now, in.Worker, running)
+	n.owner.learning.fitness.AddWorker(n.now, name, len(running))
 	if view := n.workers.byName[name]; view != nil && view.entry.Leaving {
 		n.owner.engine.SetLeaving(name, true)
 	}
@@ -278,7 +280,7 @@
 		}
 	}
 	for _, usage := range in.Usage {
-		n.owner.engine.ReportUsage(n.now, usage.ID, usage.Used)
+		n.usageReported(s, &usage)
 	}
 	for i := range in.Finished {
 		n.taskFinished(s, &in.Finished[i])
@@ -295,7 +297,7 @@
 	if t.state == heldStarting {
 		s.starting--
 	}
-	n.owner.engine.TaskEnded(n.now, in.ID, in.Result.Outcome)
+	n.endTask(t, in.Result.Outcome)
 	result := in.Result
 	result.Worker = s.worker.Name
 	result.Waited = max(t.startedAt.Sub(t.assignment.Task.EnqueuedAt), 0)
