Wait for the log before a durable job of a former home is decided

Change: a durable job that a former home may have run waits until this home has read its own record back. Ruled out: waiting in the dispatch, which would hold back requests of its kind.

--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -108,6 +108,9 @@
 	if record.Lease.Node == n.options.Name && record.Lease.Compare(h.recovery.first) >= 0 {
 		h.jobsKnown = true
 		n.adoptJobs(h)
+		if h.recovery.complete {
+			n.releaseSuspects(h)
+		}
 	}
 }
 
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -151,8 +151,8 @@
 		e.timed = true
 		heap.Push(&h.deadlines, e)
 	}
-	if e.suspect && !(h.recovery.complete && n.mayAct(h)) {
-		e.wait(n.now, "recovery of the home: an earlier attempt may have run")
+	if reason := n.mustWait(h, e); reason != "" {
+		e.wait(n.now, reason)
 		h.suspects = append(h.suspects, e)
 		return
 	}
@@ -174,6 +174,19 @@
 	}
 }
 
+// mustWait says why an entry that an earlier attempt or a former home may have
+// run can't be decided yet. A durable job's end may stand in the log behind what
+// this node has read of it.
+func (n *Node) mustWait(h *home, e *entry) string {
+	if e.suspect && !(h.recovery.complete && n.mayAct(h)) {
+		return "recovery of the home: an earlier attempt may have run"
+	}
+	if e.durable && !h.jobsKnown && (e.suspect || e.mayHaveRun || e.attempt > 0) {
+		return "log: the records of former homes have not been read yet"
+	}
+	return ""
+}
+
 // awaitRequest keeps an entry whose whole request is not known until its front
 // has sent it again.
 func (n *Node) awaitRequest(h *home, e *entry) {
