--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -59,7 +59,7 @@
 	if s.strangerSince.IsZero() {
 		s.strangerSince = n.now
 	}
-	if n.now.Sub(s.strangerSince) < n.timing.RebalanceAfter || n.now.Sub(n.owner.rebalancedAt) < rebalanceEvery {
+	if n.now.Sub(s.strangerSince) < n.timing.RebalanceAfter || n.now.Sub(n.owner.rebalancedAt) < rebalanceEvery || !n.rebalanceTurn() {
 		return
 	}
 	if !n.mayMoveWorker() {
@@ -69,6 +69,16 @@
 	n.beginClosing(s)
 }
 
+// rebalanceTurn reports whether it is this node's turn to give a worker away.
+// The members of a region take turns by the clock, since in a small fleet two
+// workers that move at the same moment are a third of it and cost every home its
+// lease. Turns that overlap through clock skew are harmless in a large fleet.
+func (n *Node) rebalanceTurn() bool {
+	live := n.members.liveInRegion(n.options.Region)
+	turn := n.now.UnixMilli() / rebalanceEvery.Milliseconds()
+	return len(live) > 0 && live[turn%int64(len(live))] == n.options.Name
+}
+
 func (n *Node) beginClosing(s *session) {
 	s.closing = true
 	if view := n.workers.byName[s.worker.Name]; view != nil {
