Take requests in only under the lease

Cause: the whole-path check failed once: the first request of a new cell was queued at a node without a lease, another node became the home, and the request ended as 'may have run' although nothing had started it. Ruled out: returning such requests when the lease begins elsewhere, since that message comes after the front has asked the new home.

--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -110,6 +110,12 @@
 		return
 	}
 	h = n.homeFor(r)
+	if !n.mayAct(h) {
+		// Taken in without the lease, a first try would count as one that may
+		// have run when another node becomes the home.
+		n.notHome(m, workload.CodeNoHome, "this node has no lease of team "+r.Team+" yet")
+		return
+	}
 	if m.Wait {
 		n.waitForUnknown(h, m)
 		return
