Use a list for a handed-over entry before the lease is gained

Change: known entries are brought up to date by every list; refusals name the incarnation of their sender and close the try that they answer. Ruled out: dropping lists before the lease for the settling of doubts too, which would leave the task in doubt for 30 s.

--- a/internal/control/front.go
+++ b/internal/control/front.go
@@ -350,8 +350,11 @@
 		delete(s.open, process{from, m.Incarnation})
 		return
 	}
-	at := process{from, s.incarnation}
-	if from != s.home || m.Try != s.try || s.open[at] == 0 {
+	at := process{from, m.Incarnation}
+	if from == s.home && m.Try == s.try {
+		at.incarnation = s.incarnation
+	}
+	if s.open[at] == 0 {
 		return
 	}
 	if s.open[at]--; s.open[at] == 0 {
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -127,7 +127,7 @@
 
 func (n *Node) notHome(m *Enqueue, code workload.Code, reason string) {
 	n.send(m.Front, &Refused{
-		Key: m.Request.Key, Try: m.Try, NotHome: true,
+		Key: m.Request.Key, Try: m.Try, NotHome: true, Incarnation: n.options.Incarnation,
 		Refusal: *workload.Refuse(code, n.timing.RepeatAfter, "%s", reason),
 	})
 }
--- a/internal/control/views.go
+++ b/internal/control/views.go
@@ -161,10 +161,15 @@
 func (n *Node) taskListed(owner, worker string, listed *ListedTask) {
 	a := &listed.Assignment
 	h := n.wantedHome(a.Range())
-	if h == nil || !n.wants(h) {
+	if h == nil {
 		return
 	}
 	e := h.entries[a.Task.ID.Key]
+	if e == nil && !n.wants(h) {
+		return
+	}
+	// An entry of a handover is brought up to date also before the lease is
+	// gained: the same list settles the entry's doubts later.
 	if e == nil {
 		e = n.entryFromList(h, a)
 	}
