--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-
 	"strconv"
 
 	"yuccalanding.example/yuccalanding/pkg/caller"
@@ -12,31 +11,15 @@
 	Name:    "status",
 	Usage:   "Show where a request or job is.",
 	Example: Program + " status 01890a5d-ac96-774b-bcce-b302099a8057 --team ledger",
-	New:     newStatus,
+	New:     newKeyVerb(false, status),
 }
 
-type statusFlags struct{ keyFlags }
-
-func newStatus() (any, Run) {
-	flags := &statusFlags{}
-	return flags, flags.run
-}
-
-func (f *statusFlags) run(ctx context.Context, environment *Environment) error {
-	query, err := f.query()
+func status(ctx context.Context, call keyCall) error {
+	status, err := call.client.Status(ctx, call.query)
 	if err != nil {
 		return err
 	}
-	client, err := f.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	status, err := client.Status(ctx, query)
-	if err != nil {
-		return f.explainFailure("", err)
-	}
-	return writeStatus(environment, status, f.JSON)
+	return writeStatus(call.environment, status, call.asJSON)
 }
 
 func writeStatus(environment *Environment, status caller.Status, asJSON bool) error {
--- /dev/null
+++ b/internal/control/enqueue.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/tenure"
+	"yuccalanding.example/yuccalanding/pkg/workload"
+)
+
+// enqueue takes a request, a caller's retry or a front's question.
+func (n *Node) enqueue(m *Enqueue) {
+	r := n.rangeOf(m.Request.Team, m.Request.Region)
+	h := n.homes[r]
+	if h != nil {
+		if e := h.entries[m.Request.Key]; e != nil {
+			n.enqueueKnown(h, e, m)
+			return
+		}
+	}
+	if n.homeOf(r) != n.options.Name || n.draining {
+		n.notHome(m, workload.CodeNoHome, "this node is not the home of team "+r.Team)
+		return
+	}
+	if h == nil && len(n.homes) >= tenure.MaxRanges {
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeQueueFull, time.Second, "this node is the home of %d ranges", tenure.MaxRanges))
+		return
+	}
+	h = n.homeFor(r)
+	if !n.mayAct(h) {
+		// Taken in without the lease, a first try would count as one that may
+		// have run when another node becomes the home.
+		n.notHome(m, workload.CodeNoHome, "this node has no lease of team "+r.Team+" yet")
+		return
+	}
+	if m.Wait {
+		n.waitForUnknown(h, m)
+		return
+	}
+	if !n.returnedBefore(h, m) {
+		n.enqueueNew(h, m)
+	}
+}
+
+func (n *Node) notHome(m *Enqueue, code workload.Code, reason string) {
+	n.send(m.Front, &Refused{
+		Key: m.Request.Key, Try: m.Try, NotHome: true, Incarnation: n.options.Incarnation,
+		Refusal: *workload.Refuse(code, n.timing.RepeatAfter, "%s", reason),
+	})
+}
+
+// waitForUnknown answers a caller who asks for a key that is not in the table.
+// Before the recovery is complete the key may still turn up.
+func (n *Node) waitForUnknown(h *home, m *Enqueue) {
+	// An accepted job may be in a part of the log that was not read yet.
+	jobsRead := n.jobs.open[m.Request.Key] == nil && (h.jobsKnown || !n.log.Up)
+	if h.recovery.complete && jobsRead {
+		refusal := workload.Refuse(workload.CodeNotFound, 0, "the key is not known")
+		if !h.knowsAllSince(m.Request.Key) {
+			refusal.Run = workload.MayHaveRun // It may have been dropped after its end.
+		}
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
+		return
+	}
+	n.notHome(m, workload.CodeNoHome, "the home is recovering")
+}
+
+// enqueueKnown attaches a front to a request that the home already has.
+func (n *Node) enqueueKnown(h *home, e *entry, m *Enqueue) {
+	if !m.Wait && !m.ResolveOnly && e.digest != m.Request.Digest() && !e.listedOnly() {
+		n.event(EventConflictingKeyUsed, string(m.Request.Key), "the key was used before for another body")
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, workload.Refuse(workload.CodeKeyReused, 0, "key %s was used for a different request", m.Request.Key))
+		return
+	}
+	if e.listedOnly() && !m.Wait && !m.ResolveOnly {
+		e.request, e.digest = m.Request, m.Request.Digest()
+	}
+	if e.refusal != nil && e.refusal.Run == workload.NotRun && !m.Wait && e.newSubmission(m) {
+		n.resubmit(h, e, m)
+		return
+	}
+	e.request.Attempt = max(e.request.Attempt, m.Request.Attempt)
+	e.addFront(m.Front, m.Try)
+	switch {
+	case e.ended():
+		n.tellOutcome(h, e, m.Front, m.Try)
+	case e.durable && e.recorded && !m.Wait:
+		n.send(m.Front, &Answered{Key: e.request.Key, Accepted: true})
+	default:
+		n.send(m.Front, &Answered{Key: e.request.Key, Received: true})
+		n.redirectTasks(h, e, m.Front)
+	}
+}
+
+// newSubmission reports whether a message belongs to a submission that was made
+// after the entry was refused, and not to a late try of the refused one.
+func (e *entry) newSubmission(m *Enqueue) bool {
+	try := e.tryOf(m.Front)
+	return try > 0 && m.Try > try || m.Request.Attempt > e.request.Attempt
+}
+
+// listedOnly reports whether the entry is known from a worker's list alone, so
+// that its digest is not known.
+func (e *entry) listedOnly() bool { return e.digest == 0 }
+
+// resubmit takes a request again that this home refused as not run.
+func (n *Node) resubmit(h *home, e *entry, m *Enqueue) {
+	if m.ResolveOnly {
+		n.notHome(m, workload.CodeNotFound, "the request was refused and has not run")
+		return
+	}
+	h.forget(e)
+	n.enqueueNew(h, m)
+}
+
+func (h *home) forget(e *entry) {
+	delete(h.entries, e.request.Key)
+	for i, other := range h.ended {
+		if other == e {
+			h.ended = slices.Delete(h.ended, i, i+1)
+			return
+		}
+	}
+}
+
+// returnedBefore answers a front that did not hear that its request came back.
+func (n *Node) returnedBefore(h *home, m *Enqueue) bool {
+	if !h.returned[m.Request.Key] {
+		return false
+	}
+	delete(h.returned, m.Request.Key)
+	if m.Resent {
+		n.refuseAllTries(h, m.Request.Key, WaitingFront{m.Front, m.Try})
+	}
+	return m.Resent
+}
+
+// enqueueNew makes an entry for a key that is not in the table.
+func (n *Node) enqueueNew(h *home, m *Enqueue) {
+	e := &entry{
+		request:    m.Request,
+		digest:     m.Request.Digest(),
+		acceptedAt: n.now.Add(-m.Age),
+		state:      workload.StateQueued,
+		durable:    m.Request.Mode == workload.ModeJob || m.Request.Mode == workload.ModeService,
+	}
+	e.addFront(m.Front, m.Try)
+	e.suspect = (m.Resent || m.Request.MayHaveRun() || m.ResolveOnly) && !h.knowsAllSince(e.request.Key)
+	if m.ResolveOnly {
+		e.digest = 0
+	}
+	if e.durable && h.jobsKnown {
+		// Every job that was recorded before is in the table.
+		e.suspect = false
+	}
+	e.mayHaveRun = e.suspect
+	if m.ResolveOnly && !e.suspect {
+		// The key was never here, and any run of it would have been seen.
+		n.notHome(m, workload.CodeNotFound, "the request never reached this home")
+		return
+	}
+	if refusal := n.admitAtHome(h, e); refusal != nil {
+		if e.mayHaveRun {
+			refusal.Run = workload.MayHaveRun
+		}
+		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
+		return
+	}
+	e.resetTasks(n.now, taskQueued)
+	if !e.durable {
+		n.setStartBy(e)
+	}
+	h.entries[e.request.Key] = e
+	e.note(e.acceptedAt, "received", "at "+m.Front)
+	e.note(n.now, "queued", "at home "+n.options.Name)
+	n.send(m.Front, &Answered{Key: e.request.Key, Received: true})
+	if e.durable {
+		n.acceptJob(h, e)
+		return
+	}
+	n.queueEntry(h, e)
+}
+
+// knowsAllSince reports whether a key that is not in the table was certainly
+// never started: it was issued after the time from which on this home has seen
+// every key, with room for the clocks of callers.
+func (h *home) knowsAllSince(key workload.Key) bool {
+	issued, ok := key.IssuedAt()
+	return ok && !h.knownSince.IsZero() && issued.After(h.knownSince.Add(clockSkewBound))
+}
