--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint demo load bench capacity faults faults-long docs
 
 build:
-	go build -o bin/yuccalanding ./cmd/yuccalanding
+	@go build -o bin/yuccalanding ./cmd/yuccalanding
 
 test:
 	scripts/test
