--- a/internal/control/events.go
+++ b/internal/control/events.go
@@ -29,7 +29,6 @@
 	EventAssignmentFenced   Event = "assignment-fenced"
 	EventHandoverSent       Event = "handover-sent"
 	EventHandoverTaken      Event = "handover-taken"
-	EventBadVMEntry         Event = "bad-vm-entry"
 	EventRecoveryComplete   Event = "recovery-complete"
 	EventBoundReached       Event = "bound-reached"
 	EventNodeDrained        Event = "node-drained"
@@ -38,4 +37,36 @@
 	EventConflictingKeyUsed Event = "conflicting-key"
 )
 
+// Events lists every event of the control thread, so that a test can compare
+// them with the catalogue.
+var Events = []Event{
+	EventPolicyInForce,
+	EventSessionOpened,
+	EventSessionRefused,
+	EventSessionLost,
+	EventHomeLeaseGained,
+	EventHomeLeaseLost,
+	EventMemberSuspected,
+	EventMemberReturned,
+	EventLogDown,
+	EventLogUp,
+	EventWorkerLeaving,
+	EventWorkerQuarantined,
+	EventWorkerReleased,
+	EventClassBlamed,
+	EventNeverRunnable,
+	EventTaskLost,
+	EventOutcomeUnknown,
+	EventOwnerFenced,
+	EventAssignmentFenced,
+	EventHandoverSent,
+	EventHandoverTaken,
+	EventRecoveryComplete,
+	EventBoundReached,
+	EventNodeDrained,
+	EventMalformedLabel,
+	EventGangStarted,
+	EventConflictingKeyUsed,
+}
+
 func versionText(version uint64) string { return "version " + strconv.FormatUint(version, 10) }
