Remove the owner's handling of decisions that the engine never makes

Cause: quarantine, release and blame come from the quarantine tracker and are recorded where a task ends; the engine's own cases for them were dead. Change: the three cases are gone; no behaviour changes. Ruled out: keeping them for a later engine, since two places would record one event.

--- a/internal/control/owner.go
+++ b/internal/control/owner.go
@@ -248,12 +248,6 @@
 		if t != nil && t.state == heldRunning {
 			n.preempt(t, decision)
 		}
-	case placement.VerbQuarantine:
-		n.event(EventWorkerQuarantined, decision.Worker, decision.Reason)
-	case placement.VerbRelease:
-		n.event(EventWorkerReleased, decision.Worker, decision.Reason)
-	case placement.VerbBlame:
-		n.event(EventClassBlamed, decision.Task.Class, decision.Reason)
 	}
 }
 
