Run on the users' platform: adapter, shard decisions, rights and the entry process

A first whole path beside the product's own node. Each service has one holder, named by a conditional append in the platform's store; its epoch fences appends and worker orders.

--- /dev/null
+++ b/internal/entry/front.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/manifest"
+	"yuccalanding.example/yuccalanding/platform"
+)
+
+const (
+	// defaultDeadline is how long a caller waits that doesn't say.
+	defaultDeadline = 3 * time.Second
+	// answerReserve is kept of the caller's deadline for the way back.
+	answerReserve = 150 * time.Millisecond
+	// moveRetry is the pause before a request is sent to a holder again.
+	moveRetry = 60 * time.Millisecond
+	// holderWait is how long a request waits for a right to find a holder
+	// when one was just given back: a planned change takes less.
+	holderWait = 600 * time.Millisecond
+	// retrySoon is told to callers when no node holds the right: the time in
+	// which a silent holder is replaced.
+	retrySoon = 1 * time.Second
+	// defaultBody bounds a request before a manifest says more.
+	defaultBody = 256 << 10
+)
+
+// errUndecided says that the effect of a call isn't known.
+var errUndecided = errors.New("the call may have been carried out")
+
+// errNoHolder says that no node holds the right, and that nothing was sent.
+var errNoHolder = errors.New("no node holds the right to the service")
+
+// front returns the callers' interface.
+func (p *Process) front() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.POST("/*", p.handle(p.submitJob))
+	e.GET("/*", p.handle(p.showJob))
+	e.DELETE("/*", p.handle(p.cancelJob))
+	return e
+}
+
+// request is one caller's request whose queue was found.
+type request struct {
+	echo.Context
+	queue manifest.Queue
+	rest  string
+	ctx   context.Context
+	began time.Time
+}
+
+func (p *Process) handle(then func(*request) error) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		began := time.Now()
+		current := p.manifest.Load()
+		if current == nil {
+			return p.refuse(c, "", http.StatusServiceUnavailable, "no manifest is in force yet", retrySoon)
+		}
+		host, _, _ := strings.Cut(c.Request().Host, ":")
+		queue, rest, found := current.Find(host, c.Request().URL.Path)
+		if !found {
+			return p.refuse(c, "", http.StatusNotFound, "no such queue", 0)
+		}
+		ctx, cancel := context.WithDeadline(c.Request().Context(), began.Add(deadlineOf(c.Request())-answerReserve))
+		defer cancel()
+		return then(&request{Context: c, queue: queue, rest: rest, ctx: ctx, began: began})
+	}
+}
+
+func deadlineOf(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(platform.DeadlineHeader), 10, 64)
+	if err != nil || ms <= 0 {
+		return defaultDeadline
+	}
+	return max(time.Duration(ms)*time.Millisecond, 2*answerReserve)
+}
+
+// refuse answers a request that was not carried out.
+func (p *Process) refuse(c echo.Context, queue string, status int, reason string, retryAfter time.Duration) error {
+	p.metrics.intake(queue, status)
+	if retryAfter > 0 {
+		c.Response().Header().Set("Retry-After", strconv.Itoa(int((retryAfter+time.Second-1)/time.Second)))
+	}
+	if status != http.StatusNotFound || queue != "" {
+		p.log("request-refused", "path", c.Request().URL.Path, "method", c.Request().Method, "queue", queue, "status", status, "reason", reason, "retry-after", retryAfter)
+	}
+	return c.JSONBlob(status, platform.EncodeError(reason))
+}
+
+func (r *request) maxBody(p *Process) int64 {
+	if current := p.manifest.Load(); current != nil && current.MaxBodyBytes > 0 {
+		return current.MaxBodyBytes
+	}
+	return defaultBody
+}
+
+func (p *Process) submitJob(r *request) error {
+	name := r.queue.Terms.Queue
+	if !job.ValidID(r.rest) {
+		return p.refuse(r, name, http.StatusBadRequest, "the path doesn't end in a job's 16 hexadecimal digits", 0)
+	}
+	limit := r.maxBody(p)
+	body, err := io.ReadAll(io.LimitReader(r.Request().Body, limit+1))
+	if err != nil {
+		return err
+	}
+	if int64(len(body)) > limit {
+		return p.refuse(r, name, http.StatusRequestEntityTooLarge, "the body is too large", 0)
+	}
+	spec, err := platform.DecodeSubmission(body)
+	if err != nil {
+		return p.refuse(r, name, http.StatusBadRequest, err.Error(), 0)
+	}
+	message := submitRequest{Service: r.queue.Service, ID: r.rest, Terms: r.queue.Terms, Spec: spec}
+	answer, err := forward(p, r, pathSubmit, message, (*holder).submit)
+	switch {
+	case errors.Is(err, errNoHolder):
+		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
+	case err != nil:
+		return p.undecided(r, name, err)
+	case !answer.Accepted:
+		return p.refuse(r, name, http.StatusTooManyRequests, answer.Reason, answer.RetryAfter)
+	}
+	p.metrics.intake(name, http.StatusOK)
+	return r.JSONBlob(http.StatusOK, []byte(`{}`))
+}
+
+// undecided answers a request whose effect isn't known.
+func (p *Process) undecided(r *request, queue string, err error) error {
+	p.metrics.intake(queue, http.StatusGatewayTimeout)
+	p.log("request-undecided", "path", r.Request().URL.Path, "method", r.Request().Method, "queue", queue, "after", time.Since(r.began), "cause", err)
+	return r.JSONBlob(http.StatusGatewayTimeout, platform.EncodeError(err.Error()))
+}
+
+func (p *Process) showJob(r *request) error {
+	name := r.queue.Terms.Queue
+	if r.rest == "" {
+		answer, err := forward(p, r, pathWaiting, waitingRequest{r.queue.Service, name}, func(h *holder, ctx context.Context, w waitingRequest) (waitingAnswer, error) {
+			return h.waiting(ctx, w.Queue)
+		})
+		if err != nil {
+			return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
+		}
+		return r.JSONBlob(http.StatusOK, platform.EncodeWaiting(answer.Waiting))
+	}
+	answer, err := p.eachService(r, pathState, func(h *holder, ctx context.Context, j jobRequest) (stateAnswer, error) {
+		return h.state(ctx, j.ID)
+	})
+	if err != nil {
+		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
+	}
+	if !answer.Known {
+		p.log("job-unknown", "job", r.rest, "queue", name)
+		return r.JSONBlob(http.StatusGone, platform.EncodeError("no such job"))
+	}
+	return r.JSONBlob(http.StatusOK, platform.EncodeState(answer.State))
+}
+
+func (p *Process) cancelJob(r *request) error {
+	name := r.queue.Terms.Queue
+	answer, err := p.eachService(r, pathCancel, func(h *holder, ctx context.Context, j jobRequest) (stateAnswer, error) {
+		return h.stopJob(ctx, j.ID)
+	})
+	if errors.Is(err, errNoHolder) {
+		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
+	}
+	if err != nil {
+		return p.undecided(r, name, err)
+	}
+	if !answer.Known {
+		return r.JSONBlob(http.StatusGone, platform.EncodeError("no such job"))
+	}
+	return r.JSONBlob(http.StatusOK, []byte(`{}`))
+}
+
+// eachService asks the queue's service, and the others if it doesn't know the
+// job: the manifest may have given the queue to another service since.
+func (p *Process) eachService(r *request, path string, local func(*holder, context.Context, jobRequest) (stateAnswer, error)) (stateAnswer, error) {
+	answer, err := forward(p, r, path, jobRequest{r.queue.Service, r.rest}, local)
+	if err != nil || answer.Known {
+		return answer, err
+	}
+	for _, service := range p.manifest.Load().Services {
+		if service.Name == r.queue.Service || service.Spare {
+			continue
+		}
+		other := *r
+		other.queue.Service = service.Name
+		answer, err := forward(p, &other, path, jobRequest{service.Name, r.rest}, local)
+		if err != nil || answer.Known {
+			return answer, err
+		}
+	}
+	return answer, nil
+}
+
+// forward hands a message to the holder of the queue's service. Every message
+// names a job by its identity or only reads, so it may be sent again to the
+// next holder.
+func forward[Message, Answer any](p *Process, r *request, path string, message Message, local func(*holder, context.Context, Message) (Answer, error)) (Answer, error) {
+	var none Answer
+	sent := false
+	waitUntil := r.began.Add(holderWait)
+	for {
+		p.mu.Lock()
+		holding, changed := p.rights[r.queue.Service], p.changed
+		h := p.holders[r.queue.Service]
+		p.mu.Unlock()
+		var answer Answer
+		err := errNoHolder
+		switch {
+		case h != nil && !h.lost.Load() && !h.released.Load():
+			answer, err = local(h, r.ctx, message)
+		case holding.Epoch > 0 && !holding.Released && holding.Address != p.address:
+			answer, err = ask[Answer](r.ctx, p.peers, holding.Address, path, message)
+		}
+		if err == nil {
+			return answer, nil
+		}
+		if !errors.Is(err, errNoHolder) && !notSent(err) {
+			sent = true
+		}
+		if r.ctx.Err() != nil || time.Now().After(waitUntil) {
+			if sent {
+				return none, errUndecided
+			}
+			return none, errNoHolder
+		}
+		select {
+		case <-changed:
+		case <-time.After(moveRetry):
+		case <-r.ctx.Done():
+		}
+	}
+}
+
+// metricsPort is where the process serves its metrics; deploy/system.toml
+// names the same.
+const metricsPort = 9464
+
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -189,3 +189,11 @@
 	}
 	return page.String()
 }
+
+// RecordByName logs the event that has the name in the catalogue. An unknown
+// name is counted as suppressed nowhere: tests check that all names exist.
+func (r *Recorder) RecordByName(name string, keyvals ...any) {
+	if definition, known := byName[name]; known {
+		r.Record(definition, keyvals...)
+	}
+}
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,93 @@
+// Package manifest holds the queues and services that the operators have put
+// in force, and finds the queue that a caller's request names.
+//
+// # Usage
+//
+//	current := manifest.New(version, queues, services)
+//	queue, rest, ok := current.Find("ficu95.example", "/lohu930/5c0e7a21d94b36f8")
+//
+// A Manifest never changes after New; a newer version is a new value.
+package manifest
+
+import (
+	"sort"
+	"strings"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+)
+
+// Queue takes the jobs of one route.
+type Queue struct {
+	Host       string
+	PathPrefix string
+	// Service names the pool of workers that run the tasks.
+	Service string
+	Terms   job.Terms
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name string
+	// EnforcesCapacity means that workers refuse what doesn't fit.
+	EnforcesCapacity bool
+	// Spare pools are switched off.
+	Spare bool
+}
+
+// Manifest is one version of the operators' configuration.
+type Manifest struct {
+	Version  int64
+	Services []Service
+	// MaxBodyBytes bounds a caller's request.
+	MaxBodyBytes int64
+	byHost       map[string][]Queue
+	byName       map[string]Queue
+}
+
+// New returns a manifest with the longest prefixes first in each host.
+func New(version int64, queues []Queue, services []Service, maxBodyBytes int64) *Manifest {
+	m := &Manifest{
+		Version: version, Services: services, MaxBodyBytes: maxBodyBytes,
+		byHost: map[string][]Queue{}, byName: map[string]Queue{},
+	}
+	for _, queue := range queues {
+		m.byHost[queue.Host] = append(m.byHost[queue.Host], queue)
+		m.byName[queue.Terms.Queue] = queue
+	}
+	for _, list := range m.byHost {
+		sort.Slice(list, func(i, j int) bool {
+			if len(list[i].PathPrefix) != len(list[j].PathPrefix) {
+				return len(list[i].PathPrefix) > len(list[j].PathPrefix)
+			}
+			return list[i].PathPrefix < list[j].PathPrefix
+		})
+	}
+	return m
+}
+
+// Find returns the queue with the longest prefix of the path, and the path
+// after that prefix.
+func (m *Manifest) Find(host, path string) (queue Queue, rest string, found bool) {
+	for _, queue := range m.byHost[host] {
+		if after, has := strings.CutPrefix(path, queue.PathPrefix); has {
+			return queue, after, true
+		}
+	}
+	return Queue{}, "", false
+}
+
+// Queue returns the queue of a name.
+func (m *Manifest) Queue(name string) (Queue, bool) {
+	queue, found := m.byName[name]
+	return queue, found
+}
+
+// HasService reports whether the manifest has the service.
+func (m *Manifest) HasService(name string) bool {
+	for _, service := range m.Services {
+		if service.Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/shard/commands.go
@@ -0,0 +1,75 @@
+package shard
+
+import (
+	"net/netip"
+	"time"
+)
+
+// RunKey names one run.
+type RunKey struct {
+	Task string
+	Run  int64
+}
+
+// Target is the worker of a command.
+type Target struct {
+	ID      string
+	Address netip.AddrPort
+}
+
+// Start orders a run.
+type Start struct {
+	RunKey
+	Target
+	Text       string
+	Until      time.Duration // on the worker's clock
+	Checkpoint string
+	Ticket     string
+}
+
+// Stop orders the end of a run.
+type Stop struct {
+	RunKey
+	Target
+}
+
+// Pace orders the share of the processor that a run takes.
+type Pace struct {
+	RunKey
+	Target
+	Percent int
+}
+
+// Hold extends the leases on a worker and reads its lists.
+type Hold struct {
+	Target
+	Seen  int64
+	Until time.Duration // on the worker's clock; 0 extends nothing
+	Wait  time.Duration
+}
+
+// Advise asks which workers may run a step.
+type Advise struct {
+	Step    string
+	Workers []string
+	// Takes is how long the adviser needs.
+	Takes time.Duration
+}
+
+// Commands are what the shard wants done. Settled jobs are those whose intake
+// or cancellation is stored now.
+type Commands struct {
+	Starts  []Start
+	Stops   []Stop
+	Paces   []Pace
+	Holds   []Hold
+	Advices []Advise
+	Settled []string
+}
+
+// Take returns the commands since the last call.
+func (s *Shard) Take() Commands {
+	commands := s.commands
+	s.commands = Commands{}
+	return commands
+}
--- /dev/null
+++ b/internal/shard/place.go
@@ -0,0 +1,468 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+)
+
+const (
+	// lateFactor times its objective is when a job is worth nothing any more
+	// (platform contract).
+	lateFactor = 3
+	// maxReservations bounds the waiting steps that keep room for themselves,
+	// and with it the cost of a pass.
+	maxReservations = 6
+	// largeShare is the share of a worker from which on a task counts as
+	// large: it keeps room, as small tasks would take it for ever.
+	largeShare = 4
+)
+
+// wants reports whether the step has a task to start.
+func (st *step) wants(now time.Time) bool {
+	for _, t := range st.tasks {
+		if t.waits(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *task) waits(now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore)
+}
+
+// matches reports whether the worker could ever run a task of the step.
+func (w *worker) matches(st *step) bool {
+	spec := st.spec
+	if spec.RequiredLabel != "" && !slices.Contains(w.Labels, spec.RequiredLabel) {
+		return false
+	}
+	return spec.Reserved().Fits(w.Capacity)
+}
+
+// latest is when the step has to start for its job to end on time.
+func (st *step) latest() time.Time {
+	o := st.occurrence
+	return o.due.Add(o.job.objective() - st.chain)
+}
+
+// hopeless reports whether the job is too late to be worth anything.
+func (st *step) hopeless(now time.Time) bool {
+	o := st.occurrence
+	return !st.spec.LongRunning && now.After(o.due.Add(lateFactor*o.job.objective()-st.chain))
+}
+
+// readyOrder returns the steps with tasks to start, most urgent first.
+func (s *Shard) readyOrder(now time.Time) []*step {
+	type ranked struct {
+		step     *step
+		hopeless int
+		latest   time.Time
+	}
+	list := make([]ranked, 0, len(s.ready))
+	for st := range s.ready {
+		if !st.wants(now) {
+			if !st.anyWaiting() {
+				delete(s.ready, st)
+			}
+			continue
+		}
+		r := ranked{step: st, latest: st.latest()}
+		if st.hopeless(now) {
+			r.hopeless = 1
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.hopeless, b.hopeless),
+			cmp.Compare(a.step.occurrence.job.record.Terms.Priority, b.step.occurrence.job.record.Terms.Priority),
+			a.latest.Compare(b.latest),
+			cmp.Compare(a.step.occurrence.job.id, b.step.occurrence.job.id),
+			cmp.Compare(a.step.occurrence.number, b.step.occurrence.number),
+			cmp.Compare(a.step.number, b.step.number),
+		)
+	})
+	order := make([]*step, len(list))
+	for i, r := range list {
+		order[i] = r.step
+	}
+	return order
+}
+
+// anyWaiting reports whether a task without a run is left, also one that
+// pauses after a failure.
+func (st *step) anyWaiting() bool {
+	for _, t := range st.tasks {
+		if !t.done && len(t.runs) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// pass is one round of placement.
+type pass struct {
+	shard *Shard
+	now   time.Time
+	// reserved workers are kept for a more urgent step until the given time.
+	reserved     map[*worker]time.Time
+	reservations int
+	wanted       map[*step][]*worker
+}
+
+// schedule places what waits, and asks for the advice that it needs.
+func (s *Shard) schedule(now time.Time) {
+	s.changed = false
+	if !s.authority || len(s.ready) == 0 {
+		return
+	}
+	order := s.readyOrder(now)
+	p := &pass{shard: s, now: now, reserved: map[*worker]time.Time{}, wanted: map[*step][]*worker{}}
+	for _, st := range order {
+		j := st.occurrence.job
+		if !j.durable || j.loaded && !s.settled {
+			continue
+		}
+		if st.spec.Gang {
+			p.placeGang(st)
+		} else {
+			p.placeTasks(st)
+		}
+	}
+	s.ask(now, order, p.wanted)
+}
+
+// candidate is a worker with room for at least one task of a step.
+type candidate struct {
+	worker *worker
+	room   int
+	ticket string
+	valid  bool
+	score  float64
+}
+
+// candidates returns the workers that may run the step now, best first, and
+// those that lack only a valid ticket.
+func (p *pass) candidates(st *step) (valid, expired []candidate) {
+	terms := &st.occurrence.job.record.Terms
+	demand := st.spec.Reserved()
+	for _, w := range p.shard.ordered {
+		if !w.usable() || !demand.Fits(w.free()) || !w.matches(st) || w.health.shunned(p.now) {
+			continue
+		}
+		if end, reserved := p.reserved[w]; reserved && p.now.Add(st.spec.Estimate).After(end) {
+			continue
+		}
+		c := candidate{worker: w, valid: true, room: roomFor(demand, w.free())}
+		if st.spec.MaxPerWorker > 0 {
+			c.room = min(c.room, st.spec.MaxPerWorker-st.runsOn(w))
+			if c.room <= 0 {
+				continue
+			}
+		}
+		if terms.Advised {
+			good, fresh := st.advice.allowed(w, p.now)
+			if !good {
+				continue
+			}
+			c.valid, c.ticket = fresh, st.advice.good[w.ID].text
+		}
+		c.score = p.score(st, w, demand)
+		if c.valid {
+			valid = append(valid, c)
+		} else {
+			expired = append(expired, c)
+		}
+	}
+	byScore := func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.worker.ID, b.worker.ID))
+	}
+	slices.SortFunc(valid, byScore)
+	slices.SortFunc(expired, byScore)
+	return valid, expired
+}
+
+func roomFor(demand, free job.Demand) int {
+	room := int(1e6)
+	if demand.MilliCPU > 0 {
+		room = min(room, free.MilliCPU/demand.MilliCPU)
+	}
+	if demand.MemoryMB > 0 {
+		room = min(room, free.MemoryMB/demand.MemoryMB)
+	}
+	if demand.GPUs > 0 {
+		room = min(room, free.GPUs/demand.GPUs)
+	}
+	return room
+}
+
+func (st *step) runsOn(w *worker) int {
+	count := 0
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			if r.worker == w {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+const (
+	// farPenalty outweighs any difference in room: away from its data a task
+	// takes a multiple of its time.
+	farPenalty = 10
+	// avoidPenalty keeps a task from the worker where it failed last.
+	avoidPenalty = 5
+)
+
+// score is lower for a better worker: the one whose scarcest resource has the
+// least left afterwards, so that large tasks still find whole workers.
+func (p *pass) score(st *step, w *worker, demand job.Demand) float64 {
+	free := w.free().Minus(demand)
+	left := float64(free.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
+	if w.Capacity.GPUs > 0 {
+		left = float64(free.GPUs)/float64(w.Capacity.GPUs) + left/100
+	}
+	if st.spec.Rack != "" && !slices.Contains(w.Labels, st.spec.Rack) {
+		left += farPenalty
+	}
+	return left + w.health.penalty(p.now)
+}
+
+// placeTasks starts as many tasks of the step as find room.
+func (p *pass) placeTasks(st *step) {
+	valid, expired := p.candidates(st)
+	blocked := false
+	for _, t := range st.tasks {
+		if !t.waits(p.now) {
+			continue
+		}
+		c := pick(valid, t)
+		if c == nil {
+			blocked = true
+			break
+		}
+		p.shard.order(p.now, t, c.worker, t.lastRun+1, c.ticket)
+		c.room--
+		c.score = p.score(st, c.worker, st.spec.Reserved())
+	}
+	if !blocked {
+		return
+	}
+	if len(expired) > 0 {
+		p.want(st, expired)
+		return
+	}
+	p.reserve(st, 1)
+}
+
+// pick returns the best candidate with room, rather not the task's last one.
+func pick(candidates []candidate, t *task) *candidate {
+	var best *candidate
+	bestScore := 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.room <= 0 {
+			continue
+		}
+		score := c.score
+		if t.avoid == c.worker.ID {
+			score += avoidPenalty
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = c, score
+		}
+	}
+	return best
+}
+
+// want notes that the candidates' tickets are needed, and keeps their room.
+func (p *pass) want(st *step, expired []candidate) {
+	workers := make([]*worker, len(expired))
+	for i, c := range expired {
+		workers[i] = c.worker
+	}
+	p.wanted[st] = workers
+	p.hold(workers, p.now.Add(adviceTime(st, len(workers))))
+}
+
+func (p *pass) hold(workers []*worker, until time.Time) {
+	if p.reservations >= maxReservations {
+		return
+	}
+	p.reservations++
+	for _, w := range workers {
+		if _, reserved := p.reserved[w]; !reserved {
+			p.reserved[w] = until
+		}
+	}
+}
+
+// reserve keeps the workers free on which the step can start soonest.
+func (p *pass) reserve(st *step, count int) {
+	if p.reservations >= maxReservations || st.hopeless(p.now) {
+		return
+	}
+	type soonest struct {
+		worker *worker
+		at     time.Time
+		room   int
+	}
+	var list []soonest
+	demand := st.spec.Reserved()
+	for _, w := range p.shard.ordered {
+		if !w.usable() || !w.matches(st) || !isLarge(demand, w.Capacity) {
+			continue
+		}
+		if _, reserved := p.reserved[w]; reserved {
+			continue
+		}
+		if st.occurrence.job.record.Terms.Advised {
+			if good, _ := st.advice.allowed(w, p.now); !good {
+				continue
+			}
+		}
+		list = append(list, soonest{w, w.roomAt(p.now, demand), max(1, roomFor(demand, w.Capacity))})
+	}
+	slices.SortStableFunc(list, func(a, b soonest) int { return a.at.Compare(b.at) })
+	var keep []*worker
+	var at time.Time
+	for _, entry := range list {
+		if count <= 0 {
+			break
+		}
+		keep = append(keep, entry.worker)
+		at = entry.at
+		count -= entry.room
+	}
+	if len(keep) > 0 {
+		p.hold(keep, at)
+	}
+}
+
+func isLarge(demand, capacity job.Demand) bool {
+	return demand.MilliCPU*largeShare >= capacity.MilliCPU || demand.GPUs*largeShare >= max(1, capacity.GPUs)
+}
+
+// roomAt is when the worker has room for the demand if nothing is added.
+func (w *worker) roomAt(now time.Time, demand job.Demand) time.Time {
+	free := w.free()
+	if demand.Fits(free) {
+		return now
+	}
+	type ending struct {
+		at   time.Time
+		free job.Demand
+	}
+	endings := make([]ending, 0, len(w.runs))
+	for _, r := range w.runs {
+		endings = append(endings, ending{r.expectedEnd(now), r.task.step.spec.Reserved()})
+	}
+	slices.SortStableFunc(endings, func(a, b ending) int { return a.at.Compare(b.at) })
+	for _, e := range endings {
+		free = free.Plus(e.free)
+		if demand.Fits(free) {
+			return e.at
+		}
+	}
+	return now.Add(time.Hour)
+}
+
+// minPercent is how far a run must be before its speed says anything.
+const minPercent = 10
+
+// expectedEnd is when a run ends, by its progress or by its estimate.
+func (r *run) expectedEnd(now time.Time) time.Time {
+	spec := r.task.step.spec
+	if spec.LongRunning {
+		return now.Add(time.Hour)
+	}
+	if r.percent >= minPercent && !r.startedAt.IsZero() {
+		elapsed := r.movedAt.Sub(r.startedAt)
+		end := r.startedAt.Add(time.Duration(float64(elapsed) * 100 / r.percent))
+		if end.After(now) {
+			return end
+		}
+		return now
+	}
+	end := r.orderedAt.Add(spec.Estimate)
+	if end.Before(now) {
+		end = now.Add(spec.Estimate / 4)
+	}
+	return end
+}
+
+// placeGang starts all tasks of the step or none.
+func (p *pass) placeGang(st *step) {
+	count := 0
+	number := int64(0)
+	for _, t := range st.tasks {
+		if t.done || len(t.runs) > 0 || p.now.Before(t.notBefore) {
+			return // what is left of a former run has to end first
+		}
+		number = max(number, t.lastRun+1)
+		count++
+	}
+	valid, expired := p.candidates(st)
+	chosen := spread(valid, count, st.spec.SameRack)
+	if chosen == nil {
+		all := append(slices.Clone(valid), expired...)
+		if len(expired) > 0 && spread(all, count, false) != nil {
+			p.want(st, all)
+			return
+		}
+		p.reserve(st, count)
+		return
+	}
+	for i, t := range st.tasks {
+		c := chosen[i]
+		p.shard.order(p.now, t, c.worker, number, c.ticket)
+	}
+}
+
+// spread deals count tasks to candidates, best first; nil if they don't fit.
+func spread(candidates []candidate, count int, sameRack bool) []candidate {
+	if sameRack {
+		if chosen := spreadInRack(candidates, count); chosen != nil {
+			return chosen
+		}
+	}
+	var chosen []candidate
+	for _, c := range candidates {
+		for range c.room {
+			chosen = append(chosen, c)
+			if len(chosen) == count {
+				return chosen
+			}
+		}
+	}
+	return nil
+}
+
+func spreadInRack(candidates []candidate, count int) []candidate {
+	byRack := map[string][]candidate{}
+	var racks []string
+	for _, c := range candidates {
+		rack := c.worker.rack()
+		if byRack[rack] == nil {
+			racks = append(racks, rack)
+		}
+		byRack[rack] = append(byRack[rack], c)
+	}
+	for _, rack := range racks {
+		if chosen := spread(byRack[rack], count, false); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// overload returns why a job isn't taken in for want of room.
+func (s *Shard) overload(time.Time, *job.Terms, *job.Spec) (reason string, retryAfter time.Duration) {
+	return "", 0
+}
--- /dev/null
+++ b/internal/shard/shard.go
@@ -0,0 +1,377 @@
+// Package shard decides for one service: which jobs are taken in, which task
+// starts on which worker and when, what a worker's report means, and what has
+// to be stored before anybody is told.
+//
+// A Shard has no socket, goroutine, clock or random source. Its owner feeds it
+// with inputs and the time, carries out the commands that Take returns, and
+// appends the records that TakeBatch returns to the platform's log.
+//
+// # Usage
+//
+//	s := shard.New(shard.Options{Service: "claim-review", Epoch: 7, Lease: 6 * time.Second})
+//	s.Load(now, records)               // what former holders stored
+//	s.SetWorkers(now, workers)         // the list of workers
+//	verdict := s.Accept(now, id, terms, spec)
+//	s.Tick(now)
+//	commands := s.Take()               // starts, stops, holds, advice, settled jobs
+//	batch := s.TakeBatch(now)          // append it, then
+//	s.Stored(now)
+//
+// The life of a task: waiting, then a run that is ordered, running, and over.
+// A run whose order had no answer is in doubt; it takes its room until its
+// worker's list, a confirmed stop or the end of its lease shows that it is
+// over. What a worker lists as ended frees its room at once, but the worker is
+// told to forget the end only after its meaning is stored.
+//
+// A new holder first reads each worker's list under its own fence. Until all
+// workers that may run something were read, or every lease that a former
+// holder can have given is over, it starts no task that it found in the store.
+package shard
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+)
+
+const (
+	// runsPerEpoch separates the run numbers of successive holders, so that
+	// numbers rise without a record for each start.
+	runsPerEpoch = 1 << 16
+	// leaseDrift covers a worker's clock that is 2% slow (platform contract).
+	leaseDrift = 1.02
+	// travelSlack covers the way of an order to the worker: the slowest
+	// link's 30 ms and a queue in front of it.
+	travelSlack = 250 * time.Millisecond
+	// forgetAfter keeps an unlisted worker that has nothing left to end,
+	// for the two seconds after which the platform counts it as gone, twice.
+	forgetAfter = 4 * time.Second
+	// expirySlack is added to the time for which a final state is kept.
+	expirySlack = 30 * time.Second
+)
+
+// Options describe a shard and the platform's limits.
+type Options struct {
+	Service string
+	// Epoch is the holder's number; it rises with each holder.
+	Epoch int64
+	// Lease is how long a worker keeps running without a word of the holder.
+	Lease time.Duration
+	// OrphanAfter is the time from the first input after which no run of a
+	// former holder can be left on a worker that could not be reached.
+	OrphanAfter time.Duration
+	// StateKept is how long a final state is told to callers.
+	StateKept time.Duration
+	// Early is how long before its time a task may start.
+	Early time.Duration
+	// FarFactor multiplies run times away from a task's data.
+	FarFactor float64
+	// Log takes one line for each decision; nil drops them.
+	Log func(event string, keyvals ...any)
+}
+
+// Shard is the decision state of one service.
+type Shard struct {
+	options Options
+	began   time.Time
+
+	jobs   map[string]*jobState
+	active []*jobState // not ended, or with runs left; in order of intake
+	// ready holds the steps with tasks to start.
+	ready   map[*step]bool
+	waiting map[string]int // by queue: accepted jobs of which nothing began
+
+	workers map[string]*worker
+	ordered []*worker // by ID
+	// owed are workers of a former holder's record that must be read before
+	// its tasks may start.
+	owed    map[string]bool
+	settled bool
+
+	dirtyJobs    []*jobState
+	dirtyWorkers []*worker
+	drops        []string
+	inFlight     []*jobState
+	inFlightW    []*worker
+	writing      bool
+
+	commands    Commands
+	authority   bool
+	adviceSlots int
+	adviceOut   int
+	changed     bool
+	tidied      time.Time
+	speeds      map[speedKey]float64
+}
+
+// jobState is one job.
+type jobState struct {
+	id      string
+	record  job.Accepted
+	arrived time.Time
+	// loaded jobs come from the store: a former holder may have started them.
+	loaded      bool
+	state       job.State
+	visible     job.State // as stored
+	durable     bool      // the intake is stored
+	endedAt     time.Time
+	cancel      bool
+	began       bool
+	occurrences []*occurrence
+	completed   map[int]bool
+	next        int // the next occurrence to create
+	dirty       bool
+	storedSpec  bool
+	writeSpec   bool
+	flying      job.State
+	runs        int
+	dropped     bool
+	work        float64
+}
+
+// occurrence is one execution of a job's steps.
+type occurrence struct {
+	job    *jobState
+	number int
+	due    time.Time
+	steps  []*step
+	left   int // steps that aren't done
+}
+
+// step is one step of an occurrence.
+type step struct {
+	occurrence *occurrence
+	number     int
+	spec       *job.Step
+	tasks      []*task
+	done       int
+	blocking   int // steps in spec.After that aren't done
+	failures   int // of a gang
+	advice     advice
+	chain      time.Duration // shortest time from this step's start to the end of the job
+	readyAt    time.Time
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	failures   int
+	checkpoint string
+	lastRun    int64
+	runs       []*run
+	avoid      string // worker of the last failure
+	notBefore  time.Time
+}
+
+// phase is where a run is.
+type phase int
+
+const (
+	ordered phase = iota // the order is on its way
+	running
+	doubtful // the order had no answer
+	stopping
+)
+
+// run is one start of a task.
+type run struct {
+	task      *task
+	number    int64
+	worker    *worker
+	phase     phase
+	orderedAt time.Time
+	startedAt time.Time
+	tries     int
+	stopSent  time.Time
+	stopTries int
+	confirmed time.Time // a stop was answered
+	percent   float64
+	movedAt   time.Time
+	usage     float64
+	pace      int
+	ticket    string
+	asked     bool // a stop is wanted
+}
+
+// New returns a shard that knows nothing yet.
+func New(options Options) *Shard {
+	if options.Log == nil {
+		options.Log = func(string, ...any) {}
+	}
+	if options.FarFactor < 1 {
+		options.FarFactor = 1
+	}
+	return &Shard{
+		options: options, jobs: map[string]*jobState{}, ready: map[*step]bool{}, waiting: map[string]int{},
+		workers: map[string]*worker{}, owed: map[string]bool{}, authority: true, adviceSlots: 1,
+		speeds: map[speedKey]float64{},
+	}
+}
+
+// Name returns the task's name towards workers.
+func (t *task) name() string {
+	s := t.step
+	return s.occurrence.job.id + "." + strconv.Itoa(s.occurrence.number) + "." + strconv.Itoa(s.number) + "." + strconv.Itoa(t.index)
+}
+
+func (s *step) name() string {
+	return s.occurrence.job.id + "." + strconv.Itoa(s.occurrence.number) + "." + strconv.Itoa(s.number)
+}
+
+// taskKey is a parsed task name.
+type taskKey struct {
+	id                      string
+	occurrence, step, index int
+}
+
+func parseTask(name string) (taskKey, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return taskKey{}, fmt.Errorf("task %q: want four parts", name)
+	}
+	key := taskKey{id: parts[0]}
+	for i, into := range []*int{&key.occurrence, &key.step, &key.index} {
+		number, err := strconv.Atoi(parts[i+1])
+		if err != nil {
+			return taskKey{}, fmt.Errorf("task %q: %w", name, err)
+		}
+		*into = number
+	}
+	return key, nil
+}
+
+// find returns the task of a key, nil if there is none.
+func (s *Shard) find(key taskKey) *task {
+	j := s.jobs[key.id]
+	if j == nil {
+		return nil
+	}
+	for _, o := range j.occurrences {
+		if o.number == key.occurrence && key.step >= 0 && key.step < len(o.steps) {
+			if st := o.steps[key.step]; key.index >= 0 && key.index < len(st.tasks) {
+				return st.tasks[key.index]
+			}
+		}
+	}
+	return nil
+}
+
+// SetAuthority tells whether the holder still has proof of its right. Without
+// it the shard starts nothing and extends no lease.
+func (s *Shard) SetAuthority(has bool) {
+	if has != s.authority {
+		s.options.Log("authority", "service", s.options.Service, "has", has)
+	}
+	s.authority = has
+	s.changed = true
+}
+
+// SetAdviceSlots tells how many calls for advice may be on their way at once.
+func (s *Shard) SetAdviceSlots(slots int) { s.adviceSlots = max(1, slots) }
+
+// Jobs returns the number of jobs that aren't ended, and of tasks that run.
+func (s *Shard) Jobs() (open, tasks int) {
+	for _, j := range s.active {
+		if !j.state.Ended() {
+			open++
+		}
+		tasks += j.runs
+	}
+	return open, tasks
+}
+
+// State returns what a caller is told about a job.
+func (s *Shard) State(id string) (state job.State, known bool) {
+	j := s.jobs[id]
+	if j == nil || !j.durable {
+		return "", false
+	}
+	if j.visible == job.Queued && j.began {
+		return job.Running, true
+	}
+	return j.visible, true
+}
+
+// Waiting returns the number of a queue's accepted jobs that haven't begun.
+func (s *Shard) Waiting(queue string) int { return s.waiting[queue] }
+
+// create builds the occurrence's steps.
+func (s *Shard) create(now time.Time, j *jobState, number int) *occurrence {
+	o := &occurrence{job: j, number: number, due: now}
+	if j.record.Spec.Repeat > 0 {
+		o.due = now.Add(-wallSince(now, j.record.Spec.Due(number)))
+	} else {
+		o.due = j.arrived
+	}
+	for i := range j.record.Spec.Steps {
+		spec := &j.record.Spec.Steps[i]
+		st := &step{occurrence: o, number: i, spec: spec, blocking: len(spec.After)}
+		for index := range spec.Count {
+			st.tasks = append(st.tasks, &task{step: st, index: index, lastRun: (s.options.Epoch - 1) * runsPerEpoch})
+		}
+		o.steps = append(o.steps, st)
+	}
+	o.left = len(o.steps)
+	for i := len(o.steps) - 1; i >= 0; i-- {
+		st := o.steps[i]
+		longest := time.Duration(0)
+		for _, later := range o.steps[i+1:] {
+			for _, after := range later.spec.After {
+				if after == i {
+					longest = max(longest, later.chain)
+				}
+			}
+		}
+		st.chain = longest + st.spec.Estimate
+	}
+	j.occurrences = append(j.occurrences, o)
+	for _, st := range o.steps {
+		if st.blocking == 0 {
+			s.becomeReady(now, st)
+		}
+	}
+	return o
+}
+
+// wallSince compares times of day, without the steady clock.
+func wallSince(now, then time.Time) time.Duration { return now.Round(0).Sub(then.Round(0)) }
+
+func (s *Shard) becomeReady(now time.Time, st *step) {
+	st.readyAt = now
+	s.ready[st] = true
+	s.changed = true
+}
+
+// chainOf is the longest chain of a job's steps by their estimates.
+func chainOf(spec *job.Spec) time.Duration {
+	chains := make([]time.Duration, len(spec.Steps))
+	longest := time.Duration(0)
+	for i := range spec.Steps {
+		for _, after := range spec.Steps[i].After {
+			chains[i] = max(chains[i], chains[after])
+		}
+		chains[i] += spec.Steps[i].Estimate
+		longest = max(longest, chains[i])
+	}
+	return longest
+}
+
+// objective is the time that a job has from its arrival to count as on time.
+func (j *jobState) objective() time.Duration {
+	terms := &j.record.Terms
+	return time.Duration(terms.Stretch*float64(chainOf(&j.record.Spec))) + terms.Target
+}
+
+func (s *Shard) sortWorkers() {
+	s.ordered = s.ordered[:0]
+	for _, w := range s.workers {
+		s.ordered = append(s.ordered, w)
+	}
+	sort.Slice(s.ordered, func(i, j int) bool { return s.ordered[i].ID < s.ordered[j].ID })
+}
--- /dev/null
+++ b/internal/shard/workers.go
@@ -0,0 +1,430 @@
+package shard
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+)
+
+// WorkerInfo is what the list of workers says of one worker.
+type WorkerInfo struct {
+	ID       string
+	Address  netip.AddrPort
+	Zone     string
+	Born     int64
+	Draining bool
+	// Remaining is the least time that a draining worker has left.
+	Remaining time.Duration
+	Capacity  job.Demand
+	Labels    []string
+}
+
+// worker is one worker and what runs on it.
+type worker struct {
+	WorkerInfo
+	Listed   bool
+	gone     time.Time // since when it isn't listed
+	used     job.Demand
+	runs     []*run
+	reached  bool // its lists were read by this holder
+	life     int64
+	seen     int64 // the last end that was handled
+	stored   int64 // the last end whose meaning is stored
+	flying   int64
+	told     int64 // the last end that the worker was told to forget
+	recorded bool  // the worker's note is stored
+	dirty    bool
+	checking bool // the next look must confirm the worker's life first
+
+	clock     time.Duration
+	clockAt   time.Time
+	leaseEnd  time.Time
+	holding   bool
+	holdAt    time.Time
+	nextHold  time.Time
+	failures  int // looks without an answer, in a row
+	lastReply time.Time
+	health    health
+	drainSeen time.Time
+}
+
+const (
+	// holdWait is how long a worker delays its answer to wait for an end:
+	// a quarter of the lease, so that three looks may fail.
+	holdWait = 1500 * time.Millisecond
+	// lookAgain is the pause after a look that failed.
+	lookAgain = 300 * time.Millisecond
+	// urgentLease is the rest of a lease below which it is extended without
+	// waiting for the store.
+	urgentLease = 3500 * time.Millisecond
+	// unreachableAfter is how many looks in a row may fail before nothing
+	// new is placed on a worker.
+	unreachableAfter = 1
+)
+
+// SetWorkers takes the current list of the service's workers.
+func (s *Shard) SetWorkers(now time.Time, list []WorkerInfo) {
+	listed := make(map[string]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		w := s.workers[info.ID]
+		if w == nil {
+			w = &worker{WorkerInfo: info, life: info.Born, Listed: true}
+			s.workers[info.ID] = w
+			s.sortWorkers()
+			w.leaseEnd = s.began.Add(s.options.OrphanAfter)
+			s.markWorker(w)
+			s.options.Log("worker-listed", "worker", info.ID, "address", info.Address, "capacity", info.Capacity, "draining", info.Draining)
+			s.changed = true
+			continue
+		}
+		if info.Draining && !w.Draining {
+			s.options.Log("worker-draining", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.runs))
+			w.drainSeen = now
+		}
+		if !w.Listed || w.Draining != info.Draining || w.Capacity != info.Capacity {
+			s.changed = true
+		}
+		if w.Address != info.Address || w.Born != info.Born {
+			w.checking = true
+			w.nextHold = now
+		}
+		w.WorkerInfo, w.Listed = info, true
+	}
+	for _, w := range s.ordered {
+		if w.Listed && !listed[w.ID] {
+			w.Listed, w.gone = false, now
+			s.options.Log("worker-unlisted", "worker", w.ID, "runs", len(w.runs), "lease-left", w.leaseEnd.Sub(now))
+		}
+	}
+}
+
+// forgetWorkers drops unlisted workers on which nothing can run any more.
+func (s *Shard) forgetWorkers(now time.Time) {
+	kept := s.ordered[:0]
+	for _, w := range s.ordered {
+		if !w.Listed && len(w.runs) == 0 && !w.holding && now.Sub(w.gone) > forgetAfter && now.After(w.leaseEnd) {
+			delete(s.workers, w.ID)
+			delete(s.owed, w.ID)
+			s.drops = append(s.drops, workerKey(w.ID))
+			s.options.Log("worker-forgotten", "worker", w.ID)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	s.ordered = kept
+}
+
+// usable reports whether new tasks may be placed on the worker.
+func (w *worker) usable() bool {
+	return w.Listed && !w.Draining && w.reached && w.recorded && !w.checking && w.failures < unreachableAfter
+}
+
+func (w *worker) free() job.Demand { return w.Capacity.Minus(w.used) }
+
+func (w *worker) rack() string {
+	if len(w.Labels) == 0 {
+		return ""
+	}
+	return w.Labels[len(w.Labels)-1]
+}
+
+func (w *worker) target() Target { return Target{ID: w.ID, Address: w.Address} }
+
+// until is the end of a lease from now on the worker's clock.
+func (w *worker) until(now time.Time, lease time.Duration) time.Duration {
+	return w.clock + now.Sub(w.clockAt) + lease
+}
+
+// extend notes that an order with a lease leaves now.
+func (s *Shard) extend(now time.Time, w *worker) time.Duration {
+	end := now.Add(time.Duration(float64(s.options.Lease)*leaseDrift) + travelSlack)
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+	return w.until(now, s.options.Lease)
+}
+
+// look sends the holds that are due.
+func (s *Shard) look(now time.Time) {
+	for _, w := range s.ordered {
+		if w.holding || now.Before(w.nextHold) {
+			continue
+		}
+		first := !w.reached || w.checking
+		settledEnds := w.stored == w.seen
+		urgent := len(w.runs) > 0 && w.leaseEnd.Sub(now) < urgentLease
+		switch {
+		case first:
+			if !w.Listed && now.After(w.leaseEnd) && len(w.runs) == 0 {
+				continue
+			}
+			s.send(now, w, Hold{Target: w.target()})
+		case len(w.runs) > 0 && (settledEnds || urgent):
+			hold := Hold{Target: w.target(), Seen: w.stored, Wait: holdWait}
+			if !settledEnds || w.anyStopping() {
+				hold.Wait = 0
+			}
+			if s.authority {
+				hold.Until = s.extend(now, w)
+			}
+			s.send(now, w, hold)
+		case len(w.runs) == 0 && w.stored > w.told && settledEnds:
+			s.send(now, w, Hold{Target: w.target(), Seen: w.stored})
+		}
+	}
+}
+
+// anyStopping reports whether a stop still waits to be confirmed by a list.
+func (w *worker) anyStopping() bool {
+	for _, r := range w.runs {
+		if r.phase == stopping && !r.confirmed.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Shard) send(now time.Time, w *worker, hold Hold) {
+	w.holding, w.holdAt = true, now
+	w.told = max(w.told, hold.Seen)
+	s.commands.Holds = append(s.commands.Holds, hold)
+}
+
+// Report is a worker's answer to a Hold.
+type Report struct {
+	Born    int64
+	Clock   time.Duration
+	Running []RunningRow
+	Ended   []EndedRow
+}
+
+// RunningRow is a task that runs on the worker.
+type RunningRow struct {
+	RunKey
+	Checkpoint string
+	Percent    float64
+	Usage      float64
+}
+
+// EndedRow is a run that is over.
+type EndedRow struct {
+	RunKey
+	Number     int64
+	How        How
+	Checkpoint string
+}
+
+// How is why a run is over.
+type How string
+
+// Ways in which a run ends.
+const (
+	Done    How = "done"
+	FailedX How = "failed"
+	Stopped How = "stopped"
+	Lapsed  How = "lapsed"
+	Broken  How = "broken"
+	Alone   How = "alone"
+)
+
+// HoldFailed says that a Hold had no answer, or a refusal.
+func (s *Shard) HoldFailed(now time.Time, id string, cause string) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	w.failures++
+	w.checking = true
+	w.nextHold = now.Add(lookAgain)
+	s.changed = true
+	if w.failures == 1 {
+		s.options.Log("worker-unreachable", "worker", id, "runs", len(w.runs), "lease-left", w.leaseEnd.Sub(now), "cause", cause)
+	}
+}
+
+// Reported takes a worker's answer to a Hold that left at the given time.
+func (s *Shard) Reported(now, sent time.Time, id string, report Report) {
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	if w.failures > 0 {
+		s.options.Log("worker-reachable", "worker", id, "silent", now.Sub(w.lastReply))
+	}
+	if w.failures > 0 || !w.reached {
+		s.changed = true
+	}
+	w.failures, w.lastReply = 0, now
+	w.clock, w.clockAt = report.Clock, now
+	w.nextHold = now
+	if report.Born != w.life {
+		s.restarted(now, w, report.Born)
+	}
+	wasFirst := !w.reached
+	w.reached, w.checking = true, false
+	for _, row := range report.Ended {
+		s.end(now, w, row)
+	}
+	s.compare(now, sent, w, report.Running)
+	if wasFirst {
+		s.options.Log("worker-read", "worker", id, "running", len(report.Running), "ended", len(report.Ended), "born", report.Born)
+	}
+	s.settle(now)
+}
+
+// restarted drops what a former life of the worker ran.
+func (s *Shard) restarted(now time.Time, w *worker, born int64) {
+	if w.reached || w.seen > 0 {
+		s.options.Log("worker-restarted", "worker", w.ID, "born", born, "before", w.life, "runs", len(w.runs))
+	}
+	w.life, w.seen, w.stored, w.told, w.flying = born, 0, 0, 0, 0
+	s.markWorker(w)
+	for _, r := range slices.Clone(w.runs) {
+		if r.phase == ordered || r.phase == doubtful {
+			continue // may yet reach the new life; its list or answer decides
+		}
+		s.over(now, r, "worker-restarted")
+	}
+	s.changed = true
+}
+
+// compare brings the shard's runs in line with a worker's list.
+func (s *Shard) compare(now, sent time.Time, w *worker, rows []RunningRow) {
+	listed := make(map[RunKey]*RunningRow, len(rows))
+	for i := range rows {
+		listed[rows[i].RunKey] = &rows[i]
+	}
+	for _, r := range slices.Clone(w.runs) {
+		key := RunKey{r.task.name(), r.number}
+		row := listed[key]
+		delete(listed, key)
+		switch {
+		case row != nil:
+			s.progress(now, r, row)
+		case (r.phase == running || r.phase == stopping) && !r.startedAt.IsZero() && r.startedAt.Before(sent):
+			s.over(now, r, "not-listed")
+		case (r.phase == stopping || r.phase == doubtful) && !r.confirmed.IsZero() && r.confirmed.Before(sent):
+			s.over(now, r, "stopped")
+		}
+	}
+	for i := range rows {
+		if row := listed[rows[i].RunKey]; row != nil {
+			s.adopt(now, w, row)
+		}
+	}
+}
+
+// progress takes a row of a run that the shard knows.
+func (s *Shard) progress(now time.Time, r *run, row *RunningRow) {
+	if r.phase == ordered || r.phase == doubtful {
+		if r.asked {
+			r.phase = stopping
+			s.sendStop(now, r)
+		} else {
+			s.started(now, r)
+		}
+	}
+	if row.Percent > r.percent {
+		r.percent, r.movedAt = row.Percent, now
+	}
+	r.usage = row.Usage
+	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
+		r.task.checkpoint = row.Checkpoint
+	}
+}
+
+// adopt takes over a run that a former holder started.
+func (s *Shard) adopt(now time.Time, w *worker, row *RunningRow) {
+	key, err := parseTask(row.Task)
+	if err != nil {
+		s.options.Log("foreign-run", "worker", w.ID, "task", row.Task, "cause", err)
+		return
+	}
+	t := s.find(key)
+	if t == nil {
+		s.options.Log("unknown-run", "worker", w.ID, "task", row.Task, "run", row.Run)
+		s.commands.Stops = append(s.commands.Stops, Stop{RunKey: row.RunKey, Target: w.target()})
+		w.nextHold = now.Add(lookAgain)
+		return
+	}
+	r := &run{task: t, number: row.Run, worker: w, phase: running, orderedAt: now, startedAt: now, movedAt: now, pace: 100}
+	s.attach(r)
+	t.lastRun = max(t.lastRun, row.Run)
+	s.begin(t.step.occurrence.job)
+	s.progress(now, r, row)
+	s.options.Log("run-adopted", "task", row.Task, "run", row.Run, "worker", w.ID, "percent", row.Percent)
+	j := t.step.occurrence.job
+	gangMismatch := t.step.spec.Gang && t.step.number >= 0 && s.gangBroken(t.step)
+	if t.done || j.state.Ended() || gangMismatch || len(t.runs) > 1 && !t.step.spec.Speculative {
+		s.stop(now, r)
+	}
+}
+
+// gangBroken reports whether runs of a gang have unlike numbers.
+func (s *Shard) gangBroken(st *step) bool {
+	number := int64(0)
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			if number != 0 && r.number != number {
+				return true
+			}
+			number = r.number
+		}
+	}
+	return false
+}
+
+// settle checks whether all that a former holder may have started is known.
+func (s *Shard) settle(now time.Time) {
+	if s.settled {
+		return
+	}
+	if now.Before(s.began.Add(s.options.OrphanAfter)) {
+		for _, w := range s.ordered {
+			if !w.reached {
+				return
+			}
+		}
+		for id := range s.owed {
+			if w := s.workers[id]; w == nil || !w.reached {
+				return
+			}
+		}
+	}
+	s.settled = true
+	s.changed = true
+	s.options.Log("settled", "service", s.options.Service, "after", now.Sub(s.began))
+	// A gang that isn't whole after a change of holder starts anew.
+	for _, j := range s.active {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				s.checkGang(now, st)
+			}
+		}
+	}
+}
+
+func (s *Shard) checkGang(now time.Time, st *step) {
+	if !st.spec.Gang || st.done == len(st.tasks) {
+		return
+	}
+	present := 0
+	for _, t := range st.tasks {
+		if len(t.runs) > 0 {
+			present++
+		}
+	}
+	if present == 0 || present == len(st.tasks) {
+		return
+	}
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			s.stop(now, r)
+		}
+	}
+}
