--- a/cmd/yuccalanding-entry/main.go
+++ b/cmd/yuccalanding-entry/main.go
@@ -25,7 +25,8 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -33,8 +34,28 @@
 	recorder := event.New(logs, event.Options{
 		Out: os.Stdout, Node: settings.Node, PerSecond: entry.LinesPerSecond, Burst: entry.LinesBurst, Queue: entry.LinesQueue,
 	})
-	err = entry.New(settings, recorder).Run(ctx)
+	process := entry.New(settings, recorder)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	reloaded := make(chan struct{})
+	go func() { defer close(reloaded); reload(ctx, reloads, path, process) }()
+	err = process.Run(ctx)
+	stop()
+	<-reloaded
 	endLogs()
 	<-recorder.Done()
 	return err
 }
+
+// reload reads the settings again at each SIGHUP until the context ends.
+func reload(ctx context.Context, signals <-chan os.Signal, path string, process *entry.Process) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			settings, err := platform.ReadSettings(path)
+			process.Reload(settings, err)
+		}
+	}
+}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -48,7 +48,7 @@
 	peerKept = 2 * time.Second
 	// adviceTimeout is added to the time that the adviser needs.
 	adviceTimeout = 2 * time.Second
-	// unhealthyPause is the worker's own pause after it refused as unhealthy.
+	// leaseSlack covers the way of a former holder's last order.
 	leaseSlack = 500 * time.Millisecond
 )
 
@@ -222,7 +222,7 @@
 		}
 		now := time.Now()
 		h.shard.SetAuthority(h.proofAge() < keepWithout && !h.released.Load())
-		h.shard.SetAdviceSlots(h.adviceSlots(now))
+		h.shard.SetAdviceSlots(h.adviceSlots())
 		h.shard.Tick(now)
 		h.carryOut(h.shard.Take())
 		h.write(now)
@@ -492,7 +492,7 @@
 			delete(h.members, address)
 			continue
 		}
-		if address.IsValid() {
+		if address != h.process.address {
 			answer.Peers = append(answer.Peers, address)
 		}
 	}
@@ -501,44 +501,57 @@
 }
 
 // callsPerNode is how many calls for advice a node has on its way: the adviser
-// takes one at a time from each machine.
-const callsPerNode = 1
+// takes one at a time from each machine, and one more waits there so that the
+// next begins at once.
+const callsPerNode = 2
+
+// quickNodes is the share of the nodes, as 1 of n, that take only quick calls
+// for advice. All holders choose the same ones, by address.
+const quickNodes = 3
+
+// living returns the addresses of the nodes that greet this holder and its
+// own, in order, with those that take only quick calls first.
+func (h *holder) living(now time.Time) (addresses []netip.AddrPort, quick int) {
+	addresses = append(addresses, h.process.address)
+	for address, m := range h.members {
+		if address != h.process.address && now.Sub(m.heard) <= peerKept {
+			addresses = append(addresses, address)
+		}
+	}
+	sort.Slice(addresses, func(i, j int) bool { return addresses[i].Compare(addresses[j]) < 0 })
+	return addresses, len(addresses) / quickNodes
+}
 
 // adviceSlots is how many calls for advice all living nodes take at once.
-func (h *holder) adviceSlots(now time.Time) int {
+func (h *holder) adviceSlots() (quick, slow int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	nodes := 1
-	for address, m := range h.members {
-		if address.IsValid() && now.Sub(m.heard) <= peerKept {
-			nodes++
-		}
+	addresses, quickOnly := h.living(time.Now())
+	if quickOnly == 0 {
+		return len(addresses) * callsPerNode, len(addresses)
 	}
-	return nodes * callsPerNode
+	return quickOnly * callsPerNode, len(addresses) - quickOnly
 }
 
-// leastBusy picks the node for a call for advice; the invalid address is this one.
-func (h *holder) leastBusy() (netip.AddrPort, *member) {
+// leastBusy picks the node for a call for advice.
+func (h *holder) leastBusy(quick bool) (netip.AddrPort, *member) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	addresses := make([]netip.AddrPort, 0, len(h.members)+1)
-	addresses = append(addresses, netip.AddrPort{})
-	for address, m := range h.members {
-		if address.IsValid() && now.Sub(m.heard) <= peerKept {
-			addresses = append(addresses, address)
-		}
+	addresses, quickOnly := h.living(now)
+	if quick && quickOnly > 0 {
+		addresses = addresses[:quickOnly]
+	} else {
+		addresses = addresses[quickOnly:]
 	}
-	sort.Slice(addresses, func(i, j int) bool { return addresses[i].Compare(addresses[j]) < 0 })
-	if h.members[netip.AddrPort{}] == nil {
-		h.members[netip.AddrPort{}] = &member{name: h.process.settings.Node}
+	if h.members[h.process.address] == nil {
+		h.members[h.process.address] = &member{name: h.process.settings.Node}
 	}
-	h.members[netip.AddrPort{}].heard = now
+	h.members[h.process.address].heard = now
 	h.turn++
-	best := addresses[0]
-	for i := range addresses {
-		address := addresses[(i+h.turn)%len(addresses)]
-		if i == 0 || h.members[address].calls < h.members[best].calls {
+	best := addresses[h.turn%len(addresses)]
+	for _, address := range addresses {
+		if h.members[address].calls < h.members[best].calls {
 			best = address
 		}
 	}
@@ -549,14 +562,14 @@
 
 // advise sends a call for advice through the node with the fewest of them.
 func (h *holder) advise(advise shard.Advise) {
-	node, m := h.leastBusy()
+	node, m := h.leastBusy(advise.Takes <= shard.QuickAdvice)
 	go func() {
 		ctx, cancel := context.WithTimeout(h.ctx, advise.Takes+adviceTimeout)
 		defer cancel()
 		var answer adviseAnswer
 		var err error
 		request := adviseRequest{Step: advise.Step, Workers: advise.Workers}
-		if node.IsValid() {
+		if node != h.process.address {
 			answer, err = ask[adviseAnswer](ctx, h.process.peers, node, pathAdvise, request)
 		} else {
 			answer = h.process.advise(ctx, request)
@@ -572,7 +585,7 @@
 		for i, ticket := range answer.Good {
 			good[i] = shard.GoodWorker{ID: ticket.Worker, Ticket: ticket.Text}
 		}
-		h.input(func(now time.Time) { h.shard.Advised(now, advise.Step, advise.Workers, good, cause) })
+		h.input(func(now time.Time) { h.shard.Advised(now, advise, good, cause) })
 	}()
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -176,6 +176,20 @@
 	return nil
 }
 
+// Reload takes settings that were read again, or the error of reading them.
+// Bounds and names are in force until the process starts again; a change is
+// logged so that an operator sees which process still runs with the old ones.
+func (p *Process) Reload(settings platform.Settings, err error) {
+	switch {
+	case err != nil:
+		p.log("settings-refused", "cause", err)
+	case settings == p.settings:
+		p.log("settings-reloaded", "changed", false)
+	default:
+		p.log("settings-reloaded", "changed", true, "in-force", "at the next start")
+	}
+}
+
 // drain ends the process's part without breaking a request off.
 func (p *Process) drain(callers *http.Server) {
 	began := time.Now()
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -18,6 +18,8 @@
 		{708, "manifest-bad", Error, "A manifest can't be read; the last one stays in force.", "Correct the manifest.", false},
 		{709, "record-unreadable", Error, "A record of the store can't be read and is skipped.", "Report the fault with the record's key.", false},
 		{710, "record-not-encoded", Error, "A record can't be written.", "Report the fault with the record's key.", false},
+		{711, "settings-reloaded", Info, "The settings were read again after SIGHUP.", noAction, false},
+		{712, "settings-refused", Error, "The settings that were read again have faults; the former ones stay in force.", "Correct the settings that the cause names.", false},
 
 		{720, "right-seen", Info, "The store names a new holder of a service's right.", noAction, false},
 		{721, "right-claimed", Info, "This process took the right to a service; cause and silence say why.", noAction, false},
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -10,9 +10,14 @@
 	ticketMargin = 300 * time.Millisecond
 	// maxAdvised is how many workers one call may name (platform contract).
 	maxAdvised = 100
-	// warmSteps is how many waiting steps keep their tickets valid, so that
-	// room that becomes free isn't kept empty for the adviser's answer.
-	warmSteps = 8
+	// adviceLead is added to the adviser's time, for the way to it and back.
+	adviceLead = 100 * time.Millisecond
+	// lateAsked is how many of the most urgent steps ask about workers that
+	// joined after their first call.
+	lateAsked = 8
+	// QuickAdvice is the longest call that goes to the nodes which take no
+	// long ones, so that urgent work isn't queued behind them.
+	QuickAdvice = 100 * time.Millisecond
 	// adviceRetry is the pause after a call for advice that failed.
 	adviceRetry = 150 * time.Millisecond
 )
@@ -22,6 +27,7 @@
 	asked    map[string]int64 // worker to the life that was asked about
 	good     map[string]ticket
 	inFlight bool
+	askedAt  time.Time
 	again    time.Time
 }
 
@@ -48,37 +54,65 @@
 	}
 }
 
-// ask sends the calls for advice that the waiting steps need, most urgent first.
-func (s *Shard) ask(now time.Time, order []*step, wanted map[*step][]*worker) {
-	warm := 0
-	for _, st := range order {
-		if s.adviceOut >= s.adviceSlots {
-			return
-		}
-		terms := &st.occurrence.job.record.Terms
-		if !terms.Advised || st.advice.inFlight || now.Before(st.advice.again) || !st.wants(now) {
+// plan is when and where a step that found no room can start soonest.
+type plan struct {
+	workers []*worker
+	at      time.Time
+}
+
+// ask sends the calls for advice that the waiting steps need, most urgent
+// first. A step's first call comes at once and shows where it may run. Later
+// calls renew tickets only in time for the room that becomes free: the adviser
+// takes one call at a time from each node.
+func (s *Shard) ask(now time.Time, order []*step, wanted map[*step][]*worker, plans map[*step]plan) {
+	for rank, st := range order {
+		if !st.occurrence.job.record.Terms.Advised || st.advice.inFlight || now.Before(st.advice.again) {
 			continue
 		}
-		if len(st.advice.asked) == 0 {
-			s.advise(now, st, s.unasked(st))
-			continue
+		var workers []*worker
+		planned, blocked := plans[st]
+		switch {
+		case len(st.advice.asked) == 0:
+			workers = s.unasked(st)
+		case len(wanted[st]) > 0:
+			workers = wanted[st]
+		case blocked && len(planned.workers) > 0:
+			workers = s.renewals(now, st, planned)
 		}
-		if workers := wanted[st]; len(workers) > 0 {
-			s.advise(now, st, workers)
-			continue
+		if len(workers) == 0 && rank < lateAsked && len(st.advice.asked) > 0 {
+			workers = s.unasked(st)
 		}
-		warm++
-		if warm > warmSteps {
-			continue
-		}
-		if workers := s.unasked(st); len(workers) > 0 {
+		if len(workers) > 0 {
 			s.advise(now, st, workers)
-			continue
 		}
-		if workers := s.expiring(now, st); len(workers) > 0 {
-			s.advise(now, st, workers)
+	}
+}
+
+// renewals returns the step's good workers if their tickets have to be asked
+// for now to be there when the first of them has room.
+func (s *Shard) renewals(now time.Time, st *step, planned plan) []*worker {
+	var good []*worker
+	for _, w := range s.ordered {
+		if allowed, _ := st.advice.allowed(w, now); allowed && w.usable() {
+			good = append(good, w)
+		}
+	}
+	if now.Add(adviceTime(st, len(good)) + adviceLead).Before(planned.at) {
+		return nil
+	}
+	for _, w := range planned.workers {
+		if _, valid := st.advice.allowed(w, maxTime(now, planned.at)); !valid {
+			return good
 		}
 	}
+	return nil
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // unasked returns the workers that could run a task of the step and about
@@ -98,27 +132,6 @@
 	return workers
 }
 
-// expiring returns the good workers of a step if their tickets run out before
-// new ones could arrive.
-func (s *Shard) expiring(now time.Time, st *step) []*worker {
-	var workers []*worker
-	soon := false
-	for _, w := range s.ordered {
-		t, found := st.advice.good[w.ID]
-		if !found || t.life != w.life || !w.usable() {
-			continue
-		}
-		workers = append(workers, w)
-		if now.Add(adviceTime(st, len(workers)) + ticketMargin).After(t.until) {
-			soon = true
-		}
-	}
-	if !soon {
-		return nil
-	}
-	return workers
-}
-
 func adviceTime(st *step, workers int) time.Duration {
 	terms := &st.occurrence.job.record.Terms
 	return terms.AdviceTime + time.Duration(workers)*terms.AdvicePerWorker
@@ -128,13 +141,32 @@
 	if len(workers) == 0 {
 		return
 	}
+	takes := adviceTime(st, len(workers))
+	if !s.takeSlot(takes) {
+		return
+	}
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.ID
 	}
-	st.advice.inFlight = true
-	s.adviceOut++
-	s.commands.Advices = append(s.commands.Advices, Advise{Step: st.name(), Workers: ids, Takes: adviceTime(st, len(ids))})
+	st.advice.inFlight, st.advice.askedAt = true, now
+	s.commands.Advices = append(s.commands.Advices, Advise{Step: st.name(), Workers: ids, Takes: takes})
+}
+
+// takeSlot reports whether a call of this length may leave now.
+func (s *Shard) takeSlot(takes time.Duration) bool {
+	if takes <= QuickAdvice {
+		if s.quickOut >= s.quickSlots {
+			return false
+		}
+		s.quickOut++
+		return true
+	}
+	if s.slowOut >= s.slowSlots {
+		return false
+	}
+	s.slowOut++
+	return true
 }
 
 // GoodWorker is a worker that may run a step, and its ticket.
@@ -143,10 +175,15 @@
 	Ticket string
 }
 
-// Advised takes the adviser's answer about the named workers. A call that
+// Advised takes the adviser's answer to a request. A call that
 // failed has no good workers and a cause.
-func (s *Shard) Advised(now time.Time, stepName string, asked []string, good []GoodWorker, cause string) {
-	s.adviceOut--
+func (s *Shard) Advised(now time.Time, request Advise, good []GoodWorker, cause string) {
+	stepName, asked := request.Step, request.Workers
+	if request.Takes <= QuickAdvice {
+		s.quickOut--
+	} else {
+		s.slowOut--
+	}
 	s.changed = true
 	key, err := parseTask(stepName + ".0")
 	if err != nil {
@@ -178,5 +215,5 @@
 			st.advice.good[worker.ID] = ticket{worker.Ticket, w.life, until}
 		}
 	}
-	s.options.Log("advised", "step", stepName, "asked", len(asked), "good", len(good))
+	s.options.Log("advised", "step", stepName, "queue", st.occurrence.job.record.Terms.Queue, "asked", len(asked), "good", len(good), "takes", adviceTime(st, len(asked)), "waited", now.Sub(st.advice.askedAt), "ready-for", now.Sub(st.readyAt))
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -15,6 +15,9 @@
 	// maxReservations bounds the waiting steps that keep room for themselves,
 	// and with it the cost of a pass.
 	maxReservations = 6
+	// maxPlans bounds the waiting steps whose soonest start is worked out in a
+	// pass: those behind them are not next.
+	maxPlans = 24
 	// largeShare is the share of a worker from which on a task counts as
 	// large: it keeps room, as small tasks would take it for ever.
 	largeShare = 4
@@ -112,6 +115,7 @@
 	reserved     map[*worker]time.Time
 	reservations int
 	wanted       map[*step][]*worker
+	plans        map[*step]plan
 }
 
 // schedule places what waits, and asks for the advice that it needs.
@@ -121,7 +125,7 @@
 		return
 	}
 	order := s.readyOrder(now)
-	p := &pass{shard: s, now: now, reserved: map[*worker]time.Time{}, wanted: map[*step][]*worker{}}
+	p := &pass{shard: s, now: now, reserved: map[*worker]time.Time{}, wanted: map[*step][]*worker{}, plans: map[*step]plan{}}
 	for _, st := range order {
 		j := st.occurrence.job
 		if !j.durable || j.loaded && !s.settled {
@@ -133,7 +137,7 @@
 			p.placeTasks(st)
 		}
 	}
-	s.ask(now, order, p.wanted)
+	s.ask(now, order, p.wanted, p.plans)
 }
 
 // candidate is a worker with room for at least one task of a step.
@@ -258,7 +262,7 @@
 		p.want(st, expired)
 		return
 	}
-	p.reserve(st, 1)
+	p.postpone(st, 1)
 }
 
 // pick returns the best candidate with room, rather not the task's last one.
@@ -303,20 +307,34 @@
 	}
 }
 
-// reserve keeps the workers free on which the step can start soonest.
-func (p *pass) reserve(st *step, count int) {
-	if p.reservations >= maxReservations || st.hopeless(p.now) {
+// postpone plans the soonest start of a step that found no room. A large task
+// also keeps the workers on which it can start: small tasks would take their
+// room for ever.
+func (p *pass) postpone(st *step, count int) {
+	if len(p.plans) >= maxPlans || st.hopeless(p.now) {
 		return
 	}
-	type soonest struct {
+	planned := p.soonest(st, count)
+	if len(planned.workers) == 0 {
+		return
+	}
+	p.plans[st] = planned
+	if isLarge(st.spec.Reserved(), planned.workers[0].Capacity) {
+		p.hold(planned.workers, planned.at)
+	}
+}
+
+// soonest finds the workers on which count tasks of the step have room first.
+func (p *pass) soonest(st *step, count int) plan {
+	type entry struct {
 		worker *worker
 		at     time.Time
 		room   int
 	}
-	var list []soonest
+	var list []entry
 	demand := st.spec.Reserved()
 	for _, w := range p.shard.ordered {
-		if !w.usable() || !w.matches(st) || !isLarge(demand, w.Capacity) {
+		if !w.usable() || !w.matches(st) {
 			continue
 		}
 		if _, reserved := p.reserved[w]; reserved {
@@ -327,22 +345,19 @@
 				continue
 			}
 		}
-		list = append(list, soonest{w, w.roomAt(p.now, demand), max(1, roomFor(demand, w.Capacity))})
+		list = append(list, entry{w, w.roomAt(p.now, demand), max(1, roomFor(demand, w.Capacity))})
 	}
-	slices.SortStableFunc(list, func(a, b soonest) int { return a.at.Compare(b.at) })
-	var keep []*worker
-	var at time.Time
-	for _, entry := range list {
+	slices.SortStableFunc(list, func(a, b entry) int { return a.at.Compare(b.at) })
+	var planned plan
+	for _, e := range list {
 		if count <= 0 {
 			break
 		}
-		keep = append(keep, entry.worker)
-		at = entry.at
-		count -= entry.room
-	}
-	if len(keep) > 0 {
-		p.hold(keep, at)
+		planned.workers = append(planned.workers, e.worker)
+		planned.at = e.at
+		count -= e.room
 	}
+	return planned
 }
 
 func isLarge(demand, capacity job.Demand) bool {
@@ -416,7 +431,7 @@
 			p.want(st, all)
 			return
 		}
-		p.reserve(st, count)
+		p.postpone(st, count)
 		return
 	}
 	for i, t := range st.tasks {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -101,8 +101,10 @@
 
 	commands    Commands
 	authority   bool
-	adviceSlots int
-	adviceOut   int
+	quickSlots  int
+	quickOut    int
+	slowSlots   int
+	slowOut     int
 	changed     bool
 	tidied      time.Time
 	speeds      map[speedKey]float64
@@ -209,7 +211,7 @@
 	}
 	return &Shard{
 		options: options, jobs: map[string]*jobState{}, ready: map[*step]bool{}, waiting: map[string]int{},
-		workers: map[string]*worker{}, owed: map[string]bool{}, authority: true, adviceSlots: 1,
+		workers: map[string]*worker{}, owed: map[string]bool{}, authority: true, quickSlots: 1, slowSlots: 1,
 		speeds: map[speedKey]float64{},
 	}
 }
@@ -272,8 +274,11 @@
 	s.changed = true
 }
 
-// SetAdviceSlots tells how many calls for advice may be on their way at once.
-func (s *Shard) SetAdviceSlots(slots int) { s.adviceSlots = max(1, slots) }
+// SetAdviceSlots tells how many calls for advice may be on their way at once:
+// those of at most QuickAdvice, and longer ones.
+func (s *Shard) SetAdviceSlots(quick, slow int) {
+	s.quickSlots, s.slowSlots = max(1, quick), max(1, slow)
+}
 
 // Jobs returns the number of jobs that aren't ended, and of tasks that run.
 func (s *Shard) Jobs() (open, tasks int) {
