--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -246,4 +246,3 @@
 // metricsPort is where the process serves its metrics; deploy/system.toml
 // names the same.
 const metricsPort = 9464
-
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -6,7 +6,7 @@
 
 // Events of the entry process and the shards, 7xx.
 func init() {
-	for _, d := range []Definition{
+	catalogue = append(catalogue, []Definition{
 		{700, "process-started", Info, "An entry process serves callers.", noAction, false},
 		{701, "process-stopping", Info, "The process was told to stop; it hands its rights over and finishes open requests.", noAction, false},
 		{702, "process-stopped", Info, "The process ended.", noAction, false},
@@ -66,9 +66,7 @@
 		{792, "unknown-end", Warn, "A run ended in a way that this program doesn't know; the task starts again.", "Update the program.", false},
 		{793, "advised", Info, "The placement adviser named the workers that may run a step.", noAction, false},
 		{794, "advice-failed", Info, "A call of the placement adviser failed; it is repeated.", noAction, false},
-	} {
-		catalogue = append(catalogue, d)
-	}
+	}...)
 	for _, d := range catalogue {
 		byName[d.Name] = d
 	}
--- /dev/null
+++ b/internal/right/right_test.go
@@ -0,0 +1,71 @@
+package right_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/right"
+)
+
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	held := right.Holding{Epoch: 7, Node: "entry-2", Boot: 1}
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	cases := map[string]struct {
+		view  right.View
+		claim bool
+		cause string
+	}{
+		"a right that nobody ever held goes to a near node": {
+			right.View{Now: now, Vacant: ago(right.Step), Near: true}, true, "never-held",
+		},
+		"a far node leaves it to the near ones first": {
+			right.View{Now: now, Vacant: ago(right.Step)}, false, "never-held",
+		},
+		"a far node takes it when no near one did": {
+			right.View{Now: now, Vacant: ago(right.FarDelay)}, true, "never-held",
+		},
+		"a node with another right leaves it to idle ones first": {
+			right.View{Now: now, Vacant: ago(right.Step), Near: true, Load: 1}, false, "never-held",
+		},
+		"a holder that answers keeps its right": {
+			right.View{Now: now, Holding: held, Heard: ago(right.SuspectAfter / 2), Near: true}, false, "heard",
+		},
+		"a silent holder loses it": {
+			right.View{Now: now, Holding: held, Heard: ago(right.SuspectAfter), Near: true}, true, "silent",
+		},
+		"a holder that another node hears keeps it": {
+			right.View{Now: now, Holding: held, Heard: ago(2 * right.SuspectAfter), Near: true, Others: 3, Reached: 3, Vouched: true}, false, "heard-by-others",
+		},
+		"a node that reaches nobody takes nothing": {
+			right.View{Now: now, Holding: held, Heard: ago(2 * right.SuspectAfter), Near: true, Others: 3}, false, "alone",
+		},
+		"a node that reaches nobody for long takes it, as all others may be gone": {
+			right.View{Now: now, Holding: held, Heard: ago(right.AloneAfter), Near: true, Others: 3}, true, "silent",
+		},
+		"a port that refuses connections is free sooner": {
+			right.View{Now: now, Holding: held, Heard: ago(600 * time.Millisecond), Refused: ago(right.RefusedAfter), Near: true}, true, "refused",
+		},
+		"a holder without a proof of its right loses it though it answers": {
+			right.View{Now: now, Holding: held, Heard: ago(200 * time.Millisecond), ProofAge: right.StoreStale, Near: true}, true, "without-proof",
+		},
+		"a released right is free": {
+			right.View{Now: now, Holding: right.Holding{Epoch: 7, Released: true}, Vacant: ago(right.Step), Near: true}, true, "released",
+		},
+		"a process that was restarted takes its own right back": {
+			right.View{Now: now, Holding: held, Self: true, Vacant: ago(right.Step), Near: true}, true, "own-former-boot",
+		},
+		"a holder claims nothing": {
+			right.View{Now: now, Holding: held, Holds: true, Heard: ago(time.Hour), Near: true}, false, "holding",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			claim, cause := right.Decide(c.view)
+			require.Equal(t, c.cause, cause)
+			require.Equal(t, c.claim, claim)
+		})
+	}
+}
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -16,8 +16,6 @@
 	// of the longest work (11 s) moves by a percent each 110 ms; six times
 	// slower it still moves within 0.7 s, and reports come each 1.5 s.
 	stalledAfter = 3 * time.Second
-	// maxShunned is the share of the workers that may be shunned, as 1 of n.
-	maxShunned = 3
 )
 
 // health is what runs have shown of a worker.
@@ -71,9 +69,6 @@
 	return 0
 }
 
-// speedKey names what run times are learned for.
-type speedKey struct{ queue string }
-
 // learn takes the time of a run that was done.
 func (s *Shard) learn(now time.Time, r *run, duration time.Duration) {
 	if r == nil {
--- /dev/null
+++ b/internal/shard/patterns_test.go
@@ -0,0 +1,245 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/shard"
+)
+
+// Patterns of load and trouble, each with what the shard owes in it. The
+// bounds come from the leases, the estimates and the queue's objectives.
+
+func id(number int) string { return fmt.Sprintf("%016x", number+1) }
+
+var (
+	urgentTerms = job.Terms{Queue: "urgent", Priority: 0, MaxAttempts: 4, Stretch: 1.5, Target: 600 * time.Millisecond}
+	batchTerms  = job.Terms{Queue: "batch", Priority: 2, MaxAttempts: 2, Stretch: 4, Target: 3 * time.Second}
+	workerSize  = job.Demand{MilliCPU: 16000, MemoryMB: 32000, GPUs: 8}
+)
+
+func tasks(count, milliCPU int, estimate time.Duration) job.Step {
+	return job.Step{Count: count, Demand: job.Demand{MilliCPU: milliCPU, MemoryMB: 100}, Estimate: estimate}
+}
+
+func gang(count, gpus int, estimate time.Duration) job.Step {
+	return job.Step{Count: count, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 100, GPUs: gpus}, Estimate: estimate, Gang: true}
+}
+
+// endedAt runs until the job ends and returns when it did.
+func (w *world) endedAt(id string, limit time.Duration) time.Duration {
+	w.t.Helper()
+	for end := w.now + limit; w.now < end; {
+		w.run(step)
+		if state, known := w.holder.shard.State(id); known && state.Ended() {
+			return w.now
+		}
+	}
+	require.Fail(w.t, "the job didn't end", "%s within %s", id, limit)
+	return 0
+}
+
+// Pattern: a flood of the least urgent work, then one urgent job.
+func TestUrgentJobPassesAFloodOfBatch(t *testing.T) {
+	w := newWorld(t, 1, 4, workerSize)
+	w.run(time.Second)
+	for i := range 200 {
+		w.submit(id(i), batchTerms, job.Spec{Steps: []job.Step{tasks(4, 2000, 2*time.Second)}}, 2*time.Second)
+	}
+	w.run(3 * time.Second)
+	began := w.now
+	w.submit(id(900), urgentTerms, job.Spec{Steps: []job.Step{tasks(6, 1000, 700*time.Millisecond)}}, 700*time.Millisecond)
+	// Room comes with the next batch task that ends: within its 2 s.
+	require.Less(t, w.endedAt(id(900), 10*time.Second)-began, 3*time.Second)
+	require.Empty(t, w.faults)
+}
+
+// Pattern: a gang that needs whole workers beside a stream of small tasks.
+func TestGangStartsInAStreamOfSmallTasks(t *testing.T) {
+	w := newWorld(t, 2, 4, workerSize)
+	w.run(time.Second)
+	small := job.Step{Count: 3, Demand: job.Demand{MilliCPU: 500, MemoryMB: 100, GPUs: 1}, Estimate: time.Second}
+	number := 0
+	stream := func() {
+		w.submit(id(number), batchTerms, job.Spec{Steps: []job.Step{small}}, time.Second)
+		number++
+		w.run(100 * time.Millisecond)
+	}
+	for range 30 {
+		stream()
+	}
+	began := w.now
+	w.submit(id(5000), job.Terms{Queue: "gangs", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond},
+		job.Spec{Steps: []job.Step{gang(2, 8, 2*time.Second)}}, 2*time.Second)
+	for {
+		state, _ := w.holder.shard.State(id(5000))
+		if state == job.Running || state.Ended() {
+			break
+		}
+		stream()
+		require.Less(t, w.now-began, 2*time.Second, "a gang starts within twice the run time of the tasks before it")
+	}
+	require.Empty(t, w.faults)
+}
+
+// Pattern: a worker fails all that it starts, quickly, and so always has room.
+func TestFailingWorkerLosesFewTasks(t *testing.T) {
+	w := newWorld(t, 3, 6, workerSize)
+	w.run(time.Second)
+	w.workers[0].fails = true
+	for i := range 120 {
+		w.submit(id(i), urgentTerms, job.Spec{Steps: []job.Step{tasks(4, 1000, 700*time.Millisecond)}}, 700*time.Millisecond)
+		w.run(100 * time.Millisecond)
+	}
+	w.requireWhole(30 * time.Second)
+	failures, failed := 0, 0
+	for _, id := range w.order {
+		for _, count := range w.jobs[id].failures {
+			failures += count
+		}
+		if state, _ := w.holder.shard.State(id); state == job.Failed {
+			failed++
+		}
+	}
+	require.Zero(t, failed, "jobs that could be done are shown as failed")
+	// A placement round can fill the worker before its first failure is known,
+	// and each probe after a pause can do so once more (3 probes in 12 s).
+	require.LessOrEqual(t, failures, 4*16)
+}
+
+// Pattern: tasks on one worker stand still while its calls are answered.
+func TestStalledTasksStartElsewhere(t *testing.T) {
+	w := newWorld(t, 4, 3, workerSize)
+	w.run(time.Second)
+	for i := range 6 {
+		w.submit(id(i), batchTerms, job.Spec{Steps: []job.Step{tasks(4, 2000, time.Second)}}, time.Second)
+	}
+	w.workers[0].hangs = true
+	w.requireWhole(12 * time.Second)
+}
+
+// Pattern: a worker dies for good soon after a change of holder.
+func TestTasksOfADeadWorkerStartWhenItsLeaseIsOver(t *testing.T) {
+	w := newWorld(t, 5, 3, workerSize)
+	w.run(time.Second)
+	w.holder.dead = true
+	w.takeOver()
+	w.run(time.Second)
+	w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(40, 1000, 4*time.Second)}}, 4*time.Second)
+	w.run(time.Second)
+	w.workers[0].crash()
+	w.after(4500*time.Millisecond, nil, func(time.Time) { w.workers[0].listed = false })
+	began := w.now
+	// The last lease of 6 s, by a clock that is 2% slow, and the work of 4 s.
+	require.Less(t, w.endedAt(id(0), 30*time.Second)-began, 12*time.Second)
+	require.Empty(t, w.faults)
+}
+
+// Pattern: many jobs are cancelled at once while urgent work arrives.
+func TestWaveOfCancellationsDelaysNobody(t *testing.T) {
+	w := newWorld(t, 6, 4, workerSize)
+	w.run(time.Second)
+	for i := range 300 {
+		w.submit(id(i), batchTerms, job.Spec{Steps: []job.Step{tasks(8, 2000, 3*time.Second)}}, 3*time.Second)
+	}
+	w.run(time.Second)
+	for i := range 300 {
+		w.cancel(id(i))
+	}
+	began := w.now
+	w.submit(id(900), urgentTerms, job.Spec{Steps: []job.Step{tasks(6, 1000, 700*time.Millisecond)}}, 700*time.Millisecond)
+	// A stop takes up to 0.9 s on the platform; then the machines are free.
+	require.Less(t, w.endedAt(id(900), 10*time.Second)-began, 2500*time.Millisecond)
+	for i := range 300 {
+		require.NotZero(t, w.jobs[id(i)].cancelled, "cancellation %d has no acknowledgement", i)
+	}
+	require.Empty(t, w.faults)
+}
+
+// Pattern: gangs queue for a long time on queues whose starts need tickets,
+// and the adviser takes one call at a time from each node.
+func TestWaitingGangsAskTheAdviserOnlyInTime(t *testing.T) {
+	w := newWorld(t, 7, 4, workerSize)
+	w.advised = true
+	w.goodShare = 0.9
+	w.run(time.Second)
+	terms := job.Terms{Queue: "gangs", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond}
+	const jobs = 24
+	for i := range jobs {
+		w.submit(id(i), terms, job.Spec{Steps: []job.Step{gang(2, 8, 3*time.Second)}}, 3*time.Second)
+	}
+	w.requireWhole(2 * time.Minute)
+	// One call shows where a gang may run, one renews its tickets when its
+	// room comes free; run times that are told wrong cost one more.
+	require.LessOrEqual(t, w.calls, 3*jobs)
+}
+
+// Pattern: the same job arrives again, also after its end and at the next holder.
+func TestTheSameJobAgainIsOneJob(t *testing.T) {
+	w := newWorld(t, 8, 2, workerSize)
+	w.run(time.Second)
+	spec := job.Spec{Steps: []job.Step{tasks(2, 1000, 500*time.Millisecond)}}
+	w.submit(id(0), urgentTerms, spec, 500*time.Millisecond)
+	require.Equal(t, shard.Pending, w.holder.shard.Accept(w.time(), id(0), urgentTerms, spec).Outcome)
+	w.endedAt(id(0), 5*time.Second)
+	starts := w.starts
+	require.Equal(t, shard.Stored, w.holder.shard.Accept(w.time(), id(0), urgentTerms, spec).Outcome)
+	w.run(time.Second)
+	w.holder.dead = true
+	w.takeOver()
+	w.run(time.Second)
+	require.Equal(t, shard.Stored, w.holder.shard.Accept(w.time(), id(0), urgentTerms, spec).Outcome)
+	w.run(2 * time.Second)
+	require.Equal(t, starts, w.starts)
+	state, known := w.holder.shard.State(id(0))
+	require.True(t, known)
+	require.Equal(t, job.Completed, state)
+}
+
+// Guards against jobs that no worker can hold waiting for ever.
+func TestJobLargerThanEveryWorkerIsRefused(t *testing.T) {
+	w := newWorld(t, 9, 2, workerSize)
+	w.run(time.Second)
+	verdict := w.holder.shard.Accept(w.time(), id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 17000, time.Second)}})
+	require.Equal(t, shard.Refused, verdict.Outcome)
+	_, known := w.holder.shard.State(id(0))
+	require.False(t, known)
+}
+
+// Guards against occurrences that start before their time, or not at all.
+func TestRepeatedJobStartsWhenDue(t *testing.T) {
+	w := newWorld(t, 10, 2, workerSize)
+	w.run(time.Second)
+	first := w.time().Add(2 * time.Second)
+	spec := job.Spec{Steps: []job.Step{tasks(2, 1000, 300*time.Millisecond)}, Repeat: 3, FirstStart: first, Interval: time.Second}
+	w.submit(id(0), urgentTerms, spec, 300*time.Millisecond)
+	w.run(1900 * time.Millisecond)
+	require.Zero(t, w.starts)
+	w.run(400 * time.Millisecond)
+	require.Equal(t, 2, w.starts)
+	w.endedAt(id(0), 5*time.Second)
+	require.Equal(t, 6, w.starts)
+	require.Empty(t, w.faults)
+}
+
+// Guards the count of waiting jobs that callers are told.
+func TestWaitingCountsJobsThatHaveNotBegun(t *testing.T) {
+	w := newWorld(t, 11, 1, workerSize)
+	w.run(time.Second)
+	for i := range 10 {
+		w.submit(id(i), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 8000, 2*time.Second)}}, 2*time.Second)
+	}
+	w.run(500 * time.Millisecond)
+	require.Equal(t, 8, w.holder.shard.Waiting("batch"))
+	w.holder.dead = true
+	w.takeOver()
+	w.run(time.Second)
+	require.Equal(t, 8, w.holder.shard.Waiting("batch"))
+	w.cancel(id(9))
+	w.run(100 * time.Millisecond)
+	require.Equal(t, 7, w.holder.shard.Waiting("batch"))
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -99,15 +99,14 @@
 	inFlightW    []*worker
 	writing      bool
 
-	commands    Commands
-	authority   bool
-	quickSlots  int
-	quickOut    int
-	slowSlots   int
-	slowOut     int
-	changed     bool
-	tidied      time.Time
-	speeds      map[speedKey]float64
+	commands   Commands
+	authority  bool
+	quickSlots int
+	quickOut   int
+	slowSlots  int
+	slowOut    int
+	changed    bool
+	tidied     time.Time
 }
 
 // jobState is one job.
@@ -121,7 +120,6 @@
 	visible     job.State // as stored
 	durable     bool      // the intake is stored
 	endedAt     time.Time
-	cancel      bool
 	began       bool
 	occurrences []*occurrence
 	completed   map[int]bool
@@ -132,7 +130,6 @@
 	flying      job.State
 	runs        int
 	dropped     bool
-	work        float64
 }
 
 // occurrence is one execution of a job's steps.
@@ -152,7 +149,6 @@
 	tasks      []*task
 	done       int
 	blocking   int // steps in spec.After that aren't done
-	failures   int // of a gang
 	advice     advice
 	chain      time.Duration // shortest time from this step's start to the end of the job
 	readyAt    time.Time
@@ -212,7 +208,6 @@
 	return &Shard{
 		options: options, jobs: map[string]*jobState{}, ready: map[*step]bool{}, waiting: map[string]int{},
 		workers: map[string]*worker{}, owed: map[string]bool{}, authority: true, quickSlots: 1, slowSlots: 1,
-		speeds: map[speedKey]float64{},
 	}
 }
 
@@ -222,8 +217,8 @@
 	return s.occurrence.job.id + "." + strconv.Itoa(s.occurrence.number) + "." + strconv.Itoa(s.number) + "." + strconv.Itoa(t.index)
 }
 
-func (s *step) name() string {
-	return s.occurrence.job.id + "." + strconv.Itoa(s.occurrence.number) + "." + strconv.Itoa(s.number)
+func (st *step) name() string {
+	return st.occurrence.job.id + "." + strconv.Itoa(st.occurrence.number) + "." + strconv.Itoa(st.number)
 }
 
 // taskKey is a parsed task name.
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -138,9 +138,14 @@
 	return w.clock + now.Sub(w.clockAt) + lease
 }
 
+// leaseLength is the longest time for which a lease that is given now can last.
+func (s *Shard) leaseLength() time.Duration {
+	return time.Duration(float64(s.options.Lease)*leaseDrift) + travelSlack
+}
+
 // extend notes that an order with a lease leaves now.
 func (s *Shard) extend(now time.Time, w *worker) time.Duration {
-	end := now.Add(time.Duration(float64(s.options.Lease)*leaseDrift) + travelSlack)
+	end := now.Add(s.leaseLength())
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
@@ -267,6 +272,11 @@
 	}
 	wasFirst := !w.reached
 	w.reached, w.checking = true, false
+	if wasFirst {
+		// The fence shuts out every other holder: no lease is longer than one
+		// that was given just before.
+		w.leaseEnd = now.Add(s.leaseLength())
+	}
 	for _, row := range report.Ended {
 		s.end(now, w, row)
 	}
