Split large services into shards; ask the adviser about 40 workers at most

The first count of a service's workers fixes its shards (one for each 90 workers), workers and jobs are dealt by their identity, and large VMs near the store take the rights. The choice of workers to ask about took 55% of the decisions' time on every pass; it now runs only when a call can leave.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -184,6 +184,13 @@
 		}
 	}
 	c.requireRunsOnce()
+	for _, service := range []string{"ledger/0", "review/0"} {
+		claims := 0
+		for _, n := range c.nodes {
+			claims += strings.Count(n.logs.String(), "name=right-claimed node="+n.settings.Node+" service="+service)
+		}
+		require.Equal(t, 1, claims, "a right in good hands is not claimed again")
+	}
 
 	// Each bad request has an answer of its own and leaves the process whole.
 	cases := map[string]struct {
@@ -240,7 +247,7 @@
 		for _, n := range c.nodes {
 			for _, line := range strings.Split(n.logs.String(), "\n") {
 				var epoch int
-				if at := strings.Index(line, "epoch="); strings.Contains(line, "name=right-claimed") && strings.Contains(line, "service="+service+" ") {
+				if at := strings.Index(line, "epoch="); strings.Contains(line, "name=right-claimed") && strings.Contains(line, "service="+service+"/0 ") {
 					_, err := fmt.Sscanf(line[at:], "epoch=%d", &epoch)
 					if err == nil && epoch > newest {
 						newest, found = epoch, n
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -120,8 +120,9 @@
 	if err != nil {
 		return p.refuse(r, name, http.StatusBadRequest, err.Error(), 0)
 	}
-	message := submitRequest{Service: r.queue.Service, ID: r.rest, Terms: r.queue.Terms, Spec: spec}
-	answer, err := forward(p, r, pathSubmit, message, (*holder).submit)
+	to := p.partOf(r.queue.Service, r.rest)
+	message := submitRequest{Service: to.name(), ID: r.rest, Terms: r.queue.Terms, Spec: spec}
+	answer, err := forward(p, r, to, pathSubmit, message, (*holder).submit)
 	switch {
 	case errors.Is(err, errNoHolder):
 		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
@@ -144,13 +145,11 @@
 func (p *Process) showJob(r *request) error {
 	name := r.queue.Terms.Queue
 	if r.rest == "" {
-		answer, err := forward(p, r, pathWaiting, waitingRequest{r.queue.Service, name}, func(h *holder, ctx context.Context, w waitingRequest) (waitingAnswer, error) {
-			return h.waiting(ctx, w.Queue)
-		})
+		waiting, err := p.waiting(r)
 		if err != nil {
 			return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
 		}
-		return r.JSONBlob(http.StatusOK, platform.EncodeWaiting(answer.Waiting))
+		return r.JSONBlob(http.StatusOK, platform.EncodeWaiting(waiting))
 	}
 	answer, err := p.eachService(r, pathState, func(h *holder, ctx context.Context, j jobRequest) (stateAnswer, error) {
 		return h.state(ctx, j.ID)
@@ -182,10 +181,43 @@
 	return r.JSONBlob(http.StatusOK, []byte(`{}`))
 }
 
+// waiting adds up the counts of the queue in all shards of its service.
+func (p *Process) waiting(r *request) (int, error) {
+	p.mu.Lock()
+	count := p.counts[r.queue.Service]
+	p.mu.Unlock()
+	if count == 0 {
+		return 0, errNoHolder
+	}
+	type result struct {
+		waiting int
+		err     error
+	}
+	results := make(chan result, count)
+	for index := range count {
+		to := part{r.queue.Service, index, count}
+		go func() {
+			answer, err := forward(p, r, to, pathWaiting, waitingRequest{to.name(), r.queue.Terms.Queue}, (*holder).waiting)
+			results <- result{answer.Waiting, err}
+		}()
+	}
+	total := 0
+	var failure error
+	for range count {
+		one := <-results
+		total += one.waiting
+		if one.err != nil {
+			failure = one.err
+		}
+	}
+	return total, failure
+}
+
 // eachService asks the queue's service, and the others if it doesn't know the
 // job: the manifest may have given the queue to another service since.
 func (p *Process) eachService(r *request, path string, local func(*holder, context.Context, jobRequest) (stateAnswer, error)) (stateAnswer, error) {
-	answer, err := forward(p, r, path, jobRequest{r.queue.Service, r.rest}, local)
+	to := p.partOf(r.queue.Service, r.rest)
+	answer, err := forward(p, r, to, path, jobRequest{to.name(), r.rest}, local)
 	if err != nil || answer.Known {
 		return answer, err
 	}
@@ -193,9 +225,8 @@
 		if service.Name == r.queue.Service || service.Spare {
 			continue
 		}
-		other := *r
-		other.queue.Service = service.Name
-		answer, err := forward(p, &other, path, jobRequest{service.Name, r.rest}, local)
+		to := p.partOf(service.Name, r.rest)
+		answer, err := forward(p, r, to, path, jobRequest{to.name(), r.rest}, local)
 		if err != nil || answer.Known {
 			return answer, err
 		}
@@ -206,14 +237,14 @@
 // forward hands a message to the holder of the queue's service. Every message
 // names a job by its identity or only reads, so it may be sent again to the
 // next holder.
-func forward[Message, Answer any](p *Process, r *request, path string, message Message, local func(*holder, context.Context, Message) (Answer, error)) (Answer, error) {
+func forward[Message, Answer any](p *Process, r *request, to part, path string, message Message, local func(*holder, context.Context, Message) (Answer, error)) (Answer, error) {
 	var none Answer
 	sent := false
 	waitUntil := r.began.Add(holderWait)
 	for {
 		p.mu.Lock()
-		holding, changed := p.rights[r.queue.Service], p.changed
-		h := p.holders[r.queue.Service]
+		holding, changed := p.rights[to.name()], p.changed
+		h := p.holders[to.name()]
 		p.mu.Unlock()
 		var answer Answer
 		err := errNoHolder
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -55,7 +55,8 @@
 // holder acts for one service while this process holds its right.
 type holder struct {
 	process   *Process
-	service   string
+	part      part
+	service   string // the shard's name
 	epoch     int64
 	partition platform.Partition
 	shard     *shard.Shard
@@ -84,13 +85,14 @@
 	calls int // calls for advice on their way
 }
 
-func jobsPartition(service string) platform.Partition {
-	return platform.Partition{Topic: platform.KeyedPrefix + "jobs-" + service}
+func jobsPartition(p part) platform.Partition {
+	return platform.Partition{Topic: platform.KeyedPrefix + "jobs-" + p.service, Part: p.index}
 }
 
-func newHolder(ctx context.Context, p *Process, service string, epoch int64) *holder {
+func newHolder(ctx context.Context, p *Process, shardPart part, epoch int64) *holder {
+	service := shardPart.name()
 	h := &holder{
-		process: p, service: service, epoch: epoch, partition: jobsPartition(service),
+		process: p, part: shardPart, service: service, epoch: epoch, partition: jobsPartition(shardPart),
 		inputs: make(chan func(time.Time), inputQueue), ended: make(chan struct{}), loaded: make(chan struct{}),
 		waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
 	}
@@ -341,6 +343,9 @@
 
 func (h *holder) applyWorkers(list map[string]platform.WorkerEntry, records []platform.Record) {
 	for _, record := range records {
+		if !h.part.has(record.Key) {
+			continue
+		}
 		if len(record.Value) == 0 {
 			delete(list, record.Key)
 			continue
@@ -351,7 +356,7 @@
 			delete(list, record.Key)
 			continue
 		}
-		if entry.Service != h.service {
+		if entry.Service != h.part.service {
 			delete(list, record.Key)
 			continue
 		}
@@ -683,9 +688,9 @@
 }
 
 // waiting returns the number of a queue's jobs that haven't begun.
-func (h *holder) waiting(ctx context.Context, queue string) (waitingAnswer, error) {
+func (h *holder) waiting(ctx context.Context, request waitingRequest) (waitingAnswer, error) {
 	answers := make(chan int, 1)
-	if !h.input(func(time.Time) { answers <- h.shard.Waiting(queue) }) {
+	if !h.input(func(time.Time) { answers <- h.shard.Waiting(request.Queue) }) {
 		return waitingAnswer{}, errNotHolder
 	}
 	select {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -23,6 +23,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,9 @@
 	viewTimeout = 400 * time.Millisecond
 	// nearStore is the longest answer of a store in the node's own region.
 	nearStore = 25 * time.Millisecond
+	// smallCores is the share of a core below which a VM leaves rights to
+	// larger ones: a shard of 90 workers takes up to 0.15 cores.
+	smallCores = 0.3
 	// claimTimeout bounds one claim.
 	claimTimeout = 1 * time.Second
 	// drainListen is how long a stopping process still takes new connections:
@@ -83,13 +87,16 @@
 	recorder *event.Recorder
 	metrics  *measures
 
+	countTried time.Time // by the loop of the rights only
+
 	manifest atomic.Pointer[manifest.Manifest]
 	latency  atomic.Int64 // the quickest answer of the store, in ns
 	stopping atomic.Bool
 	stopped  chan struct{} // closed when the process is told to stop
 
 	mu         sync.Mutex
-	rights     map[string]right.Holding
+	counts     map[string]int           // shards of each service
+	rights     map[string]right.Holding // by the shard's name
 	rightsEnd  int64
 	rightsRead bool
 	holders    map[string]*holder
@@ -100,6 +107,7 @@
 // view is what the process knows of a holder.
 type view struct {
 	holding  right.Holding
+	since    time.Time
 	heard    time.Time
 	refused  time.Time
 	vacant   time.Time
@@ -119,6 +127,7 @@
 		recorder: recorder,
 		metrics:  newMeasures(),
 		stopped:  make(chan struct{}),
+		counts:   map[string]int{},
 		rights:   map[string]right.Holding{},
 		holders:  map[string]*holder{},
 		views:    map[string]*view{},
@@ -313,6 +322,10 @@
 	if p.rights[record.Key].Epoch > record.Offset {
 		return
 	}
+	if service, is := strings.CutPrefix(record.Key, countKey); is {
+		p.takeCount(service, record)
+		return
+	}
 	var read rightRecord
 	if err := cbor.Unmarshal(record.Value, &read); err != nil {
 		p.log("record-unreadable", "key", record.Key, "cause", err)
@@ -332,13 +345,11 @@
 func (p *Process) claimRights(ctx context.Context) {
 	watched := map[string]chan struct{}{}
 	for ctx.Err() == nil {
-		if current := p.manifest.Load(); current != nil {
-			for _, service := range current.Services {
-				if watched[service.Name] == nil && !service.Spare {
-					done := make(chan struct{})
-					watched[service.Name] = done
-					go func() { defer close(done); p.watchRight(ctx, service.Name) }()
-				}
+		for _, part := range p.parts(ctx) {
+			if watched[part.name()] == nil {
+				done := make(chan struct{})
+				watched[part.name()] = done
+				go func() { defer close(done); p.watchRight(ctx, part) }()
 			}
 		}
 		select {
@@ -351,8 +362,35 @@
 	}
 }
 
+// parts returns the shards of the services in force. It counts the shards of
+// a service that is new.
+func (p *Process) parts(ctx context.Context) []part {
+	current := p.manifest.Load()
+	if current == nil {
+		return nil
+	}
+	var parts []part
+	for _, service := range current.Services {
+		if service.Spare {
+			continue
+		}
+		p.mu.Lock()
+		count, read := p.counts[service.Name], p.rightsRead
+		p.mu.Unlock()
+		if count == 0 && read {
+			p.countShards(ctx, service.Name)
+			continue
+		}
+		for index := range count {
+			parts = append(parts, part{service.Name, index, count})
+		}
+	}
+	return parts
+}
+
 // watchRight is the loop of one service.
-func (p *Process) watchRight(ctx context.Context, service string) {
+func (p *Process) watchRight(ctx context.Context, shard part) {
+	service := shard.name()
 	lastHello := time.Time{}
 	var greeting chan helloResult
 	greeted := right.Holding{}
@@ -370,7 +408,7 @@
 			go func(result chan helloResult) { result <- p.greet(ctx, service, holding) }(greeting)
 		}
 		if read && !holds && !p.stopping.Load() {
-			p.consider(ctx, service, holding, v, now)
+			p.consider(ctx, shard, holding, v, now)
 		}
 		select {
 		case <-ctx.Done():
@@ -387,7 +425,7 @@
 func (p *Process) viewOf(service string, holding right.Holding) *view {
 	v := p.views[service]
 	if v == nil || v.holding.Epoch != holding.Epoch {
-		next := &view{holding: holding, heard: time.Now()}
+		next := &view{holding: holding, since: time.Now(), heard: time.Now()}
 		if v != nil {
 			next.peers = v.peers
 		}
@@ -430,7 +468,8 @@
 		v.heard, v.refused, v.vacant = result.sent, time.Time{}, time.Time{}
 		v.proofAge, v.peers = result.answer.ProofAge, result.answer.Peers
 	case errors.Is(result.err, errNotHolder):
-		if v.vacant.IsZero() {
+		// A node that has just claimed may answer before it knows that it has.
+		if v.vacant.IsZero() && now.Sub(v.since) >= claimTimeout {
 			v.vacant = now
 		}
 	case notSent(result.err) && !isTimeout(result.err):
@@ -446,11 +485,12 @@
 }
 
 // consider claims the right if it is free.
-func (p *Process) consider(ctx context.Context, service string, holding right.Holding, v *view, now time.Time) {
+func (p *Process) consider(ctx context.Context, shard part, holding right.Holding, v *view, now time.Time) {
+	service := shard.name()
 	p.mu.Lock()
 	known := right.View{
 		Now: now, Holding: holding, Self: holding.Node == p.settings.Node, Vacant: v.vacant, Heard: v.heard, Refused: v.refused,
-		ProofAge: v.proofAge, Near: p.near(), Load: len(p.holders), Jitter: p.jitter(service),
+		ProofAge: v.proofAge, Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
 	}
 	others := make([]netip.AddrPort, 0, len(v.peers))
 	for _, address := range v.peers {
@@ -469,7 +509,7 @@
 			return
 		}
 	}
-	p.claim(ctx, service, cause, now.Sub(v.heard))
+	p.claim(ctx, shard, cause, now.Sub(v.heard))
 }
 
 func (p *Process) jitter(service string) float64 {
@@ -505,7 +545,8 @@
 }
 
 // claim appends a claim, which fails if anybody else appended meanwhile.
-func (p *Process) claim(ctx context.Context, service, cause string, silence time.Duration) {
+func (p *Process) claim(ctx context.Context, shard part, cause string, silence time.Duration) {
+	service := shard.name()
 	p.mu.Lock()
 	at := p.rightsEnd
 	p.mu.Unlock()
@@ -514,6 +555,7 @@
 		p.log("record-not-encoded", "key", service, "cause", err)
 		return
 	}
+	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	offset, end, err := p.store.Append(call, platform.Append{
@@ -528,7 +570,8 @@
 	defer p.mu.Unlock()
 	p.rightsEnd = max(p.rightsEnd, end)
 	p.rights[service] = right.Holding{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address}
-	h := newHolder(ctx, p, service, offset+1)
+	h := newHolder(ctx, p, shard, offset+1)
+	h.prove(sent)
 	p.holders[service] = h
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -624,7 +667,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return h.waiting(ctx, r.Queue)
+		return h.waiting(ctx, r)
 	})
 	serve(mux, pathHello, func(_ context.Context, r helloRequest) (any, error) {
 		h, err := p.holderOf(r.Service)
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -29,6 +29,8 @@
 		{725, "release-failed", Warn, "The right could not be given back; others take it after its silence.", noAction, false},
 		{726, "state-loaded", Info, "A new holder read what the store keeps of the service.", noAction, false},
 		{727, "settled", Info, "A new holder knows what every worker runs; stored tasks start again.", noAction, false},
+		{729, "shards-counted", Info, "The store names how many shards a service has.", noAction, false},
+		{730, "shards-offered", Info, "This process proposed a service's count of shards; the first one holds.", noAction, false},
 		{728, "authority", Warn, "The holder lost or regained the proof of its right; without it nothing starts.", noAction, false},
 
 		{740, "worker-listed", Info, "A worker joined the service.", noAction, false},
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -46,6 +46,9 @@
 	// store, or that holds nothing yet.
 	FarDelay  = 350 * time.Millisecond
 	BusyDelay = 500 * time.Millisecond
+	// SmallDelay leaves the right to a larger VM, also one that is far from
+	// the store.
+	SmallDelay = 800 * time.Millisecond
 	// Step is the pause between two looks.
 	Step = 100 * time.Millisecond
 )
@@ -70,9 +73,11 @@
 	// and Vouched whether one of them hears the holder.
 	Others, Reached int
 	Vouched         bool
-	// Near is set if the store is near; Load is how many rights the node holds.
-	Near bool
-	Load int
+	// Near is set if the store is near, Small if the VM has little processor
+	// time; Load is how many rights the node holds.
+	Near  bool
+	Small bool
+	Load  int
 	// Jitter differs between nodes, from 0 to 1.
 	Jitter float64
 }
@@ -122,5 +127,8 @@
 	if !v.Near {
 		delay += FarDelay
 	}
+	if v.Small {
+		delay += SmallDelay
+	}
 	return delay + time.Duration(v.Load)*BusyDelay
 }
--- a/internal/right/right_test.go
+++ b/internal/right/right_test.go
@@ -30,6 +30,9 @@
 		"a node with another right leaves it to idle ones first": {
 			right.View{Now: now, Vacant: ago(right.Step), Near: true, Load: 1}, false, "never-held",
 		},
+		"a small VM leaves it to large ones that are far": {
+			right.View{Now: now, Vacant: ago(right.FarDelay + right.Step), Near: true, Small: true}, false, "never-held",
+		},
 		"a holder that answers keeps its right": {
 			right.View{Now: now, Holding: held, Heard: ago(right.SuspectAfter / 2), Near: true}, false, "heard",
 		},
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 )
 
@@ -8,13 +9,16 @@
 	// ticketMargin is kept between a start and the end of its ticket, for
 	// the way of the answer here and of the order to the worker.
 	ticketMargin = 300 * time.Millisecond
-	// maxAdvised is how many workers one call may name (platform contract).
-	maxAdvised = 100
+	// maxAdvised is how many workers one call names: the adviser's time grows
+	// with them, and among these the strictest queue (0.3) finds a dozen.
+	maxAdvised = 40
 	// adviceLead is added to the adviser's time, for the way to it and back.
 	adviceLead = 100 * time.Millisecond
 	// lateAsked is how many of the most urgent steps ask about workers that
 	// joined after their first call.
 	lateAsked = 8
+	// lateAskedAfter is the pause before they do: room comes free meanwhile.
+	lateAskedAfter = 500 * time.Millisecond
 	// QuickAdvice is the longest call that goes to the nodes which take no
 	// long ones, so that urgent work isn't queued behind them.
 	QuickAdvice = 100 * time.Millisecond
@@ -66,21 +70,25 @@
 // takes one call at a time from each node.
 func (s *Shard) ask(now time.Time, order []*step, wanted map[*step][]*worker, plans map[*step]plan) {
 	for rank, st := range order {
-		if !st.occurrence.job.record.Terms.Advised || st.advice.inFlight || now.Before(st.advice.again) {
+		if s.quickOut >= s.quickSlots && s.slowOut >= s.slowSlots {
+			return
+		}
+		terms := &st.occurrence.job.record.Terms
+		if !terms.Advised || st.advice.inFlight || now.Before(st.advice.again) || !s.hasSlot(adviceTime(st, 1)) {
 			continue
 		}
 		var workers []*worker
 		planned, blocked := plans[st]
 		switch {
 		case len(st.advice.asked) == 0:
-			workers = s.unasked(st)
+			workers = s.unasked(now, st)
 		case len(wanted[st]) > 0:
 			workers = wanted[st]
 		case blocked && len(planned.workers) > 0:
 			workers = s.renewals(now, st, planned)
 		}
-		if len(workers) == 0 && rank < lateAsked && len(st.advice.asked) > 0 {
-			workers = s.unasked(st)
+		if len(workers) == 0 && rank < lateAsked && now.Sub(st.advice.askedAt) >= lateAskedAfter {
+			workers = s.unasked(now, st)
 		}
 		if len(workers) > 0 {
 			s.advise(now, st, workers)
@@ -115,21 +123,47 @@
 	return b
 }
 
-// unasked returns the workers that could run a task of the step and about
-// which the adviser was not asked yet.
-func (s *Shard) unasked(st *step) []*worker {
-	var workers []*worker
-	for _, w := range s.ordered {
+// unasked returns workers that could run a task of the step and about which
+// the adviser was not asked yet: those with room now, then those that have it
+// soonest.
+func (s *Shard) unasked(now time.Time, st *step) []*worker {
+	demand := st.spec.Reserved()
+	var workers, full []*worker
+	for i := range s.ordered {
+		// Each step begins elsewhere in the list, so that all workers are asked about.
+		w := s.ordered[(i+st.index())%len(s.ordered)]
 		life, asked := st.advice.asked[w.ID]
-		if asked && life == w.life || !w.usable() || !w.matches(st) {
+		if asked && life == w.life || !w.usable() || !w.matches(st) || w.health.shunned(now) {
+			continue
+		}
+		if !demand.Fits(w.free()) {
+			full = append(full, w)
 			continue
 		}
 		workers = append(workers, w)
 		if len(workers) == maxAdvised {
-			break
+			return workers
 		}
 	}
-	return workers
+	missing := maxAdvised - len(workers)
+	if len(full) <= missing {
+		return append(workers, full...)
+	}
+	at := make(map[*worker]time.Time, len(full))
+	for _, w := range full {
+		at[w] = w.roomAt(now, demand)
+	}
+	slices.SortStableFunc(full, func(a, b *worker) int { return at[a].Compare(at[b]) })
+	return append(workers, full[:missing]...)
+}
+
+// index spreads steps over a list.
+func (st *step) index() int {
+	sum := 0
+	for _, c := range []byte(st.occurrence.job.id) {
+		sum = sum*31 + int(c)
+	}
+	return sum & 0xffff
 }
 
 func adviceTime(st *step, workers int) time.Duration {
@@ -153,6 +187,14 @@
 	s.commands.Advices = append(s.commands.Advices, Advise{Step: st.name(), Workers: ids, Takes: takes})
 }
 
+// hasSlot reports whether a call of this length could leave now.
+func (s *Shard) hasSlot(takes time.Duration) bool {
+	if takes <= QuickAdvice {
+		return s.quickOut < s.quickSlots
+	}
+	return s.slowOut < s.slowSlots
+}
+
 // takeSlot reports whether a call of this length may leave now.
 func (s *Shard) takeSlot(takes time.Duration) bool {
 	if takes <= QuickAdvice {
