--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -14,6 +14,7 @@
 
 	"yuccalanding.example/yuccalanding/internal/job"
 	"yuccalanding.example/yuccalanding/internal/manifest"
+	"yuccalanding.example/yuccalanding/internal/right"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -239,23 +240,22 @@
 
 // forward hands a message to the holder of the queue's service. Every message
 // names a job by its identity or only reads, so it may be sent again to the
-// next holder.
+// next holder: a call whose effect is unknown is repeated there until the
+// caller's time is over, as the next holder knows whether it was carried out.
 func forward[Message, Answer any](p *Process, r *request, to part, path string, message Message, local func(*holder, context.Context, Message) (Answer, error)) (Answer, error) {
 	var none Answer
 	var sent error
-	waitUntil := r.began.Add(holderWait)
 	for {
-		p.mu.Lock()
-		holding, changed := p.rights[to.name()], p.changed
-		h := p.holders[to.name()]
-		p.mu.Unlock()
+		holding, changed, h := p.holding(to.name())
 		var answer Answer
 		err := errNoHolder
 		switch {
 		case h != nil && !h.lost.Load() && !h.released.Load():
 			answer, err = local(h, r.ctx, message)
-		case holding.Epoch > 0 && !holding.Released && holding.Address != p.address:
-			answer, err = ask[Answer](r.ctx, p.peers, holding.Address, path, message)
+		case holding.Epoch > 0 && !holding.Released && holding.Address != p.address && !p.silent(to.name(), holding):
+			ctx, cancel := p.untilReplaced(r.ctx, to.name(), holding)
+			answer, err = ask[Answer](ctx, p.peers, holding.Address, path, message)
+			cancel()
 		}
 		if err == nil {
 			return answer, nil
@@ -263,10 +263,10 @@
 		if !errors.Is(err, errNoHolder) && !notSent(err) {
 			sent = err
 		}
-		if r.ctx.Err() != nil || time.Now().After(waitUntil) {
-			if sent != nil {
-				return none, fmt.Errorf("%w: %w", errUndecided, sent)
-			}
+		switch {
+		case sent != nil && r.ctx.Err() != nil:
+			return none, fmt.Errorf("%w: %w", errUndecided, sent)
+		case sent == nil && (r.ctx.Err() != nil || time.Since(r.began) > holderWait):
 			return none, errNoHolder
 		}
 		select {
@@ -277,6 +277,41 @@
 	}
 }
 
+// holding returns what is known of a shard's right.
+func (p *Process) holding(name string) (right.Holding, chan struct{}, *holder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rights[name], p.changed, p.holders[name]
+}
+
+// silent reports whether the holder has not answered this node's greetings:
+// what is sent to it now would be lost or undecided.
+func (p *Process) silent(name string, holding right.Holding) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.views[name]
+	return v != nil && v.holding.Epoch == holding.Epoch && time.Since(v.heard) >= right.SuspectAfter
+}
+
+// untilReplaced returns a context that also ends when the right has a new holder.
+func (p *Process) untilReplaced(ctx context.Context, name string, holding right.Holding) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			now, changed, _ := p.holding(name)
+			if now.Epoch != holding.Epoch {
+				cancel()
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // metricsPort is where the process serves its metrics; deploy/system.toml
 // names the same.
 const metricsPort = 9464
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -58,6 +58,10 @@
 	// smallCores is the share of a core below which a VM leaves rights to
 	// larger ones: a shard of 90 workers takes up to 0.15 cores.
 	smallCores = 0.3
+	// isolatedAfter is how long a node may reach no holder before it tells the
+	// balancer that it isn't ready: the silence after which a holder is
+	// replaced, and the replacement.
+	isolatedAfter = 2 * time.Second
 	// claimTimeout bounds one claim.
 	claimTimeout = 1 * time.Second
 	// drainListen is how long a stopping process still takes new connections:
@@ -95,6 +99,7 @@
 
 	manifest atomic.Pointer[manifest.Manifest]
 	latency  atomic.Int64 // the quickest answer of the store, in ns
+	failedAt atomic.Int64 // when a follower's call of the store last failed, in ns since the start
 	stopping atomic.Bool
 	stopped  chan struct{} // closed when the process is told to stop
 
@@ -221,13 +226,37 @@
 
 // ready answers the balancer.
 func (p *Process) ready(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != platform.ReadyPath || p.stopping.Load() || p.manifest.Load() == nil {
+	if r.URL.Path != platform.ReadyPath || p.stopping.Load() || p.manifest.Load() == nil || p.isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// isolated reports whether the node can serve nobody: it holds no right, and
+// hears none of the holders, for longer than a change of holder takes.
+func (p *Process) isolated() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.holders {
+		if h.proofAge() < isolatedAfter {
+			return false
+		}
+	}
+	known := false
+	for name, holding := range p.rights {
+		v := p.views[name]
+		if v == nil || holding.Epoch == 0 || holding.Node == p.settings.Node {
+			continue
+		}
+		known = true
+		if v.holding.Epoch != holding.Epoch || time.Since(v.heard) < isolatedAfter {
+			return false
+		}
+	}
+	return known
+}
+
 // follow reads a topic's newest records and then its changes, until the
 // context ends. The apply function is told whether the records are the whole.
 func (p *Process) follow(ctx context.Context, name string, partition platform.Partition, apply func(records []platform.Record, end int64, whole bool)) {
@@ -274,6 +303,7 @@
 			}
 		}
 		if err != nil {
+			p.failedAt.Store(int64(time.Since(p.began)))
 			select {
 			case <-time.After(followRetry):
 			case <-ctx.Done():
@@ -288,6 +318,11 @@
 	}
 }
 
+// storeSound is how long the followers' calls of the store have succeeded.
+func (p *Process) storeSound() time.Duration {
+	return time.Since(p.began) - time.Duration(p.failedAt.Load())
+}
+
 func (p *Process) near() bool {
 	best := p.latency.Load()
 	return best > 0 && time.Duration(best) < nearStore
@@ -405,7 +440,7 @@
 	greeted := right.Holding{}
 	for ctx.Err() == nil {
 		p.mu.Lock()
-		holding, read, changed := p.rights[service], p.rightsRead, p.changed
+		holding, read, changed, at := p.rights[service], p.rightsRead, p.changed, p.rightsEnd
 		v := p.viewOf(service, holding)
 		holds := p.holders[service] != nil
 		p.mu.Unlock()
@@ -417,7 +452,7 @@
 			go func(result chan helloResult) { result <- p.greet(ctx, service, holding) }(greeting)
 		}
 		if read && !holds && !p.stopping.Load() {
-			p.consider(ctx, shard, holding, v, now)
+			p.consider(ctx, shard, holding, v, now, at)
 		}
 		select {
 		case <-ctx.Done():
@@ -494,12 +529,12 @@
 }
 
 // consider claims the right if it is free.
-func (p *Process) consider(ctx context.Context, shard part, holding right.Holding, v *view, now time.Time) {
+func (p *Process) consider(ctx context.Context, shard part, holding right.Holding, v *view, now time.Time, at int64) {
 	service := shard.name()
 	p.mu.Lock()
 	known := right.View{
 		Now: now, Holding: holding, Self: holding.Node == p.settings.Node, Vacant: v.vacant, Heard: v.heard, Refused: v.refused,
-		ProofAge: v.proofAge, Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
+		ProofAge: v.proofAge, StoreSound: p.storeSound(), Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
 	}
 	others := make([]netip.AddrPort, 0, len(v.peers))
 	for _, address := range v.peers {
@@ -518,7 +553,7 @@
 			return
 		}
 	}
-	p.claim(ctx, shard, cause, now.Sub(v.heard))
+	p.claim(ctx, shard, cause, now.Sub(v.heard), at)
 }
 
 func (p *Process) jitter(service string) float64 {
@@ -553,12 +588,10 @@
 	return len(others), reached, vouched
 }
 
-// claim appends a claim, which fails if anybody else appended meanwhile.
-func (p *Process) claim(ctx context.Context, shard part, cause string, silence time.Duration) {
+// claim appends a claim, which fails if anybody appended after the node
+// looked: at is the end of the rights then.
+func (p *Process) claim(ctx context.Context, shard part, cause string, silence time.Duration, at int64) {
 	service := shard.name()
-	p.mu.Lock()
-	at := p.rightsEnd
-	p.mu.Unlock()
 	value, err := cbor.Marshal(rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address})
 	if err != nil {
 		p.log("record-not-encoded", "key", service, "cause", err)
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -39,8 +39,9 @@
 	// it takes a silent holder for gone: a cut of this node alone (5.5 s on
 	// the users' platform) mends by itself in this time.
 	AloneAfter = 6 * time.Second
-	// StoreStale is how old a holder's proof of its right may become: the
-	// store refuses it, but may serve others.
+	// StoreStale is how old a holder's proof of its right may become while
+	// the store serves the node that looks at it: then the store turns the
+	// holder away alone.
 	StoreStale = 1500 * time.Millisecond
 	// FarDelay and BusyDelay leave the right to a node that is nearer to the
 	// store, or that holds nothing yet.
@@ -69,6 +70,8 @@
 	Refused time.Time
 	// ProofAge is the age of the holder's proof as it said itself.
 	ProofAge time.Duration
+	// StoreSound is how long the node's own calls of the store have succeeded.
+	StoreSound time.Duration
 	// Others is how many other nodes were asked, Reached how many answered,
 	// and Vouched whether one of them hears the holder.
 	Others, Reached int
@@ -107,7 +110,7 @@
 		return v.Vacant, "not-held"
 	case !v.Refused.IsZero() && v.Now.Sub(v.Refused) >= RefusedAfter:
 		return v.Refused.Add(RefusedAfter), "refused"
-	case v.ProofAge >= StoreStale:
+	case v.ProofAge >= StoreStale && v.StoreSound >= StoreStale:
 		return v.Heard, "without-proof"
 	case v.Now.Sub(v.Heard) < SuspectAfter:
 		return time.Time{}, "heard"
