--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -89,6 +89,10 @@
 // refuse answers a request that was not carried out.
 func (p *Process) refuse(c echo.Context, queue string, status int, reason string, retryAfter time.Duration) error {
 	p.metrics.intake(queue, status)
+	if status == http.StatusServiceUnavailable && p.isolated() {
+		// The balancer gives the caller's next connection to another node.
+		c.Response().Header().Set("Connection", "close")
+	}
 	if retryAfter > 0 {
 		c.Response().Header().Set("Retry-After", strconv.Itoa(int((retryAfter+time.Second-1)/time.Second)))
 	}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -704,6 +704,9 @@
 	answers := make(chan stateAnswer, 1)
 	if !h.input(func(time.Time) {
 		state, known := h.shard.State(id)
+		if !known {
+			h.process.log("job-unknown", "job", id, "service", h.service, "epoch", h.epoch, "detail", h.shard.Explain(id))
+		}
 		answers <- stateAnswer{Known: known, State: state}
 	}) {
 		return stateAnswer{}, errNotHolder
--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -282,3 +282,25 @@
 	w.run(100 * time.Millisecond)
 	require.Equal(t, 7, w.holder.shard.Waiting("batch"))
 }
+
+// Pattern: a large gang is too late to be worth anything while smaller work
+// streams past it. It starts as soon as the stream ends.
+func TestLateGangStartsWhenTheLoadEnds(t *testing.T) {
+	w := newWorld(t, 13, 6, workerSize)
+	w.advised = true
+	w.goodShare = 0.6
+	w.run(time.Second)
+	for i := range 60 {
+		small := job.Step{Count: 6, Demand: job.Demand{MilliCPU: 500, MemoryMB: 100, GPUs: 1}, Estimate: 2 * time.Second}
+		w.submit(id(i), batchTerms, job.Spec{Steps: []job.Step{small}}, 2*time.Second)
+		if i == 5 {
+			w.submit(id(5000), job.Terms{Queue: "gangs", Priority: 1, MaxAttempts: 3, Stretch: 0.1, Target: 10 * time.Millisecond},
+				job.Spec{Steps: []job.Step{gang(2, 8, 2*time.Second)}}, 2*time.Second)
+		}
+		w.run(250 * time.Millisecond)
+	}
+	began := w.now
+	// What still waits and runs of the stream, then the gang's own 2 s.
+	require.Less(t, w.endedAt(id(5000), 30*time.Second)-began, 8*time.Second)
+	require.Empty(t, w.faults)
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -311,7 +311,7 @@
 // also keeps the workers on which it can start: small tasks would take their
 // room for ever.
 func (p *pass) postpone(st *step, count int) {
-	if len(p.plans) >= maxPlans || st.hopeless(p.now) {
+	if len(p.plans) >= maxPlans {
 		return
 	}
 	planned := p.soonest(st, count)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -377,3 +377,12 @@
 	}
 	sort.Slice(s.ordered, func(i, j int) bool { return s.ordered[i].ID < s.ordered[j].ID })
 }
+
+// Explain describes what the shard holds of a job, for the log.
+func (s *Shard) Explain(id string) string {
+	j := s.jobs[id]
+	if j == nil {
+		return "no such job"
+	}
+	return fmt.Sprintf("state=%s visible=%s durable=%t runs=%d", j.state, j.visible, j.durable, j.runs)
+}
