--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -106,6 +106,7 @@
 	waitVerb,
 	cancelVerb,
 	explainVerb,
+	logsVerb,
 	nodesVerb,
 	workersVerb,
 	alarmsVerb,
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -53,6 +53,8 @@
 		{766, "request-undecided", Warn, "A caller's request had no answer of the holder in time.", noAction, false},
 		{767, "job-unknown", Info, "A caller asked for a job that nobody knows.", noAction, false},
 
+		{768, "step-waiting", Info, "A step has waited for over two seconds; the cause and the counts of workers say why.", noAction, false},
+
 		{780, "run-ordered", Info, "A task was ordered to start on a worker.", noAction, false},
 		{781, "run-rejected", Info, "The worker refused the order and did nothing.", noAction, false},
 		{782, "run-in-doubt", Warn, "An order had no answer; the run is stopped before the task starts elsewhere.", noAction, false},
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -154,6 +154,8 @@
 	advice     advice
 	chain      time.Duration // shortest time from this step's start to the end of the job
 	readyAt    time.Time
+	// explainedAt is when a line last said why the step waits.
+	explainedAt time.Time
 }
 
 // task is one task of a step.
