--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -126,9 +126,12 @@
 	if err != nil {
 		return p.refuse(r, name, http.StatusBadRequest, err.Error(), 0)
 	}
-	to := p.partOf(r.queue.Service, r.rest)
-	message := submitRequest{Service: to.name(), ID: r.rest, Terms: r.queue.Terms, Spec: spec}
-	answer, err := forward(p, r, to, pathSubmit, message, (*holder).submit)
+	var answer submitAnswer
+	to, err := p.partOf(r, r.queue.Service, r.rest)
+	if err == nil {
+		message := submitRequest{Service: to.name(), ID: r.rest, Terms: r.queue.Terms, Spec: spec}
+		answer, err = forward(p, r, to, pathSubmit, message, (*holder).submit)
+	}
 	switch {
 	case errors.Is(err, errNoHolder):
 		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
@@ -224,8 +227,7 @@
 // eachService asks the queue's service, and the others if it doesn't know the
 // job: the manifest may have given the queue to another service since.
 func (p *Process) eachService(r *request, path string, local func(*holder, context.Context, jobRequest) (stateAnswer, error)) (stateAnswer, error) {
-	to := p.partOf(r.queue.Service, r.rest)
-	answer, err := forward(p, r, to, path, jobRequest{to.name(), r.rest}, local)
+	answer, err := p.inService(r, r.queue.Service, path, local)
 	if err != nil || answer.Known {
 		return answer, err
 	}
@@ -233,8 +235,7 @@
 		if service.Name == r.queue.Service || service.Spare {
 			continue
 		}
-		to := p.partOf(service.Name, r.rest)
-		answer, err := forward(p, r, to, path, jobRequest{to.name(), r.rest}, local)
+		answer, err := p.inService(r, service.Name, path, local)
 		if err != nil || answer.Known {
 			return answer, err
 		}
@@ -242,6 +243,15 @@
 	return answer, nil
 }
 
+// inService asks the shard of a service that the job belongs to.
+func (p *Process) inService(r *request, service, path string, local func(*holder, context.Context, jobRequest) (stateAnswer, error)) (stateAnswer, error) {
+	to, err := p.partOf(r, service, r.rest)
+	if err != nil {
+		return stateAnswer{}, err
+	}
+	return forward(p, r, to, path, jobRequest{to.name(), r.rest}, local)
+}
+
 // forward hands a message to the holder of the queue's service. Every message
 // names a job by its identity or only reads, so it may be sent again to the
 // next holder: a call whose effect is unknown is repeated there until the
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -631,6 +631,9 @@
 
 // submit takes a job in and waits until it is stored.
 func (h *holder) submit(ctx context.Context, request submitRequest) (submitAnswer, error) {
+	if !h.part.has(request.ID) {
+		return submitAnswer{}, errNotHolder // of this job's shard
+	}
 	if stalled := h.stalledFor(); stalled > 0 {
 		return refuseStalled(stalled), nil
 	}
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -56,12 +56,26 @@
 	return int(mixed % uint32(count))
 }
 
-// partOf returns the shard of a job; it has no shards as long as they aren't counted.
-func (p *Process) partOf(service, id string) part {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	count := p.counts[service]
-	return part{service, deal(id, count), count}
+// partOf returns the shard of a job. A process that has just started waits
+// until it has read how many shards the service has.
+func (p *Process) partOf(r *request, service, id string) (part, error) {
+	for {
+		p.mu.Lock()
+		count, changed := p.counts[service], p.changed
+		p.mu.Unlock()
+		if count > 0 {
+			return part{service, deal(id, count), count}, nil
+		}
+		wait := time.Until(r.began.Add(holderWait))
+		if wait <= 0 || r.ctx.Err() != nil {
+			return part{}, errNoHolder
+		}
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-r.ctx.Done():
+		}
+	}
 }
 
 // takeCount notes a service's shards; the lock is held. The first count holds.
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -41,7 +41,7 @@
 	if !s.authority {
 		return Verdict{Outcome: Refused, Reason: "the holder of the service has lost touch with the store", RetryAfter: time.Second}
 	}
-	if reason, after := s.admit(now, &terms, &spec); reason != "" {
+	if reason, after := s.admit(&terms, &spec); reason != "" {
 		s.options.Log("refused", "job", id, "queue", terms.Queue, "reason", reason, "retry-after", after)
 		return Verdict{Outcome: Refused, Reason: reason, RetryAfter: after}
 	}
@@ -54,6 +54,7 @@
 	s.waiting[terms.Queue]++
 	s.markJob(j)
 	s.materialise(now, j)
+	s.noteAccepted(&j.record.Terms, &j.record.Spec)
 	return Verdict{Outcome: Pending}
 }
 
@@ -111,13 +112,13 @@
 }
 
 // admit returns why a job is refused, empty if it isn't.
-func (s *Shard) admit(now time.Time, terms *job.Terms, spec *job.Spec) (reason string, retryAfter time.Duration) {
+func (s *Shard) admit(terms *job.Terms, spec *job.Spec) (reason string, retryAfter time.Duration) {
 	for i := range spec.Steps {
 		if len(s.shapes) > 0 && !s.fitsSomewhere(&spec.Steps[i]) {
 			return "no worker of the service holds a task of this size", time.Minute
 		}
 	}
-	return s.overload(now, terms, spec)
+	return s.overload(terms, spec)
 }
 
 // fitsSomewhere reports whether a worker that was ever listed could hold a
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -66,6 +66,7 @@
 		latest   time.Time
 	}
 	list := make([]ranked, 0, len(s.ready))
+	s.queued = backlog{}
 	for st := range s.ready {
 		if !st.wants(now) {
 			if !st.anyWaiting() {
@@ -76,6 +77,8 @@
 		r := ranked{step: st, latest: st.latest()}
 		if st.hopeless(now) {
 			r.hopeless = 1
+		} else {
+			s.queued.add(st)
 		}
 		list = append(list, r)
 	}
@@ -545,8 +548,3 @@
 	}
 	return nil
 }
-
-// overload returns why a job isn't taken in for want of room.
-func (s *Shard) overload(time.Time, *job.Terms, *job.Spec) (reason string, retryAfter time.Duration) {
-	return "", 0
-}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -87,6 +87,7 @@
 
 	workers map[string]*worker
 	ordered []*worker // by ID
+	queued  backlog
 	// shapes are the different capacities of all workers ever listed.
 	shapes []job.Demand
 	// owed are workers of a former holder's record that must be read before
