--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -62,6 +62,8 @@
 		{784, "run-ended", Info, "A worker listed the end of a run.", noAction, false},
 		{785, "run-over", Info, "A run is gone without a listed end; the cause follows.", noAction, false},
 		{786, "run-stalled", Warn, "A run's progress stood still; it is started elsewhere.", noAction, false},
+		{795, "run-moved", Info, "A run on a slow worker is stopped, as it ends sooner elsewhere.", noAction, false},
+		{750, "worker-speed", Info, "The worker's runs take far longer than their estimates, or no longer do; slow workers are the last choice.", "Inspect the VM if it lasts.", false},
 		{787, "lease-over", Warn, "The leases on a worker that doesn't answer ran out.", noAction, false},
 		{788, "stop-failed", Info, "An order to stop a run failed; it is repeated.", noAction, false},
 		{789, "pace-failed", Info, "An order to pace a run failed.", noAction, false},
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -1,6 +1,9 @@
 package shard
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// failuresToShun is how many different jobs must fail on a worker, with
@@ -20,7 +23,8 @@
 
 // health is what runs have shown of a worker.
 type health struct {
-	failedJobs []string // different jobs that failed since the last success
+	ended      []slowSample // slowness of the last runs that were done
+	failedJobs []string     // different jobs that failed since the last success
 	shunUntil  time.Time
 	shunFor    time.Duration
 	pauseUntil time.Time
@@ -75,6 +79,155 @@
 		return
 	}
 	r.worker.health.succeeded()
+	if estimate := r.task.step.spec.Estimate; estimate > 0 && !r.adopted() {
+		r.worker.health.note(now, r.task.step.occurrence.job.id, float64(duration)/float64(estimate))
+	}
+}
+
+// slowSample is the slowness of one run.
+type slowSample struct {
+	at    time.Time
+	job   string
+	ratio float64
+}
+
+const (
+	// slowSamples is how many ended runs a worker is judged by, and
+	// slowSampleAge how old they may be.
+	slowSamples   = 6
+	slowSampleAge = 10 * time.Second
+	// slowFactor times its estimate is a run's time from which on its worker
+	// counts as slow: estimates are off by half, and data elsewhere doubles it.
+	slowFactor = 2.8
+	// slowJobs is how many jobs have to show it, and surelySlowJobs how many
+	// if they show surelySlowFactor.
+	slowJobs         = 3
+	surelySlowJobs   = 2
+	surelySlowFactor = 4
+	// measureAfter is the time of a run before its progress says anything.
+	measureAfter = 400 * time.Millisecond
+	// slowPenalty makes a slow worker the last choice but for far data.
+	slowPenalty = 4
+	// maxMoves is how often a task is moved: work whose estimate is far off
+	// is slow everywhere.
+	maxMoves = 2
+	// moveGain is how much sooner a moved run has to end, as a multiple.
+	moveGain = 1.5
+	// moveCost covers the stop of the run that is given up (0.9 s on the
+	// users' platform) and the restart.
+	moveCost = time.Second
+)
+
+func (h *health) note(now time.Time, job string, ratio float64) {
+	if len(h.ended) == slowSamples {
+		h.ended = h.ended[1:]
+	}
+	h.ended = append(h.ended, slowSample{now, job, ratio})
+}
+
+// adopted runs were started by a former holder, at an unknown time.
+func (r *run) adopted() bool { return r.tries == 0 }
+
+// measure estimates a run's whole time from its progress between reports.
+func (r *run) measure(now time.Time) {
+	estimate := r.task.step.spec.Estimate
+	if estimate <= 0 || r.task.step.spec.LongRunning || r.pace < 100 {
+		return
+	}
+	if r.beganAt.IsZero() {
+		r.began, r.beganAt = r.percent, now
+		if !r.adopted() && r.task.checkpoint == "" {
+			r.began, r.beganAt = 0, r.startedAt
+		}
+	}
+	if elapsed := now.Sub(r.beganAt); elapsed >= measureAfter && r.percent > r.began {
+		r.slowness = float64(elapsed) * 100 / (r.percent - r.began) / float64(estimate)
+	}
+}
+
+// slow reports whether the worker's runs take far longer than they should.
+// One job's estimate may be far off, so runs of several jobs have to agree.
+func (w *worker) slow(now time.Time) bool {
+	byJob := map[string]float64{}
+	note := func(job string, ratio float64) {
+		if least, known := byJob[job]; !known || ratio < least {
+			byJob[job] = ratio
+		}
+	}
+	for _, sample := range w.health.ended {
+		if now.Sub(sample.at) <= slowSampleAge {
+			note(sample.job, sample.ratio)
+		}
+	}
+	for _, r := range w.runs {
+		if r.slowness > 0 {
+			note(r.task.step.occurrence.job.id, r.slowness)
+		}
+	}
+	least := math.Inf(1)
+	for _, ratio := range byJob {
+		least = min(least, ratio)
+	}
+	return len(byJob) >= slowJobs && least >= slowFactor || len(byJob) >= surelySlowJobs && least >= surelySlowFactor
+}
+
+// moveSlow stops runs on slow workers that would end sooner elsewhere.
+func (s *Shard) moveSlow(now time.Time) {
+	for _, w := range s.ordered {
+		if !w.isSlow {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.phase != running || r.asked || r.task.step.spec.Speculative || r.task.moves >= maxMoves || r.slowness < slowFactor || !s.endsSooner(now, r) {
+				continue
+			}
+			s.options.Log("run-moved", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "slowness", r.slowness)
+			r.task.avoid = w.ID
+			r.task.moves++
+			w.health.note(now, r.task.step.occurrence.job.id, r.slowness)
+			members := []*task{r.task}
+			if r.task.step.spec.Gang {
+				members = r.task.step.tasks
+			}
+			for _, t := range members {
+				for _, other := range t.runs {
+					s.stop(now, other)
+				}
+			}
+		}
+	}
+}
+
+// endsSooner reports whether a run would end sooner on a sound worker, and
+// whether one has room for it.
+func (s *Shard) endsSooner(now time.Time, r *run) bool {
+	spec := r.task.step.spec
+	whole := float64(spec.Estimate) * r.slowness
+	left := time.Duration(whole * (100 - r.percent) / 100)
+	again := float64(spec.Estimate)
+	if spec.SavesProgress {
+		again *= (100 - r.percent) / 100
+	}
+	if left < time.Duration(again*moveGain)+moveCost {
+		return false
+	}
+	for _, w := range s.ordered {
+		if w != r.worker && !w.isSlow && w.usable() && w.matches(r.task.step) && spec.Reserved().Fits(w.free()) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeSpeed notes which workers are slow.
+func (s *Shard) judgeSpeed(now time.Time) {
+	for _, w := range s.ordered {
+		slow := w.slow(now)
+		if slow != w.isSlow {
+			s.options.Log("worker-speed", "worker", w.ID, "slow", slow, "runs", len(w.runs))
+		}
+		w.isSlow = slow
+	}
 }
 
 // restartStalled stops runs whose progress stands still.
--- a/internal/shard/overload.go
+++ b/internal/shard/overload.go
@@ -12,7 +12,7 @@
 	// acceptFactor times its objective is the longest expected time of a job
 	// that is taken in: run times are told wrong by half, and a job that gets
 	// too late to be worth anything waits behind all others.
-	acceptFactor = 2
+	acceptFactor = 2.5
 	// retryLeast is the shortest backlog for which a job is refused, and so
 	// the least time after which its caller returns.
 	retryLeast = time.Second
@@ -88,7 +88,7 @@
 	chain := chainOf(spec)
 	objective := time.Duration(terms.Stretch*float64(chain)) + terms.Target
 	wait := s.wait(terms.Priority)
-	if wait <= retryLeast || wait+chain <= acceptFactor*objective {
+	if wait <= retryLeast || float64(wait+chain) <= acceptFactor*float64(objective) {
 		return "", 0
 	}
 	// The caller comes back when the backlog is down to what the job can wait for.
--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -163,6 +163,53 @@
 	w.requireWhole(12 * time.Second)
 }
 
+// Pattern: some workers turn slow by six times while they stay healthy.
+func TestSlowWorkersGetLittleWork(t *testing.T) {
+	w := newWorld(t, 15, 6, workerSize)
+	w.run(time.Second)
+	w.workers[0].slow, w.workers[1].slow = 6.5, 6.5
+	var late int
+	for i := range 150 {
+		w.submit(id(i), urgentTerms, job.Spec{Steps: []job.Step{tasks(4, 1000, 700*time.Millisecond)}}, 700*time.Millisecond)
+		w.run(80 * time.Millisecond)
+	}
+	began := map[string]time.Duration{}
+	for i := 150; i < 250; i++ {
+		w.submit(id(i), urgentTerms, job.Spec{Steps: []job.Step{tasks(4, 1000, 700*time.Millisecond)}}, 700*time.Millisecond)
+		began[id(i)] = w.now
+		w.run(80 * time.Millisecond)
+		for id, at := range began {
+			if state, _ := w.holder.shard.State(id); state.Ended() {
+				delete(began, id)
+			} else if w.now-at > 1650*time.Millisecond { // the queue's objective
+				delete(began, id)
+				late++
+			}
+		}
+	}
+	// A worker without runs is tried again when its last samples are old:
+	// each 10 s, on 2 of 6 workers, with a job or two.
+	require.LessOrEqual(t, late, 10)
+	w.requireWhole(30 * time.Second)
+}
+
+// Pattern: a long task is on a worker that turns slow; sound workers have room.
+func TestLongTaskMovesAwayFromASlowWorker(t *testing.T) {
+	w := newWorld(t, 16, 2, workerSize)
+	w.run(time.Second)
+	w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 4000, 4*time.Second)}}, 4*time.Second)
+	w.submit(id(1), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 4000, 4*time.Second)}}, 4*time.Second)
+	w.run(300 * time.Millisecond)
+	for _, worker := range w.workers {
+		if len(worker.runs) > 0 {
+			worker.slow = 6.5
+		}
+	}
+	// 26 s on the slow worker; noticed within two reports, then 4 s elsewhere.
+	require.Less(t, w.endedAt(id(0), 40*time.Second), 12*time.Second)
+	require.Empty(t, w.faults)
+}
+
 // Pattern: a worker dies for good soon after a change of holder.
 func TestTasksOfADeadWorkerStartWhenItsLeaseIsOver(t *testing.T) {
 	w := newWorld(t, 5, 3, workerSize)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -140,6 +140,7 @@
 			p.placeTasks(st)
 		}
 	}
+	p.placeCopies()
 	s.ask(now, order, p.wanted, p.plans)
 	p.explain(order)
 }
@@ -307,6 +308,9 @@
 	if st.spec.Rack != "" && !slices.Contains(w.Labels, st.spec.Rack) {
 		left += farPenalty
 	}
+	if w.isSlow {
+		left += slowPenalty
+	}
 	return left + w.health.penalty(p.now)
 }
 
@@ -337,6 +341,29 @@
 	p.postpone(st, 1)
 }
 
+// placeCopies starts second runs of tasks that may run twice and whose first
+// run is on a slow worker.
+func (p *pass) placeCopies() {
+	for _, w := range p.shard.ordered {
+		if !w.isSlow {
+			continue
+		}
+		for _, r := range slices.Clone(w.runs) {
+			t := r.task
+			copies := t.step.spec.Speculative && !t.step.spec.Gang && len(t.runs) == 1 && !t.done
+			if !copies || r.phase != running || r.slowness < slowFactor {
+				continue
+			}
+			valid, _ := p.candidates(t.step)
+			c := pick(valid, t)
+			if c == nil || c.worker == w || c.worker.isSlow {
+				continue
+			}
+			p.shard.order(p.now, t, c.worker, t.lastRun+1, c.ticket)
+		}
+	}
+}
+
 // pick returns the best candidate with room, rather not the task's last one.
 func pick(candidates []candidate, t *task) *candidate {
 	var best *candidate
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -110,6 +110,7 @@
 	slowOut    int
 	changed    bool
 	tidied     time.Time
+	judged     time.Time
 }
 
 // jobState is one job.
@@ -170,6 +171,7 @@
 	runs       []*run
 	avoid      string // worker of the last failure
 	notBefore  time.Time
+	moves      int // away from slow workers
 }
 
 // phase is where a run is.
@@ -195,6 +197,9 @@
 	stopTries int
 	confirmed time.Time // a stop was answered
 	percent   float64
+	began     float64 // percent at the first report
+	beganAt   time.Time
+	slowness  float64 // its time by its progress, as a multiple of its estimate; 0 if unknown
 	movedAt   time.Time
 	usage     float64
 	pace      int
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// judgeEvery is the pause between two judgements of the workers' speed.
+const judgeEvery = 200 * time.Millisecond
+
 // tidyEvery bounds how often ended jobs and workers are looked through.
 const tidyEvery = 500 * time.Millisecond
 
@@ -18,6 +21,11 @@
 	s.repeatStops(now)
 	s.expireLeases(now)
 	s.restartStalled(now)
+	if now.Sub(s.judged) >= judgeEvery {
+		s.judged = now
+		s.judgeSpeed(now)
+		s.moveSlow(now)
+	}
 	if s.changed || s.pausedTasks(now) {
 		s.schedule(now)
 	}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -48,6 +48,7 @@
 	lastReply time.Time
 	health    health
 	drainSeen time.Time
+	isSlow    bool
 }
 
 const (
@@ -344,6 +345,7 @@
 	}
 	if row.Percent > r.percent {
 		r.percent, r.movedAt = row.Percent, now
+		r.measure(now)
 	}
 	r.usage = row.Usage
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
