Bound the placement passes of a long queue; count shards by what workers run

Cause: with a backlog a pass takes up to a millisecond and ran after every input; holders on 0.8 cores fell behind until leases ran out (LOST 504 with 126 workers a shard). Passes come at most each 15 ms while more than 12 steps wait.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"io"
+	"math"
 	"strconv"
 	"time"
 
@@ -13,9 +14,13 @@
 )
 
 const (
-	// workersPerShard is how many workers one holder has: at the grown sizes
-	// (252 workers, 700 starts a second) three holders share the work.
+	// workersPerShard is how many workers without accelerators one holder has:
+	// at the grown sizes (252 workers, 700 starts a second) three holders share
+	// the work. With 126 each, a holder on 0.8 cores fell behind and leases ran out.
 	workersPerShard = 90
+	// acceleratedWeight is what a worker with accelerators counts: it runs few
+	// large tasks, and large gangs need many such workers in one shard.
+	acceleratedWeight = 0.6
 	// countKey begins the keys of the records with a service's shards.
 	countKey = "shards/"
 	// countAfter is how long a new service's workers are waited for, so that
@@ -117,16 +122,20 @@
 		p.log("store-call-failed", "call", "count", "service", service, "cause", err)
 		return
 	}
-	workers := 0
+	weight := 0.0
 	for _, record := range records {
 		if entry, err := platform.DecodeWorker(record.Key, record.Value); err == nil && entry.Service == service {
-			workers++
+			if entry.Capacity.GPUs > 0 {
+				weight += acceleratedWeight
+			} else {
+				weight++
+			}
 		}
 	}
-	if workers == 0 {
+	if weight == 0 {
 		return
 	}
-	value, err := cbor.Marshal((workers + workersPerShard - 1) / workersPerShard)
+	value, err := cbor.Marshal(int(math.Ceil(weight / workersPerShard)))
 	if err != nil {
 		p.log("record-not-encoded", "key", service, "cause", err)
 		return
@@ -134,5 +143,5 @@
 	_, _, err = p.store.Append(call, platform.Append{
 		Partition: rightsPartition, At: at, Records: []platform.Record{{Key: countKey + service, Value: value}},
 	})
-	p.log("shards-offered", "service", service, "workers", workers, "cause", err)
+	p.log("shards-offered", "service", service, "weight", weight, "cause", err)
 }
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -11,12 +11,12 @@
 	ticketMargin = 300 * time.Millisecond
 	// maxAdvised is how many workers one call names: the adviser's time grows
 	// with them, and among these the strictest queue (0.3) finds a dozen.
-	maxAdvised = 40
+	maxAdvised = 60
 	// adviceLead is added to the adviser's time, for the way to it and back.
 	adviceLead = 100 * time.Millisecond
 	// lateAsked is how many of the most urgent steps ask about workers that
 	// joined after their first call.
-	lateAsked = 8
+	lateAsked = 24
 	// lateAskedAfter is the pause before they do: room comes free meanwhile.
 	lateAskedAfter = 500 * time.Millisecond
 	// QuickAdvice is the longest call that goes to the nodes which take no
--- a/internal/shard/cost_test.go
+++ b/internal/shard/cost_test.go
@@ -7,6 +7,22 @@
 	"yuccalanding.example/yuccalanding/internal/job"
 )
 
+// BenchmarkBacklog plays a shard with more work than room: what a pass costs
+// must not grow with what waits.
+func BenchmarkBacklog(b *testing.B) {
+	patient := urgentTerms
+	patient.Stretch = 1000 // nothing is refused for load
+	for b.Loop() {
+		w := newWorld(b, 1, 90, workerSize)
+		w.advised = true
+		w.run(time.Second)
+		for i := range 300 {
+			w.submit(id(i), patient, job.Spec{Steps: []job.Step{tasks(20, 4000, 3*time.Second)}}, 3*time.Second)
+			w.run(30 * time.Millisecond)
+		}
+	}
+}
+
 // BenchmarkGrownFleet plays the load of one shard of the grown fleets: 90
 // workers and about 300 starts a second.
 func BenchmarkGrownFleet(b *testing.B) {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -12,9 +12,13 @@
 	// lateFactor times its objective is when a job is worth nothing any more
 	// (platform contract).
 	lateFactor = 3
-	// maxReservations bounds the waiting steps that keep room for themselves,
-	// and with it the cost of a pass.
-	maxReservations = 6
+	// minReservations and workersPerReservation bound the waiting steps that
+	// keep workers free until the last one that they need is free too: with
+	// many, most workers wait for others.
+	minReservations       = 2
+	workersPerReservation = 16
+	// maxAwaited bounds the steps that keep room while their tickets come.
+	maxAwaited = 24
 	// maxPlans bounds the waiting steps whose soonest start is worked out in a
 	// pass: those behind them are not next.
 	maxPlans = 24
@@ -390,15 +394,14 @@
 	for i, c := range expired {
 		workers[i] = c.worker
 	}
+	if len(p.wanted) >= maxAwaited {
+		return
+	}
 	p.wanted[st] = workers
 	p.hold(workers, p.now.Add(adviceTime(st, len(workers))))
 }
 
 func (p *pass) hold(workers []*worker, until time.Time) {
-	if p.reservations >= maxReservations {
-		return
-	}
-	p.reservations++
 	for _, w := range workers {
 		if _, reserved := p.reserved[w]; !reserved {
 			p.reserved[w] = until
@@ -419,6 +422,10 @@
 	}
 	p.plans[st] = planned
 	if isLarge(st.spec.Reserved(), planned.workers[0].Capacity) {
+		if p.reservations >= max(minReservations, len(p.shard.ordered)/workersPerReservation) {
+			return
+		}
+		p.reservations++
 		p.hold(planned.workers, planned.at)
 	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -111,6 +111,7 @@
 	changed    bool
 	tidied     time.Time
 	judged     time.Time
+	passed     time.Time
 }
 
 // jobState is one job.
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -26,7 +26,8 @@
 		s.judgeSpeed(now)
 		s.moveSlow(now)
 	}
-	if s.changed || s.pausedTasks(now) {
+	if s.passDue(now) {
+		s.passed = now
 		s.schedule(now)
 	}
 	s.look(now)
@@ -38,6 +39,25 @@
 	}
 }
 
-// pausedTasks reports whether steps wait at all: pauses and tickets end with
-// time alone.
-func (s *Shard) pausedTasks(time.Time) bool { return len(s.ready) > 0 }
+const (
+	// passEvery is the pause between two placement passes while more than
+	// longQueue steps wait: a pass then costs up to a millisecond, and inputs
+	// come by the hundred a second.
+	passEvery = 15 * time.Millisecond
+	longQueue = 12
+	// idlePass is the pause between passes without a change: pauses of tasks
+	// and tickets end with time alone.
+	idlePass = 50 * time.Millisecond
+)
+
+// passDue reports whether waiting tasks are to be placed now.
+func (s *Shard) passDue(now time.Time) bool {
+	since := now.Sub(s.passed)
+	switch {
+	case s.changed && len(s.ready) <= longQueue:
+		return true
+	case s.changed:
+		return since >= passEvery
+	}
+	return len(s.ready) > 0 && since >= idlePass
+}
