--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,12 +28,26 @@
 	t      *testing.T
 	site   *standin.Site
 	nodes  []*node
-	store  netip.AddrPort
 	advice netip.AddrPort
 	net    byte
 }
 
+// gate lets one node's calls of the store through, or refuses them.
+type gate struct {
+	store  http.Handler
+	closed atomic.Bool
+}
+
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.closed.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	g.store.ServeHTTP(w, r)
+}
+
 type node struct {
+	gate     *gate
 	settings platform.Settings
 	cancel   context.CancelFunc
 	ended    chan error
@@ -68,11 +83,9 @@
 	nextNet++
 	c := &cell{t: t, site: standin.New(), net: nextNet}
 	t.Cleanup(c.site.Close)
-	store, err := c.site.Serve(c.site.Store)
-	require.NoError(t, err)
 	advice, err := c.site.Serve(http.HandlerFunc(standin.Adviser))
 	require.NoError(t, err)
-	c.store, c.advice = netip.MustParseAddrPort(store), netip.MustParseAddrPort(advice)
+	c.advice = netip.MustParseAddrPort(advice)
 	for i := range 3 {
 		for _, service := range []string{"ledger", "review"} {
 			_, err := c.site.AddWorker(fmt.Sprintf("i-%s-%d", service, i), service, 16000, 32000, 8)
@@ -87,11 +100,15 @@
 
 func (c *cell) start(number int) *node {
 	ip := netip.AddrFrom4([4]byte{127, c.net, byte(1 + number), 1})
+	gate := &gate{store: c.site.Store}
+	address, err := c.site.Serve(gate)
+	require.NoError(c.t, err)
 	n := &node{
+		gate: gate,
 		settings: platform.Settings{
 			Node: fmt.Sprintf("entry-%d", number), Zone: "z", Region: "r", IP: ip,
 			Callers: netip.AddrPortFrom(ip, 8149), Ready: netip.AddrPortFrom(ip, 8141), FirstPeerPort: 7380, LastPeerPort: 7395,
-			Store: platform.StoreSettings{Address: c.store}, Advice: c.advice,
+			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address)}, Advice: c.advice,
 			Bounds: platform.Bounds{MaxLease: 6 * time.Second, Grace: 6 * time.Second, Status: 2 * time.Minute, FarFactor: 2},
 		},
 		ended: make(chan error, 1), logs: &lockedBuffer{},
@@ -282,6 +299,31 @@
 	c.requireRunsOnce()
 }
 
+// Guards against a front that the store turns away alone and that so never
+// learns of the next holder (incident inc-30eb of rlts-voucher).
+func TestFrontWithoutTheStoreLearnsOfTheNextHolder(t *testing.T) {
+	c := newCell(t, 3)
+	c.configure(1)
+	c.submit(c.nodes[0], "/quick/0000000000000001", jobOf(50))
+	holder := c.holder("ledger")
+	var front *node
+	for _, n := range c.nodes {
+		if n != holder {
+			front = n
+		}
+	}
+	time.Sleep(time.Second) // the nodes have greeted the holders
+	front.gate.closed.Store(true)
+	holder.cancel()
+	require.NoError(t, <-holder.ended)
+	c.submit(front, "/quick/0000000000000002", jobOf(50))
+	c.site.Store.Put("keyed.op", "config", strings.ReplaceAll(fmt.Sprintf(manifestText, 2), "/batch/", "/other/"))
+	require.Eventually(t, func() bool {
+		status, _, _ := c.call(front, http.MethodGet, "/other/", "")
+		return status != http.StatusNotFound
+	}, 3*time.Second, 20*time.Millisecond, "a manifest reaches it through other nodes")
+}
+
 // Guards against two jobs out of one whose append had no answer.
 func TestLostAnswerOfTheStore(t *testing.T) {
 	c := newCell(t, 1)
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -26,6 +26,7 @@
 	pathHello   = "/peer/hello"
 	pathView    = "/peer/view"
 	pathAdvise  = "/peer/advise"
+	pathKnown   = "/peer/known"
 )
 
 const (
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -103,14 +103,16 @@
 	stopping atomic.Bool
 	stopped  chan struct{} // closed when the process is told to stop
 
-	mu         sync.Mutex
-	counts     map[string]int           // shards of each service
-	rights     map[string]right.Holding // by the shard's name
-	rightsEnd  int64
-	rightsRead bool
-	holders    map[string]*holder
-	views      map[string]*view
-	changed    chan struct{} // closed and replaced when a right changes
+	mu sync.Mutex
+	// manifestText is the manifest in force as the operator wrote it.
+	manifestText []byte
+	counts       map[string]int           // shards of each service
+	rights       map[string]right.Holding // by the shard's name
+	rightsEnd    int64
+	rightsRead   bool
+	holders      map[string]*holder
+	views        map[string]*view
+	changed      chan struct{} // closed and replaced when a right changes
 }
 
 // view is what the process knows of a holder.
@@ -175,7 +177,7 @@
 	}
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	parts := []func(context.Context){p.followManifest, p.followRights, p.claimRights}
+	parts := []func(context.Context){p.followManifest, p.followRights, p.claimRights, p.borrow}
 	ended := make(chan struct{}, len(parts))
 	for _, part := range parts {
 		go func() { part(work); ended <- struct{}{} }()
@@ -335,16 +337,7 @@
 			if record.Key != platform.ManifestKey || len(record.Value) == 0 {
 				continue
 			}
-			read, err := platform.DecodeManifest(record.Value)
-			if err != nil {
-				p.log("manifest-bad", "offset", record.Offset, "cause", err)
-				continue
-			}
-			if current := p.manifest.Load(); current != nil && current.Version >= read.Version {
-				continue
-			}
-			p.manifest.Store(read)
-			p.log("manifest-in-force", "version", read.Version, "services", len(read.Services))
+			p.takeManifest(record.Value, "store")
 		}
 	})
 }
@@ -727,6 +720,7 @@
 		}
 		return viewAnswer{Epoch: v.holding.Epoch, Heard: time.Since(v.heard)}, nil
 	})
+	serve(mux, pathKnown, func(_ context.Context, r knownRequest) (any, error) { return p.known(r), nil })
 	serve(mux, pathAdvise, func(ctx context.Context, r adviseRequest) (any, error) { return p.advise(ctx, r), nil })
 	return mux
 }
