--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -73,7 +73,7 @@
 	require.Contains(t, pages[0], requests)
 	require.NotContains(t, pages[1], requests)
 	require.Contains(t, pages[0], `yuccalanding_wait_seconds_count{kind="balance"} 1`)
-	documentation, err := os.ReadFile("../../docs/operations.md")
+	documentation, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	documented := regexp.MustCompile(`yuccalanding_[a-z_]+`)
 	seen := map[string]bool{}
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -52,6 +52,13 @@
 	h.failedJobs = h.failedJobs[:min(len(h.failedJobs), failuresToShun-1)]
 }
 
+// noteShunned logs that a worker gets no new task for a while.
+func (s *Shard) noteShunned(now time.Time, w *worker, before bool, cause string) {
+	if !before && w.health.shunned(now) {
+		s.options.Log("worker-shunned", "worker", w.ID, "cause", cause, "for", w.health.shunUntil.Sub(now), "runs", len(w.runs))
+	}
+}
+
 func (h *health) succeeded() {
 	h.failedJobs = nil
 	h.shunFor = 0
@@ -239,7 +246,9 @@
 				continue
 			}
 			s.options.Log("run-stalled", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "still-for", now.Sub(r.movedAt))
+			before := w.health.shunned(now)
 			w.health.shun(now)
+			s.noteShunned(now, w, before, "stalled")
 			r.task.avoid = w.ID
 			s.stop(now, r)
 		}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -352,7 +352,9 @@
 func (s *Shard) taskFailed(now time.Time, w *worker, t *task, number int64) {
 	st := t.step
 	j := st.occurrence.job
+	before := w.health.shunned(now)
 	w.health.failed(now, j.id)
+	s.noteShunned(now, w, before, "failures")
 	t.avoid = w.ID
 	t.notBefore = now.Add(failurePause)
 	failures := &t.failures
