--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -15,9 +15,10 @@
 
 const (
 	// workersPerShard is how many workers without accelerators one holder has:
-	// at the grown sizes (252 workers, 700 starts a second) three holders share
-	// the work. With 126 each, a holder on 0.8 cores fell behind and leases ran out.
-	workersPerShard = 90
+	// at the grown sizes (252 workers, 700 starts a second) two holders share
+	// the work. A step that is spread over more workers than the adviser allows
+	// in one shard can't run whole, so shards are as few as processors bear.
+	workersPerShard = 128
 	// acceleratedWeight is what a worker with accelerators counts: it runs few
 	// large tasks, and large gangs need many such workers in one shard.
 	acceleratedWeight = 0.6
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -101,7 +101,7 @@
 func (s *Shard) renewals(now time.Time, st *step, planned plan) []*worker {
 	var good []*worker
 	for _, w := range s.ordered {
-		if allowed, _ := st.advice.allowed(w, now); allowed && w.usable() {
+		if allowed, _ := st.advice.allowed(w, now); allowed && w.usable() && !st.saturates(w) {
 			good = append(good, w)
 		}
 	}
--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -268,6 +268,33 @@
 	require.LessOrEqual(t, w.calls, 3*jobs)
 }
 
+// Pattern: the workers that the adviser allowed at first have as many tasks of
+// a step as they may, and some of its tasks are left.
+func TestSpreadStepAsksAboutMoreWorkers(t *testing.T) {
+	w := newWorld(t, 17, 80, workerSize)
+	w.advised = true
+	w.goodShare = 0.3
+	w.run(time.Second)
+	allowed := 0
+	for _, worker := range w.workers {
+		if w.mayRun(id(0)+".0.0", worker.id) {
+			allowed++
+		}
+	}
+	spread := job.Step{Count: allowed, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 100}, Estimate: 500 * time.Millisecond, LongRunning: true, MaxPerWorker: 1}
+	for _, worker := range w.workers[40:] {
+		worker.listed = false
+	}
+	w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{spread}}, time.Hour)
+	w.run(6 * time.Second)
+	for _, worker := range w.workers[40:] {
+		worker.listed = true
+	}
+	w.run(3 * time.Second)
+	_, running := w.holder.shard.Jobs()
+	require.Equal(t, spread.Count, running)
+}
+
 // Pattern: the same job arrives again, also after its end and at the next holder.
 func TestTheSameJobAgainIsOneJob(t *testing.T) {
 	w := newWorld(t, 8, 2, workerSize)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -195,7 +195,7 @@
 		if valid {
 			ticket++
 		}
-		if good && demand.Fits(w.free()) {
+		if good && demand.Fits(w.free()) && !st.saturates(w) {
 			room++
 		}
 	}
@@ -293,6 +293,11 @@
 	return count
 }
 
+// saturates reports whether the worker has as many tasks of the step as it may.
+func (st *step) saturates(w *worker) bool {
+	return st.spec.MaxPerWorker > 0 && st.runsOn(w) >= st.spec.MaxPerWorker
+}
+
 const (
 	// farPenalty outweighs any difference in room: away from its data a task
 	// takes a multiple of its time.
@@ -440,7 +445,7 @@
 	var list []entry
 	demand := st.spec.Reserved()
 	for _, w := range p.shard.ordered {
-		if !w.usable() || !w.matches(st) {
+		if !w.usable() || !w.matches(st) || st.saturates(w) {
 			continue
 		}
 		if _, reserved := p.reserved[w]; reserved {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,7 +65,8 @@
 // stop sends a signal and waits for the process, which is then gone.
 func (p *process) stop(signal syscall.Signal) {
 	_ = p.command.Process.Signal(signal)
-	_ = p.command.Wait() // killed processes end with an error
+	_ = p.command.Process.Signal(syscall.SIGCONT) // a paused process ends too
+	_ = p.command.Wait()                          // killed processes end with an error
 }
 
 type run struct {
