--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -421,3 +421,32 @@
 	require.Less(t, w.endedAt(id(5000), 30*time.Second)-began, 8*time.Second)
 	require.Empty(t, w.faults)
 }
+
+// Guards against a step that counts as done twice when each member of its gang,
+// or each copy of its task, ends as done: the job then ended before its last
+// step (mcog-bakehouse, scale-2 --seed 531967953187, LOST).
+func TestStepIsDoneOnce(t *testing.T) {
+	cases := map[string]job.Step{
+		"members of a gang": gang(3, 1, 500*time.Millisecond),
+		"copies of a task":  {Count: 2, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 100}, Estimate: 100 * time.Millisecond, Speculative: true},
+	}
+	for name, first := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 18, 4, workerSize)
+			w.run(time.Second)
+			second, third := tasks(2, 1000, 400*time.Millisecond), tasks(2, 1000, 400*time.Millisecond)
+			second.After, third.After = []int{0}, []int{0, 1}
+			w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{first, second, third}}, time.Second, time.Second, time.Second)
+			w.run(300 * time.Millisecond)
+			if first.Speculative {
+				w.holder.shard.StartCopies(w.time(), id(0)+".0.0")
+			}
+			w.requireWhole(20 * time.Second)
+			for step, spec := range []job.Step{first, second, third} {
+				for index := range spec.Count {
+					require.True(t, w.everDone(w.jobs[id(0)], fmt.Sprintf("%s.0.%d.%d", id(0), step, index)), "step %d task %d", step, index)
+				}
+			}
+		})
+	}
+}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -324,7 +324,13 @@
 	s.stepDone(now, st)
 }
 
+// stepDone lets the steps begin that waited for this one. Each member of a gang
+// and each copy of a task may end as done, so only the first time counts.
 func (s *Shard) stepDone(now time.Time, st *step) {
+	if st.complete {
+		return
+	}
+	st.complete = true
 	o := st.occurrence
 	o.left--
 	for _, later := range o.steps[st.number+1:] {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -154,6 +154,7 @@
 	tasks      []*task
 	done       int
 	blocking   int // steps in spec.After that aren't done
+	complete   bool
 	advice     advice
 	chain      time.Duration // shortest time from this step's start to the end of the job
 	readyAt    time.Time
