--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -372,10 +372,7 @@
 	}
 	workers := make([]shard.WorkerInfo, 0, len(list))
 	for _, entry := range list {
-		workers = append(workers, shard.WorkerInfo{
-			ID: entry.ID, Address: entry.Address, Zone: entry.Zone, Born: entry.Born, Draining: entry.Draining,
-			Remaining: entry.Remaining, Capacity: entry.Capacity, Labels: entry.Labels,
-		})
+		workers = append(workers, entry.WorkerInfo)
 	}
 	sort.Slice(workers, func(i, j int) bool { return workers[i].ID < workers[j].ID })
 	h.input(func(now time.Time) { h.shard.SetWorkers(now, workers) })
@@ -410,10 +407,7 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
 	defer cancel()
-	_, err := h.process.workers.Start(ctx, start.Address, platform.StartOrder{
-		Worker: start.ID, Task: start.Task, Run: start.Run, Text: start.Text, Until: start.Until, Fence: h.epoch,
-		Checkpoint: start.Checkpoint, Ticket: start.Ticket,
-	})
+	err := h.process.workers.Start(ctx, start, h.epoch)
 	result, reason := shard.StartAccepted, ""
 	switch {
 	case err == nil:
@@ -438,7 +432,7 @@
 func (h *holder) stop(stop shard.Stop) {
 	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
 	defer cancel()
-	err := h.process.workers.Stop(ctx, stop.Address, platform.StopOrder{Worker: stop.ID, Task: stop.Task, Run: stop.Run, Fence: h.epoch})
+	err := h.process.workers.Stop(ctx, stop, h.epoch)
 	if platform.ReasonOf(err) == fenceReason {
 		h.lose("a worker knows a newer fence")
 	}
@@ -451,9 +445,7 @@
 func (h *holder) pace(pace shard.Pace) {
 	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
 	defer cancel()
-	err := h.process.workers.Pace(ctx, pace.Address, platform.PaceOrder{
-		Worker: pace.ID, Task: pace.Task, Run: pace.Run, Percent: pace.Percent, Fence: h.epoch,
-	})
+	err := h.process.workers.Pace(ctx, pace, h.epoch)
 	if err != nil {
 		h.process.log("pace-failed", "task", pace.Task, "run", pace.Run, "worker", pace.ID, "percent", pace.Percent, "cause", err)
 	}
@@ -463,9 +455,7 @@
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(h.ctx, hold.Wait+lookTimeout)
 	defer cancel()
-	answer, err := h.process.workers.Hold(ctx, hold.Address, platform.HoldOrder{
-		Worker: hold.ID, Fence: h.epoch, Seen: hold.Seen, Until: hold.Until, Wait: hold.Wait,
-	})
+	report, err := h.process.workers.Hold(ctx, hold, h.epoch)
 	h.process.metrics.look(err)
 	if platform.ReasonOf(err) == fenceReason {
 		h.lose("a worker knows a newer fence")
@@ -474,17 +464,6 @@
 		h.input(func(now time.Time) { h.shard.HoldFailed(now, hold.ID, err.Error()) })
 		return
 	}
-	report := shard.Report{Born: answer.Born, Clock: answer.Clock}
-	for _, row := range answer.Running {
-		report.Running = append(report.Running, shard.RunningRow{
-			RunKey: shard.RunKey{Task: row.Task, Run: row.Run}, Checkpoint: row.Checkpoint, Percent: row.Percent, Usage: row.Usage,
-		})
-	}
-	for _, row := range answer.Ended {
-		report.Ended = append(report.Ended, shard.EndedRow{
-			RunKey: shard.RunKey{Task: row.Task, Run: row.Run}, Number: row.Number, How: shard.How(row.How), Checkpoint: row.Checkpoint,
-		})
-	}
 	h.input(func(now time.Time) { h.shard.Reported(now, sent, hold.ID, report) })
 }
 
@@ -594,11 +573,7 @@
 		if err != nil {
 			cause = err.Error()
 		}
-		good := make([]shard.GoodWorker, len(answer.Good))
-		for i, ticket := range answer.Good {
-			good[i] = shard.GoodWorker{ID: ticket.Worker, Ticket: ticket.Text}
-		}
-		h.input(func(now time.Time) { h.shard.Advised(now, advise, good, cause) })
+		h.input(func(now time.Time) { h.shard.Advised(now, advise, answer.Good, cause) })
 	}()
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -14,7 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"yuccalanding.example/yuccalanding/internal/job"
-	"yuccalanding.example/yuccalanding/platform"
+	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
 // Paths of the interface between nodes.
@@ -101,8 +101,8 @@
 }
 
 type adviseAnswer struct {
-	Good  []platform.Ticket `cbor:"1,keyasint,omitempty"`
-	Cause string            `cbor:"2,keyasint,omitempty"`
+	Good  []shard.GoodWorker `cbor:"1,keyasint,omitempty"`
+	Cause string             `cbor:"2,keyasint,omitempty"`
 }
 
 // peers is the client of the other nodes.
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -281,7 +281,7 @@
 	case Done:
 		s.learn(now, r, duration)
 		s.taskDone(now, t)
-	case FailedX:
+	case FailedRun:
 		s.taskFailed(now, w, t, row.Run)
 	case Stopped, Lapsed, Broken, Alone:
 		s.markJob(j)
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -231,12 +231,12 @@
 
 // Ways in which a run ends.
 const (
-	Done    How = "done"
-	FailedX How = "failed"
-	Stopped How = "stopped"
-	Lapsed  How = "lapsed"
-	Broken  How = "broken"
-	Alone   How = "alone"
+	Done      How = "done"
+	FailedRun How = "failed"
+	Stopped   How = "stopped"
+	Lapsed    How = "lapsed"
+	Broken    How = "broken"
+	Alone     How = "alone"
 )
 
 // HoldFailed says that a Hold had no answer, or a refusal.
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -500,7 +500,7 @@
 	switch row.How {
 	case shard.Done:
 		facts.done[row.Task] = w.now
-	case shard.FailedX:
+	case shard.FailedRun:
 		facts.failures[row.Task]++
 	}
 }
@@ -691,7 +691,7 @@
 		}
 		r.progress += time.Duration(float64(step) / m.slow)
 		if r.fails && r.progress >= r.work/2 {
-			m.end(r, shard.FailedX)
+			m.end(r, shard.FailedRun)
 			for _, other := range members {
 				if other != r {
 					other.worker.end(other, shard.Broken)
