Remove what nothing uses, and the copies of four loops

Read again as a whole: a right's record was appended in two places, the empty append that proves a right in two, the loop that stops a step in four, the slots of advice were checked by twin functions, and five messages between nodes looked up their holder by the same lines. Each is one function now. Gone: orders to pace a run (nothing gave them; pacing is not built), fields and parameters that were only written.

--- a/internal/entry/borrow.go
+++ b/internal/entry/borrow.go
@@ -130,8 +130,7 @@
 		changed = true
 	}
 	if changed {
-		close(p.changed)
-		p.changed = make(chan struct{})
+		p.announce()
 	}
 }
 
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -162,9 +162,7 @@
 		}
 		return r.JSONBlob(http.StatusOK, platform.EncodeWaiting(waiting))
 	}
-	answer, err := p.eachService(r, pathState, func(h *holder, ctx context.Context, j jobRequest) (stateAnswer, error) {
-		return h.state(ctx, j.ID)
-	})
+	answer, err := p.eachService(r, pathState, (*holder).state)
 	if err != nil {
 		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
 	}
@@ -177,9 +175,7 @@
 
 func (p *Process) cancelJob(r *request) error {
 	name := r.queue.Terms.Queue
-	answer, err := p.eachService(r, pathCancel, func(h *holder, ctx context.Context, j jobRequest) (stateAnswer, error) {
-		return h.stopJob(ctx, j.ID)
-	})
+	answer, err := p.eachService(r, pathCancel, (*holder).stopJob)
 	if errors.Is(err, errNoHolder) {
 		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
 	}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -29,8 +29,6 @@
 	// proveEvery is how old the proof of the right becomes before an empty
 	// append renews it.
 	proveEvery = 400 * time.Millisecond
-	// proveTimeout bounds that append.
-	proveTimeout = 900 * time.Millisecond
 	// storeStall is how long an append may be unanswered before the store
 	// counts as silent: new jobs are refused at once, and those whose record
 	// has not left are withdrawn.
@@ -71,7 +69,6 @@
 	ended     chan struct{}
 	lost      atomic.Bool
 	released  atomic.Bool
-	loaded    chan struct{}
 
 	appending atomic.Int64 // when the append on its way first left, as proof; 0 if none
 	proof     atomic.Int64 // time of the last proof, as nanoseconds since the process started
@@ -99,22 +96,19 @@
 	service := shardPart.name()
 	h := &holder{
 		process: p, part: shardPart, service: service, epoch: epoch, partition: jobsPartition(shardPart),
-		inputs: make(chan func(time.Time), inputQueue), ended: make(chan struct{}), loaded: make(chan struct{}),
+		inputs: make(chan func(time.Time), inputQueue), ended: make(chan struct{}),
 		waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
 	bounds := p.settings.Bounds
 	h.shard = shard.New(shard.Options{
 		Service: service, Epoch: epoch, Lease: bounds.MaxLease,
-		OrphanAfter: keepWithout + time.Duration(float64(bounds.MaxLease)*clockGuard) + leaseSlack,
-		StateKept:   bounds.Status, Early: bounds.Early, FarFactor: bounds.FarFactor, Log: p.log,
+		OrphanAfter: keepWithout + time.Duration(float64(bounds.MaxLease)*shard.LeaseDrift) + leaseSlack,
+		StateKept:   bounds.Status, Log: p.log,
 	})
 	return h
 }
 
-// clockGuard covers a worker's clock that is 2% slow (platform contract).
-const clockGuard = 1.02
-
 // prove notes that the right was held when a call left that the store accepted.
 func (h *holder) prove(sent time.Time) { h.proof.Store(int64(sent.Sub(h.process.began))) }
 
@@ -133,7 +127,6 @@
 	}
 	h.shard.Load(time.Now(), records)
 	h.process.log("state-loaded", "service", h.service, "epoch", h.epoch, "records", len(records))
-	close(h.loaded)
 	tasks := make(chan struct{}, 2)
 	go func() { h.followWorkers(); tasks <- struct{}{} }()
 	go func() { h.keepProof(); tasks <- struct{}{} }()
@@ -146,18 +139,8 @@
 // takeOver shuts out the former holder's appends and reads what is stored.
 func (h *holder) takeOver() ([]shard.Record, bool) {
 	for h.ctx.Err() == nil {
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(h.ctx, appendTimeout)
-		_, _, err := h.process.store.Append(ctx, platform.Append{
-			Partition: h.partition, At: -1, Producer: h.service, Epoch: h.epoch,
-		})
-		cancel()
-		if platform.ReasonOf(err) == fencedReason {
-			h.lose("a newer holder fenced the first append")
-			return nil, false
-		}
+		err := h.fence()
 		if err == nil {
-			h.prove(sent)
 			ctx, cancel := context.WithTimeout(h.ctx, 2*appendTimeout)
 			newest, _, err := h.process.store.Newest(ctx, h.partition)
 			cancel()
@@ -291,23 +274,30 @@
 		if h.proofAge() < proveEvery || h.ctx.Err() != nil {
 			continue
 		}
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(h.ctx, proveTimeout)
-		_, _, err := h.process.store.Append(ctx, platform.Append{
-			Partition: h.partition, At: -1, Producer: h.service, Epoch: h.epoch,
-		})
-		cancel()
-		switch {
-		case err == nil:
-			h.prove(sent)
-		case platform.ReasonOf(err) == fencedReason:
-			h.lose("the store refused an empty append of an older epoch")
-		default:
+		if err := h.fence(); err != nil && !h.lost.Load() {
 			h.process.log("store-call-failed", "call", "prove", "service", h.service, "proof-age", h.proofAge(), "cause", err)
 		}
 	}
 }
 
+// fence sets the epoch at the store, which shuts out older ones and proves the
+// right; it is lost if the store knows a newer one.
+func (h *holder) fence() error {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(h.ctx, appendTimeout)
+	defer cancel()
+	_, _, err := h.process.store.Append(ctx, platform.Append{
+		Partition: h.partition, At: -1, Producer: h.service, Epoch: h.epoch,
+	})
+	if platform.ReasonOf(err) == fencedReason {
+		h.lose("the store refused an empty append of an older epoch")
+	}
+	if err == nil {
+		h.prove(sent)
+	}
+	return err
+}
+
 // followWorkers reads the list of workers again and again.
 func (h *holder) followWorkers() {
 	list := map[string]platform.WorkerEntry{}
@@ -392,9 +382,6 @@
 	for _, stop := range commands.Stops {
 		go h.stop(stop)
 	}
-	for _, pace := range commands.Paces {
-		go h.pace(pace)
-	}
 	for _, hold := range commands.Holds {
 		go h.hold(hold)
 	}
@@ -442,15 +429,6 @@
 	h.input(func(now time.Time) { h.shard.StopAnswered(now, stop.ID, stop.RunKey, err == nil) })
 }
 
-func (h *holder) pace(pace shard.Pace) {
-	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
-	defer cancel()
-	err := h.process.workers.Pace(ctx, pace, h.epoch)
-	if err != nil {
-		h.process.log("pace-failed", "task", pace.Task, "run", pace.Run, "worker", pace.ID, "percent", pace.Percent, "cause", err)
-	}
-}
-
 func (h *holder) hold(hold shard.Hold) {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(h.ctx, hold.Wait+lookTimeout)
@@ -468,7 +446,7 @@
 }
 
 // greeted notes a living node and returns the others.
-func (h *holder) greeted(hello helloRequest) helloAnswer {
+func (h *holder) greeted(_ context.Context, hello helloRequest) (helloAnswer, error) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -489,7 +467,7 @@
 		}
 	}
 	sort.Slice(answer.Peers, func(i, j int) bool { return answer.Peers[i].Compare(answer.Peers[j]) < 0 })
-	return answer
+	return answer, nil
 }
 
 // callsPerNode is how many calls for advice a node has on its way: the adviser
@@ -678,7 +656,8 @@
 }
 
 // state returns a job's state as it is stored.
-func (h *holder) state(ctx context.Context, id string) (stateAnswer, error) {
+func (h *holder) state(ctx context.Context, request jobRequest) (stateAnswer, error) {
+	id := request.ID
 	answers := make(chan stateAnswer, 1)
 	if !h.input(func(time.Time) {
 		state, known := h.shard.State(id)
@@ -703,7 +682,8 @@
 }
 
 // stopJob cancels a job and waits until that is stored.
-func (h *holder) stopJob(ctx context.Context, id string) (stateAnswer, error) {
+func (h *holder) stopJob(ctx context.Context, request jobRequest) (stateAnswer, error) {
+	id := request.ID
 	outcomes := make(chan shard.Outcome, 1)
 	settled := make(chan struct{})
 	if !h.input(func(now time.Time) {
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -94,8 +94,7 @@
 	if p.counts[service] == 0 {
 		p.counts[service] = count
 		p.log("shards-counted", "service", service, "shards", count)
-		close(p.changed)
-		p.changed = make(chan struct{})
+		p.announce()
 	}
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -101,7 +101,6 @@
 	latency  atomic.Int64 // the quickest answer of the store, in ns
 	failedAt atomic.Int64 // when a follower's call of the store last failed, in ns since the start
 	stopping atomic.Bool
-	stopped  chan struct{} // closed when the process is told to stop
 
 	mu sync.Mutex
 	// manifestText is the manifest in force as the operator wrote it.
@@ -137,7 +136,6 @@
 		peers:    newPeers(),
 		recorder: recorder,
 		metrics:  newMeasures(),
-		stopped:  make(chan struct{}),
 		counts:   map[string]int{},
 		rights:   map[string]right.Holding{},
 		holders:  map[string]*holder{},
@@ -214,7 +212,6 @@
 func (p *Process) drain(callers *http.Server) {
 	began := time.Now()
 	p.stopping.Store(true)
-	close(p.stopped)
 	p.log("process-stopping", "grace", p.settings.Bounds.Grace)
 	callers.SetKeepAlivesEnabled(false)
 	p.releaseRights()
@@ -260,8 +257,8 @@
 }
 
 // follow reads a topic's newest records and then its changes, until the
-// context ends. The apply function is told whether the records are the whole.
-func (p *Process) follow(ctx context.Context, name string, partition platform.Partition, apply func(records []platform.Record, end int64, whole bool)) {
+// context ends.
+func (p *Process) follow(ctx context.Context, name string, partition platform.Partition, apply func(records []platform.Record, end int64)) {
 	next := int64(-1)
 	down := false
 	timeout := firstTimeout
@@ -280,14 +277,14 @@
 			if err == nil {
 				next = end
 				p.noteLatency(time.Since(sent))
-				apply(records, end, true)
+				apply(records, end)
 			}
 		} else {
 			var tail platform.Tail
 			tail, err = p.store.Read(call, partition, next, followWait)
 			if err == nil {
 				next = tail.Next
-				apply(tail.Records, tail.Next, false)
+				apply(tail.Records, tail.Next)
 			} else if platform.StatusOf(err) == statusGone {
 				next = -1
 			}
@@ -332,7 +329,7 @@
 
 // followManifest keeps the newest manifest. It never goes back.
 func (p *Process) followManifest(ctx context.Context) {
-	p.follow(ctx, "manifest", platform.Partition{Topic: platform.OperatorTopic}, func(records []platform.Record, _ int64, _ bool) {
+	p.follow(ctx, "manifest", platform.Partition{Topic: platform.OperatorTopic}, func(records []platform.Record, _ int64) {
 		for _, record := range records {
 			if record.Key != platform.ManifestKey || len(record.Value) == 0 {
 				continue
@@ -344,7 +341,7 @@
 
 // followRights keeps the newest record of each right.
 func (p *Process) followRights(ctx context.Context) {
-	p.follow(ctx, "rights", rightsPartition, func(records []platform.Record, end int64, whole bool) {
+	p.follow(ctx, "rights", rightsPartition, func(records []platform.Record, end int64) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.rightsRead, p.rightsEnd = true, max(p.rightsEnd, end)
@@ -374,6 +371,11 @@
 	if h := p.holders[record.Key]; h != nil && holding.Epoch > h.epoch && !(read.Node == p.settings.Node && read.Boot == p.boot) {
 		h.lose("a newer claim is stored")
 	}
+	p.announce()
+}
+
+// announce wakes those who wait for a change of a right; the lock is held.
+func (p *Process) announce() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -585,17 +587,8 @@
 // looked: at is the end of the rights then.
 func (p *Process) claim(ctx context.Context, shard part, cause string, silence time.Duration, at int64) {
 	service := shard.name()
-	value, err := cbor.Marshal(rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address})
-	if err != nil {
-		p.log("record-not-encoded", "key", service, "cause", err)
-		return
-	}
 	sent := time.Now()
-	call, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	offset, end, err := p.store.Append(call, platform.Append{
-		Partition: rightsPartition, At: at, Records: []platform.Record{{Key: service, Value: value}},
-	})
+	offset, end, err := p.appendRight(ctx, service, rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address}, at)
 	if err != nil {
 		p.log("claim-failed", "service", service, "at", at, "cause", cause, "error", err)
 		return
@@ -608,8 +601,7 @@
 	h := newHolder(ctx, p, shard, offset+1)
 	h.prove(sent)
 	p.holders[service] = h
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.announce()
 	go func() {
 		h.run()
 		p.mu.Lock()
@@ -620,6 +612,19 @@
 	}()
 }
 
+// appendRight appends a right's record if the rights still end at the offset.
+func (p *Process) appendRight(ctx context.Context, service string, record rightRecord, at int64) (offset, end int64, err error) {
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		return 0, 0, fmt.Errorf("the right of %s: %w", service, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return p.store.Append(ctx, platform.Append{
+		Partition: rightsPartition, At: at, Records: []platform.Record{{Key: service, Value: value}},
+	})
+}
+
 // releaseRights stores what is left and gives the rights back.
 func (p *Process) releaseRights() {
 	p.mu.Lock()
@@ -640,19 +645,11 @@
 func (p *Process) release(h *holder) {
 	h.released.Store(true)
 	time.Sleep(releaseSettle)
-	value, err := cbor.Marshal(rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true})
-	if err != nil {
-		p.log("record-not-encoded", "key", h.service, "cause", err)
-		return
-	}
 	p.mu.Lock()
 	at := p.rightsEnd
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
-	defer cancel()
-	offset, _, err := p.store.Append(ctx, platform.Append{
-		Partition: rightsPartition, At: at, Records: []platform.Record{{Key: h.service, Value: value}},
-	})
+	record := rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true}
+	offset, _, err := p.appendRight(context.Background(), h.service, record, at)
 	if err != nil {
 		p.log("release-failed", "service", h.service, "cause", err)
 		return
@@ -676,41 +673,11 @@
 // peerHandler answers the other nodes.
 func (p *Process) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	serve(mux, pathSubmit, func(ctx context.Context, r submitRequest) (any, error) {
-		h, err := p.holderOf(r.Service)
-		if err != nil {
-			return nil, err
-		}
-		return h.submit(ctx, r)
-	})
-	serve(mux, pathState, func(ctx context.Context, r jobRequest) (any, error) {
-		h, err := p.holderOf(r.Service)
-		if err != nil {
-			return nil, err
-		}
-		return h.state(ctx, r.ID)
-	})
-	serve(mux, pathCancel, func(ctx context.Context, r jobRequest) (any, error) {
-		h, err := p.holderOf(r.Service)
-		if err != nil {
-			return nil, err
-		}
-		return h.stopJob(ctx, r.ID)
-	})
-	serve(mux, pathWaiting, func(ctx context.Context, r waitingRequest) (any, error) {
-		h, err := p.holderOf(r.Service)
-		if err != nil {
-			return nil, err
-		}
-		return h.waiting(ctx, r)
-	})
-	serve(mux, pathHello, func(_ context.Context, r helloRequest) (any, error) {
-		h, err := p.holderOf(r.Service)
-		if err != nil {
-			return nil, err
-		}
-		return h.greeted(r), nil
-	})
+	serveHolder(p, mux, pathSubmit, func(r submitRequest) string { return r.Service }, (*holder).submit)
+	serveHolder(p, mux, pathState, func(r jobRequest) string { return r.Service }, (*holder).state)
+	serveHolder(p, mux, pathCancel, func(r jobRequest) string { return r.Service }, (*holder).stopJob)
+	serveHolder(p, mux, pathWaiting, func(r waitingRequest) string { return r.Service }, (*holder).waiting)
+	serveHolder(p, mux, pathHello, func(r helloRequest) string { return r.Service }, (*holder).greeted)
 	serve(mux, pathView, func(_ context.Context, r jobRequest) (any, error) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -725,6 +692,17 @@
 	return mux
 }
 
+// serveHolder registers a message that the holder of its shard answers.
+func serveHolder[Request, Answer any](p *Process, mux *http.ServeMux, path string, service func(Request) string, handle func(*holder, context.Context, Request) (Answer, error)) {
+	serve(mux, path, func(ctx context.Context, request Request) (any, error) {
+		h, err := p.holderOf(service(request))
+		if err != nil {
+			return nil, err
+		}
+		return handle(h, ctx, request)
+	})
+}
+
 // holderOf returns the holder of a service in this process.
 func (p *Process) holderOf(service string) (*holder, error) {
 	p.mu.Lock()
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -66,7 +66,6 @@
 		{750, "worker-speed", Info, "The worker's runs take far longer than their estimates, or no longer do; slow workers are the last choice.", "Inspect the VM if it lasts.", false},
 		{787, "lease-over", Warn, "The leases on a worker that doesn't answer ran out.", noAction, false},
 		{788, "stop-failed", Info, "An order to stop a run failed; it is repeated.", noAction, false},
-		{789, "pace-failed", Info, "An order to pace a run failed.", noAction, false},
 		{790, "foreign-run", Error, "A worker runs a task whose name isn't this system's.", "Find out who started it.", false},
 		{791, "unknown-run", Warn, "A worker runs a task of a job that isn't stored; it is stopped.", noAction, false},
 		{792, "unknown-end", Warn, "A run ended in a way that this program doesn't know; the task starts again.", "Update the program.", false},
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -74,7 +74,8 @@
 			return
 		}
 		terms := &st.occurrence.job.record.Terms
-		if !terms.Advised || st.advice.inFlight || now.Before(st.advice.again) || !s.hasSlot(adviceTime(st, 1)) {
+		out, limit := s.slots(adviceTime(st, 1))
+		if !terms.Advised || st.advice.inFlight || now.Before(st.advice.again) || *out >= limit {
 			continue
 		}
 		var workers []*worker
@@ -172,13 +173,12 @@
 }
 
 func (s *Shard) advise(now time.Time, st *step, workers []*worker) {
-	if len(workers) == 0 {
-		return
-	}
 	takes := adviceTime(st, len(workers))
-	if !s.takeSlot(takes) {
+	out, limit := s.slots(takes)
+	if *out >= limit {
 		return
 	}
+	*out++
 	ids := make([]string, len(workers))
 	for i, w := range workers {
 		ids[i] = w.ID
@@ -187,28 +187,13 @@
 	s.commands.Advices = append(s.commands.Advices, Advise{Step: st.name(), Workers: ids, Takes: takes})
 }
 
-// hasSlot reports whether a call of this length could leave now.
-func (s *Shard) hasSlot(takes time.Duration) bool {
+// slots returns the calls of this length that are on their way, and how many
+// there may be.
+func (s *Shard) slots(takes time.Duration) (out *int, limit int) {
 	if takes <= QuickAdvice {
-		return s.quickOut < s.quickSlots
+		return &s.quickOut, s.quickSlots
 	}
-	return s.slowOut < s.slowSlots
-}
-
-// takeSlot reports whether a call of this length may leave now.
-func (s *Shard) takeSlot(takes time.Duration) bool {
-	if takes <= QuickAdvice {
-		if s.quickOut >= s.quickSlots {
-			return false
-		}
-		s.quickOut++
-		return true
-	}
-	if s.slowOut >= s.slowSlots {
-		return false
-	}
-	s.slowOut++
-	return true
+	return &s.slowOut, s.slowSlots
 }
 
 // GoodWorker is a worker that may run a step, and its ticket.
@@ -221,11 +206,8 @@
 // failed has no good workers and a cause.
 func (s *Shard) Advised(now time.Time, request Advise, good []GoodWorker, cause string) {
 	stepName, asked := request.Step, request.Workers
-	if request.Takes <= QuickAdvice {
-		s.quickOut--
-	} else {
-		s.slowOut--
-	}
+	out, _ := s.slots(request.Takes)
+	*out--
 	s.changed = true
 	key, err := parseTask(stepName + ".0")
 	if err != nil {
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -33,13 +33,6 @@
 	Target
 }
 
-// Pace orders the share of the processor that a run takes.
-type Pace struct {
-	RunKey
-	Target
-	Percent int
-}
-
 // Hold extends the leases on a worker and reads its lists.
 type Hold struct {
 	Target
@@ -61,7 +54,6 @@
 type Commands struct {
 	Starts  []Start
 	Stops   []Stop
-	Paces   []Pace
 	Holds   []Hold
 	Advices []Advise
 	Settled []string
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -73,7 +73,7 @@
 }
 
 // penalty makes a worker with an unexplained failure the last choice.
-func (h *health) penalty(time.Time) float64 {
+func (h *health) penalty() float64 {
 	if len(h.failedJobs) > 0 {
 		return 1
 	}
@@ -138,7 +138,7 @@
 // measure estimates a run's whole time from its progress between reports.
 func (r *run) measure(now time.Time) {
 	estimate := r.task.step.spec.Estimate
-	if estimate <= 0 || r.task.step.spec.LongRunning || r.pace < 100 {
+	if estimate <= 0 || r.task.step.spec.LongRunning {
 		return
 	}
 	if r.beganAt.IsZero() {
@@ -192,14 +192,10 @@
 			r.task.avoid = w.ID
 			r.task.moves++
 			w.health.note(now, r.task.step.occurrence.job.id, r.slowness)
-			members := []*task{r.task}
 			if r.task.step.spec.Gang {
-				members = r.task.step.tasks
-			}
-			for _, t := range members {
-				for _, other := range t.runs {
-					s.stop(now, other)
-				}
+				s.stopStep(now, r.task.step)
+			} else {
+				s.stop(now, r)
 			}
 		}
 	}
@@ -242,7 +238,7 @@
 	for _, w := range s.ordered {
 		for _, r := range w.runs {
 			atWork := r.task.step.spec.LongRunning && r.percent >= 100
-			if r.phase != running || atWork || r.pace == 0 || w.lastReply.Sub(r.movedAt) < stalledAfter {
+			if r.phase != running || atWork || w.lastReply.Sub(r.movedAt) < stalledAfter {
 				continue
 			}
 			s.options.Log("run-stalled", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "still-for", now.Sub(r.movedAt))
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -88,11 +88,7 @@
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			delete(s.ready, st)
-			for _, t := range st.tasks {
-				for _, r := range t.runs {
-					s.stop(now, r)
-				}
-			}
+			s.stopStep(now, st)
 		}
 	}
 	s.changed = true
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -320,7 +320,7 @@
 	if w.isSlow {
 		left += slowPenalty
 	}
-	return left + w.health.penalty(p.now)
+	return left + w.health.penalty()
 }
 
 // placeTasks starts as many tasks of the step as find room.
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -207,7 +207,7 @@
 
 func (s *Shard) loadJob(now time.Time, id string, accepted job.Accepted, progress job.Progress) {
 	j := &jobState{
-		id: id, record: accepted, arrived: now.Add(-wallSince(now, accepted.At)), loaded: true, durable: true, storedSpec: true,
+		id: id, record: accepted, arrived: now.Add(-wallSince(now, accepted.At)), loaded: true, durable: true,
 		state: job.Queued, completed: map[int]bool{},
 	}
 	if progress.State != "" {
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -45,7 +45,7 @@
 
 // order starts a run of the task on the worker.
 func (s *Shard) order(now time.Time, t *task, w *worker, number int64, ticket string) {
-	r := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, movedAt: now, pace: 100, ticket: ticket}
+	r := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, movedAt: now, ticket: ticket}
 	t.lastRun = number
 	s.attach(r)
 	s.sendStart(now, r)
@@ -144,10 +144,15 @@
 	r.phase = doubtful
 	s.sendStop(now, r)
 	if r.task.step.spec.Gang {
-		for _, t := range r.task.step.tasks {
-			for _, other := range t.runs {
-				s.stop(now, other)
-			}
+		s.stopStep(now, r.task.step)
+	}
+}
+
+// stopStep asks for the end of all runs of a step.
+func (s *Shard) stopStep(now time.Time, st *step) {
+	for _, t := range st.tasks {
+		for _, r := range t.runs {
+			s.stop(now, r)
 		}
 	}
 }
@@ -168,7 +173,6 @@
 
 func (s *Shard) sendStop(now time.Time, r *run) {
 	r.stopSent = now
-	r.stopTries++
 	s.commands.Stops = append(s.commands.Stops, Stop{RunKey: RunKey{r.task.name(), r.number}, Target: r.worker.target()})
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -42,8 +42,8 @@
 	// runsPerEpoch separates the run numbers of successive holders, so that
 	// numbers rise without a record for each start.
 	runsPerEpoch = 1 << 16
-	// leaseDrift covers a worker's clock that is 2% slow (platform contract).
-	leaseDrift = 1.02
+	// LeaseDrift covers a worker's clock that is 2% slow (platform contract).
+	LeaseDrift = 1.02
 	// travelSlack covers the way of an order to the worker: the slowest
 	// link's 30 ms and a queue in front of it.
 	travelSlack = 250 * time.Millisecond
@@ -66,10 +66,6 @@
 	OrphanAfter time.Duration
 	// StateKept is how long a final state is told to callers.
 	StateKept time.Duration
-	// Early is how long before its time a task may start.
-	Early time.Duration
-	// FarFactor multiplies run times away from a task's data.
-	FarFactor float64
 	// Log takes one line for each decision; nil drops them.
 	Log func(event string, keyvals ...any)
 }
@@ -130,7 +126,6 @@
 	completed   map[int]bool
 	next        int // the next occurrence to create
 	dirty       bool
-	storedSpec  bool
 	writeSpec   bool
 	flying      job.State
 	runs        int
@@ -196,15 +191,12 @@
 	startedAt time.Time
 	tries     int
 	stopSent  time.Time
-	stopTries int
 	confirmed time.Time // a stop was answered
 	percent   float64
 	began     float64 // percent at the first report
 	beganAt   time.Time
 	slowness  float64 // its time by its progress, as a multiple of its estimate; 0 if unknown
 	movedAt   time.Time
-	usage     float64
-	pace      int
 	ticket    string
 	asked     bool // a stop is wanted
 }
@@ -214,9 +206,6 @@
 	if options.Log == nil {
 		options.Log = func(string, ...any) {}
 	}
-	if options.FarFactor < 1 {
-		options.FarFactor = 1
-	}
 	return &Shard{
 		options: options, jobs: map[string]*jobState{}, ready: map[*step]bool{}, waiting: map[string]int{},
 		workers: map[string]*worker{}, owed: map[string]bool{}, authority: true, quickSlots: 1, slowSlots: 1,
@@ -314,7 +303,7 @@
 func (s *Shard) Waiting(queue string) int { return s.waiting[queue] }
 
 // create builds the occurrence's steps.
-func (s *Shard) create(now time.Time, j *jobState, number int) *occurrence {
+func (s *Shard) create(now time.Time, j *jobState, number int) {
 	o := &occurrence{job: j, number: number, due: now}
 	if j.record.Spec.Repeat > 0 {
 		o.due = now.Add(-wallSince(now, j.record.Spec.Due(number)))
@@ -348,7 +337,6 @@
 			s.becomeReady(now, st)
 		}
 	}
-	return o
 }
 
 // wallSince compares times of day, without the steady clock.
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -42,12 +42,10 @@
 	clockAt   time.Time
 	leaseEnd  time.Time
 	holding   bool
-	holdAt    time.Time
 	nextHold  time.Time
 	failures  int // looks without an answer, in a row
 	lastReply time.Time
 	health    health
-	drainSeen time.Time
 	isSlow    bool
 }
 
@@ -86,7 +84,6 @@
 		}
 		if info.Draining && !w.Draining {
 			s.options.Log("worker-draining", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.runs))
-			w.drainSeen = now
 		}
 		if !w.Listed || w.Draining != info.Draining || w.Capacity != info.Capacity {
 			s.changed = true
@@ -144,7 +141,7 @@
 
 // leaseLength is the longest time for which a lease that is given now can last.
 func (s *Shard) leaseLength() time.Duration {
-	return time.Duration(float64(s.options.Lease)*leaseDrift) + travelSlack
+	return time.Duration(float64(s.options.Lease)*LeaseDrift) + travelSlack
 }
 
 // extend notes that an order with a lease leaves now.
@@ -170,7 +167,7 @@
 			if !w.Listed && now.After(w.leaseEnd) && len(w.runs) == 0 {
 				continue
 			}
-			s.send(now, w, Hold{Target: w.target()})
+			s.send(w, Hold{Target: w.target()})
 		case len(w.runs) > 0 && (settledEnds || urgent):
 			hold := Hold{Target: w.target(), Seen: w.stored, Wait: holdWait}
 			if !settledEnds || w.anyStopping() {
@@ -179,9 +176,9 @@
 			if s.authority {
 				hold.Until = s.extend(now, w)
 			}
-			s.send(now, w, hold)
+			s.send(w, hold)
 		case len(w.runs) == 0 && w.stored > w.told && settledEnds:
-			s.send(now, w, Hold{Target: w.target(), Seen: w.stored})
+			s.send(w, Hold{Target: w.target(), Seen: w.stored})
 		}
 	}
 }
@@ -196,8 +193,8 @@
 	return false
 }
 
-func (s *Shard) send(now time.Time, w *worker, hold Hold) {
-	w.holding, w.holdAt = true, now
+func (s *Shard) send(w *worker, hold Hold) {
+	w.holding = true
 	w.told = max(w.told, hold.Seen)
 	s.commands.Holds = append(s.commands.Holds, hold)
 }
@@ -347,7 +344,6 @@
 		r.percent, r.movedAt = row.Percent, now
 		r.measure(now)
 	}
-	r.usage = row.Usage
 	if row.Checkpoint != "" && row.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = row.Checkpoint
 	}
@@ -367,14 +363,14 @@
 		w.nextHold = now.Add(lookAgain)
 		return
 	}
-	r := &run{task: t, number: row.Run, worker: w, phase: running, orderedAt: now, startedAt: now, movedAt: now, pace: 100}
+	r := &run{task: t, number: row.Run, worker: w, phase: running, orderedAt: now, startedAt: now, movedAt: now}
 	s.attach(r)
 	t.lastRun = max(t.lastRun, row.Run)
 	s.begin(t.step.occurrence.job)
 	s.progress(now, r, row)
 	s.options.Log("run-adopted", "task", row.Task, "run", row.Run, "worker", w.ID, "percent", row.Percent)
 	j := t.step.occurrence.job
-	gangMismatch := t.step.spec.Gang && t.step.number >= 0 && s.gangBroken(t.step)
+	gangMismatch := t.step.spec.Gang && s.gangBroken(t.step)
 	if t.done || j.state.Ended() || gangMismatch || len(t.runs) > 1 && !t.step.spec.Speculative {
 		s.stop(now, r)
 	}
@@ -437,9 +433,5 @@
 	if present == 0 || present == len(st.tasks) {
 		return
 	}
-	for _, t := range st.tasks {
-		for _, r := range t.runs {
-			s.stop(now, r)
-		}
-	}
+	s.stopStep(now, st)
 }
