Read topics by one reader; one concept a file in entry and shard

The list of workers was followed by a copy of the loop that follows manifest and rights; both use one reader of a topic now. holder.go (750 lines), process.go (736) and place.go (589) held several things: following, rights, orders, advice through other nodes, answers to callers, order of steps, room and explanation have files of their own.

--- /dev/null
+++ b/internal/entry/advisers.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"sort"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/shard"
+)
+
+// greeted notes a living node and returns the others.
+func (h *holder) greeted(_ context.Context, hello helloRequest) (helloAnswer, error) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known := h.members[hello.Address]
+	if known == nil {
+		known = &member{name: hello.Node}
+		h.members[hello.Address] = known
+	}
+	known.heard = now
+	answer := helloAnswer{Epoch: h.epoch, ProofAge: h.proofAge()}
+	for address, other := range h.members {
+		if now.Sub(other.heard) > peerKept {
+			delete(h.members, address)
+			continue
+		}
+		if address != h.process.address {
+			answer.Peers = append(answer.Peers, address)
+		}
+	}
+	sort.Slice(answer.Peers, func(i, j int) bool { return answer.Peers[i].Compare(answer.Peers[j]) < 0 })
+	return answer, nil
+}
+
+// callsPerNode is how many calls for advice a node has on its way: the adviser
+// takes one at a time from each machine, and one more waits there so that the
+// next begins at once.
+const callsPerNode = 2
+
+// quickNodes is the share of the nodes, as 1 of n, that take only quick calls
+// for advice. All holders choose the same ones, by address.
+const quickNodes = 3
+
+// living returns the addresses of the nodes that greet this holder and its
+// own, in order, with those that take only quick calls first.
+func (h *holder) living(now time.Time) (addresses []netip.AddrPort, quick int) {
+	addresses = append(addresses, h.process.address)
+	for address, m := range h.members {
+		if address != h.process.address && now.Sub(m.heard) <= peerKept {
+			addresses = append(addresses, address)
+		}
+	}
+	sort.Slice(addresses, func(i, j int) bool { return addresses[i].Compare(addresses[j]) < 0 })
+	return addresses, len(addresses) / quickNodes
+}
+
+// adviceSlots is how many calls for advice all living nodes take at once.
+func (h *holder) adviceSlots() (quick, slow int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	addresses, quickOnly := h.living(time.Now())
+	if quickOnly == 0 {
+		return len(addresses) * callsPerNode, len(addresses)
+	}
+	return quickOnly * callsPerNode, len(addresses) - quickOnly
+}
+
+// leastBusy picks the node for a call for advice.
+func (h *holder) leastBusy(quick bool) (netip.AddrPort, *member) {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	addresses, quickOnly := h.living(now)
+	if quick && quickOnly > 0 {
+		addresses = addresses[:quickOnly]
+	} else {
+		addresses = addresses[quickOnly:]
+	}
+	if h.members[h.process.address] == nil {
+		h.members[h.process.address] = &member{name: h.process.settings.Node}
+	}
+	h.members[h.process.address].heard = now
+	h.turn++
+	best := addresses[h.turn%len(addresses)]
+	for _, address := range addresses {
+		if h.members[address].calls < h.members[best].calls {
+			best = address
+		}
+	}
+	m := h.members[best]
+	m.calls++
+	return best, m
+}
+
+// advise sends a call for advice through the node with the fewest of them.
+func (h *holder) advise(advise shard.Advise) {
+	node, m := h.leastBusy(advise.Takes <= shard.QuickAdvice)
+	go func() {
+		ctx, cancel := context.WithTimeout(h.ctx, advise.Takes+adviceTimeout)
+		defer cancel()
+		var answer adviseAnswer
+		var err error
+		request := adviseRequest{Step: advise.Step, Workers: advise.Workers}
+		if node != h.process.address {
+			answer, err = ask[adviseAnswer](ctx, h.process.peers, node, pathAdvise, request)
+		} else {
+			answer = h.process.advise(ctx, request)
+		}
+		h.mu.Lock()
+		m.calls--
+		h.mu.Unlock()
+		cause := answer.Cause
+		if err != nil {
+			cause = err.Error()
+		}
+		h.input(func(now time.Time) { h.shard.Advised(now, advise, answer.Good, cause) })
+	}()
+}
--- /dev/null
+++ b/internal/entry/answers.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/shard"
+)
+
+// stalledFor is how long the store has left an append unanswered, zero if the
+// store counts as sound.
+func (h *holder) stalledFor() time.Duration {
+	left := h.appending.Load()
+	if left == 0 {
+		return 0
+	}
+	if stalled := time.Since(h.process.began) - time.Duration(left); stalled >= storeStall {
+		return stalled
+	}
+	return 0
+}
+
+const (
+	// reasonStalled is told to callers while the store is silent.
+	reasonStalled = "the store that keeps accepted jobs doesn't answer"
+	// stallRetryMost bounds the time after which callers are asked to return
+	// while the store is silent.
+	stallRetryMost = 4 * time.Second
+)
+
+// refuseStalled is the answer to a job that can't be stored: the longer the
+// store is silent, the later callers return.
+func refuseStalled(stalled time.Duration) submitAnswer {
+	return submitAnswer{Unavailable: true, Reason: reasonStalled, RetryAfter: min(max(stalled, retrySoon), stallRetryMost)}
+}
+
+// submit takes a job in and waits until it is stored.
+func (h *holder) submit(ctx context.Context, request submitRequest) (submitAnswer, error) {
+	if !h.part.has(request.ID) {
+		return submitAnswer{}, errNotHolder // of this job's shard
+	}
+	if stalled := h.stalledFor(); stalled > 0 {
+		return refuseStalled(stalled), nil
+	}
+	verdicts := make(chan shard.Verdict, 1)
+	settled := make(chan struct{})
+	if !h.input(func(now time.Time) {
+		verdict := h.shard.Accept(now, request.ID, request.Terms, request.Spec)
+		if verdict.Outcome == shard.Pending {
+			h.waiters[request.ID] = append(h.waiters[request.ID], settled)
+		}
+		verdicts <- verdict
+	}) {
+		return submitAnswer{}, errNotHolder
+	}
+	select {
+	case verdict := <-verdicts:
+		switch verdict.Outcome {
+		case shard.Stored:
+			return submitAnswer{Accepted: true}, nil
+		case shard.Refused:
+			return submitAnswer{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}, nil
+		}
+	case <-h.ended:
+		return submitAnswer{}, errUndecided
+	case <-ctx.Done():
+		return submitAnswer{}, errUndecided
+	}
+	return h.awaitStored(ctx, request.ID, settled)
+}
+
+// awaitStored waits until a job is stored. When the store falls silent before
+// the job's record has left, the job is taken back and refused.
+func (h *holder) awaitStored(ctx context.Context, id string, settled chan struct{}) (submitAnswer, error) {
+	timer := time.NewTimer(storeStall)
+	defer timer.Stop()
+	select {
+	case <-settled:
+		return submitAnswer{Accepted: true}, nil
+	case <-timer.C:
+	case <-h.ended:
+		return submitAnswer{}, errUndecided
+	case <-ctx.Done():
+		return submitAnswer{}, errUndecided
+	}
+	withdrawn := make(chan bool, 1)
+	if h.input(func(now time.Time) { withdrawn <- h.shard.Withdraw(now, id, reasonStalled) }) {
+		select {
+		case taken := <-withdrawn:
+			if taken {
+				return refuseStalled(storeStall), nil
+			}
+		case <-h.ended:
+		}
+	}
+	return submitAnswer{Accepted: true}, h.wait(ctx, settled)
+}
+
+func (h *holder) wait(ctx context.Context, settled chan struct{}) error {
+	select {
+	case <-settled:
+		return nil
+	case <-h.ended:
+		return errUndecided
+	case <-ctx.Done():
+		return errUndecided
+	}
+}
+
+// state returns a job's state as it is stored.
+func (h *holder) state(ctx context.Context, request jobRequest) (stateAnswer, error) {
+	id := request.ID
+	answers := make(chan stateAnswer, 1)
+	if !h.input(func(time.Time) {
+		state, known := h.shard.State(id)
+		if !known {
+			h.process.log("job-unknown", "job", id, "service", h.service, "epoch", h.epoch, "detail", h.shard.Explain(id))
+		}
+		answers <- stateAnswer{Known: known, State: state}
+	}) {
+		return stateAnswer{}, errNotHolder
+	}
+	select {
+	case answer := <-answers:
+		if !answer.Known && h.proofAge() > answerWithout {
+			return stateAnswer{}, errUndecided
+		}
+		return answer, nil
+	case <-h.ended:
+		return stateAnswer{}, errNotHolder
+	case <-ctx.Done():
+		return stateAnswer{}, errUndecided
+	}
+}
+
+// stopJob cancels a job and waits until that is stored.
+func (h *holder) stopJob(ctx context.Context, request jobRequest) (stateAnswer, error) {
+	id := request.ID
+	outcomes := make(chan shard.Outcome, 1)
+	settled := make(chan struct{})
+	if !h.input(func(now time.Time) {
+		outcome := h.shard.Cancel(now, id)
+		if outcome == shard.Pending {
+			h.waiters[id] = append(h.waiters[id], settled)
+		}
+		outcomes <- outcome
+	}) {
+		return stateAnswer{}, errNotHolder
+	}
+	select {
+	case outcome := <-outcomes:
+		switch {
+		case outcome == shard.Stored:
+			return stateAnswer{Known: true}, nil
+		case outcome == shard.Unknown && h.proofAge() > answerWithout:
+			return stateAnswer{}, errUndecided
+		case outcome == shard.Unknown:
+			return stateAnswer{}, nil
+		}
+	case <-h.ended:
+		return stateAnswer{}, errUndecided
+	case <-ctx.Done():
+		return stateAnswer{}, errUndecided
+	}
+	return stateAnswer{Known: true}, h.wait(ctx, settled)
+}
+
+// waiting returns the number of a queue's jobs that haven't begun.
+func (h *holder) waiting(ctx context.Context, request waitingRequest) (waitingAnswer, error) {
+	answers := make(chan int, 1)
+	if !h.input(func(time.Time) { answers <- h.shard.Waiting(request.Queue) }) {
+		return waitingAnswer{}, errNotHolder
+	}
+	select {
+	case count := <-answers:
+		return waitingAnswer{Waiting: count}, nil
+	case <-h.ended:
+		return waitingAnswer{}, errNotHolder
+	case <-ctx.Done():
+		return waitingAnswer{}, errUndecided
+	}
+}
--- /dev/null
+++ b/internal/entry/orders.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"yuccalanding.example/yuccalanding/internal/shard"
+	"yuccalanding.example/yuccalanding/platform"
+)
+
+// carryOut sends the shard's commands.
+func (h *holder) carryOut(commands shard.Commands) {
+	for _, id := range commands.Settled {
+		for _, waiter := range h.waiters[id] {
+			close(waiter)
+		}
+		delete(h.waiters, id)
+	}
+	for _, start := range commands.Starts {
+		go h.start(start)
+	}
+	for _, stop := range commands.Stops {
+		go h.stop(stop)
+	}
+	for _, hold := range commands.Holds {
+		go h.hold(hold)
+	}
+	for _, advise := range commands.Advices {
+		h.advise(advise)
+	}
+}
+
+func (h *holder) start(start shard.Start) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
+	defer cancel()
+	err := h.process.workers.Start(ctx, start, h.epoch)
+	result, reason := shard.StartAccepted, ""
+	switch {
+	case err == nil:
+	case platform.NotDone(err):
+		result, reason = shard.StartRejected, platform.ReasonOf(err)
+		if reason == "" {
+			reason = err.Error()
+		}
+	default:
+		result, reason = shard.StartUnknown, err.Error()
+	}
+	h.process.metrics.start(time.Since(sent), result)
+	if reason == fenceReason {
+		h.lose("a worker knows a newer fence")
+	}
+	h.input(func(now time.Time) { h.shard.StartAnswered(now, start.ID, start.RunKey, result, reason) })
+}
+
+// fenceReason is a worker's word for an order of a former holder.
+const fenceReason = "fence"
+
+func (h *holder) stop(stop shard.Stop) {
+	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
+	defer cancel()
+	err := h.process.workers.Stop(ctx, stop, h.epoch)
+	if platform.ReasonOf(err) == fenceReason {
+		h.lose("a worker knows a newer fence")
+	}
+	if err != nil {
+		h.process.log("stop-failed", "task", stop.Task, "run", stop.Run, "worker", stop.ID, "cause", err)
+	}
+	h.input(func(now time.Time) { h.shard.StopAnswered(now, stop.ID, stop.RunKey, err == nil) })
+}
+
+func (h *holder) hold(hold shard.Hold) {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(h.ctx, hold.Wait+lookTimeout)
+	defer cancel()
+	report, err := h.process.workers.Hold(ctx, hold, h.epoch)
+	h.process.metrics.look(err)
+	if platform.ReasonOf(err) == fenceReason {
+		h.lose("a worker knows a newer fence")
+	}
+	if err != nil {
+		h.input(func(now time.Time) { h.shard.HoldFailed(now, hold.ID, err.Error()) })
+		return
+	}
+	h.input(func(now time.Time) { h.shard.Reported(now, sent, hold.ID, report) })
+}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -184,3 +184,36 @@
 		_, _ = w.Write(encoded) // a broken connection is the asker's to notice
 	})
 }
+
+// peerHandler answers the other nodes.
+func (p *Process) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	serveHolder(p, mux, pathSubmit, func(r submitRequest) string { return r.Service }, (*holder).submit)
+	serveHolder(p, mux, pathState, func(r jobRequest) string { return r.Service }, (*holder).state)
+	serveHolder(p, mux, pathCancel, func(r jobRequest) string { return r.Service }, (*holder).stopJob)
+	serveHolder(p, mux, pathWaiting, func(r waitingRequest) string { return r.Service }, (*holder).waiting)
+	serveHolder(p, mux, pathHello, func(r helloRequest) string { return r.Service }, (*holder).greeted)
+	serve(mux, pathView, func(_ context.Context, r jobRequest) (any, error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		v := p.views[r.Service]
+		if v == nil || !v.refused.IsZero() || !v.vacant.IsZero() {
+			return viewAnswer{}, nil
+		}
+		return viewAnswer{Epoch: v.holding.Epoch, Heard: time.Since(v.heard)}, nil
+	})
+	serve(mux, pathKnown, func(_ context.Context, r knownRequest) (any, error) { return p.known(r), nil })
+	serve(mux, pathAdvise, func(ctx context.Context, r adviseRequest) (any, error) { return p.advise(ctx, r), nil })
+	return mux
+}
+
+// serveHolder registers a message that the holder of its shard answers.
+func serveHolder[Request, Answer any](p *Process, mux *http.ServeMux, path string, service func(Request) string, handle func(*holder, context.Context, Request) (Answer, error)) {
+	serve(mux, path, func(ctx context.Context, request Request) (any, error) {
+		h, err := p.holderOf(service(request))
+		if err != nil {
+			return nil, err
+		}
+		return handle(h, ctx, request)
+	})
+}
--- /dev/null
+++ b/internal/entry/rights.go
@@ -0,0 +1,325 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"yuccalanding.example/yuccalanding/internal/right"
+	"yuccalanding.example/yuccalanding/platform"
+)
+
+// takeRight notes a right's record; the lock is held.
+func (p *Process) takeRight(record platform.Record) {
+	if p.rights[record.Key].Epoch > record.Offset {
+		return
+	}
+	if service, is := strings.CutPrefix(record.Key, countKey); is {
+		p.takeCount(service, record)
+		return
+	}
+	var read rightRecord
+	if err := cbor.Unmarshal(record.Value, &read); err != nil {
+		p.log("record-unreadable", "key", record.Key, "cause", err)
+		return
+	}
+	holding := right.Holding{Epoch: record.Offset + 1, Node: read.Node, Boot: read.Boot, Address: read.Address, Released: read.Released}
+	p.rights[record.Key] = holding
+	p.log("right-seen", "service", record.Key, "epoch", holding.Epoch, "holder", read.Node, "released", read.Released)
+	if h := p.holders[record.Key]; h != nil && holding.Epoch > h.epoch && !(read.Node == p.settings.Node && read.Boot == p.boot) {
+		h.lose("a newer claim is stored")
+	}
+	p.announce()
+}
+
+// announce wakes those who wait for a change of a right; the lock is held.
+func (p *Process) announce() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// claimRights greets the holders and claims rights that nobody uses.
+func (p *Process) claimRights(ctx context.Context) {
+	watched := map[string]chan struct{}{}
+	for ctx.Err() == nil {
+		for _, part := range p.parts(ctx) {
+			if watched[part.name()] == nil {
+				done := make(chan struct{})
+				watched[part.name()] = done
+				go func() { defer close(done); p.watchRight(ctx, part) }()
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(right.Step):
+		}
+	}
+	for _, done := range watched {
+		<-done
+	}
+}
+
+// parts returns the shards of the services in force. It counts the shards of
+// a service that is new.
+func (p *Process) parts(ctx context.Context) []part {
+	current := p.manifest.Load()
+	if current == nil {
+		return nil
+	}
+	var parts []part
+	for _, service := range current.Services {
+		if service.Spare {
+			continue
+		}
+		p.mu.Lock()
+		count, read := p.counts[service.Name], p.rightsRead
+		p.mu.Unlock()
+		if count == 0 && read {
+			p.countShards(ctx, service.Name)
+			continue
+		}
+		for index := range count {
+			parts = append(parts, part{service.Name, index, count})
+		}
+	}
+	return parts
+}
+
+// watchRight is the loop of one service.
+func (p *Process) watchRight(ctx context.Context, shard part) {
+	service := shard.name()
+	lastHello := time.Time{}
+	var greeting chan helloResult
+	greeted := right.Holding{}
+	for ctx.Err() == nil {
+		p.mu.Lock()
+		holding, read, changed, at := p.rights[service], p.rightsRead, p.changed, p.rightsEnd
+		v := p.viewOf(service, holding)
+		holds := p.holders[service] != nil
+		p.mu.Unlock()
+		now := time.Now()
+		mine := holding.Node == p.settings.Node
+		if greeting == nil && !mine && holding.Epoch > 0 && !holding.Released && now.Sub(lastHello) >= helloEvery {
+			lastHello, greeted = now, holding
+			greeting = make(chan helloResult, 1)
+			go func(result chan helloResult) { result <- p.greet(ctx, service, holding) }(greeting)
+		}
+		if read && !holds && !p.stopping.Load() {
+			p.consider(ctx, shard, holding, v, now, at)
+		}
+		select {
+		case <-ctx.Done():
+		case result := <-greeting:
+			greeting = nil
+			p.heard(service, greeted, result)
+		case <-changed:
+		case <-time.After(right.Step):
+		}
+	}
+}
+
+// viewOf returns the view of a holding; the lock is held.
+func (p *Process) viewOf(service string, holding right.Holding) *view {
+	v := p.views[service]
+	if v == nil || v.holding.Epoch != holding.Epoch {
+		next := &view{holding: holding, since: time.Now(), heard: time.Now()}
+		if v != nil {
+			next.peers = v.peers
+		}
+		if holding.Epoch == 0 || holding.Released || holding.Node == p.settings.Node {
+			next.vacant = time.Now()
+		}
+		p.views[service] = next
+		v = next
+	}
+	return v
+}
+
+type helloResult struct {
+	answer helloAnswer
+	err    error
+	sent   time.Time
+}
+
+func (p *Process) greet(ctx context.Context, service string, holding right.Holding) helloResult {
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	answer, err := ask[helloAnswer](ctx, p.peers, holding.Address, pathHello, helloRequest{
+		Service: service, Node: p.settings.Node, Address: p.address,
+	})
+	return helloResult{answer, err, sent}
+}
+
+// heard notes the answer to a greeting.
+func (p *Process) heard(service string, greeted right.Holding, result helloResult) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := p.views[service]
+	if v == nil || v.holding.Epoch != greeted.Epoch {
+		return
+	}
+	now := time.Now()
+	switch {
+	case result.err == nil:
+		v.heard, v.refused, v.vacant = result.sent, time.Time{}, time.Time{}
+		v.proofAge, v.peers = result.answer.ProofAge, result.answer.Peers
+	case errors.Is(result.err, errNotHolder):
+		// A node that has just claimed may answer before it knows that it has.
+		if v.vacant.IsZero() && now.Sub(v.since) >= claimTimeout {
+			v.vacant = now
+		}
+	case notSent(result.err) && !isTimeout(result.err):
+		if v.refused.IsZero() {
+			v.refused = now
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var netError net.Error
+	return errors.As(err, &netError) && netError.Timeout()
+}
+
+// consider claims the right if it is free.
+func (p *Process) consider(ctx context.Context, shard part, holding right.Holding, v *view, now time.Time, at int64) {
+	service := shard.name()
+	p.mu.Lock()
+	known := right.View{
+		Now: now, Holding: holding, Self: holding.Node == p.settings.Node, Vacant: v.vacant, Heard: v.heard, Refused: v.refused,
+		ProofAge: v.proofAge, StoreSound: p.storeSound(), Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
+	}
+	others := make([]netip.AddrPort, 0, len(v.peers))
+	for _, address := range v.peers {
+		if address != p.address && address != holding.Address {
+			others = append(others, address)
+		}
+	}
+	p.mu.Unlock()
+	claim, cause := right.Decide(known)
+	if !claim {
+		return
+	}
+	if cause == "silent" {
+		known.Others, known.Reached, known.Vouched = p.askOthers(ctx, service, holding, others)
+		if claim, cause = right.Decide(known); !claim {
+			return
+		}
+	}
+	p.claim(ctx, shard, cause, now.Sub(v.heard), at)
+}
+
+func (p *Process) jitter(service string) float64 {
+	sum := fnv.New32a()
+	_, _ = io.WriteString(sum, p.settings.Node+"/"+service)
+	return float64(sum.Sum32()%1000) / 1000
+}
+
+// askOthers asks the other nodes whether they hear the holder.
+func (p *Process) askOthers(ctx context.Context, service string, holding right.Holding, others []netip.AddrPort) (asked, reached int, vouched bool) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	answers := make(chan *viewAnswer, len(others))
+	for _, address := range others {
+		go func() {
+			answer, err := ask[viewAnswer](ctx, p.peers, address, pathView, jobRequest{Service: service})
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &answer
+		}()
+	}
+	for range others {
+		if answer := <-answers; answer != nil {
+			reached++
+			if answer.Epoch == holding.Epoch && answer.Heard < right.SuspectAfter {
+				vouched = true
+			}
+		}
+	}
+	return len(others), reached, vouched
+}
+
+// claim appends a claim, which fails if anybody appended after the node
+// looked: at is the end of the rights then.
+func (p *Process) claim(ctx context.Context, shard part, cause string, silence time.Duration, at int64) {
+	service := shard.name()
+	sent := time.Now()
+	offset, end, err := p.appendRight(ctx, service, rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address}, at)
+	if err != nil {
+		p.log("claim-failed", "service", service, "at", at, "cause", cause, "error", err)
+		return
+	}
+	p.log("right-claimed", "service", service, "epoch", offset+1, "cause", cause, "silence", silence, "near", p.near())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rightsEnd = max(p.rightsEnd, end)
+	p.rights[service] = right.Holding{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address}
+	h := newHolder(ctx, p, shard, offset+1)
+	h.prove(sent)
+	p.holders[service] = h
+	p.announce()
+	go func() {
+		h.run()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.holders[service] == h {
+			delete(p.holders, service)
+		}
+	}()
+}
+
+// appendRight appends a right's record if the rights still end at the offset.
+func (p *Process) appendRight(ctx context.Context, service string, record rightRecord, at int64) (offset, end int64, err error) {
+	value, err := cbor.Marshal(record)
+	if err != nil {
+		return 0, 0, fmt.Errorf("the right of %s: %w", service, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	return p.store.Append(ctx, platform.Append{
+		Partition: rightsPartition, At: at, Records: []platform.Record{{Key: service, Value: value}},
+	})
+}
+
+// releaseRights stores what is left and gives the rights back.
+func (p *Process) releaseRights() {
+	p.mu.Lock()
+	held := make([]*holder, 0, len(p.holders))
+	for _, h := range p.holders {
+		held = append(held, h)
+	}
+	p.mu.Unlock()
+	for _, h := range held {
+		p.release(h)
+	}
+}
+
+// releaseSettle is the time in which orders on their way are answered and the
+// last records stored before a right is released.
+const releaseSettle = 150 * time.Millisecond
+
+func (p *Process) release(h *holder) {
+	h.released.Store(true)
+	time.Sleep(releaseSettle)
+	p.mu.Lock()
+	at := p.rightsEnd
+	p.mu.Unlock()
+	record := rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true}
+	offset, _, err := p.appendRight(context.Background(), h.service, record, at)
+	if err != nil {
+		p.log("release-failed", "service", h.service, "cause", err)
+		return
+	}
+	p.log("right-released", "service", h.service, "epoch", h.epoch, "offset", offset)
+	h.lose("released at the process's stop")
+}
--- /dev/null
+++ b/internal/shard/explain.go
@@ -0,0 +1,73 @@
+package shard
+
+import (
+	"time"
+)
+
+const (
+	// explainAfter is how long a step waits before a line says why, and the
+	// pause between two such lines.
+	explainAfter = 2 * time.Second
+	// explainMost bounds the waiting steps that a pass explains: the most
+	// urgent ones hold up those behind them.
+	explainMost = 16
+)
+
+// explain logs why the most urgent steps still wait.
+func (p *pass) explain(order []*step) {
+	for rank, st := range order[:min(len(order), explainMost)] {
+		since := p.now.Sub(maxTime(st.readyAt, st.explainedAt))
+		if since < explainAfter || !st.wants(p.now) {
+			continue
+		}
+		st.explainedAt = p.now
+		p.shard.options.Log("step-waiting", append([]any{
+			"step", st.name(), "queue", st.occurrence.job.record.Terms.Queue, "ready-for", p.now.Sub(st.readyAt), "rank", rank,
+			"of", len(order), "late", st.hopeless(p.now),
+		}, p.census(st)...)...)
+	}
+}
+
+// census counts the workers by what keeps the step from them.
+func (p *pass) census(st *step) []any {
+	var usable, allowed, ticket, room, shunned int
+	demand := st.spec.Reserved()
+	for _, w := range p.shard.ordered {
+		if !w.usable() || !w.matches(st) {
+			continue
+		}
+		usable++
+		if w.health.shunned(p.now) {
+			shunned++
+		}
+		good, valid := true, true
+		if st.occurrence.job.record.Terms.Advised {
+			good, valid = st.advice.allowed(w, p.now)
+		}
+		if good {
+			allowed++
+		}
+		if valid {
+			ticket++
+		}
+		if good && demand.Fits(w.free()) && !st.saturates(w) {
+			room++
+		}
+	}
+	cause := "no-room"
+	switch {
+	case !st.occurrence.job.durable:
+		cause = "not-stored"
+	case st.occurrence.job.loaded && !p.shard.settled:
+		cause = "former-holder-unsettled"
+	case usable == 0:
+		cause = "no-usable-worker"
+	case len(st.advice.asked) == 0 && st.occurrence.job.record.Terms.Advised:
+		cause = "advice-not-asked"
+	case st.advice.inFlight:
+		cause = "advice-on-its-way"
+	case room > 0:
+		cause = "room-kept-or-ticket-over"
+	}
+	return []any{"cause", cause, "usable", usable, "allowed", allowed, "with-ticket", ticket, "with-room", room, "shunned", shunned}
+}
