Spell the platform's names in its stand-in, not in the tests

entry_test.go and soak_test.go wrote manifests, jobs and settings in the platform's names. platform/standin encodes them from the product's types; the tests keep their assertions and their seeds.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,8 @@
 
 	"yuccalanding.example/yuccalanding/internal/entry"
 	"yuccalanding.example/yuccalanding/internal/event"
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/manifest"
 	"yuccalanding.example/yuccalanding/platform"
 	"yuccalanding.example/yuccalanding/platform/standin"
 )
@@ -71,11 +74,18 @@
 	return b.buffer.String()
 }
 
-const manifestText = `{"version":%d,"routes":[
-	{"name":"quick","host":"cell.example","path-prefix":"/quick/","service":"ledger","priority":0,"max-attempts":3,"stretch":2,"target-duration-ms":2000,
-	 "advice":{"decide-ms":1,"period-ms":0.1,"valid-ms":2000}},
-	{"name":"batch","host":"cell.example","path-prefix":"/batch/","service":"review","priority":2,"max-attempts":3,"stretch":2,"target-duration-ms":2000}],
-	"services":[{"name":"ledger"},{"name":"review"}],"limits":{"max-body-bytes":4096}}`
+// manifestOf returns a manifest in which two queues have these prefixes.
+func manifestOf(version int, quick, batch string) string {
+	terms := job.Terms{MaxAttempts: 3, Stretch: 2, Target: 2 * time.Second}
+	first, second := terms, terms
+	first.Queue, first.Advised, first.AdviceTime, first.TicketLife = "quick", true, time.Millisecond, 2*time.Second
+	first.AdvicePerWorker = 100 * time.Microsecond
+	second.Queue, second.Priority = "batch", 2
+	return standin.Manifest(version, []manifest.Queue{
+		{Host: "cell.example", PathPrefix: quick, Service: "ledger", Terms: first},
+		{Host: "cell.example", PathPrefix: batch, Service: "review", Terms: second},
+	}, []string{"ledger", "review"}, 4096)
+}
 
 var nextNet = byte(40)
 
@@ -144,18 +154,22 @@
 }
 
 func (c *cell) configure(version int) {
-	c.site.Store.Put("keyed.op", "config", fmt.Sprintf(manifestText, version))
+	c.site.Configure(manifestOf(version, "/quick/", "/batch/"))
 }
 
-const jobText = `{"spec":"%d","steps":[{"count":3,"cpu":1000,"mem-mb":10,"estimate-ms":%d},{"count":2,"cpu":1000,"mem-mb":10,"estimate-ms":%d,"after":[0],"gang":true}]}`
-
-func jobOf(ms int) string { return fmt.Sprintf(jobText, ms, ms, ms) }
+// jobOf returns a job of three tasks and a gang of two after them.
+func jobOf(ms int) string {
+	step := job.Step{Count: 3, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Duration(ms) * time.Millisecond}
+	last := step
+	last.Count, last.After, last.Gang = 2, []int{0}, true
+	return standin.Submission(job.Spec{Text: strconv.Itoa(ms), Steps: []job.Step{step, last}})
+}
 
-func (c *cell) requireState(n *node, path, state string, limit time.Duration) {
+func (c *cell) requireState(n *node, path string, state job.State, limit time.Duration) {
 	c.t.Helper()
 	require.Eventually(c.t, func() bool {
 		status, body, _ := c.call(n, http.MethodGet, path, "")
-		return status == http.StatusOK && strings.Contains(body, state)
+		return status == http.StatusOK && strings.Contains(body, string(state))
 	}, limit, 20*time.Millisecond, "%s isn't %s", path, state)
 }
 
@@ -196,8 +210,8 @@
 	}
 	for i := range c.nodes {
 		for _, n := range c.nodes {
-			c.requireState(n, fmt.Sprintf("/quick/%016x", i), "completed", 10*time.Second)
-			c.requireState(n, fmt.Sprintf("/batch/%016x", 100+i), "completed", 10*time.Second)
+			c.requireState(n, fmt.Sprintf("/quick/%016x", i), job.Completed, 10*time.Second)
+			c.requireState(n, fmt.Sprintf("/batch/%016x", 100+i), job.Completed, 10*time.Second)
 		}
 	}
 	c.requireRunsOnce()
@@ -219,9 +233,9 @@
 		"cancel of no job":   {http.MethodDelete, "/quick/ffffffffffffffff", "", http.StatusGone},
 		"no identity":        {http.MethodPost, "/quick/xyz", jobOf(1), http.StatusBadRequest},
 		"no JSON":            {http.MethodPost, "/quick/00000000000000ab", "{", http.StatusBadRequest},
-		"a cycle of steps":   {http.MethodPost, "/quick/00000000000000ab", `{"steps":[{"count":1,"after":[0]}]}`, http.StatusBadRequest},
+		"a cycle of steps":   {http.MethodPost, "/quick/00000000000000ab", standin.Submission(job.Spec{Steps: []job.Step{{Count: 1, After: []int{0}}}}), http.StatusBadRequest},
 		"too large a body":   {http.MethodPost, "/quick/00000000000000ab", strings.Repeat(" ", 5000), http.StatusRequestEntityTooLarge},
-		"larger than a VM":   {http.MethodPost, "/quick/00000000000000ab", `{"spec":"1","steps":[{"count":1,"cpu":17000}]}`, http.StatusTooManyRequests},
+		"larger than a VM":   {http.MethodPost, "/quick/00000000000000ab", standin.Submission(job.Spec{Text: "1", Steps: []job.Step{{Count: 1, Demand: job.Demand{MilliCPU: 17000}}}}), http.StatusTooManyRequests},
 		"the count of queue": {http.MethodGet, "/quick/", "", http.StatusOK},
 	}
 	for name, c1 := range cases {
@@ -249,7 +263,7 @@
 	c.submit(other, "/quick/00000000000000ff", jobOf(50))
 	require.Less(t, time.Since(began), 2*time.Second, "a planned change of holder is quick")
 	for i := range 6 {
-		c.requireState(other, fmt.Sprintf("/quick/%016x", i), "completed", 15*time.Second)
+		c.requireState(other, fmt.Sprintf("/quick/%016x", i), job.Completed, 15*time.Second)
 	}
 	require.NoError(t, <-holder.ended)
 	c.requireRunsOnce()
@@ -293,9 +307,9 @@
 	require.Less(t, time.Since(began), 200*time.Millisecond, "what can't be served is refused at once")
 	time.Sleep(time.Second)
 	c.site.Store.SetDown(false)
-	c.requireState(c.nodes[1], "/quick/0000000000000001", "completed", 15*time.Second)
+	c.requireState(c.nodes[1], "/quick/0000000000000001", job.Completed, 15*time.Second)
 	c.submit(c.nodes[0], "/quick/0000000000000002", jobOf(50))
-	c.requireState(c.nodes[1], "/quick/0000000000000002", "completed", 15*time.Second)
+	c.requireState(c.nodes[1], "/quick/0000000000000002", job.Completed, 15*time.Second)
 	c.requireRunsOnce()
 }
 
@@ -317,7 +331,7 @@
 	holder.cancel()
 	require.NoError(t, <-holder.ended)
 	c.submit(front, "/quick/0000000000000002", jobOf(50))
-	c.site.Store.Put("keyed.op", "config", strings.ReplaceAll(fmt.Sprintf(manifestText, 2), "/batch/", "/other/"))
+	c.site.Configure(manifestOf(2, "/quick/", "/other/"))
 	require.Eventually(t, func() bool {
 		status, _, _ := c.call(front, http.MethodGet, "/other/", "")
 		return status != http.StatusNotFound
@@ -331,7 +345,7 @@
 	c.submit(c.nodes[0], "/quick/0000000000000001", jobOf(50))
 	c.site.Store.LoseAnswers(3)
 	c.submit(c.nodes[0], "/quick/0000000000000002", jobOf(50))
-	c.requireState(c.nodes[0], "/quick/0000000000000002", "completed", 15*time.Second)
+	c.requireState(c.nodes[0], "/quick/0000000000000002", job.Completed, 15*time.Second)
 	c.requireRunsOnce()
 }
 
@@ -340,13 +354,13 @@
 	c := newCell(t, 1)
 	c.configure(1)
 	c.submit(c.nodes[0], "/quick/0000000000000001", jobOf(10))
-	c.site.Store.Put("keyed.op", "config", strings.ReplaceAll(fmt.Sprintf(manifestText, 9), "/quick/", "/other/"))
-	c.site.Store.Compact("keyed.op")
+	c.site.Configure(manifestOf(9, "/other/", "/batch/"))
+	c.site.ForgetManifests()
 	require.Eventually(t, func() bool {
 		status, _, _ := c.call(c.nodes[0], http.MethodGet, "/other/", "")
 		return status == http.StatusOK
 	}, 3*time.Second, 20*time.Millisecond)
-	c.site.Store.Put("keyed.op", "config", fmt.Sprintf(manifestText, 8))
+	c.configure(8)
 	time.Sleep(300 * time.Millisecond)
 	status, _, _ := c.call(c.nodes[0], http.MethodGet, "/quick/", "")
 	require.Equal(t, http.StatusNotFound, status, "an older version never comes back")
@@ -357,14 +371,14 @@
 	c := newCell(t, 2)
 	c.configure(1)
 	c.submit(c.nodes[0], "/batch/0000000000000001", jobOf(60000))
-	c.requireState(c.nodes[1], "/batch/0000000000000001", "running", 10*time.Second)
+	c.requireState(c.nodes[1], "/batch/0000000000000001", job.Running, 10*time.Second)
 	answer, err := http.Get("http://" + c.nodes[0].settings.Ready.String() + platform.ReadyPath)
 	require.NoError(t, err)
 	require.NoError(t, answer.Body.Close())
 	require.Equal(t, http.StatusOK, answer.StatusCode)
 	status, _, _ := c.call(c.nodes[1], http.MethodDelete, "/batch/0000000000000001", "")
 	require.Equal(t, http.StatusOK, status)
-	c.requireState(c.nodes[0], "/batch/0000000000000001", "cancelled", time.Second)
+	c.requireState(c.nodes[0], "/batch/0000000000000001", job.Cancelled, time.Second)
 	require.Eventually(t, func() bool {
 		for _, run := range c.site.Runs() {
 			if run.Ended.IsZero() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,7 +19,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/manifest"
 	"yuccalanding.example/yuccalanding/internal/soak"
+	"yuccalanding.example/yuccalanding/platform"
 	"yuccalanding.example/yuccalanding/platform/standin"
 )
 
@@ -56,7 +59,7 @@
 
 func (p *process) start() {
 	command := exec.Command(filepath.Join(p.folder, "entry"))
-	command.Env = append(os.Environ(), "YUCCALANDING_NODE_FILE="+p.settings)
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	command.Stdout, command.Stderr = p, p
 	require.NoError(p.t, command.Start())
 	p.command = command
@@ -87,11 +90,17 @@
 	gone     []string // answers 410 after it was accepted
 }
 
-const manifestText = `{"version":1,"routes":[
-	{"name":"quick","host":"soak.example","path-prefix":"/quick/","service":"ledger","priority":0,"max-attempts":3,"stretch":20,"target-duration-ms":20000,
-	 "advice":{"decide-ms":1,"period-ms":0.1,"valid-ms":2000}},
-	{"name":"batch","host":"soak.example","path-prefix":"/batch/","service":"review","priority":2,"max-attempts":3,"stretch":20,"target-duration-ms":20000}],
-	"services":[{"name":"ledger"},{"name":"review"}],"limits":{"max-body-bytes":65536}}`
+func manifestText() string {
+	terms := job.Terms{MaxAttempts: 3, Stretch: 20, Target: 20 * time.Second}
+	quick, batch := terms, terms
+	quick.Queue, quick.Advised, quick.AdviceTime, quick.TicketLife = "quick", true, time.Millisecond, 2*time.Second
+	quick.AdvicePerWorker = 100 * time.Microsecond
+	batch.Queue, batch.Priority = "batch", 2
+	return standin.Manifest(1, []manifest.Queue{
+		{Host: "soak.example", PathPrefix: "/quick/", Service: "ledger", Terms: quick},
+		{Host: "soak.example", PathPrefix: "/batch/", Service: "review", Terms: batch},
+	}, []string{"ledger", "review"}, 65536)
+}
 
 func newRun(t *testing.T, binary string, seed uint64) *run {
 	r := &run{t: t, random: rand.New(rand.NewPCG(seed, 2)), site: standin.New(), jobs: map[string]*outcome{}}
@@ -114,21 +123,23 @@
 			require.NoError(t, err)
 		}
 	}
-	r.site.Store.Put("keyed.op", "config", manifestText)
+	r.site.Configure(manifestText())
 	for i := range nodes {
 		proxy, err := soak.NewProxy(store)
 		require.NoError(t, err)
 		t.Cleanup(proxy.Close)
 		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: fmt.Sprintf("127.%d.%d.%d", 60+seed%150, i+1, 1+os.Getpid()%250), store: proxy}
 		p.settings = filepath.Join(t.TempDir(), "node.json")
-		content, err := json.Marshal(map[string]any{
-			"node": fmt.Sprintf("entry-%d", i), "ip": p.ip, "zone": "z", "region": "r", "internal-ports": []int{7380, 7395},
-			"listen": map[string]string{"front": p.ip + ":8149", "ready": p.ip + ":8141"}, "advice": advice, "bootstrap": false,
-			"platform": map[string]any{"address": proxy.Address()}, "limits": map[string]any{"cpu-share": 1, "cores": 1},
-			"bounds": map[string]any{"max-hold-ms": 6000, "grace-s": 6, "status_s": 120, "stop-ms": 900, "cancel_ms": 3000, "far-factor": 2},
+		ip := netip.MustParseAddr(p.ip)
+		content := standin.SettingsFile(platform.Settings{
+			Node: fmt.Sprintf("entry-%d", i), IP: ip, Zone: "z", Region: "r", FirstPeerPort: 7380, LastPeerPort: 7395, Cores: 1,
+			Callers: netip.AddrPortFrom(ip, 8149), Ready: netip.AddrPortFrom(ip, 8141), Advice: netip.MustParseAddrPort(advice),
+			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(proxy.Address())},
+			Bounds: platform.Bounds{
+				MaxLease: 6 * time.Second, Grace: 6 * time.Second, Status: 2 * time.Minute, Stop: 900 * time.Millisecond, Cancel: 3 * time.Second, FarFactor: 2,
+			},
 		})
-		require.NoError(t, err)
-		require.NoError(t, os.WriteFile(p.settings, content, 0o600))
+		require.NoError(t, os.WriteFile(p.settings, []byte(content), 0o600))
 		r.all = append(r.all, p)
 		p.start()
 	}
@@ -214,8 +225,10 @@
 		id := fmt.Sprintf("%08x%08x", number, i)
 		path := []string{"/quick/", "/batch/"}[random.IntN(2)] + id
 		length := 50 + random.IntN(700)
-		body := fmt.Sprintf(`{"spec":"%d","steps":[{"count":%d,"cpu":1000,"mem-mb":10,"estimate-ms":%d},{"count":2,"cpu":1000,"mem-mb":10,"estimate-ms":%d,"after":[0],"gang":%t}]}`,
-			length, 1+random.IntN(3), length, length, random.IntN(2) == 0)
+		step := job.Step{Count: 1 + random.IntN(3), Demand: job.Demand{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Duration(length) * time.Millisecond}
+		last := step
+		last.Count, last.After, last.Gang = 2, []int{0}, random.IntN(2) == 0
+		body := standin.Submission(job.Spec{Text: strconv.Itoa(length), Steps: []job.Step{step, last}})
 		told := &outcome{}
 		r.mu.Lock()
 		r.jobs[path] = told
@@ -284,7 +297,7 @@
 		for {
 			status, body := r.call(client, r.all[0], http.MethodGet, path, "")
 			require.NotEqual(t, http.StatusGone, status, "%s was accepted and is lost", path)
-			if strings.Contains(body, "completed") {
+			if strings.Contains(body, string(job.Completed)) {
 				break
 			}
 			require.True(t, time.Now().Before(deadline), "%s isn't completed: %d %s", path, status, body)
