Drop the notes of workers that get no more tasks and run none

Cause: after a change of holder, stored tasks wait until every worker with a note was read, or 16.6 s.

Change: the note goes as soon as the worker gets no more tasks and runs none; only workers with a note are waited for. Drops come first in a batch, so that a worker that is listed again keeps its new note.

Ruled out: shorter leases; the worst takeover was bound by the note alone.

--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -450,3 +450,56 @@
 		})
 	}
 }
+
+// Pattern: workers are taken away as planned, and then the holder changes. The
+// next holder has nothing to learn from workers that ran nothing any more, so
+// the steps that it finds in the store start as soon as the others are read.
+func TestWorkersThatLeftDontHoldUpTheNextHolder(t *testing.T) {
+	cases := map[string]func(worker *modelWorker){
+		"the worker drains": func(worker *modelWorker) { worker.draining = true },
+		"the worker has left": func(worker *modelWorker) {
+			worker.crash()
+			worker.listed = false
+		},
+	}
+	for name, leave := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 21, 4, workerSize)
+			w.run(time.Second)
+			leave(w.workers[0])
+			w.run(2 * time.Second)
+			w.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{
+				tasks(4, 1000, time.Second), {Count: 2, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 100}, Estimate: time.Second, After: []int{0}},
+			}}, time.Second, time.Second)
+			w.run(500 * time.Millisecond)
+			w.workers[0].crash()
+			w.holder.dead = true
+			w.run(500 * time.Millisecond)
+			w.takeOver()
+			require.Less(t, w.endedAt(id(0), 30*time.Second), 7*time.Second, "no wait for the lease of a worker that runs nothing")
+			require.Empty(t, w.faults)
+		})
+	}
+}
+
+// A worker that is listed again gets tasks only when a note of it is stored,
+// or the next holder would not know that it may run something.
+func TestWorkerThatComesBackIsNotedBeforeItsFirstTask(t *testing.T) {
+	w := newWorld(t, 22, 1, workerSize)
+	w.run(time.Second)
+	worker := w.workers[0]
+	noted := func() bool { return len(w.store["w"+worker.id]) > 0 }
+	require.True(t, noted())
+	worker.draining = true
+	w.run(time.Second)
+	require.False(t, noted())
+	w.storeDown = true
+	worker.draining = false
+	w.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, time.Second)}}, time.Second)
+	w.run(2 * time.Second)
+	require.Empty(t, worker.runs)
+	w.storeDown = false
+	w.run(500 * time.Millisecond)
+	require.True(t, noted())
+	require.Len(t, worker.runs, 1)
+}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -58,6 +58,11 @@
 		batch = append(batch, Record{key, encoded})
 		size += len(key) + len(encoded)
 	}
+	// Drops come first: a worker that is listed again has a new note here.
+	for _, key := range s.drops {
+		batch = append(batch, Record{Key: key})
+	}
+	s.drops = nil
 	left := s.dirtyJobs[:0]
 	for _, j := range s.dirtyJobs {
 		if size > batchBytes {
@@ -84,10 +89,6 @@
 		s.inFlightW = append(s.inFlightW, w)
 	}
 	s.dirtyWorkers = s.dirtyWorkers[:0]
-	for _, key := range s.drops {
-		batch = append(batch, Record{Key: key})
-	}
-	s.drops = nil
 	s.writing = len(batch) > 0 || len(s.inFlight) > 0
 	if s.writing && len(batch) == 0 {
 		s.Stored(now)
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -35,6 +35,7 @@
 		s.tidied = now
 		s.tidy(now)
 		s.forgetWorkers(now)
+		s.dropIdleNotes()
 		s.expire(now)
 	}
 }
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -77,7 +77,7 @@
 			s.workers[info.ID] = w
 			s.sortWorkers()
 			w.leaseEnd = s.began.Add(s.options.OrphanAfter)
-			s.markWorker(w)
+			s.noteIfPlaceable(w)
 			s.options.Log("worker-listed", "worker", info.ID, "address", info.Address, "capacity", info.Capacity, "draining", info.Draining)
 			s.changed = true
 			continue
@@ -93,6 +93,7 @@
 			w.nextHold = now
 		}
 		w.WorkerInfo, w.Listed = info, true
+		s.noteIfPlaceable(w)
 	}
 	for _, w := range s.ordered {
 		if w.Listed && !listed[w.ID] {
@@ -109,7 +110,7 @@
 		if !w.Listed && len(w.runs) == 0 && !w.holding && now.Sub(w.gone) > forgetAfter && now.After(w.leaseEnd) {
 			delete(s.workers, w.ID)
 			delete(s.owed, w.ID)
-			s.drops = append(s.drops, workerKey(w.ID))
+			s.dropNote(w)
 			s.options.Log("worker-forgotten", "worker", w.ID)
 			continue
 		}
@@ -118,9 +119,40 @@
 	s.ordered = kept
 }
 
+// noteIfPlaceable stores a note of a worker before it gets its first task.
+func (s *Shard) noteIfPlaceable(w *worker) {
+	if w.placeable() && !w.recorded {
+		s.markWorker(w)
+	}
+}
+
+// dropIdleNotes drops the notes of workers that get no more tasks and run
+// none: the next holder would wait for their lists before it starts anything
+// that it finds in the store.
+func (s *Shard) dropIdleNotes() {
+	if s.writing {
+		return // a note may be on its way
+	}
+	for _, w := range s.ordered {
+		if w.reached && !w.placeable() && len(w.runs) == 0 && !w.dirty {
+			s.dropNote(w)
+		}
+	}
+}
+
+func (s *Shard) dropNote(w *worker) {
+	if w.recorded {
+		w.recorded = false
+		s.drops = append(s.drops, workerKey(w.ID))
+	}
+}
+
+// placeable reports whether the list lets the worker have new tasks.
+func (w *worker) placeable() bool { return w.Listed && !w.Draining }
+
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable() bool {
-	return w.Listed && !w.Draining && w.reached && w.recorded && !w.checking && w.failures < unreachableAfter
+	return w.placeable() && w.reached && w.recorded && !w.checking && w.failures < unreachableAfter
 }
 
 func (w *worker) free() job.Demand { return w.Capacity.Minus(w.used) }
@@ -396,11 +428,7 @@
 		return
 	}
 	if now.Before(s.began.Add(s.options.OrphanAfter)) {
-		for _, w := range s.ordered {
-			if !w.reached {
-				return
-			}
-		}
+		// A worker without a note never had a task of a former holder.
 		for id := range s.owed {
 			if w := s.workers[id]; w == nil || !w.reached {
 				return
