Offer rights at a planned stop; notice silent holders sooner

Cause: a stopping holder gave its right up before another node had it, for 0.3 s or, with the rights' partition silent, until the store was back. A silent holder was replaced after 1.3 s, one turned away by the store after 1.5 s.

Change: a stopping holder releases its right in the store and acts until a claim follows; nodes that were started later claim first, as a rolling restart is done with them. Silence counts after 0.8 s (greetings each 250 ms), a proof as stale after 1 s. A process takes its own former right back at once. A new holder waits for a lease only as long as the former one can have extended it.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -260,9 +260,9 @@
 		var answer Answer
 		err := errNoHolder
 		switch {
-		case h != nil && !h.lost.Load() && !h.released.Load():
+		case h != nil && !h.lost.Load():
 			answer, err = local(h, r.ctx, message)
-		case holding.Epoch > 0 && !holding.Released && holding.Address != p.address && !p.silent(to.name(), holding):
+		case holding.Epoch > 0 && holding.Address != p.address && !p.silent(to.name(), holding):
 			ctx, cancel := p.untilReplaced(r.ctx, to.name(), holding)
 			answer, err = ask[Answer](ctx, p.peers, holding.Address, path, message)
 			cancel()
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"yuccalanding.example/yuccalanding/internal/right"
 	"yuccalanding.example/yuccalanding/internal/shard"
 	"yuccalanding.example/yuccalanding/platform"
 )
@@ -32,9 +33,6 @@
 	// counts as silent: new jobs are refused at once, and those whose record
 	// has not left are withdrawn.
 	storeStall = 600 * time.Millisecond
-	// keepWithout is how long the holder keeps running work alive without a
-	// proof: longer than the outages of the store that the users plan for (9 s).
-	keepWithout = 10 * time.Second
 	// answerWithout is how old the proof may be for the answer that a job is unknown.
 	answerWithout = 1 * time.Second
 	// listEvery is how often the list of workers is read.
@@ -67,7 +65,7 @@
 	cancel    context.CancelFunc
 	ended     chan struct{}
 	lost      atomic.Bool
-	released  atomic.Bool
+	offered   atomic.Bool // the right is released; the next holder may claim it
 
 	appending atomic.Int64 // when the append on its way first left, as proof; 0 if none
 	proof     atomic.Int64 // time of the last proof, as nanoseconds since the process started
@@ -91,7 +89,9 @@
 	return platform.Partition{Topic: platform.KeyedPrefix + "jobs-" + p.service, Part: p.index}
 }
 
-func newHolder(ctx context.Context, p *Process, shardPart part, epoch int64) *holder {
+// newHolder returns a holder that has not started. The former holder may extend
+// leases for the given time.
+func newHolder(ctx context.Context, p *Process, shardPart part, epoch int64, formerActs time.Duration) *holder {
 	service := shardPart.name()
 	h := &holder{
 		process: p, part: shardPart, service: service, epoch: epoch, partition: jobsPartition(shardPart),
@@ -102,7 +102,7 @@
 	bounds := p.settings.Bounds
 	h.shard = shard.New(shard.Options{
 		Service: service, Epoch: epoch, Lease: bounds.MaxLease,
-		OrphanAfter: keepWithout + time.Duration(float64(bounds.MaxLease)*shard.LeaseDrift) + leaseSlack,
+		OrphanAfter: formerActs + time.Duration(float64(bounds.MaxLease)*shard.LeaseDrift) + leaseSlack,
 		StateKept:   bounds.Status, Log: p.log,
 	})
 	return h
@@ -116,6 +116,14 @@
 	return time.Since(h.process.began) - time.Duration(h.proof.Load())
 }
 
+// keepWithout is how old the proof may be for the holder to act.
+func (h *holder) keepWithout() time.Duration {
+	if h.offered.Load() {
+		return right.KeepOffered
+	}
+	return right.KeepWithoutProof
+}
+
 // run takes the state over and decides until the context ends or the right is lost.
 func (h *holder) run() {
 	defer close(h.ended)
@@ -211,7 +219,7 @@
 			}
 		}
 		now := time.Now()
-		h.shard.SetAuthority(h.proofAge() < keepWithout && !h.released.Load())
+		h.shard.SetAuthority(h.proofAge() < h.keepWithout())
 		h.shard.SetAdviceSlots(h.adviceSlots())
 		h.shard.Tick(now)
 		h.carryOut(h.shard.Take())
--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -54,7 +54,7 @@
 func TestHolderRefusesJobsOfOtherShards(t *testing.T) {
 	p := New(platform.Settings{}, nil)
 	const id = "69a182190bc5620e"
-	h := newHolder(context.Background(), p, part{"ledger", (deal(id, 3) + 1) % 3, 3}, 1)
+	h := newHolder(context.Background(), p, part{"ledger", (deal(id, 3) + 1) % 3, 3}, 1, 0)
 	_, err := h.submit(context.Background(), submitRequest{ID: id})
 	require.ErrorIs(t, err, errNotHolder)
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -42,11 +42,15 @@
 	firstTimeout = 400 * time.Millisecond
 	// followRetry is the pause after a failed call of a follower.
 	followRetry = 100 * time.Millisecond
-	// helloEvery is the pause between two greetings of a holder.
-	helloEvery   = 500 * time.Millisecond
-	helloTimeout = 600 * time.Millisecond
+	// helloEvery is the pause between two greetings of a holder, so that three
+	// fit into right.SuspectAfter; farHelloEvery is that of the nodes which
+	// claim a right last, but vouch for its holder.
+	helloEvery    = 250 * time.Millisecond
+	farHelloEvery = 500 * time.Millisecond
+	// helloTimeout bounds a greeting: a few round trips of the region link (60 ms).
+	helloTimeout = 400 * time.Millisecond
 	// viewTimeout bounds the question to the other nodes about a holder.
-	viewTimeout = 400 * time.Millisecond
+	viewTimeout = 300 * time.Millisecond
 	// nearStore is the longest answer of a store in the node's own region.
 	nearStore = 25 * time.Millisecond
 	// smallCores is the share of a core below which a VM leaves rights to
@@ -208,13 +212,14 @@
 	p.stopping.Store(true)
 	p.log("process-stopping", "grace", p.settings.Bounds.Grace)
 	callers.SetKeepAlivesEnabled(false)
-	p.releaseRights()
-	time.Sleep(time.Until(began.Add(drainListen)))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.settings.Bounds.Grace-drainReserve))
 	defer cancel()
+	awaitClaims := p.offerRights(ctx)
+	time.Sleep(time.Until(began.Add(drainListen)))
 	if err := callers.Shutdown(ctx); err != nil {
 		p.log("requests-left-open", "cause", err)
 	}
+	awaitClaims()
 }
 
 // ready answers the balancer.
@@ -266,7 +271,7 @@
 func (p *Process) holderOf(service string) (*holder, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if h := p.holders[service]; h != nil && !h.lost.Load() && !h.released.Load() {
+	if h := p.holders[service]; h != nil && !h.lost.Load() {
 		return h, nil
 	}
 	return nil, errNotHolder
--- a/internal/entry/rights.go
+++ b/internal/entry/rights.go
@@ -50,6 +50,9 @@
 func (p *Process) claimRights(ctx context.Context) {
 	watched := map[string]chan struct{}{}
 	for ctx.Err() == nil {
+		p.mu.Lock()
+		changed := p.changed
+		p.mu.Unlock()
 		for _, part := range p.parts(ctx) {
 			if watched[part.name()] == nil {
 				done := make(chan struct{})
@@ -59,6 +62,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-changed:
 		case <-time.After(right.Step):
 		}
 	}
@@ -107,7 +111,8 @@
 		p.mu.Unlock()
 		now := time.Now()
 		mine := holding.Node == p.settings.Node
-		if greeting == nil && !mine && holding.Epoch > 0 && !holding.Released && now.Sub(lastHello) >= helloEvery {
+		due := now.Sub(lastHello) >= p.helloPause() || greeted.Epoch != holding.Epoch
+		if greeting == nil && !mine && holding.Epoch > 0 && due {
 			lastHello, greeted = now, holding
 			greeting = make(chan helloResult, 1)
 			go func(result chan helloResult) { result <- p.greet(ctx, service, holding) }(greeting)
@@ -170,7 +175,10 @@
 	now := time.Now()
 	switch {
 	case result.err == nil:
-		v.heard, v.refused, v.vacant = result.sent, time.Time{}, time.Time{}
+		v.heard, v.refused = result.sent, time.Time{}
+		if !v.holding.Released {
+			v.vacant = time.Time{}
+		}
 		v.proofAge, v.peers = result.answer.ProofAge, result.answer.Peers
 	case errors.Is(result.err, errNotHolder):
 		// A node that has just claimed may answer before it knows that it has.
@@ -196,6 +204,7 @@
 	known := right.View{
 		Now: now, Holding: holding, Self: holding.Node == p.settings.Node, Vacant: v.vacant, Heard: v.heard, Refused: v.refused,
 		ProofAge: v.proofAge, StoreSound: p.storeSound(), Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
+		Newer: p.boot > holding.Boot,
 	}
 	others := make([]netip.AddrPort, 0, len(v.peers))
 	for _, address := range v.peers {
@@ -208,7 +217,7 @@
 	if !claim {
 		return
 	}
-	if cause == "silent" {
+	if cause == right.Silent {
 		known.Others, known.Reached, known.Vouched = p.askOthers(ctx, service, holding, others)
 		if claim, cause = right.Decide(known); !claim {
 			return
@@ -251,7 +260,7 @@
 
 // claim appends a claim, which fails if anybody appended after the node
 // looked: at is the end of the rights then.
-func (p *Process) claim(ctx context.Context, shard part, cause string, silence time.Duration, at int64) {
+func (p *Process) claim(ctx context.Context, shard part, cause right.Cause, silence time.Duration, at int64) {
 	service := shard.name()
 	sent := time.Now()
 	offset, end, err := p.appendRight(ctx, service, rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address}, at)
@@ -264,7 +273,7 @@
 	defer p.mu.Unlock()
 	p.rightsEnd = max(p.rightsEnd, end)
 	p.rights[service] = right.Holding{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address}
-	h := newHolder(ctx, p, shard, offset+1)
+	h := newHolder(ctx, p, shard, offset+1, cause.FormerActs())
 	h.prove(sent)
 	p.holders[service] = h
 	p.announce()
@@ -291,8 +300,18 @@
 	})
 }
 
-// releaseRights stores what is left and gives the rights back.
-func (p *Process) releaseRights() {
+// helloPause is the pause between two greetings of a holder. Nodes that would
+// leave its right to others greet it less often.
+func (p *Process) helloPause() time.Duration {
+	if p.near() && p.settings.Cores >= smallCores {
+		return helloEvery
+	}
+	return farHelloEvery
+}
+
+// offerRights releases the rights that this process holds, so that other nodes
+// claim them, and returns a function that waits until they have.
+func (p *Process) offerRights(ctx context.Context) (wait func()) {
 	p.mu.Lock()
 	held := make([]*holder, 0, len(p.holders))
 	for _, h := range p.holders {
@@ -300,26 +319,34 @@
 	}
 	p.mu.Unlock()
 	for _, h := range held {
-		p.release(h)
+		go p.offer(ctx, h)
+	}
+	return func() {
+		for _, h := range held {
+			select {
+			case <-h.ended:
+			case <-ctx.Done():
+				p.log("right-left", "service", h.service, "epoch", h.epoch, "offered", h.offered.Load())
+			}
+		}
 	}
 }
 
-// releaseSettle is the time in which orders on their way are answered and the
-// last records stored before a right is released.
-const releaseSettle = 150 * time.Millisecond
-
-func (p *Process) release(h *holder) {
-	h.released.Store(true)
-	time.Sleep(releaseSettle)
-	p.mu.Lock()
-	at := p.rightsEnd
-	p.mu.Unlock()
-	record := rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true}
-	offset, _, err := p.appendRight(context.Background(), h.service, record, at)
-	if err != nil {
+// offer releases a right. Its holder acts until another node claims it, so
+// nothing waits meanwhile; while the store doesn't take the release, nobody can.
+func (p *Process) offer(ctx context.Context, h *holder) {
+	for ctx.Err() == nil && h.ctx.Err() == nil {
+		p.mu.Lock()
+		at := p.rightsEnd
+		p.mu.Unlock()
+		record := rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true}
+		offset, _, err := p.appendRight(ctx, h.service, record, at)
+		if err == nil {
+			h.offered.Store(true)
+			p.log("right-released", "service", h.service, "epoch", h.epoch, "offset", offset)
+			return
+		}
 		p.log("release-failed", "service", h.service, "cause", err)
-		return
+		h.pause(appendRetry)
 	}
-	p.log("right-released", "service", h.service, "epoch", h.epoch, "offset", offset)
-	h.lose("released at the process's stop")
 }
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -24,14 +24,20 @@
 	Node    string
 	Boot    int64
 	Address netip.AddrPort
-	// Released rights are free.
+	// Released rights are free. Their holder acts until another node claims.
 	Released bool
 }
 
 const (
+	// KeepWithoutProof is how long a holder acts without a proof of its right:
+	// longer than the outages of the store that the users plan for (9 s).
+	KeepWithoutProof = 10 * time.Second
+	// KeepOffered is the same for a holder that has released its right and
+	// acts until another node claims it: two proofs may fail.
+	KeepOffered = 1 * time.Second
 	// SuspectAfter is how long a holder may be silent: two missed greetings
 	// and the way of a third.
-	SuspectAfter = 1300 * time.Millisecond
+	SuspectAfter = 800 * time.Millisecond
 	// RefusedAfter is how long a holder's port may refuse connections: a
 	// process that is restarted at once is back before.
 	RefusedAfter = 300 * time.Millisecond
@@ -41,8 +47,9 @@
 	AloneAfter = 6 * time.Second
 	// StoreStale is how old a holder's proof of its right may become while
 	// the store serves the node that looks at it: then the store turns the
-	// holder away alone.
-	StoreStale = 1500 * time.Millisecond
+	// holder away alone. A store that is 60 times slower (360 ms an append)
+	// still gives a proof in this time.
+	StoreStale = 1000 * time.Millisecond
 	// FarDelay and BusyDelay leave the right to a node that is nearer to the
 	// store, or that holds nothing yet.
 	FarDelay  = 350 * time.Millisecond
@@ -50,6 +57,9 @@
 	// SmallDelay leaves the right to a larger VM, also one that is far from
 	// the store.
 	SmallDelay = 800 * time.Millisecond
+	// OlderDelay leaves a released right to a node that was started after the
+	// one that releases it: a rolling restart comes to the others yet.
+	OlderDelay = 150 * time.Millisecond
 	// Step is the pause between two looks.
 	Step = 100 * time.Millisecond
 )
@@ -81,14 +91,46 @@
 	Near  bool
 	Small bool
 	Load  int
+	// Newer is set if this process was started after the holder's.
+	Newer bool
 	// Jitter differs between nodes, from 0 to 1.
 	Jitter float64
 }
 
-// Decide reports whether to claim the right now, and the cause in a word.
-func Decide(v View) (claim bool, cause string) {
+// Cause is why a right may be claimed, or why not.
+type Cause string
+
+// Causes.
+const (
+	Holds         Cause = "holding"
+	NeverHeld     Cause = "never-held"
+	Released      Cause = "released"
+	OwnFormerBoot Cause = "own-former-boot"
+	NotHeld       Cause = "not-held"
+	Refused       Cause = "refused"
+	WithoutProof  Cause = "without-proof"
+	Heard         Cause = "heard"
+	HeardByOthers Cause = "heard-by-others"
+	Alone         Cause = "alone"
+	Silent        Cause = "silent"
+)
+
+// FormerActs is how long after the claim the former holder may still extend
+// leases. A refused connection proves nothing: a network can refuse it too.
+func (c Cause) FormerActs() time.Duration {
+	switch c {
+	case NeverHeld, OwnFormerBoot, NotHeld:
+		return 0
+	case Released:
+		return KeepOffered
+	}
+	return KeepWithoutProof
+}
+
+// Decide reports whether to claim the right now, and the cause.
+func Decide(v View) (claim bool, cause Cause) {
 	if v.Holds {
-		return false, "holding"
+		return false, Holds
 	}
 	since, cause := v.vacantSince()
 	if since.IsZero() {
@@ -98,34 +140,37 @@
 }
 
 // vacantSince is since when the right may be claimed; zero if it may not.
-func (v View) vacantSince() (time.Time, string) {
+func (v View) vacantSince() (time.Time, Cause) {
 	switch {
 	case v.Holding.Epoch == 0:
-		return v.Vacant, "never-held"
+		return v.Vacant, NeverHeld
 	case v.Holding.Released:
-		return v.Vacant, "released"
+		return v.Vacant, Released
 	case v.Self:
-		return v.Vacant, "own-former-boot"
+		return v.Vacant, OwnFormerBoot
 	case !v.Vacant.IsZero():
-		return v.Vacant, "not-held"
+		return v.Vacant, NotHeld
 	case !v.Refused.IsZero() && v.Now.Sub(v.Refused) >= RefusedAfter:
-		return v.Refused.Add(RefusedAfter), "refused"
+		return v.Refused.Add(RefusedAfter), Refused
 	case v.ProofAge >= StoreStale && v.StoreSound >= StoreStale:
-		return v.Heard, "without-proof"
+		return v.Heard, WithoutProof
 	case v.Now.Sub(v.Heard) < SuspectAfter:
-		return time.Time{}, "heard"
+		return time.Time{}, Heard
 	case v.Vouched:
-		return time.Time{}, "heard-by-others"
+		return time.Time{}, HeardByOthers
 	case v.Others > 0 && v.Reached == 0 && v.Now.Sub(v.Heard) < AloneAfter:
-		return time.Time{}, "alone"
+		return time.Time{}, Alone
 	}
-	return v.Heard.Add(SuspectAfter), "silent"
+	return v.Heard.Add(SuspectAfter), Silent
 }
 
 // jitterSpan spreads the claims of nodes that are alike.
 const jitterSpan = 120 * time.Millisecond
 
 func (v View) delay() time.Duration {
+	if v.Self && !v.Holding.Released {
+		return 0 // its own former process is over, so nobody else has a reason yet
+	}
 	delay := time.Duration(v.Jitter * float64(jitterSpan))
 	if !v.Near {
 		delay += FarDelay
@@ -133,5 +178,8 @@
 	if v.Small {
 		delay += SmallDelay
 	}
+	if v.Holding.Released && !v.Newer {
+		delay += OlderDelay
+	}
 	return delay + time.Duration(v.Load)*BusyDelay
 }
--- a/internal/right/right_test.go
+++ b/internal/right/right_test.go
@@ -16,7 +16,7 @@
 	cases := map[string]struct {
 		view  right.View
 		claim bool
-		cause string
+		cause right.Cause
 	}{
 		"a right that nobody ever held goes to a near node": {
 			right.View{Now: now, Vacant: ago(right.Step), Near: true}, true, "never-held",
@@ -55,13 +55,19 @@
 			right.View{Now: now, Holding: held, Heard: ago(200 * time.Millisecond), ProofAge: right.StoreStale, StoreSound: right.StoreStale, Near: true}, true, "without-proof",
 		},
 		"a holder without a proof keeps its right while the store serves nobody": {
-			right.View{Now: now, Holding: held, Heard: ago(200 * time.Millisecond), ProofAge: 3 * time.Second, StoreSound: time.Second, Near: true}, false, "heard",
+			right.View{Now: now, Holding: held, Heard: ago(200 * time.Millisecond), ProofAge: 3 * right.StoreStale, StoreSound: right.StoreStale / 2, Near: true}, false, "heard",
 		},
-		"a released right is free": {
-			right.View{Now: now, Holding: right.Holding{Epoch: 7, Released: true}, Vacant: ago(right.Step), Near: true}, true, "released",
+		"a released right is free for a node that was started later": {
+			right.View{Now: now, Holding: right.Holding{Epoch: 7, Released: true}, Vacant: ago(right.Step), Near: true, Newer: true}, true, "released",
 		},
-		"a process that was restarted takes its own right back": {
-			right.View{Now: now, Holding: held, Self: true, Vacant: ago(right.Step), Near: true}, true, "own-former-boot",
+		"a node that was started earlier leaves a released right to the others first": {
+			right.View{Now: now, Holding: right.Holding{Epoch: 7, Released: true}, Vacant: ago(right.Step), Near: true}, false, "released",
+		},
+		"a node that was started earlier takes a released right that nobody wants": {
+			right.View{Now: now, Holding: right.Holding{Epoch: 7, Released: true}, Vacant: ago(right.OlderDelay), Near: true}, true, "released",
+		},
+		"a process that was restarted takes its own right back at once": {
+			right.View{Now: now, Holding: held, Self: true, Vacant: now, Jitter: 1, Load: 1}, true, "own-former-boot",
 		},
 		"a holder claims nothing": {
 			right.View{Now: now, Holding: held, Holds: true, Heard: ago(time.Hour), Near: true}, false, "holding",
@@ -75,3 +81,16 @@
 		})
 	}
 }
+
+// A new holder waits for the leases of the former one, and for no longer than
+// the former one can extend them.
+func TestFormerHolderActs(t *testing.T) {
+	cases := map[right.Cause]time.Duration{
+		right.NeverHeld: 0, right.OwnFormerBoot: 0, right.NotHeld: 0,
+		right.Released: right.KeepOffered,
+		right.Refused:  right.KeepWithoutProof, right.Silent: right.KeepWithoutProof, right.WithoutProof: right.KeepWithoutProof,
+	}
+	for cause, want := range cases {
+		t.Run(string(cause), func(t *testing.T) { require.Equal(t, want, cause.FormerActs()) })
+	}
+}
