Keep a shard's records in two partitions of the store

Change: each shard has two partitions. A group that the current one doesn't take within 0.3 s goes to the other one too. Values carry their writer's epoch and a number, the reader takes the newer; drops are carried out in order. A new holder fences and reads both before it acts. package ledger decides this without a network; its random test compares it with a map.

Ruled out: one partition for each right, as followers would read more and a new holder needs the records' partitions all the same; more than two partitions, as a new holder needs them all.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -338,6 +338,56 @@
 	}, 3*time.Second, 20*time.Millisecond, "a manifest reaches it through other nodes")
 }
 
+// Pattern: a part of the store falls silent. A shard stores on in its other
+// partition, and the next holder finds everything.
+func TestSilentPartitionHoldsNothingUp(t *testing.T) {
+	c := newCell(t, 2)
+	c.configure(1)
+	c.submit(c.nodes[0], "/quick/0000000000000001", jobOf(1500))
+	c.site.Store.SetSilent("keyed.jobs-ledger", 0, true)
+	began := time.Now()
+	status, body, _ := c.call(c.nodes[1], http.MethodPost, "/quick/0000000000000002", jobOf(50))
+	require.Equal(t, http.StatusOK, status, body)
+	require.Less(t, time.Since(began), 2*time.Second, "well inside a caller's 3 s")
+	c.requireState(c.nodes[1], "/quick/0000000000000002", job.Completed, 5*time.Second)
+	c.requireState(c.nodes[1], "/quick/0000000000000001", job.Completed, 5*time.Second)
+	c.site.Store.SetSilent("keyed.jobs-ledger", 0, false)
+	holder := c.holder("ledger")
+	other := c.nodes[0]
+	if other == holder {
+		other = c.nodes[1]
+	}
+	holder.cancel()
+	require.NoError(t, <-holder.ended)
+	c.requireState(other, "/quick/0000000000000001", job.Completed, 5*time.Second)
+	c.requireState(other, "/quick/0000000000000002", job.Completed, 5*time.Second)
+	c.requireRunsOnce()
+}
+
+// Pattern: a rolling stop reaches the holder while nobody can claim its right.
+// It serves to the end of its grace time.
+func TestStoppedHolderServesUntilItIsReplaced(t *testing.T) {
+	c := newCell(t, 2)
+	c.configure(1)
+	c.submit(c.nodes[0], "/quick/0000000000000001", jobOf(50))
+	holder := c.holder("ledger")
+	other := c.nodes[0]
+	if other == holder {
+		other = c.nodes[1]
+	}
+	c.site.Store.SetSilent("keyed.rights", 0, true)
+	holder.cancel()
+	for i := range 10 {
+		status, body, _ := c.call(other, http.MethodPost, fmt.Sprintf("/quick/%016x", 10+i), jobOf(50))
+		require.Equal(t, http.StatusOK, status, body)
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.site.Store.SetSilent("keyed.rights", 0, false)
+	require.NoError(t, <-holder.ended)
+	c.requireState(other, fmt.Sprintf("/quick/%016x", 19), job.Completed, 5*time.Second)
+	c.requireRunsOnce()
+}
+
 // Guards against two jobs out of one whose append had no answer.
 func TestLostAnswerOfTheStore(t *testing.T) {
 	c := newCell(t, 1)
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/internal/right"
 	"yuccalanding.example/yuccalanding/internal/shard"
-	"yuccalanding.example/yuccalanding/platform"
 )
 
 const (
@@ -18,17 +18,6 @@
 	tickEvery = 50 * time.Millisecond
 	// inputQueue bounds the answers and requests that wait for a round.
 	inputQueue = 1024
-	// appendGroup is the pause after an append in which further changes
-	// gather: appends are billed by the call.
-	appendGroup = 15 * time.Millisecond
-	// appendTimeout bounds one try of an append. It covers a store that is 60
-	// times slower (240 ms an answer); a repeat is recognised by its number.
-	appendTimeout = 900 * time.Millisecond
-	// appendRetry is the pause after an append that failed.
-	appendRetry = 100 * time.Millisecond
-	// proveEvery is how old the proof of the right becomes before an empty
-	// append renews it.
-	proveEvery = 400 * time.Millisecond
 	// storeStall is how long an append may be unanswered before the store
 	// counts as silent: new jobs are refused at once, and those whose record
 	// has not left are withdrawn.
@@ -54,25 +43,26 @@
 
 // holder acts for one service while this process holds its right.
 type holder struct {
-	process   *Process
-	part      part
-	service   string // the shard's name
-	epoch     int64
-	partition platform.Partition
-	shard     *shard.Shard
-	inputs    chan func(now time.Time)
-	ctx       context.Context
-	cancel    context.CancelFunc
-	ended     chan struct{}
-	lost      atomic.Bool
-	offered   atomic.Bool // the right is released; the next holder may claim it
+	process *Process
+	part    part
+	service string // the shard's name
+	epoch   int64
+	shard   *shard.Shard
+	inputs  chan func(now time.Time)
+	ctx     context.Context
+	cancel  context.CancelFunc
+	ended   chan struct{}
+	lost    atomic.Bool
+	offered atomic.Bool // the right is released; the next holder may claim it
 
 	appending atomic.Int64 // when the append on its way first left, as proof; 0 if none
 	proof     atomic.Int64 // time of the last proof, as nanoseconds since the process started
-	sequence  int64
-	stored    time.Time // end of the last append
+	stored    time.Time    // end of the last append
 	waiters   map[string][]chan struct{}
 
+	storing sync.Mutex // held by the one group of calls of the store that is on its way
+	ledger  *ledger.Ledger
+
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
 	turn    int
@@ -85,16 +75,12 @@
 	calls int // calls for advice on their way
 }
 
-func jobsPartition(p part) platform.Partition {
-	return platform.Partition{Topic: platform.KeyedPrefix + "jobs-" + p.service, Part: p.index}
-}
-
 // newHolder returns a holder that has not started. The former holder may extend
 // leases for the given time.
 func newHolder(ctx context.Context, p *Process, shardPart part, epoch int64, formerActs time.Duration) *holder {
 	service := shardPart.name()
 	h := &holder{
-		process: p, part: shardPart, service: service, epoch: epoch, partition: jobsPartition(shardPart),
+		process: p, part: shardPart, service: service, epoch: epoch, ledger: ledger.New(epoch),
 		inputs: make(chan func(time.Time), inputQueue), ended: make(chan struct{}),
 		waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
 	}
@@ -143,33 +129,6 @@
 	<-tasks
 }
 
-// takeOver shuts out the former holder's appends and reads what is stored.
-func (h *holder) takeOver() ([]shard.Record, bool) {
-	for h.ctx.Err() == nil {
-		err := h.fence()
-		if err == nil {
-			ctx, cancel := context.WithTimeout(h.ctx, 2*appendTimeout)
-			newest, _, err := h.process.store.Newest(ctx, h.partition)
-			cancel()
-			if err == nil {
-				records := make([]shard.Record, len(newest))
-				for i, record := range newest {
-					records[i] = shard.Record{Key: record.Key, Value: record.Value}
-				}
-				return records, true
-			}
-			h.process.log("store-call-failed", "call", "newest", "service", h.service, "cause", err)
-		} else {
-			h.process.log("store-call-failed", "call", "fence", "service", h.service, "cause", err)
-		}
-		h.pause(appendRetry)
-	}
-	return nil, false
-}
-
-// fencedReason is the store's word for an append of a former holder.
-const fencedReason = "fenced"
-
 func (h *holder) pause(length time.Duration) {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
@@ -226,81 +185,3 @@
 		h.write(now)
 	}
 }
-
-// write appends the next group of records if none is on its way.
-func (h *holder) write(now time.Time) {
-	if !h.shard.HasChanges() || now.Sub(h.stored) < appendGroup {
-		return
-	}
-	batch := h.shard.TakeBatch(now)
-	if len(batch) == 0 {
-		return
-	}
-	records := make([]platform.Record, len(batch))
-	for i, record := range batch {
-		records[i] = platform.Record{Key: record.Key, Value: record.Value}
-	}
-	h.sequence++
-	sequence := h.sequence
-	h.appending.Store(int64(time.Since(h.process.began)))
-	go h.append(records, sequence)
-}
-
-// append sends a group until it is stored or the right is lost.
-func (h *holder) append(records []platform.Record, sequence int64) {
-	for h.ctx.Err() == nil {
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(h.ctx, appendTimeout)
-		_, _, err := h.process.store.Append(ctx, platform.Append{
-			Partition: h.partition, Records: records, At: -1, Producer: h.service, Epoch: h.epoch, Sequence: sequence,
-		})
-		cancel()
-		h.process.metrics.append(time.Since(sent), err)
-		if err == nil {
-			h.prove(sent)
-			h.appending.Store(0)
-			h.input(func(now time.Time) {
-				h.stored = now
-				h.shard.Stored(now)
-			})
-			return
-		}
-		if platform.ReasonOf(err) == fencedReason {
-			h.lose("the store refused an append of an older epoch")
-			return
-		}
-		h.process.log("store-call-failed", "call", "append", "service", h.service, "records", len(records), "cause", err)
-		h.pause(appendRetry)
-	}
-}
-
-// keepProof renews the proof of the right while nothing else does.
-func (h *holder) keepProof() {
-	for h.ctx.Err() == nil {
-		h.pause(proveEvery)
-		if h.proofAge() < proveEvery || h.ctx.Err() != nil {
-			continue
-		}
-		if err := h.fence(); err != nil && !h.lost.Load() {
-			h.process.log("store-call-failed", "call", "prove", "service", h.service, "proof-age", h.proofAge(), "cause", err)
-		}
-	}
-}
-
-// fence sets the epoch at the store, which shuts out older ones and proves the
-// right; it is lost if the store knows a newer one.
-func (h *holder) fence() error {
-	sent := time.Now()
-	ctx, cancel := context.WithTimeout(h.ctx, appendTimeout)
-	defer cancel()
-	_, _, err := h.process.store.Append(ctx, platform.Append{
-		Partition: h.partition, At: -1, Producer: h.service, Epoch: h.epoch,
-	})
-	if platform.ReasonOf(err) == fencedReason {
-		h.lose("the store refused an empty append of an older epoch")
-	}
-	if err == nil {
-		h.prove(sent)
-	}
-	return err
-}
