Move tasks away from leaving workers; leases of at most 5 s

Change: a draining worker's long-running tasks move while there is room and their step's disruption budget allows it; work that can't end in time moves at once, or works to the last 2.5 s if it keeps its progress.

Ruled out: taking an unlisted worker that refuses connections for gone, as a network can refuse them too.

--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -37,6 +37,10 @@
 	peerKept = 2 * time.Second
 	// adviceTimeout is added to the time that the adviser needs.
 	adviceTimeout = 2 * time.Second
+	// leaseMost is the longest lease that a holder gives: a look that waits
+	// (1.5 s), and twice the change of a holder (1.7 s). Work on a worker that
+	// is gone starts elsewhere only when its lease is over.
+	leaseMost = 5 * time.Second
 	// leaseSlack covers the way of a former holder's last order.
 	leaseSlack = 500 * time.Millisecond
 )
@@ -86,9 +90,10 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
 	bounds := p.settings.Bounds
+	lease := min(bounds.MaxLease, leaseMost)
 	h.shard = shard.New(shard.Options{
-		Service: service, Epoch: epoch, Lease: bounds.MaxLease,
-		OrphanAfter: formerActs + time.Duration(float64(bounds.MaxLease)*shard.LeaseDrift) + leaseSlack,
+		Service: service, Epoch: epoch, Lease: lease,
+		OrphanAfter: formerActs + time.Duration(float64(lease)*shard.LeaseDrift) + leaseSlack,
 		StateKept:   bounds.Status, Log: p.log,
 	})
 	return h
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -61,6 +61,7 @@
 		{781, "run-rejected", Info, "The worker refused the order and did nothing.", noAction, false},
 		{782, "run-in-doubt", Warn, "An order had no answer; the run is stopped before the task starts elsewhere.", noAction, false},
 		{783, "run-adopted", Info, "A new holder took over a run of the former one.", noAction, false},
+		{789, "run-evacuated", Info, "A run was stopped on a worker that leaves; it starts elsewhere.", noAction, false},
 		{784, "run-ended", Info, "A worker listed the end of a run.", noAction, false},
 		{785, "run-over", Info, "A run is gone without a listed end; the cause follows.", noAction, false},
 		{786, "run-stalled", Warn, "A run's progress stood still; it is started elsewhere.", noAction, false},
--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -50,7 +50,7 @@
 // trouble begins a random fault and returns what ends it.
 func (w *world) trouble() func() {
 	worker := w.workers[w.random.IntN(len(w.workers))]
-	switch w.random.IntN(10) {
+	switch w.random.IntN(11) {
 	case 0: // the holder is killed; the next one comes after a second or two
 		w.holder.dead = true
 		return func() { w.takeOver() }
@@ -88,6 +88,16 @@
 		w.late = 0.1
 		return func() { w.late = 0 }
 	case 8:
+		if worker.down {
+			return func() {}
+		}
+		worker.drain(time.Duration(1+w.random.IntN(6)) * time.Second)
+		return func() {
+			worker.crash()
+			worker.restart()
+			worker.listed = true
+		}
+	case 9:
 		worker.hangs = true
 		return func() { worker.hangs = false }
 	default:
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -214,12 +214,7 @@
 	if left < time.Duration(again*moveGain)+moveCost {
 		return false
 	}
-	for _, w := range s.ordered {
-		if w != r.worker && !w.isSlow && w.usable() && w.matches(r.task.step) && spec.Reserved().Fits(w.free()) {
-			return true
-		}
-	}
-	return false
+	return s.roomElsewhere(r)
 }
 
 // judgeSpeed notes which workers are slow.
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -25,6 +25,7 @@
 		s.judged = now
 		s.judgeSpeed(now)
 		s.moveSlow(now)
+		s.evacuate(now)
 	}
 	if s.passDue(now) {
 		s.passed = now
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -26,6 +26,7 @@
 	WorkerInfo
 	Listed   bool
 	gone     time.Time // since when it isn't listed
+	leavesAt time.Time // when a draining worker may be gone
 	used     job.Demand
 	runs     []*run
 	reached  bool // its lists were read by this holder
@@ -74,6 +75,7 @@
 		w := s.workers[info.ID]
 		if w == nil {
 			w = &worker{WorkerInfo: info, life: info.Born, Listed: true}
+			w.noteLeaving(now)
 			s.workers[info.ID] = w
 			s.sortWorkers()
 			w.leaseEnd = s.began.Add(s.options.OrphanAfter)
@@ -93,6 +95,7 @@
 			w.nextHold = now
 		}
 		w.WorkerInfo, w.Listed = info, true
+		w.noteLeaving(now)
 		s.noteIfPlaceable(w)
 	}
 	for _, w := range s.ordered {
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -62,7 +62,8 @@
 	hangs    bool // lets its tasks stand still
 	slow     float64
 	draining bool
-	waiting  []func() // holds that wait for an end
+	leaves   time.Duration // when a draining worker is gone
+	waiting  []func()      // holds that wait for an end
 }
 
 // jobFacts is what the model knows of a submitted job.
@@ -186,7 +187,7 @@
 		}
 		list = append(list, shard.WorkerInfo{
 			ID: worker.id, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), Born: worker.born,
-			Capacity: worker.capacity, Draining: worker.draining, Labels: []string{"a", fmt.Sprintf("r%d", i/3)},
+			Capacity: worker.capacity, Draining: worker.draining, Remaining: worker.leaves - w.now, Labels: []string{"a", fmt.Sprintf("r%d", i/3)},
 		})
 	}
 	return list
@@ -663,11 +664,21 @@
 	return members
 }
 
+// drain makes the worker leave after a time, with all that it runs then.
+func (m *modelWorker) drain(after time.Duration) {
+	m.draining, m.leaves = true, m.world.now+after
+}
+
 func (m *modelWorker) advance() {
 	w := m.world
 	if m.down {
 		return
 	}
+	if m.leaves > 0 && w.now >= m.leaves {
+		m.crash()
+		m.listed = false
+		return
+	}
 	for _, r := range slices.Clone(m.runs) {
 		if !slices.Contains(m.runs, r) {
 			continue
@@ -722,7 +733,7 @@
 }
 
 func (m *modelWorker) restart() {
-	m.down = false
+	m.down, m.draining, m.leaves = false, false, 0
 	m.born += 100
 	m.number = 0
 	m.until = 0
