Take a gang that waits for its slowest member as at work

Cause: a member's progress stands at 100% until the whole gang is done.

Change: at 100% a run may stand still for half of its time more.

--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -19,6 +19,8 @@
 	// of the longest work (11 s) moves by a percent each 110 ms; six times
 	// slower it still moves within 0.7 s, and reports come each 1.5 s.
 	stalledAfter = 3 * time.Second
+	// forever is the patience with a service that is at work.
+	forever = 1 << 62 * time.Nanosecond
 )
 
 // health is what runs have shown of a worker.
@@ -228,12 +230,24 @@
 	}
 }
 
+// patience is how long a run's progress may stand still. At its end it says
+// nothing: the member of a gang that is ready waits for the others, which may
+// take half as long again away from its rack.
+func (r *run) patience() time.Duration {
+	switch {
+	case r.percent < 100:
+		return stalledAfter
+	case r.task.step.spec.LongRunning:
+		return forever
+	}
+	return stalledAfter + r.movedAt.Sub(r.startedAt)/2
+}
+
 // restartStalled stops runs whose progress stands still.
 func (s *Shard) restartStalled(now time.Time) {
 	for _, w := range s.ordered {
 		for _, r := range w.runs {
-			atWork := r.task.step.spec.LongRunning && r.percent >= 100
-			if r.phase != running || atWork || w.lastReply.Sub(r.movedAt) < stalledAfter {
+			if r.phase != running || w.lastReply.Sub(r.movedAt) < r.patience() {
 				continue
 			}
 			s.options.Log("run-stalled", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "still-for", now.Sub(r.movedAt))
--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -577,3 +577,20 @@
 		})
 	}
 }
+
+// Pattern: members of a gang are ready before the others. They stand at their
+// end until all are, which is no reason to start the gang anew
+// (mcog-bakehouse-grown, quiet-1: 18 gangs of 128).
+func TestGangThatWaitsForItsSlowestMemberIsNotStalled(t *testing.T) {
+	w := newWorld(t, 35, 3, workerSize)
+	w.run(time.Second)
+	w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{gang(3, 8, 8*time.Second)}}, 14*time.Second)
+	for _, worker := range w.workers {
+		worker.fullAfter = 8 * time.Second
+	}
+	require.Less(t, w.endedAt(id(0), 30*time.Second), 16*time.Second)
+	for _, worker := range w.workers {
+		require.LessOrEqual(t, worker.number, int64(1), "no member was stopped")
+	}
+	require.Empty(t, w.faults)
+}
