Ask the adviser for what a step needs; order late steps by what they are worth

Cause: a call for advice named 60 workers whatever the step needed, and a step that had just been started was asked about again. In a burst, the order of latest starts made every job late.

Change: a call names as many workers with room as the step is likely to need by the queue's share of good ones, or all; renewals name the planned ones. A step that can't be in time is wanted within 2.5 times its objective instead.

Ruled out: a bound on how many steps ask ahead (no gain at 0.8, 1.0 and 1.2 of the mean rate); fewer spare workers (1.4, 2.0).

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -9,9 +9,27 @@
 	// ticketMargin is kept between a start and the end of its ticket, for
 	// the way of the answer here and of the order to the worker.
 	ticketMargin = 300 * time.Millisecond
-	// maxAdvised is how many workers one call names: the adviser's time grows
-	// with them, and among these the strictest queue (0.3) finds a dozen.
-	maxAdvised = 60
+	// maxAdvised is how many workers one call names at the most (platform
+	// contract).
+	maxAdvised = 100
+	// leastAdvised is how many it names at the least, as the share of the
+	// call's fixed time that they add to it: less saves little, and a second
+	// call costs the fixed time again.
+	leastAdvised = 0.4
+	// shareAdvised is from how many workers on an answer shows a queue's share.
+	shareAdvised = 8
+	// adviceSpare is how much more room than it needs a step asks for: other
+	// steps take some of it before the answer is there.
+	adviceSpare = 3.0
+	// firstShare is taken for the share of good workers of a queue until an
+	// answer shows more: that of the strictest queue. leastShare bounds what
+	// is learned, and shareWeight is the weight of the newest answer.
+	firstShare  = 0.3
+	leastShare  = 0.1
+	shareWeight = 0.1
+	// renewalSpread is how long after the planned start a worker's room still
+	// helps: a quarter of the run time of the longest work.
+	renewalSpread = time.Second
 	// adviceLead is added to the adviser's time, for the way to it and back.
 	adviceLead = 100 * time.Millisecond
 	// lateAsked is how many of the most urgent steps ask about workers that
@@ -75,6 +93,9 @@
 		}
 		terms := &st.occurrence.job.record.Terms
 		out, limit := s.slots(adviceTime(st, 1))
+		if !st.wants(now) {
+			continue // this pass has just started it
+		}
 		if !terms.Advised || st.advice.inFlight || now.Before(st.advice.again) || *out >= limit {
 			continue
 		}
@@ -97,24 +118,33 @@
 	}
 }
 
-// renewals returns the step's good workers if their tickets have to be asked
-// for now to be there when the first of them has room.
+// renewals returns the workers whose tickets have to be asked for now to be
+// there when the step finds room: those that it is planned on, and those with
+// room soon after, as run times are told wrong.
 func (s *Shard) renewals(now time.Time, st *step, planned plan) []*worker {
-	var good []*worker
-	for _, w := range s.ordered {
-		if allowed, _ := st.advice.allowed(w, now); allowed && w.usable() && !st.saturates(w) {
-			good = append(good, w)
-		}
-	}
-	if now.Add(adviceTime(st, len(good)) + adviceLead).Before(planned.at) {
+	if now.Add(adviceTime(st, len(planned.workers)) + adviceLead).Before(planned.at) {
 		return nil
 	}
+	valid := true
 	for _, w := range planned.workers {
-		if _, valid := st.advice.allowed(w, maxTime(now, planned.at)); !valid {
-			return good
+		_, has := st.advice.allowed(w, maxTime(now, planned.at))
+		valid = valid && has
+	}
+	if valid {
+		return nil
+	}
+	demand := st.spec.Reserved()
+	soon := planned.at.Add(renewalSpread)
+	var workers []*worker
+	for _, w := range s.ordered {
+		if allowed, _ := st.advice.allowed(w, now); !allowed || !w.usable() || st.saturates(w) {
+			continue
+		}
+		if slices.Contains(planned.workers, w) || !w.roomAt(now, demand).After(soon) {
+			workers = append(workers, w)
 		}
 	}
-	return nil
+	return workers
 }
 
 func maxTime(a, b time.Time) time.Time {
@@ -125,24 +155,34 @@
 }
 
 // unasked returns workers that could run a task of the step and about which
-// the adviser was not asked yet: those with room now, then those that have it
-// soonest.
+// the adviser was not asked yet: as many with room now as the step is likely
+// to need, or else all, those that have room soonest first.
 func (s *Shard) unasked(now time.Time, st *step) []*worker {
 	demand := st.spec.Reserved()
+	terms := &st.occurrence.job.record.Terms
+	waiting := st.waiting(now)
+	need := float64(waiting) * adviceSpare / s.goodShare(terms.Queue)
+	least := int(leastAdvised * float64(terms.AdviceTime) / float64(max(1, terms.AdvicePerWorker)))
+	found := 0
 	var workers, full []*worker
 	for i := range s.ordered {
 		// Each step begins elsewhere in the list, so that all workers are asked about.
 		w := s.ordered[(i+st.index())%len(s.ordered)]
 		life, asked := st.advice.asked[w.ID]
-		if asked && life == w.life || !w.usable() || !w.matches(st) || w.health.shunned(now) {
+		if asked && life == w.life || !s.mayAskAbout(w) || !w.matches(st) || w.health.shunned(now) {
 			continue
 		}
-		if !demand.Fits(w.free()) {
+		room := roomFor(demand, w.free())
+		if st.spec.MaxPerWorker > 0 {
+			room = min(room, st.spec.MaxPerWorker)
+		}
+		if room <= 0 {
 			full = append(full, w)
 			continue
 		}
 		workers = append(workers, w)
-		if len(workers) == maxAdvised {
+		found += min(room, waiting)
+		if float64(found) >= need && len(workers) >= least || len(workers) == maxAdvised {
 			return workers
 		}
 	}
@@ -158,6 +198,44 @@
 	return append(workers, full[:missing]...)
 }
 
+// mayAskAbout reports whether a worker is of use to a step that asks now. A
+// new holder asks before it has read the workers' lists.
+func (s *Shard) mayAskAbout(w *worker) bool {
+	return w.usable() || !s.settled && w.placeable() && !w.reached
+}
+
+// waiting is how many of the step's tasks wait to be started.
+func (st *step) waiting(now time.Time) int {
+	count := 0
+	for _, t := range st.tasks {
+		if t.waits(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// goodShare is the share of workers that the adviser lets run a queue's steps,
+// as its last answers showed.
+func (s *Shard) goodShare(queue string) float64 {
+	if share, known := s.goodShares[queue]; known {
+		return max(share, leastShare)
+	}
+	return firstShare
+}
+
+// learnShare takes the share of good workers in an answer.
+func (s *Shard) learnShare(queue string, good, asked int) {
+	if asked < shareAdvised {
+		return
+	}
+	share := float64(good) / float64(asked)
+	if before, known := s.goodShares[queue]; known {
+		share = before + (share-before)*shareWeight
+	}
+	s.goodShares[queue] = share
+}
+
 // index spreads steps over a list.
 func (st *step) index() int {
 	sum := 0
@@ -239,5 +317,8 @@
 			st.advice.good[worker.ID] = ticket{worker.Ticket, w.life, until}
 		}
 	}
+	if len(st.advice.asked) == len(asked) { // later calls name workers that are known to be good
+		s.learnShare(st.occurrence.job.record.Terms.Queue, len(good), len(asked))
+	}
 	s.options.Log("advised", "step", stepName, "queue", st.occurrence.job.record.Terms.Queue, "asked", len(asked), "good", len(good), "takes", adviceTime(st, len(asked)), "waited", now.Sub(st.advice.askedAt), "ready-for", now.Sub(st.readyAt))
 }
--- a/internal/shard/explain.go
+++ b/internal/shard/explain.go
@@ -69,5 +69,6 @@
 	case room > 0:
 		cause = "room-kept-or-ticket-over"
 	}
-	return []any{"cause", cause, "usable", usable, "allowed", allowed, "with-ticket", ticket, "with-room", room, "shunned", shunned}
+	out, slots := p.shard.slots(adviceTime(st, 1))
+	return []any{"cause", cause, "advice-out", *out, "advice-slots", slots, "usable", usable, "allowed", allowed, "with-ticket", ticket, "with-room", room, "shunned", shunned}
 }
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -6,6 +6,29 @@
 	"time"
 )
 
+// lateAim times its objective is when a late job is wanted: well before it is
+// worth nothing (lateFactor).
+const lateAim = 2.5
+
+// tightShare of its objective is the slack of a step below which it is taken
+// for late: its start is likely to come too late.
+const tightShare = 8
+
+// deadline is when the step has to start for its job to end on time or, once
+// that is too late, well before it is worth nothing. In the order of the latest
+// starts for being on time alone, an overload would start each job at its last
+// moment and end all of them late.
+func (st *step) deadline(now time.Time) time.Time {
+	o := st.occurrence
+	objective := o.job.objective()
+	margin := objective / tightShare
+	inTime := st.latest().Add(-margin)
+	if st.spec.LongRunning || now.Before(inTime) {
+		return inTime
+	}
+	return o.due.Add(time.Duration(lateAim*float64(objective)) - st.chain)
+}
+
 // wants reports whether the step has a task to start.
 func (st *step) wants(now time.Time) bool {
 	for _, t := range st.tasks {
@@ -37,7 +60,7 @@
 	type ranked struct {
 		step     *step
 		hopeless int
-		latest   time.Time
+		deadline time.Time
 	}
 	list := make([]ranked, 0, len(s.ready))
 	s.queued = backlog{}
@@ -48,7 +71,7 @@
 			}
 			continue
 		}
-		r := ranked{step: st, latest: st.latest()}
+		r := ranked{step: st, deadline: st.deadline(now)}
 		if st.hopeless(now) {
 			r.hopeless = 1
 		} else {
@@ -60,7 +83,7 @@
 		return cmp.Or(
 			cmp.Compare(a.hopeless, b.hopeless),
 			cmp.Compare(a.step.occurrence.job.record.Terms.Priority, b.step.occurrence.job.record.Terms.Priority),
-			a.latest.Compare(b.latest),
+			a.deadline.Compare(b.deadline),
 			cmp.Compare(a.step.occurrence.job.id, b.step.occurrence.job.id),
 			cmp.Compare(a.step.occurrence.number, b.step.occurrence.number),
 			cmp.Compare(a.step.number, b.step.number),
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -84,6 +84,8 @@
 	workers map[string]*worker
 	ordered []*worker // by ID
 	queued  backlog
+	// goodShares are the shares of workers that the adviser allowed, by queue.
+	goodShares map[string]float64
 	// shapes are the different capacities of all workers ever listed.
 	shapes []job.Demand
 	// owed are workers of a former holder's record that must be read before
@@ -208,7 +210,7 @@
 	}
 	return &Shard{
 		options: options, jobs: map[string]*jobState{}, ready: map[*step]bool{}, waiting: map[string]int{},
-		workers: map[string]*worker{}, owed: map[string]bool{}, authority: true, quickSlots: 1, slowSlots: 1,
+		workers: map[string]*worker{}, owed: map[string]bool{}, goodShares: map[string]float64{}, authority: true, quickSlots: 1, slowSlots: 1,
 	}
 }
 
