Measure decisions by the thread's processor time, rounds of all sizes in turn

Change: the processor time of the measuring thread, and the sizes whose ratio is bounded are measured in turn, round after round. The bounds are the same.

--- a/internal/benchmark/cell.go
+++ b/internal/benchmark/cell.go
@@ -154,9 +154,9 @@
 
 // timed runs an engine's call and counts its processor time.
 func (c *cell) timed(call func()) {
-	began := time.Now()
+	began := processorTime()
 	call()
-	c.measure.engineTime += time.Since(began)
+	c.measure.engineTime += processorTime() - began
 }
 
 func (c *cell) push(e event) {
@@ -323,9 +323,9 @@
 	}
 	for {
 		var decisions []placement.Decision
-		began := time.Now()
+		began := processorTime()
 		c.timed(func() { decisions = c.engine.Schedule(c.now, decisionsPerCall) })
-		c.measure.call(time.Since(began), len(decisions))
+		c.measure.call(processorTime()-began, len(decisions))
 		gangs := map[workload.Key]int{}
 		for i := range decisions {
 			c.carryOut(&decisions[i], gangs)
--- a/internal/benchmark/cost.go
+++ b/internal/benchmark/cost.go
@@ -107,9 +107,9 @@
 	c.running[i] = c.running[len(c.running)-1]
 	c.running = c.running[:len(c.running)-1]
 	c.now = c.now.Add(20 * time.Microsecond)
-	began := time.Now()
+	began := processorTime()
 	decisions := c.engine.Schedule(c.now, 1)
-	took := time.Since(began)
+	took := processorTime() - began
 	started := c.note(decisions)
 	for _, id := range c.running[len(c.running)-started:] {
 		if c.sameMix {
@@ -132,26 +132,46 @@
 // processes on the machine only ever add time.
 const rounds = 5
 
-func measureCost(engine Engine, workers, waiting, turns int, sameMix bool) cost {
-	c := newBusyCell(engine, workers, waiting, sameMix)
-	best := cost{perPlacement: math.MaxInt64}
+// load is a busy fleet of which the cost of placements is measured.
+type load struct {
+	engine           Engine
+	workers, waiting int
+	sameMix          bool
+}
+
+// measureCosts measures the loads in turn, round after round, so that what
+// slows the machine for a while slows them all.
+func measureCosts(turns int, loads ...load) []cost {
+	cells := make([]*busyCell, len(loads))
+	best := make([]cost, len(loads))
+	for i, l := range loads {
+		cells[i] = newBusyCell(l.engine, l.workers, l.waiting, l.sameMix)
+		best[i].perPlacement = math.MaxInt64
+	}
 	for range rounds {
-		runtime.GC()
-		times, placed := hdrhistogram.New(1, int64(time.Minute), 3), 0
-		began := time.Now()
-		for range turns {
-			started, took := c.turn()
-			placed += started
-			_ = times.RecordValue(max(took.Nanoseconds(), 1))
-		}
-		took := time.Since(began)
-		if each := took / time.Duration(max(placed, 1)); each < best.perPlacement {
-			best = cost{each, time.Duration(times.ValueAtQuantile(99)), placed}
+		for i, c := range cells {
+			if round := c.measure(turns); round.perPlacement < best[i].perPlacement {
+				best[i] = round
+			}
 		}
 	}
 	return best
 }
 
+// measure takes some turns.
+func (c *busyCell) measure(turns int) cost {
+	runtime.GC()
+	times, placed := hdrhistogram.New(1, int64(time.Minute), 3), 0
+	began := processorTime()
+	for range turns {
+		started, took := c.turn()
+		placed += started
+		_ = times.RecordValue(max(took.Nanoseconds(), 1))
+	}
+	took := processorTime() - began
+	return cost{took / time.Duration(max(placed, 1)), time.Duration(times.ValueAtQuantile(99)), placed}
+}
+
 // waitingBytes returns the heap that a waiting task uses, in bytes.
 func waitingBytes(engine Engine, count int) float64 {
 	var before, after runtime.MemStats
@@ -188,22 +208,22 @@
 		c := newBusyCell(engine(), workers, count+count/5, false)
 		ids := c.waitingIDs(count)
 		runtime.GC()
-		began := time.Now()
+		began := processorTime()
 		for _, id := range ids {
 			c.engine.Cancel(id)
 		}
-		best.burst = min(best.burst, time.Since(began))
+		best.burst = min(best.burst, processorTime()-began)
 
 		c = newBusyCell(engine(), workers, count+count/5, false)
 		ids = c.waitingIDs(count)
 		runtime.GC()
 		longest := time.Duration(0)
 		for from := 0; from < len(ids); from += cancelSlice {
-			began := time.Now()
+			began := processorTime()
 			for _, id := range ids[from:min(from+cancelSlice, len(ids))] {
 				c.engine.Cancel(id)
 			}
-			canceled := time.Since(began)
+			canceled := processorTime() - began
 			c.turn()
 			longest = max(longest, canceled)
 		}
--- a/internal/benchmark/targets.go
+++ b/internal/benchmark/targets.go
@@ -36,6 +36,11 @@
 // scenario with the given size and with both engines.
 func Run(size Size, seed uint64) *Table {
 	t := &Table{Seed: seed, Size: size}
+	onOneThread(func() { t.run(size, seed) })
+	return t
+}
+
+func (t *Table) run(size Size, seed uint64) {
 	t.costRows(size.Turns, true)
 	t.cancelRows(true)
 	t.memoryRow()
@@ -48,7 +53,6 @@
 	}
 	t.scenarioRows()
 	t.upstreams = runUpstreams(seed)
-	return t
 }
 
 // RunShort runs what takes a few seconds: every scenario with our engine at
@@ -56,6 +60,11 @@
 // engines, and the growth of cost.
 func RunShort(seed uint64) *Table {
 	t := &Table{Seed: seed, Size: target}
+	onOneThread(func() { t.runShort(seed) })
+	return t
+}
+
+func (t *Table) runShort(seed uint64) {
 	t.costRows(today.Turns, false)
 	t.cancelRows(false)
 	t.memoryRow()
@@ -67,7 +76,6 @@
 		}
 	}
 	t.scenarioRows()
-	return t
 }
 
 func (t *Table) add(measure, target string, measured, naive float64, unit string, bound float64, atLeast bool) {
@@ -80,10 +88,12 @@
 func (t *Table) costRows(turns int, withNaive bool) {
 	sizes := [][2]int{{48, 10_000}, {650, 10_000}, {650, 1_000}, {650, 100_000}}
 	measure := func(subject func() *subject, turns int) (even cost, sameMix []cost) {
+		loads := []load{{subject().engine, sizes[1][0], sizes[1][1], false}}
 		for _, size := range sizes {
-			sameMix = append(sameMix, measureCost(subject().engine, size[0], size[1], turns, true))
+			loads = append(loads, load{subject().engine, size[0], size[1], true})
 		}
-		return measureCost(subject().engine, sizes[1][0], sizes[1][1], turns, false), sameMix
+		costs := measureCosts(turns, loads...)
+		return costs[0], costs[1:]
 	}
 	even, ours := measure(newPlacement, turns)
 	rate, p99 := math.NaN(), math.NaN()
