Let the log recognise a repeated append instead of looking it up

The platform's store answers a repeat of a producer's append as the first time. The product's log does the same by the append's identity.

--- a/internal/journal/append.go
+++ b/internal/journal/append.go
@@ -17,7 +17,7 @@
 }
 
 // batch is one append. Its identity and records stay the same over all its
-// attempts, because the look-up is by the append's identity.
+// attempts, because the log recognises a repeat by the identity.
 type batch struct {
 	identity string
 	items    []*pending
@@ -139,7 +139,7 @@
 	mayExist := false
 	delays.failures = 0
 	for {
-		first, err := c.attempt(ctx, request, mayExist)
+		first, err := c.attempt(ctx, request)
 		if err == nil {
 			b.answer(func(i int) Result { return Result{Offset: first + int64(i)} })
 			return
@@ -165,23 +165,11 @@
 	return ErrStopped
 }
 
-// attempt returns the offset of the first record. It looks the append up
-// first if an earlier attempt may have taken effect.
-func (c *Client) attempt(ctx context.Context, request appendRequest, mayExist bool) (int64, error) {
+// attempt returns the offset of the first record.
+func (c *Client) attempt(ctx context.Context, request appendRequest) (int64, error) {
 	start := c.options.Now()
-	first, err := c.findOrAppend(ctx, request, mayExist)
-	c.health.observeAppend(start, c.options.Now(), err)
-	return first, err
-}
-
-func (c *Client) findOrAppend(ctx context.Context, request appendRequest, mayExist bool) (int64, error) {
-	if mayExist {
-		found, err := c.find(ctx, request.Identity)
-		if err != nil || found.Found {
-			return found.First, err
-		}
-	}
 	answer, err := c.postAppend(ctx, request)
+	c.health.observeAppend(start, c.options.Now(), err)
 	return answer.First, err
 }
 
--- a/internal/journal/client.go
+++ b/internal/journal/client.go
@@ -55,8 +55,8 @@
 	// BufferRecords and BufferBytes bound the records that wait for an append.
 	BufferRecords int
 	BufferBytes   int
-	// CallTimeout limits a look-up, a read beyond its wait, and the first append;
-	// see adaptTimeout.
+	// CallTimeout limits a read beyond its wait, and the first append; see
+	// adaptTimeout.
 	CallTimeout time.Duration
 	// BackoffBase and BackoffMax bound the random delay after a failed call:
 	// it is uniform from 0 to BackoffBase doubled for each failure in a row.
@@ -207,12 +207,6 @@
 	Next  int64 `json:"next"`
 }
 
-type findAnswer struct {
-	Found bool  `json:"found"`
-	First int64 `json:"first"`
-	Next  int64 `json:"next"`
-}
-
 type readAnswer struct {
 	From    int64    `json:"from"`
 	Oldest  int64    `json:"oldest"`
@@ -247,12 +241,6 @@
 	}
 }
 
-func (c *Client) find(ctx context.Context, identity string) (findAnswer, error) {
-	var answer findAnswer
-	err := c.call(ctx, c.options.CallTimeout, http.MethodGet, "/find", url.Values{"identity": {identity}}, nil, &answer)
-	return answer, err
-}
-
 func (c *Client) read(ctx context.Context, from int64) (readAnswer, error) {
 	query := url.Values{
 		"from":    {strconv.FormatInt(from, 10)},
@@ -278,8 +266,6 @@
 	if err != nil {
 		return err
 	}
-	// The transport doesn't send a POST again once bytes may have left, so only
-	// the look-up decides about a second append.
 	response, err := c.http.Do(request)
 	if err != nil {
 		return err
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -16,9 +16,8 @@
 //	}
 //	err = <-follower.Ended
 //
-// The log can hold a record twice if an append took effect after its look-up
-// had already found nothing, so readers have to ignore an identity that they
-// have seen. The state of the log (up, slow, down) is on Client.States.
+// An append without an answer is repeated; the log takes an append once. The
+// state of the log (up, slow, down) is on Client.States.
 package journal
 
 import (
