Ask callers to return after a second while the store is silent

Cause: the time grew with the silence, rounded up to 2 to 4 s, and callers who wait 3 s in all never came back, also when the store did.

--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -7,31 +7,20 @@
 	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
-// stalledFor is how long the store has left an append unanswered, zero if the
-// store counts as sound.
-func (h *holder) stalledFor() time.Duration {
+// stalled reports whether the store has left an append unanswered for so long
+// that it counts as silent.
+func (h *holder) stalled() bool {
 	left := h.appending.Load()
-	if left == 0 {
-		return 0
-	}
-	if stalled := time.Since(h.process.began) - time.Duration(left); stalled >= storeStall {
-		return stalled
-	}
-	return 0
+	return left != 0 && time.Since(h.process.began)-time.Duration(left) >= storeStall
 }
 
-const (
-	// reasonStalled is told to callers while the store is silent.
-	reasonStalled = "the store that keeps accepted jobs doesn't answer"
-	// stallRetryMost bounds the time after which callers are asked to return
-	// while the store is silent.
-	stallRetryMost = 4 * time.Second
-)
+// reasonStalled is told to callers while the store is silent.
+const reasonStalled = "the store that keeps accepted jobs doesn't answer"
 
-// refuseStalled is the answer to a job that can't be stored: the longer the
-// store is silent, the later callers return.
-func refuseStalled(stalled time.Duration) submitAnswer {
-	return submitAnswer{Unavailable: true, Reason: reasonStalled, RetryAfter: min(max(stalled, retrySoon), stallRetryMost)}
+// refuseStalled is the answer to a job that can't be stored. Nobody knows when
+// the store is back, and callers wait a few seconds in all, so they return soon.
+func refuseStalled() submitAnswer {
+	return submitAnswer{Unavailable: true, Reason: reasonStalled, RetryAfter: retrySoon}
 }
 
 // submit takes a job in and waits until it is stored.
@@ -39,8 +28,8 @@
 	if !h.part.has(request.ID) {
 		return submitAnswer{}, errNotHolder // of this job's shard
 	}
-	if stalled := h.stalledFor(); stalled > 0 {
-		return refuseStalled(stalled), nil
+	if h.stalled() {
+		return refuseStalled(), nil
 	}
 	verdicts := make(chan shard.Verdict, 1)
 	settled := make(chan struct{})
@@ -88,7 +77,7 @@
 		select {
 		case taken := <-withdrawn:
 			if taken {
-				return refuseStalled(storeStall), nil
+				return refuseStalled(), nil
 			}
 		case <-h.ended:
 		}
