Pace the tasks that fill beside serving ones

Not built so far: a serving task whose tail is over its target because of the tasks that fill beside it has to be relieved within 4 s (HARM).

Change: each report of a worker with a serving task over its target halves the pace of the filling tasks there, the second one halts them; they work faster again in steps of 2 s while the tails are below 0.7 of their targets. A new holder orders the pace of each filling run anew, and lost orders are repeated. New filling tasks rather go to other workers.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -22,6 +22,9 @@
 	for _, stop := range commands.Stops {
 		go h.stop(stop)
 	}
+	for _, pace := range commands.Paces {
+		go h.pace(pace)
+	}
 	for _, hold := range commands.Holds {
 		go h.hold(hold)
 	}
@@ -69,6 +72,19 @@
 	h.input(func(now time.Time) { h.shard.StopAnswered(now, stop.ID, stop.RunKey, err == nil) })
 }
 
+func (h *holder) pace(pace shard.Pace) {
+	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
+	defer cancel()
+	err := h.process.workers.Pace(ctx, pace, h.epoch)
+	if platform.ReasonOf(err) == fenceReason {
+		h.lose("a worker knows a newer fence")
+	}
+	if err != nil {
+		h.process.log("pace-failed", "task", pace.Task, "run", pace.Run, "worker", pace.ID, "percent", pace.Percent, "cause", err)
+	}
+	h.input(func(time.Time) { h.shard.PaceAnswered(pace.ID, pace.RunKey, err == nil) })
+}
+
 func (h *holder) hold(hold shard.Hold) {
 	sent := time.Now()
 	ctx, cancel := context.WithTimeout(h.ctx, hold.Wait+lookTimeout)
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -61,6 +61,8 @@
 		{781, "run-rejected", Info, "The worker refused the order and did nothing.", noAction, false},
 		{782, "run-in-doubt", Warn, "An order had no answer; the run is stopped before the task starts elsewhere.", noAction, false},
 		{783, "run-adopted", Info, "A new holder took over a run of the former one.", noAction, false},
+		{769, "fillers-paced", Info, "The tasks that fill beside a serving task work slower, as its tail is over its target, or faster again.", noAction, false},
+		{770, "pace-failed", Warn, "An order to pace a task had no answer or was refused; it is given again.", noAction, false},
 		{789, "run-evacuated", Info, "A run was stopped on a worker that leaves; it starts elsewhere.", noAction, false},
 		{784, "run-ended", Info, "A worker listed the end of a run.", noAction, false},
 		{785, "run-over", Info, "A run is gone without a listed end; the cause follows.", noAction, false},
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -33,6 +33,13 @@
 	Target
 }
 
+// Pace sets the share of its speed at which a filling run works.
+type Pace struct {
+	RunKey
+	Target
+	Percent int
+}
+
 // Hold extends the leases on a worker and reads its lists.
 type Hold struct {
 	Target
@@ -54,6 +61,7 @@
 type Commands struct {
 	Starts  []Start
 	Stops   []Stop
+	Paces   []Pace
 	Holds   []Hold
 	Advices []Advise
 	Settled []string
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -174,6 +174,9 @@
 	if w.isSlow {
 		left += slowPenalty
 	}
+	if st.spec.Fills && w.fillPace < paceFull {
+		left += pacedPenalty
+	}
 	return left + w.health.penalty()
 }
 
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -196,7 +196,7 @@
 		s.options.Log("record-unreadable", "key", workerKey(id), "cause", err)
 		return
 	}
-	w := &worker{life: note.Born, seen: note.Seen, stored: note.Seen, recorded: true, gone: now}
+	w := &worker{life: note.Born, seen: note.Seen, stored: note.Seen, recorded: true, gone: now, fillPace: paceFull}
 	w.ID = id
 	w.leaseEnd = now.Add(s.options.OrphanAfter)
 	w.nextHold = now.Add(s.options.OrphanAfter) // no address is known until the list names one
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -46,7 +46,7 @@
 
 // order starts a run of the task on the worker.
 func (s *Shard) order(now time.Time, t *task, w *worker, number int64, ticket string) {
-	r := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, movedAt: now, ticket: ticket}
+	r := &run{task: t, number: number, worker: w, phase: ordered, orderedAt: now, movedAt: now, ticket: ticket, pace: paceFull}
 	t.lastRun = number
 	s.attach(r)
 	s.sendStart(now, r)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -200,7 +200,9 @@
 	slowness  float64 // its time by its progress, as a multiple of its estimate; 0 if unknown
 	movedAt   time.Time
 	ticket    string
-	asked     bool // a stop is wanted
+	asked     bool    // a stop is wanted
+	usage     float64 // as the worker reports it: the tail in milliseconds of a serving task
+	pace      int     // the pace that was ordered last
 }
 
 // New returns a shard that knows nothing yet.
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -48,6 +48,8 @@
 	lastReply time.Time
 	health    health
 	isSlow    bool
+	fillPace  int // at which tasks work that fill beside serving ones, in percent
+	pacedAt   time.Time
 }
 
 const (
@@ -76,7 +78,7 @@
 		}
 		w := s.workers[info.ID]
 		if w == nil {
-			w = &worker{WorkerInfo: info, life: info.Born, Listed: true}
+			w = &worker{WorkerInfo: info, life: info.Born, Listed: true, fillPace: paceFull}
 			w.noteLeaving(now)
 			s.workers[info.ID] = w
 			s.sortWorkers()
@@ -249,7 +251,9 @@
 	RunKey
 	Checkpoint string
 	Percent    float64
-	Usage      float64
+	// Usage is the tail of a serving task's response time in milliseconds, and
+	// of any other task the thousandths of a core that it uses.
+	Usage float64
 }
 
 // EndedRow is a run that is over.
@@ -322,6 +326,7 @@
 		s.end(now, w, row)
 	}
 	s.compare(now, sent, w, report.Running)
+	s.pace(now, w)
 	if wasFirst {
 		s.options.Log("worker-read", "worker", id, "running", len(report.Running), "ended", len(report.Ended), "born", report.Born)
 	}
@@ -380,6 +385,7 @@
 			s.started(now, r)
 		}
 	}
+	r.usage = row.Usage
 	if row.Percent > r.percent {
 		r.percent, r.movedAt = row.Percent, now
 		r.measure(now)
@@ -403,7 +409,7 @@
 		w.nextHold = now.Add(lookAgain)
 		return
 	}
-	r := &run{task: t, number: row.Run, worker: w, phase: running, orderedAt: now, startedAt: now, movedAt: now}
+	r := &run{task: t, number: row.Run, worker: w, phase: running, orderedAt: now, startedAt: now, movedAt: now, pace: paceUnknown}
 	s.attach(r)
 	t.lastRun = max(t.lastRun, row.Run)
 	s.begin(t.step.occurrence.job)
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -40,6 +40,10 @@
 	lasts    bool
 	gang     bool
 	stopAt   time.Duration
+	target   time.Duration // of its tail, if it serves
+	fills    bool
+	pace     int
+	over     time.Duration // since when its tail is over its target; 0 if it isn't
 	demand   job.Demand
 	fails    bool
 }
@@ -64,6 +68,7 @@
 	draining bool
 	leaves   time.Duration // when a draining worker is gone
 	waiting  []func()      // holds that wait for an end
+	load     time.Duration // what their own callers add to the tails of serving tasks
 	// fullAfter is the progress from which on a run is shown as whole; 0 is never.
 	fullAfter time.Duration
 }
@@ -267,6 +272,9 @@
 	for _, stop := range commands.Stops {
 		h.sendStop(stop)
 	}
+	for _, pace := range commands.Paces {
+		h.sendPace(pace)
+	}
 	for _, hold := range commands.Holds {
 		h.sendHold(hold)
 	}
@@ -408,6 +416,58 @@
 	})
 }
 
+func (h *instance) sendPace(pace shard.Pace) {
+	w := h.world
+	worker := w.worker(pace.ID)
+	lost := w.random.Float64() < w.lost
+	w.after(w.latency(), nil, func(time.Time) {
+		if !worker.cut && !worker.down && !lost && h.epoch >= worker.fence {
+			for _, r := range worker.runs {
+				if r.key == pace.RunKey {
+					r.pace = pace.Percent
+				}
+			}
+		}
+		w.after(w.latency(), h, func(time.Time) { h.shard.PaceAnswered(pace.ID, pace.RunKey, !lost) })
+	})
+}
+
+// The tail of a serving task in the model: alone, and for each task that fills
+// beside it at its full pace.
+const (
+	tailAlone  = 60 * time.Millisecond
+	tailFiller = 30 * time.Millisecond
+	// modelHarm is how long fillers may keep a tail over its target.
+	modelHarm = 4 * time.Second
+)
+
+func (m *modelWorker) tail() time.Duration {
+	tail := tailAlone + m.load
+	for _, r := range m.runs {
+		if r.fills {
+			tail += tailFiller * time.Duration(r.pace) / 100
+		}
+	}
+	return tail
+}
+
+// checkHarm notes serving tasks that fillers keep over their target.
+func (m *modelWorker) checkHarm() {
+	w := m.world
+	for _, r := range m.runs {
+		harmed := r.target > 0 && m.tail() > r.target && tailAlone+m.load <= r.target
+		switch {
+		case !harmed:
+			r.over = 0
+		case r.over == 0:
+			r.over = w.now
+		case w.now-r.over > modelHarm:
+			w.fault("HARM: %s on %s is over its target for %s", r.key.Task, m.id, w.now-r.over)
+			r.over = w.now
+		}
+	}
+}
+
 func (h *instance) sendHold(hold shard.Hold) {
 	w := h.world
 	worker := w.worker(hold.ID)
@@ -563,7 +623,7 @@
 	m.extend(start.Until)
 	m.runs = append(m.runs, &modelRun{
 		key: start.RunKey, worker: m, began: w.now, work: facts.work[number], lasts: spec.LongRunning, gang: spec.Gang,
-		demand: spec.Reserved(), fails: m.fails || facts.poison,
+		demand: spec.Reserved(), fails: m.fails || facts.poison, target: spec.TailTarget, fills: spec.Fills, pace: 100,
 	})
 	return shard.StartAccepted, ""
 }
@@ -643,7 +703,11 @@
 				percent = 100
 			}
 		}
-		report.Running = append(report.Running, shard.RunningRow{RunKey: r.key, Percent: percent})
+		row := shard.RunningRow{RunKey: r.key, Percent: percent}
+		if r.target > 0 {
+			row.Usage = float64(m.tail()) / float64(time.Millisecond)
+		}
+		report.Running = append(report.Running, row)
 	}
 	report.Ended = slices.Clone(m.ended)
 	return report
@@ -690,6 +754,7 @@
 	if m.down {
 		return
 	}
+	m.checkHarm()
 	if m.leaves > 0 && w.now >= m.leaves {
 		m.crash()
 		m.listed = false
@@ -722,7 +787,7 @@
 				continue
 			}
 		}
-		r.progress += time.Duration(float64(step) / m.slow)
+		r.progress += time.Duration(float64(step) / m.slow * float64(r.pace) / 100)
 		if r.fails && r.progress >= r.work/2 {
 			m.end(r, shard.FailedRun)
 			for _, other := range members {
