Call a job unknown only with a proof of the right that is newer than the question

A holder that has just lost touch with the store counted its right as proven for 1 s; since rights are offered and silence is noticed after 0.8 s, the next holder can accept a job within that second.

Change: before it answers that a job is unknown, a holder proves its right at the store anew. A proof after the question means that no other holder had acted before it.

Ruled out: a shorter time, as a process can be paused at any point in it.

--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -98,7 +98,7 @@
 
 // state returns a job's state as it is stored.
 func (h *holder) state(ctx context.Context, request jobRequest) (stateAnswer, error) {
-	id := request.ID
+	id, asked := request.ID, time.Now()
 	answers := make(chan stateAnswer, 1)
 	if !h.input(func(time.Time) {
 		state, known := h.shard.State(id)
@@ -111,8 +111,8 @@
 	}
 	select {
 	case answer := <-answers:
-		if !answer.Known && h.proofAge() > answerWithout {
-			return stateAnswer{}, errUndecided
+		if !answer.Known && !h.provenSince(ctx, asked) {
+			return stateAnswer{}, errUndecided // another holder may know it by now
 		}
 		return answer, nil
 	case <-h.ended:
@@ -124,7 +124,7 @@
 
 // stopJob cancels a job and waits until that is stored.
 func (h *holder) stopJob(ctx context.Context, request jobRequest) (stateAnswer, error) {
-	id := request.ID
+	id, asked := request.ID, time.Now()
 	outcomes := make(chan shard.Outcome, 1)
 	settled := make(chan struct{})
 	if !h.input(func(now time.Time) {
@@ -141,7 +141,7 @@
 		switch {
 		case outcome == shard.Stored:
 			return stateAnswer{Known: true}, nil
-		case outcome == shard.Unknown && h.proofAge() > answerWithout:
+		case outcome == shard.Unknown && !h.provenSince(ctx, asked):
 			return stateAnswer{}, errUndecided
 		case outcome == shard.Unknown:
 			return stateAnswer{}, nil
--- /dev/null
+++ b/internal/entry/answers_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/event"
+	"yuccalanding.example/yuccalanding/platform"
+)
+
+// Pattern: a holder has lost touch with the store a moment ago, and another one
+// has claimed its right and accepted a job. The former one must not call that
+// job unknown, however fresh its last proof is (soak, seeds 20 and 28).
+func TestHolderWithoutANewProofCallsNoJobUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
+	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
+	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
+	h.shard.Load(time.Now(), nil)
+	h.prove(time.Now())
+	ended := make(chan struct{}, 2)
+	go func() { h.decide(); ended <- struct{}{} }()
+	go func() { h.keepProof(); ended <- struct{}{} }()
+	calls := map[string]func(*holder, context.Context, jobRequest) (stateAnswer, error){
+		"state": (*holder).state, "cancel": (*holder).stopJob,
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			caller, done := context.WithTimeout(ctx, 300*time.Millisecond)
+			defer done()
+			_, err := call(h, caller, jobRequest{ID: "0000000000000001"})
+			require.ErrorIs(t, err, errUndecided)
+		})
+	}
+	cancel()
+	<-ended
+	<-ended
+}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -22,8 +22,6 @@
 	// counts as silent: new jobs are refused at once, and those whose record
 	// has not left are withdrawn.
 	storeStall = 600 * time.Millisecond
-	// answerWithout is how old the proof may be for the answer that a job is unknown.
-	answerWithout = 1 * time.Second
 	// listEvery is how often the list of workers is read.
 	listEvery = 400 * time.Millisecond
 	// listTimeout bounds one reading of it.
@@ -66,8 +64,9 @@
 	stored    time.Time    // end of the last append
 	waiters   map[string][]chan struct{}
 
-	storing sync.Mutex // held by the one group of calls of the store that is on its way
-	ledger  *ledger.Ledger
+	proveNow chan struct{} // asks for a proof
+	storing  sync.Mutex    // held by the one group of calls of the store that is on its way
+	ledger   *ledger.Ledger
 
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
@@ -89,7 +88,7 @@
 	h := &holder{
 		process: p, part: shardPart, service: service, epoch: epoch, ledger: ledger.New(epoch),
 		inputs: make(chan func(time.Time), inputQueue), ended: make(chan struct{}),
-		waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
+		proveNow: make(chan struct{}, 1), waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
 	bounds := p.settings.Bounds
--- a/internal/entry/storing.go
+++ b/internal/entry/storing.go
@@ -26,6 +26,9 @@
 	// proveEvery is how old the proof of the right becomes before an empty
 	// append renews it.
 	proveEvery = 400 * time.Millisecond
+	// provePoll is the pause between two looks for a proof that was asked for: a
+	// fraction of an append's time (5 ms and more).
+	provePoll = 2 * time.Millisecond
 	// overduePause is the pause between two tries to drop records in a
 	// partition that didn't answer.
 	overduePause = 5 * time.Second
@@ -201,16 +204,24 @@
 	}
 }
 
-// keepProof renews the proof of the right while nothing else does, and drops
-// what a partition without an answer still holds.
+// keepProof renews the proof of the right while nothing else does and when it
+// is asked for, and drops what a partition without an answer still holds.
 func (h *holder) keepProof() {
 	tried := time.Now()
-	for h.ctx.Err() == nil {
-		h.pause(proveEvery)
-		if h.ctx.Err() != nil || !h.storing.TryLock() {
-			continue // an append is on its way, which is a proof
+	timer := time.NewTimer(proveEvery)
+	defer timer.Stop()
+	for {
+		asked := false
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.proveNow:
+			asked = true
+		case <-timer.C:
+			timer.Reset(proveEvery)
 		}
-		if h.proofAge() >= proveEvery {
+		h.storing.Lock()
+		if asked || h.proofAge() >= proveEvery {
 			h.either(h.proveAt)
 		}
 		if time.Since(tried) >= overduePause {
@@ -221,6 +232,25 @@
 	}
 }
 
+// provenSince waits for a proof that the holder had the right at the time or
+// later. It reports false if the caller's time or the right ends before.
+func (h *holder) provenSince(ctx context.Context, since time.Time) bool {
+	for h.proofAge() > time.Since(since) {
+		select {
+		case h.proveNow <- struct{}{}:
+		default: // it is asked for already
+		}
+		select {
+		case <-time.After(provePoll):
+		case <-ctx.Done():
+			return false
+		case <-h.ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // proveAt prepares an empty append to a partition.
 func (h *holder) proveAt(p int) (call func(context.Context) error, succeeded func()) {
 	epoch := h.ledger.Epoch(p)
