Let eight nodes watch a holder; the others greet it seldom

Change: a holder names the eight first nodes that greet it, near and large ones first; these greet it each 0.25 s, the others each 0.8 s and wait longer before they take it for silent.

--- a/internal/entry/advisers.go
+++ b/internal/entry/advisers.go
@@ -9,7 +9,7 @@
 	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
-// greeted notes a living node and returns the others.
+// greeted notes a living node and returns those that watch this holder.
 func (h *holder) greeted(_ context.Context, hello helloRequest) (helloAnswer, error) {
 	now := time.Now()
 	h.mu.Lock()
@@ -20,17 +20,23 @@
 		h.members[hello.Address] = known
 	}
 	known.heard, known.near = now, hello.Near
-	answer := helloAnswer{Epoch: h.epoch, ProofAge: h.proofAge()}
 	for address, other := range h.members {
 		if now.Sub(other.heard) > peerKept {
 			delete(h.members, address)
+		}
+	}
+	answer := helloAnswer{Epoch: h.epoch, ProofAge: h.proofAge()}
+	addresses, _ := h.living(now)
+	for _, address := range addresses {
+		if address == h.process.address {
 			continue
 		}
-		if address != h.process.address {
-			answer.Peers = append(answer.Peers, address)
+		if len(answer.Peers) == watchers {
+			break
 		}
+		answer.Peers = append(answer.Peers, address)
+		answer.Watch = answer.Watch || address == hello.Address
 	}
-	sort.Slice(answer.Peers, func(i, j int) bool { return answer.Peers[i].Compare(answer.Peers[j]) < 0 })
 	return answer, nil
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -81,14 +81,16 @@
 	Service string         `cbor:"1,keyasint"`
 	Node    string         `cbor:"2,keyasint"`
 	Address netip.AddrPort `cbor:"3,keyasint"`
-	// Near is set if the store is near the node.
+	// Near is set if the store is near the node, and its VM isn't small.
 	Near bool `cbor:"4,keyasint,omitempty"`
 }
 
 type helloAnswer struct {
-	Epoch    int64            `cbor:"1,keyasint"`
-	ProofAge time.Duration    `cbor:"2,keyasint"`
-	Peers    []netip.AddrPort `cbor:"3,keyasint,omitempty"`
+	Epoch    int64         `cbor:"1,keyasint"`
+	ProofAge time.Duration `cbor:"2,keyasint"`
+	// Peers are the nodes that watch the holder; Watch is set if the asker is one.
+	Peers []netip.AddrPort `cbor:"3,keyasint,omitempty"`
+	Watch bool             `cbor:"4,keyasint,omitempty"`
 }
 
 type viewAnswer struct {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -42,11 +42,15 @@
 	firstTimeout = 400 * time.Millisecond
 	// followRetry is the pause after a failed call of a follower.
 	followRetry = 100 * time.Millisecond
-	// helloEvery is the pause between two greetings of a holder, so that three
-	// fit into right.SuspectAfter; farHelloEvery is that of the nodes which
-	// claim a right last, but vouch for its holder.
-	helloEvery    = 250 * time.Millisecond
-	farHelloEvery = 500 * time.Millisecond
+	// helloEvery is the pause between two greetings by a node that watches a
+	// holder, so that three fit into right.SuspectAfter. The others greet it to
+	// be known to it.
+	helloEvery     = 250 * time.Millisecond
+	idleHelloEvery = 800 * time.Millisecond
+	// watchers is how many nodes watch a holder: enough that one of them is
+	// there to claim. Each greeting names them all, so that bytes would grow
+	// with the square of the nodes.
+	watchers = 8
 	// helloTimeout bounds a greeting: a few round trips of the region link (60 ms).
 	helloTimeout = 400 * time.Millisecond
 	// viewTimeout bounds the question to the other nodes about a holder.
@@ -120,6 +124,7 @@
 	refused  time.Time
 	vacant   time.Time
 	proofAge time.Duration
+	watches  bool // this node is one of those that greet it often
 	peers    []netip.AddrPort
 }
 
--- a/internal/entry/rights.go
+++ b/internal/entry/rights.go
@@ -111,7 +111,7 @@
 		p.mu.Unlock()
 		now := time.Now()
 		mine := holding.Node == p.settings.Node
-		due := now.Sub(lastHello) >= p.helloPause() || greeted.Epoch != holding.Epoch
+		due := now.Sub(lastHello) >= helloPause(v) || greeted.Epoch != holding.Epoch
 		if greeting == nil && !mine && holding.Epoch > 0 && due {
 			lastHello, greeted = now, holding
 			greeting = make(chan helloResult, 1)
@@ -137,7 +137,7 @@
 	if v == nil || v.holding.Epoch != holding.Epoch {
 		next := &view{holding: holding, since: time.Now(), heard: time.Now()}
 		if v != nil {
-			next.peers = v.peers
+			next.peers, next.watches = v.peers, v.watches
 		}
 		if holding.Epoch == 0 || holding.Released || holding.Node == p.settings.Node {
 			next.vacant = time.Now()
@@ -159,7 +159,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	answer, err := ask[helloAnswer](ctx, p.peers, holding.Address, pathHello, helloRequest{
-		Service: service, Node: p.settings.Node, Address: p.address, Near: p.near(),
+		Service: service, Node: p.settings.Node, Address: p.address, Near: p.near() && p.settings.Cores >= smallCores,
 	})
 	return helloResult{answer, err, sent}
 }
@@ -179,7 +179,7 @@
 		if !v.holding.Released {
 			v.vacant = time.Time{}
 		}
-		v.proofAge, v.peers = result.answer.ProofAge, result.answer.Peers
+		v.proofAge, v.peers, v.watches = result.answer.ProofAge, result.answer.Peers, result.answer.Watch
 	case errors.Is(result.err, errNotHolder):
 		// A node that has just claimed may answer before it knows that it has.
 		if v.vacant.IsZero() && now.Sub(v.since) >= claimTimeout {
@@ -204,7 +204,7 @@
 	known := right.View{
 		Now: now, Holding: holding, Self: holding.Node == p.settings.Node, Vacant: v.vacant, Heard: v.heard, Refused: v.refused,
 		ProofAge: v.proofAge, StoreSound: p.storeSound(), Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
-		Newer: p.boot > holding.Boot,
+		Newer: p.boot > holding.Boot, Watches: v.watches,
 	}
 	others := make([]netip.AddrPort, 0, len(v.peers))
 	for _, address := range v.peers {
@@ -300,13 +300,12 @@
 	})
 }
 
-// helloPause is the pause between two greetings of a holder. Nodes that would
-// leave its right to others greet it less often.
-func (p *Process) helloPause() time.Duration {
-	if p.near() && p.settings.Cores >= smallCores {
+// helloPause is the pause between two greetings of a holder.
+func helloPause(v *view) time.Duration {
+	if v.watches {
 		return helloEvery
 	}
-	return farHelloEvery
+	return idleHelloEvery
 }
 
 // offerRights releases the rights that this process holds, so that other nodes
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -38,6 +38,10 @@
 	// SuspectAfter is how long a holder may be silent: two missed greetings
 	// and the way of a third.
 	SuspectAfter = 800 * time.Millisecond
+	// IdleSuspectAfter is the same for a node that doesn't watch the holder
+	// closely: two of its greetings, and the change of holder that a node which
+	// does has made by then.
+	IdleSuspectAfter = 2500 * time.Millisecond
 	// RefusedAfter is how long a holder's port may refuse connections: a
 	// process that is restarted at once is back before.
 	RefusedAfter = 300 * time.Millisecond
@@ -91,6 +95,8 @@
 	Near  bool
 	Small bool
 	Load  int
+	// Watches is set if the node greets the holder often.
+	Watches bool
 	// Newer is set if this process was started after the holder's.
 	Newer bool
 	// Jitter differs between nodes, from 0 to 1.
@@ -154,14 +160,22 @@
 		return v.Refused.Add(RefusedAfter), Refused
 	case v.ProofAge >= StoreStale && v.StoreSound >= StoreStale:
 		return v.Heard, WithoutProof
-	case v.Now.Sub(v.Heard) < SuspectAfter:
+	case v.Now.Sub(v.Heard) < Suspect(v.Watches):
 		return time.Time{}, Heard
 	case v.Vouched:
 		return time.Time{}, HeardByOthers
 	case v.Others > 0 && v.Reached == 0 && v.Now.Sub(v.Heard) < AloneAfter:
 		return time.Time{}, Alone
 	}
-	return v.Heard.Add(SuspectAfter), Silent
+	return v.Heard.Add(Suspect(v.Watches)), Silent
+}
+
+// Suspect is how long a holder may be silent towards a node.
+func Suspect(watches bool) time.Duration {
+	if watches {
+		return SuspectAfter
+	}
+	return IdleSuspectAfter
 }
 
 // jitterSpan spreads the claims of nodes that are alike.
