--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -255,10 +255,7 @@
 	}
 	holder := c.holder("ledger")
 	holder.cancel()
-	other := c.nodes[0]
-	if other == holder {
-		other = c.nodes[1]
-	}
+	other := c.otherThan(holder)
 	began := time.Now()
 	c.submit(other, "/quick/00000000000000ff", jobOf(50))
 	require.Less(t, time.Since(began), 2*time.Second, "a planned change of holder is quick")
@@ -291,6 +288,14 @@
 	return found
 }
 
+// otherThan returns a node that is not the given one.
+func (c *cell) otherThan(n *node) *node {
+	if c.nodes[0] == n {
+		return c.nodes[1]
+	}
+	return c.nodes[0]
+}
+
 // Guards against work that ends, or is refused for good, in an outage of the store.
 func TestStoreOutage(t *testing.T) {
 	c := newCell(t, 2)
@@ -353,10 +358,7 @@
 	c.requireState(c.nodes[1], "/quick/0000000000000001", job.Completed, 5*time.Second)
 	c.site.Store.SetSilent("keyed.jobs-ledger", 0, false)
 	holder := c.holder("ledger")
-	other := c.nodes[0]
-	if other == holder {
-		other = c.nodes[1]
-	}
+	other := c.otherThan(holder)
 	holder.cancel()
 	require.NoError(t, <-holder.ended)
 	c.requireState(other, "/quick/0000000000000001", job.Completed, 5*time.Second)
@@ -371,10 +373,7 @@
 	c.configure(1)
 	c.submit(c.nodes[0], "/quick/0000000000000001", jobOf(50))
 	holder := c.holder("ledger")
-	other := c.nodes[0]
-	if other == holder {
-		other = c.nodes[1]
-	}
+	other := c.otherThan(holder)
 	c.site.Store.SetSilent("keyed.rights", 0, true)
 	holder.cancel()
 	for i := range 10 {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -33,11 +33,24 @@
 	}
 }
 
+// fenceReason is a worker's word for an order of a former holder.
+const fenceReason = "fence"
+
+// order gives a worker an order. The right is lost if the worker has had one
+// of a newer holder.
+func (h *holder) order(limit time.Duration, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(h.ctx, limit)
+	defer cancel()
+	err := call(ctx)
+	if platform.ReasonOf(err) == fenceReason {
+		h.lose("a worker knows a newer fence")
+	}
+	return err
+}
+
 func (h *holder) start(start shard.Start) {
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
-	defer cancel()
-	err := h.process.workers.Start(ctx, start, h.epoch)
+	err := h.order(startTimeout, func(ctx context.Context) error { return h.process.workers.Start(ctx, start, h.epoch) })
 	result, reason := shard.StartAccepted, ""
 	switch {
 	case err == nil:
@@ -50,22 +63,11 @@
 		result, reason = shard.StartUnknown, err.Error()
 	}
 	h.process.metrics.start(time.Since(sent), result)
-	if reason == fenceReason {
-		h.lose("a worker knows a newer fence")
-	}
 	h.input(func(now time.Time) { h.shard.StartAnswered(now, start.ID, start.RunKey, result, reason) })
 }
 
-// fenceReason is a worker's word for an order of a former holder.
-const fenceReason = "fence"
-
 func (h *holder) stop(stop shard.Stop) {
-	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
-	defer cancel()
-	err := h.process.workers.Stop(ctx, stop, h.epoch)
-	if platform.ReasonOf(err) == fenceReason {
-		h.lose("a worker knows a newer fence")
-	}
+	err := h.order(startTimeout, func(ctx context.Context) error { return h.process.workers.Stop(ctx, stop, h.epoch) })
 	if err != nil {
 		h.process.log("stop-failed", "task", stop.Task, "run", stop.Run, "worker", stop.ID, "cause", err)
 	}
@@ -73,12 +75,7 @@
 }
 
 func (h *holder) pace(pace shard.Pace) {
-	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
-	defer cancel()
-	err := h.process.workers.Pace(ctx, pace, h.epoch)
-	if platform.ReasonOf(err) == fenceReason {
-		h.lose("a worker knows a newer fence")
-	}
+	err := h.order(startTimeout, func(ctx context.Context) error { return h.process.workers.Pace(ctx, pace, h.epoch) })
 	if err != nil {
 		h.process.log("pace-failed", "task", pace.Task, "run", pace.Run, "worker", pace.ID, "percent", pace.Percent, "cause", err)
 	}
@@ -87,13 +84,12 @@
 
 func (h *holder) hold(hold shard.Hold) {
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(h.ctx, hold.Wait+lookTimeout)
-	defer cancel()
-	report, err := h.process.workers.Hold(ctx, hold, h.epoch)
+	var report shard.Report
+	err := h.order(hold.Wait+lookTimeout, func(ctx context.Context) (err error) {
+		report, err = h.process.workers.Hold(ctx, hold, h.epoch)
+		return err
+	})
 	h.process.metrics.look(err)
-	if platform.ReasonOf(err) == fenceReason {
-		h.lose("a worker knows a newer fence")
-	}
 	if err != nil {
 		h.input(func(now time.Time) { h.shard.HoldFailed(now, hold.ID, err.Error()) })
 		return
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"yuccalanding.example/yuccalanding/internal/job"
 )
 
 const (
@@ -28,7 +30,7 @@
 	leastShare  = 0.1
 	shareWeight = 0.1
 	// renewalSpread is how long after the planned start a worker's room still
-	// helps: a quarter of the run time of the longest work.
+	// helps: run times of some seconds are told wrong by up to half.
 	renewalSpread = time.Second
 	// adviceLead is added to the adviser's time, for the way to it and back.
 	adviceLead = 100 * time.Millisecond
@@ -91,11 +93,11 @@
 		if s.quickOut >= s.quickSlots && s.slowOut >= s.slowSlots {
 			return
 		}
-		terms := &st.occurrence.job.record.Terms
-		out, limit := s.slots(adviceTime(st, 1))
 		if !st.wants(now) {
 			continue // this pass has just started it
 		}
+		terms := &st.occurrence.job.record.Terms
+		out, limit := s.slots(adviceTime(st, 1))
 		if !terms.Advised || st.advice.inFlight || now.Before(st.advice.again) || *out >= limit {
 			continue
 		}
@@ -186,16 +188,21 @@
 			return workers
 		}
 	}
-	missing := maxAdvised - len(workers)
-	if len(full) <= missing {
-		return append(workers, full...)
+	return append(workers, soonestFree(now, demand, full, maxAdvised-len(workers))...)
+}
+
+// soonestFree returns those of some workers that have room for the demand
+// first, at most so many.
+func soonestFree(now time.Time, demand job.Demand, workers []*worker, most int) []*worker {
+	if len(workers) <= most {
+		return workers
 	}
-	at := make(map[*worker]time.Time, len(full))
-	for _, w := range full {
+	at := make(map[*worker]time.Time, len(workers))
+	for _, w := range workers {
 		at[w] = w.roomAt(now, demand)
 	}
-	slices.SortStableFunc(full, func(a, b *worker) int { return at[a].Compare(at[b]) })
-	return append(workers, full[:missing]...)
+	slices.SortStableFunc(workers, func(a, b *worker) int { return at[a].Compare(at[b]) })
+	return workers[:most]
 }
 
 // mayAskAbout reports whether a worker is of use to a step that asks now. A
