Soak on until enough jobs are accepted; keep the seeds that failed

Seed 16 had 11 accepted jobs of at least 20 (once in 50): two of three processes were paused for most of the run, and each caller waited 3 s on them. The run now hands jobs in until there are enough, within 10 s after the last fault, which also checks that the service resumes. Seeds 16, 20 and 28 are played in each run of the tests.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,10 +35,19 @@
 	faultTime = 8 * time.Second
 	healTime  = 40 * time.Second
 	callers   = 4
+	// leastAccepted is how many accepted jobs make a run worth its checks, and
+	// resumeTime how long after the last fault they may take: a caller's 3 s on
+	// a process that was paused, and a change of holder.
+	leastAccepted = 20
+	resumeTime    = 10 * time.Second
 )
 
 // regressions are seeds that failed once, with the cause.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	20: "a holder called a job unknown that the next one had accepted, with a proof of its right up to 1 s old",
+	28: "as 20",
+	16: "two of three processes paused: callers waited on them, and 11 jobs made no run; the run now goes on until enough are accepted",
+}
 
 type process struct {
 	t        *testing.T
@@ -242,7 +252,9 @@
 			status, _ := r.call(client, r.all[random.IntN(len(r.all))], http.MethodPost, path, body)
 			switch status {
 			case http.StatusOK:
+				r.mu.Lock()
 				told.accepted = true
+				r.mu.Unlock()
 			case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 				told.refused++
 				time.Sleep(200 * time.Millisecond)
@@ -281,11 +293,27 @@
 		end()
 	}
 	r.site.Store.LoseAnswers(0)
+	// Callers may have waited on paused processes for most of the faults, so
+	// jobs are handed in until enough are accepted.
+	require.Eventually(t, func() bool { return r.accepted() > leastAccepted }, resumeTime, 50*time.Millisecond, "no jobs are accepted after the faults")
 	close(stop)
 	driving.Wait()
 	r.check()
 }
 
+// accepted is how many jobs were accepted so far.
+func (r *run) accepted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, told := range r.jobs {
+		if told.accepted {
+			count++
+		}
+	}
+	return count
+}
+
 // check compares what callers were told with what ran.
 func (r *run) check() {
 	t := r.t
@@ -309,7 +337,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	require.Greater(t, accepted, 20)
+	require.Greater(t, accepted, leastAccepted)
 	type interval struct{ standin.Run }
 	byTask := map[string][]interval{}
 	done := map[string]time.Time{}
@@ -358,7 +386,9 @@
 		}
 	}
 	for seed := range regressions {
-		seeds = append(seeds, seed)
+		if !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
 	}
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
