--- a/internal/entry/advisers.go
+++ b/internal/entry/advisers.go
@@ -18,16 +18,11 @@
 	if known == nil {
 		known = &member{name: hello.Node}
 		h.members[hello.Address] = known
+		h.orderedAt = time.Time{}
 	}
 	known.heard, known.near = now, hello.Near
-	for address, other := range h.members {
-		if now.Sub(other.heard) > peerKept {
-			delete(h.members, address)
-		}
-	}
 	answer := helloAnswer{Epoch: h.epoch, ProofAge: h.proofAge()}
-	addresses, _ := h.living(now)
-	for _, address := range addresses {
+	for _, address := range h.living(now) {
 		if address == h.process.address {
 			continue
 		}
@@ -49,20 +44,29 @@
 // for advice. All holders choose the same ones, by address.
 const quickNodes = 3
 
+// livingEvery is how long the order of the living nodes is used: a third of
+// the time between two greetings of a node that watches the holder.
+const livingEvery = 80 * time.Millisecond
+
 // living returns the addresses of the nodes that greet this holder and its
-// own, with those that take only quick calls first. Nodes near the store come
-// before far ones: the adviser stands there too.
-func (h *holder) living(now time.Time) (addresses []netip.AddrPort, quick int) {
+// own, in order: near ones first, as the adviser stands near the store.
+func (h *holder) living(now time.Time) []netip.AddrPort {
+	if now.Sub(h.orderedAt) < livingEvery {
+		return h.orderedNodes
+	}
 	own := h.members[h.process.address]
 	if own == nil {
 		own = &member{name: h.process.settings.Node}
 		h.members[h.process.address] = own
 	}
 	own.heard, own.near = now, h.process.near()
+	addresses := make([]netip.AddrPort, 0, len(h.members))
 	for address, m := range h.members {
-		if now.Sub(m.heard) <= peerKept {
-			addresses = append(addresses, address)
+		if now.Sub(m.heard) > peerKept {
+			delete(h.members, address)
+			continue
 		}
+		addresses = append(addresses, address)
 	}
 	sort.Slice(addresses, func(i, j int) bool {
 		if first, second := h.members[addresses[i]].near, h.members[addresses[j]].near; first != second {
@@ -70,14 +74,16 @@
 		}
 		return addresses[i].Compare(addresses[j]) < 0
 	})
-	return addresses, len(addresses) / quickNodes
+	h.orderedNodes, h.orderedAt = addresses, now
+	return addresses
 }
 
 // adviceSlots is how many calls for advice all living nodes take at once.
 func (h *holder) adviceSlots() (quick, slow int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	addresses, quickOnly := h.living(time.Now())
+	addresses := h.living(time.Now())
+	quickOnly := len(addresses) / quickNodes
 	if quickOnly == 0 {
 		return len(addresses) * callsPerNode, len(addresses)
 	}
@@ -88,7 +94,8 @@
 func (h *holder) leastBusy(quick bool) (netip.AddrPort, *member) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	addresses, quickOnly := h.living(time.Now())
+	addresses := h.living(time.Now())
+	quickOnly := len(addresses) / quickNodes
 	if quick && quickOnly > 0 {
 		addresses = addresses[:quickOnly]
 	} else {
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -70,7 +70,10 @@
 
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
-	turn    int
+	// orderedNodes are the members in order, as of orderedAt.
+	orderedNodes []netip.AddrPort
+	orderedAt    time.Time
+	turn         int
 }
 
 // member is a node that greets this holder.
