--- a/internal/entry/advisers.go
+++ b/internal/entry/advisers.go
@@ -41,7 +41,7 @@
 const callsPerNode = 2
 
 // quickNodes is the share of the nodes, as 1 of n, that take only quick calls
-// for advice. All holders choose the same ones, by address.
+// for advice. All holders choose the same ones: near ones first, by address.
 const quickNodes = 3
 
 // livingEvery is how long the order of the living nodes is used: a third of
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -14,10 +14,10 @@
 	// maxAdvised is how many workers one call names at the most (platform
 	// contract).
 	maxAdvised = 100
-	// leastAdvised is how many it names at the least, as the share of the
-	// call's fixed time that they add to it: less saves little, and a second
-	// call costs the fixed time again.
-	leastAdvised = 0.4
+	// leastTimeShare is the share of its fixed time by which a call may always
+	// be longer: naming fewer workers saves little, and a second call costs the
+	// fixed time again.
+	leastTimeShare = 0.4
 	// shareAdvised is from how many workers on an answer shows a queue's share.
 	shareAdvised = 8
 	// adviceSpare is how much more room than it needs a step asks for: other
@@ -164,7 +164,7 @@
 	terms := &st.occurrence.job.record.Terms
 	waiting := st.waiting(now)
 	need := float64(waiting) * adviceSpare / s.goodShare(terms.Queue)
-	least := int(leastAdvised * float64(terms.AdviceTime) / float64(max(1, terms.AdvicePerWorker)))
+	least := int(leastTimeShare * float64(terms.AdviceTime) / float64(max(1, terms.AdvicePerWorker)))
 	found := 0
 	var workers, full []*worker
 	for i := range s.ordered {
