--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -697,14 +697,31 @@
 	w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, time.Minute)}}, time.Minute)
 	w.run(time.Second)
 	worker.cut = true
-	w.run(4 * time.Second)
+	w.run(3500 * time.Millisecond) // three looks fail
 	w.storeDown = true
 	worker.cut = false
 	until := worker.until
-	w.run(time.Second)
+	w.run(2 * time.Second)
 	require.Equal(t, until, worker.until)
 	w.storeDown = false
 	w.run(time.Second)
 	require.Greater(t, worker.until, until)
 	require.Len(t, worker.runs, 1)
 }
+
+// Guards against a next holder that takes the runs of a suspended worker for
+// over while their last lease lasts.
+func TestRunsOfASuspendedWorkerKeepTheirLease(t *testing.T) {
+	w := newWorld(t, 41, 2, workerSize)
+	w.run(time.Second)
+	w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, 20*time.Second)}}, 20*time.Second)
+	w.run(time.Second)
+	for _, worker := range w.workers {
+		worker.cut = len(worker.runs) > 0
+	}
+	w.run(3500 * time.Millisecond)
+	w.holder.dead = true
+	w.takeOver()
+	w.endedAt(id(0), time.Minute)
+	require.Empty(t, w.faults)
+}
