--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -274,7 +274,8 @@
 	if r != nil {
 		duration = now.Sub(r.orderedAt)
 	}
-	s.options.Log("run-ended", "task", row.Task, "run", row.Run, "worker", w.ID, "how", row.How, "after", duration, "estimate", t.step.spec.Estimate)
+	s.options.Log("run-ended", "task", row.Task, "run", row.Run, "worker", w.ID, "how", row.How, "after", duration,
+		"estimate", t.step.spec.Estimate, "unseen", min(w.unseen, duration), "worker-slow", w.isSlow)
 	if row.Checkpoint != "" {
 		t.checkpoint = row.Checkpoint
 	}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -49,7 +49,8 @@
 	nextHold  time.Time
 	failures  int // looks without an answer, in a row
 	lastReply time.Time
-	lookedAt  time.Time // when the last look that was answered left
+	lookedAt  time.Time     // when the last look that was answered left
+	unseen    time.Duration // between the last two answers
 	health    health
 	isSlow    bool
 	fillPace  int // at which tasks work that fill beside serving ones, in percent
@@ -324,6 +325,7 @@
 	if w.failures > 0 || !w.reached {
 		s.changed = true
 	}
+	w.unseen = now.Sub(w.lastReply)
 	w.failures, w.lastReply, w.lookedAt = 0, now, sent
 	if w.suspended {
 		w.suspended = false
