Bound the greetings that a holder gets in a large fleet

Change: with more than 64 nodes a holder names longer pauses, so that it has at most 80 greetings a second; the times after which a node counts as silent or isolated grow with them. Up to 64 nodes nothing changes.

--- a/internal/entry/advisers.go
+++ b/internal/entry/advisers.go
@@ -21,7 +21,7 @@
 		h.orderedAt = time.Time{}
 	}
 	known.heard, known.near = now, hello.Near
-	answer := helloAnswer{Epoch: h.epoch, ProofAge: h.proofAge()}
+	answer := helloAnswer{Epoch: h.epoch, ProofAge: h.proofAge(), Pause: idlePause(len(h.members))}
 	for _, address := range h.living(now) {
 		if address == h.process.address {
 			continue
@@ -35,6 +35,12 @@
 	return answer, nil
 }
 
+// idlePause is the pause between two greetings of a node that doesn't watch a
+// holder which so many nodes greet.
+func idlePause(nodes int) time.Duration {
+	return idleHelloEvery * time.Duration(max(nodes, nodesAtIdlePause)) / nodesAtIdlePause
+}
+
 // callsPerNode is how many calls for advice a node has on its way: the adviser
 // takes one at a time from each machine, and one more waits there so that the
 // next begins at once.
@@ -61,8 +67,9 @@
 	}
 	own.heard, own.near = now, h.process.near()
 	addresses := make([]netip.AddrPort, 0, len(h.members))
+	kept := max(peerKept, missed(idlePause(len(h.members))))
 	for address, m := range h.members {
-		if now.Sub(m.heard) > peerKept {
+		if now.Sub(m.heard) > kept {
 			delete(h.members, address)
 			continue
 		}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -300,7 +300,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	v := p.views[name]
-	return v != nil && v.holding.Epoch == holding.Epoch && time.Since(v.heard) >= right.Suspect(v.watches)
+	return v != nil && v.holding.Epoch == holding.Epoch && time.Since(v.heard) >= right.Suspect(v.watches, v.pause)
 }
 
 // untilReplaced returns a context that also ends when the right has a new holder.
--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -58,3 +58,14 @@
 	_, err := h.submit(context.Background(), submitRequest{ID: id})
 	require.ErrorIs(t, err, errNotHolder)
 }
+
+// Pattern: hundreds of nodes greet each of many holders. The greetings that a
+// holder gets don't grow with them, and nobody is forgotten between two of his.
+func TestGreetingsOfLargeFleetsAreBounded(t *testing.T) {
+	cases := map[int]time.Duration{2: idleHelloEvery, 64: idleHelloEvery, 128: 2 * idleHelloEvery, 320: 5 * idleHelloEvery}
+	for nodes, want := range cases {
+		require.Equal(t, want, idlePause(nodes), "%d nodes", nodes)
+		require.Less(t, idlePause(nodes), max(peerKept, missed(idlePause(nodes))))
+		require.LessOrEqual(t, float64(nodes)/idlePause(nodes).Seconds(), 80.0)
+	}
+}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -91,6 +91,8 @@
 	// Peers are the nodes that watch the holder; Watch is set if the asker is one.
 	Peers []netip.AddrPort `cbor:"3,keyasint,omitempty"`
 	Watch bool             `cbor:"4,keyasint,omitempty"`
+	// Pause is the time between two greetings of a node that doesn't watch.
+	Pause time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 type viewAnswer struct {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -47,6 +47,10 @@
 	// be known to it.
 	helloEvery     = 250 * time.Millisecond
 	idleHelloEvery = 800 * time.Millisecond
+	// nodesAtIdlePause is up to how many nodes greet a holder at these pauses;
+	// with more of them the pauses grow, so that a holder has at most 80
+	// greetings a second and the region link some Mbit/s of them.
+	nodesAtIdlePause = 64
 	// watchers is how many nodes watch a holder: enough that one of them is
 	// there to claim. Each greeting names them all, so that bytes would grow
 	// with the square of the nodes.
@@ -124,7 +128,8 @@
 	refused  time.Time
 	vacant   time.Time
 	proofAge time.Duration
-	watches  bool // this node is one of those that greet it often
+	watches  bool          // this node is one of those that greet it often
+	pause    time.Duration // between this node's greetings if it isn't
 	peers    []netip.AddrPort
 }
 
@@ -253,13 +258,18 @@
 			continue
 		}
 		known = true
-		if v.holding.Epoch != holding.Epoch || time.Since(v.heard) < isolatedAfter {
+		if v.holding.Epoch != holding.Epoch || time.Since(v.heard) < max(isolatedAfter, missed(v.pause)) {
 			return false
 		}
 	}
 	return known
 }
 
+// missed is the time in which greetings at these pauses must have an answer.
+func missed(pause time.Duration) time.Duration {
+	return time.Duration(right.Missed * float64(pause))
+}
+
 // advise asks the placement adviser from this machine.
 func (p *Process) advise(ctx context.Context, request adviseRequest) adviseAnswer {
 	if p.adviser == nil {
--- a/internal/entry/rights.go
+++ b/internal/entry/rights.go
@@ -137,7 +137,7 @@
 	if v == nil || v.holding.Epoch != holding.Epoch {
 		next := &view{holding: holding, since: time.Now(), heard: time.Now()}
 		if v != nil {
-			next.peers, next.watches = v.peers, v.watches
+			next.peers, next.watches, next.pause = v.peers, v.watches, v.pause
 		}
 		if holding.Epoch == 0 || holding.Released || holding.Node == p.settings.Node {
 			next.vacant = time.Now()
@@ -180,6 +180,7 @@
 			v.vacant = time.Time{}
 		}
 		v.proofAge, v.peers, v.watches = result.answer.ProofAge, result.answer.Peers, result.answer.Watch
+		v.pause = result.answer.Pause
 	case errors.Is(result.err, errNotHolder):
 		// A node that has just claimed may answer before it knows that it has.
 		if v.vacant.IsZero() && now.Sub(v.since) >= claimTimeout {
@@ -204,7 +205,7 @@
 	known := right.View{
 		Now: now, Holding: holding, Self: holding.Node == p.settings.Node, Vacant: v.vacant, Heard: v.heard, Refused: v.refused,
 		ProofAge: v.proofAge, StoreSound: p.storeSound(), Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
-		Newer: p.boot > holding.Boot, Watches: v.watches,
+		Newer: p.boot > holding.Boot, Watches: v.watches, Pause: v.pause,
 	}
 	others := make([]netip.AddrPort, 0, len(v.peers))
 	for _, address := range v.peers {
@@ -305,7 +306,7 @@
 	if v.watches {
 		return helloEvery
 	}
-	return idleHelloEvery
+	return max(idleHelloEvery, v.pause)
 }
 
 // offerRights releases the rights that this process holds, so that other nodes
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -95,8 +95,10 @@
 	Near  bool
 	Small bool
 	Load  int
-	// Watches is set if the node greets the holder often.
+	// Watches is set if the node greets the holder often; Pause is the time
+	// between two of its greetings otherwise.
 	Watches bool
+	Pause   time.Duration
 	// Newer is set if this process was started after the holder's.
 	Newer bool
 	// Jitter differs between nodes, from 0 to 1.
@@ -160,22 +162,26 @@
 		return v.Refused.Add(RefusedAfter), Refused
 	case v.ProofAge >= StoreStale && v.StoreSound >= StoreStale:
 		return v.Heard, WithoutProof
-	case v.Now.Sub(v.Heard) < Suspect(v.Watches):
+	case v.Now.Sub(v.Heard) < Suspect(v.Watches, v.Pause):
 		return time.Time{}, Heard
 	case v.Vouched:
 		return time.Time{}, HeardByOthers
 	case v.Others > 0 && v.Reached == 0 && v.Now.Sub(v.Heard) < AloneAfter:
 		return time.Time{}, Alone
 	}
-	return v.Heard.Add(Suspect(v.Watches)), Silent
+	return v.Heard.Add(Suspect(v.Watches, v.Pause)), Silent
 }
 
-// Suspect is how long a holder may be silent towards a node.
-func Suspect(watches bool) time.Duration {
+// Missed is how many pauses between greetings may pass without an answer.
+const Missed = 2.5
+
+// Suspect is how long a holder may be silent towards a node that watches it, or
+// that greets it at the given pauses.
+func Suspect(watches bool, pause time.Duration) time.Duration {
 	if watches {
 		return SuspectAfter
 	}
-	return IdleSuspectAfter
+	return max(IdleSuspectAfter, time.Duration(Missed*float64(pause)))
 }
 
 // jitterSpan spreads the claims of nodes that are alike.
--- a/internal/right/right_test.go
+++ b/internal/right/right_test.go
@@ -88,6 +88,12 @@
 	}
 }
 
+func TestSuspect(t *testing.T) {
+	require.Equal(t, right.SuspectAfter, right.Suspect(true, time.Minute))
+	require.Equal(t, right.IdleSuspectAfter, right.Suspect(false, 800*time.Millisecond))
+	require.Equal(t, 10*time.Second, right.Suspect(false, 4*time.Second), "in a large fleet nodes greet seldom")
+}
+
 // A new holder waits for the leases of the former one, and for no longer than
 // the former one can extend them.
 func TestFormerHolderActs(t *testing.T) {
