Keep the answer of an ended job at a planned handover

Cause: a successor that had read a job's end from the log before the handover came dropped the handed-over entry, and with it the answer. As it knew every key since, it then answered the waiting caller not-found (not-run) for a job that had run. The entry of a job in its last state is now taken over, and a key whose end was read is never called not run.

Ruled out: a lost part of the handover (the lease would not count as whole). Two tests failed first.

--- a/internal/control/drain.go
+++ b/internal/control/drain.go
@@ -176,7 +176,7 @@
 }
 
 func (n *Node) takeHandoverEntry(h *home, m *HandoverEntry) {
-	if n.jobs.ended[m.Request.Key] {
+	if n.jobs.ended[m.Request.Key] && !isFinal(m.State) {
 		return // The log was faster than the handover.
 	}
 	if known := h.entries[m.Request.Key]; known != nil {
--- a/internal/control/enqueue.go
+++ b/internal/control/enqueue.go
@@ -56,7 +56,7 @@
 	jobsRead := n.jobs.open[m.Request.Key] == nil && (h.jobsKnown || !n.log.Up)
 	if h.recovery.complete && jobsRead {
 		refusal := workload.Refuse(workload.CodeNotFound, 0, "the key is not known")
-		if !h.knowsAllSince(m.Request.Key) {
+		if !h.knowsAllSince(m.Request.Key) || n.jobs.ended[m.Request.Key] {
 			refusal.Run = workload.MayHaveRun // It may have been dropped after its end.
 		}
 		n.refuseAtFront(m.Front, m.Request.Key, m.Try, refusal)
--- a/internal/control/entry.go
+++ b/internal/control/entry.go
@@ -133,9 +133,12 @@
 	gang            gangState
 }
 
-func (e *entry) ended() bool {
-	return e.state == workload.StateEnded || e.state == workload.StateRefused ||
-		e.state == workload.StateCanceled || e.state == workload.StateUnknown
+func (e *entry) ended() bool { return isFinal(e.state) }
+
+// isFinal reports whether a request in this state has its last outcome.
+func isFinal(state workload.State) bool {
+	return state == workload.StateEnded || state == workload.StateRefused ||
+		state == workload.StateCanceled || state == workload.StateUnknown
 }
 
 // note appends a timeline event; past the bound the middle is left out, since
--- a/internal/control/regression_test.go
+++ b/internal/control/regression_test.go
@@ -174,6 +174,40 @@
 	}
 }
 
+// Guards against the loss of a durable job's answer at a planned handover when
+// the successor reads the job's end from the log before the handover comes.
+func TestEndedJobIsTakenOverAfterItsEndWasRead(t *testing.T) {
+	for name, endRead := range map[string]bool{"handover first": false, "end read first": true} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := newHolder(t)
+			delete(n.homes, testRange)
+			if endRead {
+				n.rememberEnded(testKey)
+			}
+			request := workload.Request{Key: testKey, Team: "ledger", Kind: "check", Region: "punjab", Mode: workload.ModeJob}
+			answer := workload.Answer{Key: testKey, Body: []byte("42")}
+			n.Step(epoch, fromPeer(&Handover{Range: testRange, Entries: []HandoverEntry{{
+				Request: request, Digest: request.Digest(), State: workload.StateEnded, Durable: true, Accepted: true, Answer: &answer,
+			}}}))
+			e := n.homes[testRange].entries[testKey]
+			require.NotNil(t, e)
+			require.Equal(t, &answer, e.answer)
+			require.Equal(t, endRead, e.endRead)
+		})
+	}
+}
+
+// Guards against a job called never run whose end this node has read.
+func TestEndedJobIsNotCalledNeverRun(t *testing.T) {
+	n, h := newHolder(t)
+	h.jobsKnown, h.knownSince = true, epoch.Add(-24*time.Hour)
+	n.rememberEnded(testKey)
+	n.waitForUnknown(h, &Enqueue{Request: workload.Request{Key: testKey, Team: "ledger", Region: "punjab"}, Front: "b", Try: 1, Wait: true})
+	refused := sent[*Refused](n.outputs)
+	require.Len(t, refused, 1)
+	require.Equal(t, workload.MayHaveRun, refused[0].Refusal.Run)
+}
+
 // Guards against an idle queue whose few starts are taken for its speed.
 func TestIdleQueueExpectsNoWait(t *testing.T) {
 	q := newHomeQueue()
