Don't refuse a job whose record is on its way while the store is silent

A silent store makes a holder refuse submissions before it looks into its table. A job's second try, whose first one's record was already on its way, got 503, and the job started 0.1 s later when the append was carried out. A stalled holder now refuses only jobs that it doesn't know. The test failed first.

--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -23,17 +23,21 @@
 	return submitAnswer{Unavailable: true, Reason: reasonStalled, RetryAfter: retrySoon}
 }
 
-// submit takes a job in and waits until it is stored.
+// submit takes a job in and waits until it is stored. While the store is silent
+// only a job that is not known is refused: the record of an earlier try may be
+// on its way.
 func (h *holder) submit(ctx context.Context, request submitRequest) (submitAnswer, error) {
 	if !h.part.has(request.ID) {
 		return submitAnswer{}, errNotHolder // of this job's shard
 	}
-	if h.stalled() {
-		return refuseStalled(), nil
-	}
 	verdicts := make(chan shard.Verdict, 1)
+	unavailable := make(chan struct{}, 1)
 	settled := make(chan struct{})
 	if !h.input(func(now time.Time) {
+		if h.stalled() && !h.shard.Knows(request.ID) {
+			unavailable <- struct{}{}
+			return
+		}
 		verdict := h.shard.Accept(now, request.ID, request.Terms, request.Spec)
 		if verdict.Outcome == shard.Pending {
 			h.waiters[request.ID] = append(h.waiters[request.ID], settled)
@@ -50,6 +54,8 @@
 		case shard.Refused:
 			return submitAnswer{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}, nil
 		}
+	case <-unavailable:
+		return refuseStalled(), nil
 	case <-h.ended:
 		return submitAnswer{}, errUndecided
 	case <-ctx.Done():
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/event"
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/shard"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -42,3 +44,37 @@
 	<-ended
 	<-ended
 }
+
+// Pattern: the store falls silent while a job's record is on its way. The front
+// loses the answer and sends the job again. The holder must not refuse it, as
+// the job runs once the store is back (mcog-bakehouse-grown, trouble-2, seed
+// 765021795764).
+func TestStalledHolderDoesNotRefuseAJobOnItsWay(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
+	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
+	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
+	now := time.Now()
+	h.shard.Load(now, nil)
+	h.shard.SetAuthority(true)
+	const onItsWay, other = "0000000000000001", "0000000000000002"
+	require.Equal(t, shard.Pending, h.shard.Accept(now, onItsWay, job.Terms{Queue: "q"}, job.Spec{}).Outcome)
+	require.NotEmpty(t, h.shard.TakeBatch(now))
+	h.appending.Store(1)
+	time.Sleep(storeStall)
+	ended := make(chan struct{})
+	go func() { h.decide(); close(ended) }()
+	submit := func(id string) (submitAnswer, error) {
+		caller, done := context.WithTimeout(ctx, 2*storeStall)
+		defer done()
+		return h.submit(caller, submitRequest{ID: id, Terms: job.Terms{Queue: "q"}})
+	}
+	_, err := submit(onItsWay)
+	require.ErrorIs(t, err, errUndecided)
+	answer, err := submit(other)
+	require.NoError(t, err)
+	require.Equal(t, refuseStalled(), answer)
+	cancel()
+	<-ended
+}
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -30,6 +30,9 @@
 	RetryAfter time.Duration
 }
 
+// Knows reports whether the job was taken in, be it stored or not.
+func (s *Shard) Knows(id string) bool { return s.jobs[id] != nil }
+
 // Accept takes a job in. The same identity again finds the first job.
 func (s *Shard) Accept(now time.Time, id string, terms job.Terms, spec job.Spec) Verdict {
 	if j := s.jobs[id]; j != nil {
