Compare a proof's time with the question's, not two ages

Cause: provenSince read the clock once for the proof's age and once for the question's. A thread that was held up between the two took an older proof for a newer one, so a holder could call a job unknown that another one had accepted. Change: both times are compared as offsets from the process's start. Test: TestProofBeforeTheQuestionIsNoProof, failed first ('older').

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -78,3 +78,22 @@
 	cancel()
 	<-ended
 }
+
+// Pattern: a holder's thread is held up between two looks at the clock. A proof
+// that is older than the question must not count as newer for it.
+func TestProofBeforeTheQuestionIsNoProof(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
+	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
+	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
+	for name, newer := range map[string]time.Duration{"older": -1, "as old": 0, "newer": 1} {
+		t.Run(name, func(t *testing.T) {
+			asked := time.Now()
+			h.prove(asked.Add(newer))
+			caller, done := context.WithTimeout(ctx, 10*provePoll)
+			defer done()
+			require.Equal(t, newer >= 0, h.provenSince(caller, asked))
+		})
+	}
+}
--- a/internal/entry/storing.go
+++ b/internal/entry/storing.go
@@ -235,7 +235,8 @@
 // provenSince waits for a proof that the holder had the right at the time or
 // later. It reports false if the caller's time or the right ends before.
 func (h *holder) provenSince(ctx context.Context, since time.Time) bool {
-	for h.proofAge() > time.Since(since) {
+	asked := int64(since.Sub(h.process.began))
+	for h.proof.Load() < asked {
 		select {
 		case h.proveNow <- struct{}{}:
 		default: // it is asked for already
