Give the entry tests' nodes addresses by process

Cause: two copies of the entry tests that run side by side listened on the same loopback addresses, so one talked to the other's nodes: TestWholePath, TestStoppedHolderHandsOver, TestStoreOutage and three more failed in three of three such runs. Before: 3 of 3 runs beside a copy failed. After: both copies pass.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -109,7 +110,8 @@
 }
 
 func (c *cell) start(number int) *node {
-	ip := netip.AddrFrom4([4]byte{127, c.net, byte(1 + number), 1})
+	// Test programs that run side by side need addresses of their own.
+	ip := netip.AddrFrom4([4]byte{127, c.net, byte(1 + number), byte(1 + os.Getpid()%250)})
 	gate := &gate{store: c.site.Store}
 	address, err := c.site.Serve(gate)
 	require.NoError(c.t, err)
