Share what the shard wrote twice; drop what nothing calls

One objectiveOf, stopWhole and placeable in place of copies; a condition of TakeBatch that was always decided by the job's state; library calls for two loops. No behaviour changes; the tests keep their assertions.

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -15,16 +15,23 @@
 	"yuccalanding.example/yuccalanding/platform"
 )
 
+// holderWithoutStore returns a holder that has loaded an empty state and whose
+// store can't be reached.
+func holderWithoutStore(ctx context.Context) *holder {
+	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
+	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
+	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
+	h.shard.Load(time.Now(), nil)
+	return h
+}
+
 // Pattern: a holder has lost touch with the store a moment ago, and another one
 // has claimed its right and accepted a job. The former one must not call that
 // job unknown, however fresh its last proof is (soak, seeds 20 and 28).
 func TestHolderWithoutANewProofCallsNoJobUnknown(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
-	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
-	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
-	h.shard.Load(time.Now(), nil)
+	h := holderWithoutStore(ctx)
 	h.prove(time.Now())
 	ended := make(chan struct{}, 2)
 	go func() { h.decide(); ended <- struct{}{} }()
@@ -52,11 +59,8 @@
 func TestStalledHolderDoesNotRefuseAJobOnItsWay(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
-	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
-	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
+	h := holderWithoutStore(ctx)
 	now := time.Now()
-	h.shard.Load(now, nil)
 	h.shard.SetAuthority(true)
 	const onItsWay, other = "0000000000000001", "0000000000000002"
 	require.Equal(t, shard.Pending, h.shard.Accept(now, onItsWay, job.Terms{Queue: "q"}, job.Spec{}).Outcome)
@@ -84,9 +88,7 @@
 func TestProofBeforeTheQuestionIsNoProof(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
-	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
-	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
+	h := holderWithoutStore(ctx)
 	for name, newer := range map[string]time.Duration{"older": -1, "as old": 0, "newer": 1} {
 		t.Run(name, func(t *testing.T) {
 			asked := time.Now()
--- a/internal/shard/evacuate.go
+++ b/internal/shard/evacuate.go
@@ -33,11 +33,7 @@
 				continue
 			}
 			s.options.Log("run-evacuated", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "leaves-in", w.leavesAt.Sub(now))
-			if r.task.step.spec.Gang {
-				s.stopStep(now, r.task.step)
-			} else {
-				s.stop(now, r)
-			}
+			s.stopWhole(now, r)
 		}
 	}
 }
--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -18,3 +18,14 @@
 		}
 	}
 }
+
+// Jobs returns the number of jobs that aren't ended, and of tasks that run.
+func (s *Shard) Jobs() (open, tasks int) {
+	for _, j := range s.active {
+		if !j.state.Ended() {
+			open++
+		}
+		tasks += j.runs
+	}
+	return open, tasks
+}
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -33,10 +34,8 @@
 }
 
 func (h *health) failed(now time.Time, job string) {
-	for _, known := range h.failedJobs {
-		if known == job {
-			return
-		}
+	if slices.Contains(h.failedJobs, job) {
+		return
 	}
 	h.failedJobs = append(h.failedJobs, job)
 	if len(h.failedJobs) >= failuresToShun {
@@ -194,11 +193,7 @@
 			r.task.avoid = w.ID
 			r.task.moves++
 			w.health.note(now, r.task.step.occurrence.job.id, r.slowness)
-			if r.task.step.spec.Gang {
-				s.stopStep(now, r.task.step)
-			} else {
-				s.stop(now, r)
-			}
+			s.stopWhole(now, r)
 		}
 	}
 }
--- a/internal/shard/overload.go
+++ b/internal/shard/overload.go
@@ -55,7 +55,7 @@
 func (s *Shard) wait(priority int) time.Duration {
 	var capacity job.Demand
 	for _, w := range s.ordered {
-		if w.Listed && !w.Draining {
+		if w.placeable() {
 			capacity = capacity.Plus(w.Capacity)
 		}
 	}
@@ -86,7 +86,7 @@
 		}
 	}
 	chain := chainOf(spec)
-	objective := time.Duration(terms.Stretch*float64(chain)) + terms.Target
+	objective := objectiveOf(terms, chain)
 	wait := s.wait(terms.Priority)
 	if wait <= retryLeast || float64(wait+chain) <= acceptFactor*float64(objective) {
 		return "", 0
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -74,10 +74,8 @@
 			j.writeSpec = false
 			add(intakeKey+j.id, j.record)
 		}
-		if j.state != job.Queued || !j.durable {
-			if j.durable || j.state != job.Queued {
-				add(progressKey+j.id, s.progressOf(now, j))
-			}
+		if j.state != job.Queued {
+			add(progressKey+j.id, s.progressOf(now, j))
 		}
 		j.flying = j.state
 		s.inFlight = append(s.inFlight, j)
@@ -283,9 +281,7 @@
 		}
 		kept = append(kept, j)
 	}
-	for i := len(kept); i < len(s.active); i++ {
-		s.active[i] = nil
-	}
+	clear(s.active[len(kept):])
 	s.active = kept
 }
 
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -158,6 +158,15 @@
 	}
 }
 
+// stopWhole asks for the end of a run, and with a gang's member of the whole gang.
+func (s *Shard) stopWhole(now time.Time, r *run) {
+	if r.task.step.spec.Gang {
+		s.stopStep(now, r.task.step)
+		return
+	}
+	s.stop(now, r)
+}
+
 // stop asks for the end of a run.
 func (s *Shard) stop(now time.Time, r *run) {
 	if r.asked {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -280,17 +280,6 @@
 	s.quickSlots, s.slowSlots = max(1, quick), max(1, slow)
 }
 
-// Jobs returns the number of jobs that aren't ended, and of tasks that run.
-func (s *Shard) Jobs() (open, tasks int) {
-	for _, j := range s.active {
-		if !j.state.Ended() {
-			open++
-		}
-		tasks += j.runs
-	}
-	return open, tasks
-}
-
 // State returns what a caller is told about a job.
 func (s *Shard) State(id string) (state job.State, known bool) {
 	j := s.jobs[id]
@@ -368,8 +357,12 @@
 
 // objective is the time that a job has from its arrival to count as on time.
 func (j *jobState) objective() time.Duration {
-	terms := &j.record.Terms
-	return time.Duration(terms.Stretch*float64(chainOf(&j.record.Spec))) + terms.Target
+	return objectiveOf(&j.record.Terms, chainOf(&j.record.Spec))
+}
+
+// objectiveOf is the objective of a job whose longest chain takes so long.
+func objectiveOf(terms *job.Terms, chain time.Duration) time.Duration {
+	return time.Duration(terms.Stretch*float64(chain)) + terms.Target
 }
 
 func (s *Shard) sortWorkers() {
