Decode fenced and deleted in the adapter; ask the control thread one way

Four copies of a question to the control thread are askShard; three pauses that end with a context are pause. No behaviour changes.

--- a/internal/entry/answers.go
+++ b/internal/entry/answers.go
@@ -23,6 +23,25 @@
 	return submitAnswer{Unavailable: true, Reason: reasonStalled, RetryAfter: retrySoon}
 }
 
+// askShard puts a question to the control thread and waits for its answer.
+// ifEnded is the error if the holder ends meanwhile: whether the question was
+// put isn't known then.
+func askShard[Answer any](ctx context.Context, h *holder, ifEnded error, question func(now time.Time) Answer) (Answer, error) {
+	var none Answer
+	answers := make(chan Answer, 1)
+	if !h.input(func(now time.Time) { answers <- question(now) }) {
+		return none, errNotHolder
+	}
+	select {
+	case answer := <-answers:
+		return answer, nil
+	case <-h.ended:
+		return none, ifEnded
+	case <-ctx.Done():
+		return none, errUndecided
+	}
+}
+
 // submit takes a job in and waits until it is stored. While the store is silent
 // only a job that is not known is refused: the record of an earlier try may be
 // on its way.
@@ -30,36 +49,26 @@
 	if !h.part.has(request.ID) {
 		return submitAnswer{}, errNotHolder // of this job's shard
 	}
-	verdicts := make(chan shard.Verdict, 1)
-	unavailable := make(chan struct{}, 1)
 	settled := make(chan struct{})
-	if !h.input(func(now time.Time) {
+	verdict, err := askShard(ctx, h, errUndecided, func(now time.Time) *shard.Verdict {
 		if h.stalled() && !h.shard.Knows(request.ID) {
-			unavailable <- struct{}{}
-			return
+			return nil
 		}
 		verdict := h.shard.Accept(now, request.ID, request.Terms, request.Spec)
 		if verdict.Outcome == shard.Pending {
 			h.waiters[request.ID] = append(h.waiters[request.ID], settled)
 		}
-		verdicts <- verdict
-	}) {
-		return submitAnswer{}, errNotHolder
-	}
-	select {
-	case verdict := <-verdicts:
-		switch verdict.Outcome {
-		case shard.Stored:
-			return submitAnswer{Accepted: true}, nil
-		case shard.Refused:
-			return submitAnswer{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}, nil
-		}
-	case <-unavailable:
+		return &verdict
+	})
+	switch {
+	case err != nil:
+		return submitAnswer{}, err
+	case verdict == nil:
 		return refuseStalled(), nil
-	case <-h.ended:
-		return submitAnswer{}, errUndecided
-	case <-ctx.Done():
-		return submitAnswer{}, errUndecided
+	case verdict.Outcome == shard.Stored:
+		return submitAnswer{Accepted: true}, nil
+	case verdict.Outcome == shard.Refused:
+		return submitAnswer{Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}, nil
 	}
 	return h.awaitStored(ctx, request.ID, settled)
 }
@@ -105,73 +114,45 @@
 // state returns a job's state as it is stored.
 func (h *holder) state(ctx context.Context, request jobRequest) (stateAnswer, error) {
 	id, asked := request.ID, time.Now()
-	answers := make(chan stateAnswer, 1)
-	if !h.input(func(time.Time) {
+	answer, err := askShard(ctx, h, errNotHolder, func(time.Time) stateAnswer {
 		state, known := h.shard.State(id)
 		if !known {
 			h.process.log("job-unknown", "job", id, "service", h.service, "epoch", h.epoch, "detail", h.shard.Explain(id))
 		}
-		answers <- stateAnswer{Known: known, State: state}
-	}) {
-		return stateAnswer{}, errNotHolder
-	}
-	select {
-	case answer := <-answers:
-		if !answer.Known && !h.provenSince(ctx, asked) {
-			return stateAnswer{}, errUndecided // another holder may know it by now
-		}
-		return answer, nil
-	case <-h.ended:
-		return stateAnswer{}, errNotHolder
-	case <-ctx.Done():
-		return stateAnswer{}, errUndecided
+		return stateAnswer{Known: known, State: state}
+	})
+	if err == nil && !answer.Known && !h.provenSince(ctx, asked) {
+		return stateAnswer{}, errUndecided // another holder may know it by now
 	}
+	return answer, err
 }
 
 // stopJob cancels a job and waits until that is stored.
 func (h *holder) stopJob(ctx context.Context, request jobRequest) (stateAnswer, error) {
 	id, asked := request.ID, time.Now()
-	outcomes := make(chan shard.Outcome, 1)
 	settled := make(chan struct{})
-	if !h.input(func(now time.Time) {
+	outcome, err := askShard(ctx, h, errUndecided, func(now time.Time) shard.Outcome {
 		outcome := h.shard.Cancel(now, id)
 		if outcome == shard.Pending {
 			h.waiters[id] = append(h.waiters[id], settled)
 		}
-		outcomes <- outcome
-	}) {
-		return stateAnswer{}, errNotHolder
-	}
-	select {
-	case outcome := <-outcomes:
-		switch {
-		case outcome == shard.Stored:
-			return stateAnswer{Known: true}, nil
-		case outcome == shard.Unknown && !h.provenSince(ctx, asked):
-			return stateAnswer{}, errUndecided
-		case outcome == shard.Unknown:
-			return stateAnswer{}, nil
-		}
-	case <-h.ended:
-		return stateAnswer{}, errUndecided
-	case <-ctx.Done():
+		return outcome
+	})
+	switch {
+	case err != nil:
+		return stateAnswer{}, err
+	case outcome == shard.Stored:
+		return stateAnswer{Known: true}, nil
+	case outcome == shard.Unknown && !h.provenSince(ctx, asked):
 		return stateAnswer{}, errUndecided
+	case outcome == shard.Unknown:
+		return stateAnswer{}, nil
 	}
 	return stateAnswer{Known: true}, h.wait(ctx, settled)
 }
 
 // waiting returns the number of a queue's jobs that haven't begun.
 func (h *holder) waiting(ctx context.Context, request waitingRequest) (waitingAnswer, error) {
-	answers := make(chan int, 1)
-	if !h.input(func(time.Time) { answers <- h.shard.Waiting(request.Queue) }) {
-		return waitingAnswer{}, errNotHolder
-	}
-	select {
-	case count := <-answers:
-		return waitingAnswer{Waiting: count}, nil
-	case <-h.ended:
-		return waitingAnswer{}, errNotHolder
-	case <-ctx.Done():
-		return waitingAnswer{}, errUndecided
-	}
+	count, err := askShard(ctx, h, errNotHolder, func(time.Time) int { return h.shard.Waiting(request.Queue) })
+	return waitingAnswer{Waiting: count}, err
 }
--- a/internal/entry/borrow.go
+++ b/internal/entry/borrow.go
@@ -61,11 +61,7 @@
 func (p *Process) borrow(ctx context.Context) {
 	turn := 0
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(borrowEvery):
-		}
+		pause(ctx, borrowEvery)
 		if p.storeSound() > followTimeout {
 			continue
 		}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -34,15 +34,12 @@
 	switch {
 	case err == nil:
 		r.next = tail.Next
-	case platform.StatusOf(err) == statusGone:
+	case platform.HistoryDeleted(err):
 		r.next = -1
 	}
 	return tail.Records, false, err
 }
 
-// statusGone is the store's answer when records were deleted.
-const statusGone = 410
-
 // follow reads a topic's newest records and then its changes, until the
 // context ends.
 func (p *Process) follow(ctx context.Context, name string, partition platform.Partition, apply func(records []platform.Record, end int64)) {
@@ -77,10 +74,7 @@
 		}
 		if err != nil {
 			p.failedAt.Store(int64(time.Since(p.began)))
-			select {
-			case <-time.After(followRetry):
-			case <-ctx.Done():
-			}
+			pause(ctx, followRetry)
 		}
 	}
 }
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -139,12 +139,15 @@
 	<-tasks
 }
 
-func (h *holder) pause(length time.Duration) {
+func (h *holder) pause(length time.Duration) { pause(h.ctx, length) }
+
+// pause waits for so long or until the context ends.
+func pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-h.ctx.Done():
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -33,16 +33,13 @@
 	}
 }
 
-// fenceReason is a worker's word for an order of a former holder.
-const fenceReason = "fence"
-
 // order gives a worker an order. The right is lost if the worker has had one
 // of a newer holder.
 func (h *holder) order(limit time.Duration, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(h.ctx, limit)
 	defer cancel()
 	err := call(ctx)
-	if platform.ReasonOf(err) == fenceReason {
+	if platform.Fenced(err) {
 		h.lose("a worker knows a newer fence")
 	}
 	return err
--- a/internal/entry/storing.go
+++ b/internal/entry/storing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,9 +35,6 @@
 	overduePause = 5 * time.Second
 )
 
-// fencedReason is the store's word for an append of a former holder.
-const fencedReason = "fenced"
-
 // partition is where the shard's records are: the ledger's number p of them.
 func (h *holder) partition(p int) platform.Partition {
 	return platform.Partition{Topic: platform.KeyedPrefix + "jobs-" + h.part.service, Part: h.part.index*ledger.Partitions + p}
@@ -54,7 +52,7 @@
 			}
 		}
 		calls.Wait()
-		if done == [ledger.Partitions]bool{true, true} {
+		if !slices.Contains(done[:], false) {
 			records, err := h.ledger.Load(read)
 			if err != nil {
 				h.process.log("record-unreadable", "service", h.service, "cause", err)
@@ -109,7 +107,7 @@
 	switch {
 	case err == nil:
 		h.prove(sent)
-	case platform.ReasonOf(err) == fencedReason:
+	case platform.Fenced(err):
 		h.lose("the store refused an append of an older epoch")
 	case errors.Is(err, context.Canceled): // the other partition was quicker, or the right is lost
 	default:
