Give each node of a test cell an address of its own

A cell in one process looked for free ports on 127.0.0.1, closed them and let its nodes listen later; test programs that run side by side look in the same range. The wait for the cell then lasted until its bound of 90 s, because it asked a node that had ended. Change: package loopback gives addresses of 127.0.0.0/8 by process and number; cells, cells of processes, entry tests and the soak take theirs from it. The wait ends at once with the node's own error. Ruled out: the load; the port was held, not slow.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -11,6 +11,7 @@
 package cell
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/control"
+	"yuccalanding.example/yuccalanding/internal/loopback"
 	"yuccalanding.example/yuccalanding/internal/node"
 	"yuccalanding.example/yuccalanding/internal/placement"
 	"yuccalanding.example/yuccalanding/internal/settings"
@@ -248,15 +250,15 @@
 }
 
 // Ports of nodes are below the range that systems take for outgoing
-// connections, so that a replaced node finds its ports free again.
+// connections.
 const (
 	firstPort = 20_000
 	lastPort  = 32_000
 	portTries = 100
 )
 
-// freeAddresses finds three free ports. Another process may take one before
-// the node listens, in which case the node's start fails with a clear error.
+// freeAddresses finds three free ports of a loopback address that the node has
+// to itself, so that they are still free when it listens, also after a restart.
 func freeAddresses() (settings.Addresses, error) {
 	var addresses settings.Addresses
 	var opened []io.Closer
@@ -265,8 +267,9 @@
 			_ = each.Close()
 		}
 	}()
+	ip := loopback.New()
 	for _, address := range []*netip.AddrPort{&addresses.Callers, &addresses.Operators, &addresses.Peers} {
-		found, closers, err := freePort()
+		found, closers, err := freePort(ip)
 		if err != nil {
 			return addresses, err
 		}
@@ -278,11 +281,11 @@
 
 // freePort finds a port that is free for TCP and UDP and holds it until the
 // closers are called.
-func freePort() (netip.AddrPort, []io.Closer, error) {
+func freePort(ip netip.Addr) (netip.AddrPort, []io.Closer, error) {
 	var last error
 	for range portTries {
 		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		address := netip.AddrPortFrom(ip, port)
 		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
 			last = err
@@ -415,7 +418,8 @@
 // Running reports whether a node runs.
 func (c *Cell) Running(i int) bool { return c.Nodes[i].isRunning }
 
-// AwaitReady waits until every worker has an owner among the running nodes.
+// AwaitReady waits until every worker has an owner among the running nodes. A
+// node that ended by itself is an error at once.
 func (c *Cell) AwaitReady(ctx context.Context) error {
 	for {
 		owned := 0
@@ -423,7 +427,7 @@
 			if !n.isRunning {
 				continue
 			}
-			dump, err := c.Dump(ctx, i)
+			dump, err := c.dumpOrEnd(ctx, i)
 			if err != nil {
 				return err
 			}
@@ -440,6 +444,26 @@
 	}
 }
 
+// dumpOrEnd returns a node's control state, or why the node ended by itself.
+func (c *Cell) dumpOrEnd(ctx context.Context, i int) (control.Dump, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n, failed := c.Nodes[i], make(chan error, 1)
+	go func() {
+		select {
+		case err := <-n.ended:
+			n.ended <- err
+			failed <- fmt.Errorf("node %s ended: %w", n.Spec.Name, err)
+			cancel()
+		case <-ctx.Done():
+			failed <- nil
+		}
+	}()
+	dump, err := c.Dump(ctx, i)
+	cancel()
+	return dump, cmp.Or(<-failed, err)
+}
+
 // Stop ends everything and returns the nodes' failures.
 func (c *Cell) Stop() error {
 	var errs []error
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"sync"
 	"testing"
@@ -60,3 +61,26 @@
 	}
 	group.Wait()
 }
+
+// Guards against a node whose address is taken, on which tests wait until their
+// bound ends, and against nodes that share addresses with other programs.
+func TestNodeThatCannotListenEndsTheWait(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	c, err := cell.Start(ctx, cell.Options{Nodes: cell.SmallNodes(2), Workers: cell.SmallWorkers(1)})
+	require.NoError(t, err)
+	defer func() { require.NoError(t, c.Stop()) }()
+	require.NoError(t, c.AwaitReady(ctx))
+	at := c.Nodes[1].Settings.Addresses.Callers
+	require.NotEqual(t, "127.0.0.1", at.Addr().String(), "where every other program listens")
+	require.NotEqual(t, c.Nodes[0].Settings.Addresses.Callers.Addr(), at.Addr())
+	require.NoError(t, c.KillNode(1))
+	taken, err := net.Listen("tcp", at.String())
+	require.NoError(t, err)
+	defer taken.Close()
+	require.NoError(t, c.StartNode(1))
+	began := time.Now()
+	require.ErrorContains(t, c.AwaitReady(ctx), "address already in use")
+	require.Less(t, time.Since(began), 30*time.Second)
+	require.ErrorContains(t, c.KillNode(1), "address already in use")
+}
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/netip"
 	"sync"
+
+	"yuccalanding.example/yuccalanding/internal/loopback"
 )
 
 // relay passes callers' connections on to one node, so that the death of the
@@ -24,7 +26,7 @@
 // startRelay listens at an address, or at a free port if it is not valid.
 func startRelay(ctx context.Context, at, to netip.AddrPort) (*relay, error) {
 	if !at.IsValid() {
-		free, closers, err := freePort()
+		free, closers, err := freePort(loopback.New())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +20,7 @@
 	"yuccalanding.example/yuccalanding/internal/entry"
 	"yuccalanding.example/yuccalanding/internal/event"
 	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/loopback"
 	"yuccalanding.example/yuccalanding/internal/manifest"
 	"yuccalanding.example/yuccalanding/platform"
 	"yuccalanding.example/yuccalanding/platform/standin"
@@ -33,7 +33,6 @@
 	site   *standin.Site
 	nodes  []*node
 	advice netip.AddrPort
-	net    byte
 }
 
 // gate lets one node's calls of the store through, or refuses them.
@@ -88,11 +87,8 @@
 	}, []string{"ledger", "review"}, 4096)
 }
 
-var nextNet = byte(40)
-
 func newCell(t *testing.T, nodes int) *cell {
-	nextNet++
-	c := &cell{t: t, site: standin.New(), net: nextNet}
+	c := &cell{t: t, site: standin.New()}
 	t.Cleanup(c.site.Close)
 	advice, err := c.site.Serve(http.HandlerFunc(standin.Adviser))
 	require.NoError(t, err)
@@ -110,8 +106,7 @@
 }
 
 func (c *cell) start(number int) *node {
-	// Test programs that run side by side need addresses of their own.
-	ip := netip.AddrFrom4([4]byte{127, c.net, byte(1 + number), byte(1 + os.Getpid()%250)})
+	ip := loopback.New()
 	gate := &gate{store: c.site.Store}
 	address, err := c.site.Serve(gate)
 	require.NoError(c.t, err)
--- a/internal/processcell/processcell.go
+++ b/internal/processcell/processcell.go
@@ -25,10 +25,10 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
+	"yuccalanding.example/yuccalanding/internal/loopback"
 	"yuccalanding.example/yuccalanding/internal/vmlist"
 	"yuccalanding.example/yuccalanding/internal/worker"
 	"yuccalanding.example/yuccalanding/pkg/caller"
@@ -37,17 +37,6 @@
 // clusterSecret is the secret of every cell; a cell lives on loopback only.
 const clusterSecret = "the secret of a cell of processes on loopback"
 
-// cells counts the cells of this process.
-var cells atomic.Uint32
-
-// loopbackAddress returns an address of 127.0.0.0/8 that no other cell uses, so
-// that its ports meet neither those of other cells nor those of outgoing
-// connections, which come from 127.0.0.1.
-func loopbackAddress() netip.Addr {
-	process := os.Getpid()
-	return netip.AddrFrom4([4]byte{127, byte(1 + process/250%250), byte(1 + process%250), byte(1 + cells.Add(1)%250)})
-}
-
 // callTimeout bounds the calls to stand-ins and operators' addresses.
 const callTimeout = 5 * time.Second
 
@@ -123,7 +112,7 @@
 // processes listen, so another process may take one in between; the cell then
 // does not get ready, and says which process failed.
 func (c *Cell) reserveAddresses() error {
-	free := netip.AddrPortFrom(loopbackAddress(), 0)
+	free := netip.AddrPortFrom(loopback.New(), 0)
 	var sockets []interface{ Close() error }
 	defer func() {
 		for _, socket := range sockets {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/loopback"
 	"yuccalanding.example/yuccalanding/internal/manifest"
 	"yuccalanding.example/yuccalanding/internal/soak"
 	"yuccalanding.example/yuccalanding/platform"
@@ -138,7 +139,7 @@
 		proxy, err := soak.NewProxy(store)
 		require.NoError(t, err)
 		t.Cleanup(proxy.Close)
-		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: fmt.Sprintf("127.%d.%d.%d", 60+seed%150, i+1, 1+os.Getpid()%250), store: proxy}
+		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: loopback.New().String(), store: proxy}
 		p.settings = filepath.Join(t.TempDir(), "node.json")
 		ip := netip.MustParseAddr(p.ip)
 		content := standin.SettingsFile(platform.Settings{
