Answer a refusal after a lost answer as undecided

Cause: a front sends a submission again when the answer of the first call is lost. If the same holder refuses the second call, the caller was told "not run" (429 or 503), though the first call may arrive after it and be accepted. Change: forward says whether an earlier call to the same holder is open; the caller then gets 504. A former holder's call is shut out by the next holder's epoch, so its refusal stands. Ruled out: remembering refused calls at the holder: it would also refuse the caller's own later submission of the same job. Before: the case "refused by the same holder" gets 429. Found by reading; no run has shown it.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -127,16 +127,19 @@
 		return p.refuse(r, name, http.StatusBadRequest, err.Error(), 0)
 	}
 	var answer submitAnswer
+	var open error
 	to, err := p.partOf(r, r.queue.Service, r.rest)
 	if err == nil {
 		message := submitRequest{Service: to.name(), ID: r.rest, Terms: r.queue.Terms, Spec: spec}
-		answer, err = forward(p, r, to, pathSubmit, message, (*holder).submit)
+		answer, open, err = forward(p, r, to, pathSubmit, message, (*holder).submit)
 	}
 	switch {
 	case errors.Is(err, errNoHolder):
 		return p.refuse(r, name, http.StatusServiceUnavailable, err.Error(), retrySoon)
 	case err != nil:
 		return p.undecided(r, name, err)
+	case open != nil && !answer.Accepted:
+		return p.undecided(r, name, fmt.Errorf("%w: an earlier call failed: %w", errUndecided, open))
 	case answer.Unavailable:
 		return p.refuse(r, name, http.StatusServiceUnavailable, answer.Reason, answer.RetryAfter)
 	case !answer.Accepted:
@@ -204,7 +207,7 @@
 	for index := range count {
 		to := part{r.queue.Service, index, count}
 		go func() {
-			answer, err := forward(p, r, to, pathWaiting, waitingRequest{to.name(), r.queue.Terms.Queue}, (*holder).waiting)
+			answer, _, err := forward(p, r, to, pathWaiting, waitingRequest{to.name(), r.queue.Terms.Queue}, (*holder).waiting)
 			results <- result{answer.Waiting, err}
 		}()
 	}
@@ -245,20 +248,23 @@
 	if err != nil {
 		return stateAnswer{}, err
 	}
-	return forward(p, r, to, path, jobRequest{to.name(), r.rest}, local)
+	answer, _, err := forward(p, r, to, path, jobRequest{to.name(), r.rest}, local)
+	return answer, err
 }
 
 // forward hands a message to the holder of the queue's service. Every message
 // names a job by its identity or only reads, so it may be sent again to the
 // next holder: a call whose effect is unknown is repeated there until the
 // caller's time is over, as the next holder knows whether it was carried out.
-func forward[Message, Answer any](p *Process, r *request, to part, path string, message Message, local func(*holder, context.Context, Message) (Answer, error)) (Answer, error) {
+// open is the failure of an earlier call that the same holder may still carry
+// out after its answer; a former holder's is shut out by the next one.
+func forward[Message, Answer any](p *Process, r *request, to part, path string, message Message, local func(*holder, context.Context, Message) (Answer, error)) (answer Answer, open, err error) {
 	var none Answer
 	var sent error
+	var sentTo int64
 	for {
 		holding, changed, h := p.holding(to.name())
-		var answer Answer
-		err := errNoHolder
+		answer, err = none, errNoHolder
 		switch {
 		case h != nil && !h.lost.Load():
 			answer, err = local(h, r.ctx, message)
@@ -267,17 +273,19 @@
 			answer, err = ask[Answer](ctx, p.peers, holding.Address, path, message)
 			cancel()
 		}
-		if err == nil {
-			return answer, nil
-		}
-		if !errors.Is(err, errNoHolder) && !notSent(err) {
-			sent = err
+		switch {
+		case err == nil && sentTo == holding.Epoch:
+			return answer, sent, nil
+		case err == nil:
+			return answer, nil, nil
+		case !errors.Is(err, errNoHolder) && !notSent(err):
+			sent, sentTo = err, holding.Epoch
 		}
 		switch {
 		case sent != nil && r.ctx.Err() != nil:
-			return none, fmt.Errorf("%w: %w", errUndecided, sent)
+			return none, sent, fmt.Errorf("%w: %w", errUndecided, sent)
 		case sent == nil && (r.ctx.Err() != nil || time.Since(r.began) > holderWait):
-			return none, errNoHolder
+			return none, nil, errNoHolder
 		}
 		select {
 		case <-changed:
--- /dev/null
+++ b/internal/entry/front_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/labstack/echo/v4"
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/event"
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/manifest"
+	"yuccalanding.example/yuccalanding/internal/right"
+	"yuccalanding.example/yuccalanding/platform"
+	"yuccalanding.example/yuccalanding/platform/standin"
+)
+
+// Guards against a refusal as "not run" after a call to the same holder whose
+// answer was lost: that call may arrive late and be accepted.
+func TestRefusalAfterALostAnswerIsUndecided(t *testing.T) {
+	for name, c := range map[string]struct {
+		nextHolder bool // the second call goes to a new holder
+		accepted   bool
+		want       int
+	}{
+		"refused by the same holder":  {false, false, http.StatusGatewayTimeout},
+		"accepted by the same holder": {false, true, http.StatusOK},
+		"refused by the next holder":  {true, false, http.StatusTooManyRequests},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(platform.Settings{Node: "entry-0"}, event.New(t.Context(), event.Options{Out: &strings.Builder{}}))
+			calls := 0
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls++
+				if calls == 1 {
+					if c.nextHolder {
+						p.mu.Lock()
+						defer p.mu.Unlock()
+						next := p.rights["ledger/0"]
+						next.Epoch++
+						p.rights["ledger/0"] = next
+					}
+					panic(http.ErrAbortHandler) // the answer is lost
+				}
+				content, err := cbor.Marshal(submitAnswer{Accepted: c.accepted, Reason: "the queue is full"})
+				require.NoError(t, err)
+				_, err = w.Write(content)
+				require.NoError(t, err)
+			}))
+			defer peer.Close()
+			p.rights["ledger/0"] = right.Holding{Epoch: 7, Node: "entry-1", Address: netip.MustParseAddrPort(peer.Listener.Addr().String())}
+			p.counts["ledger"] = 1
+
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			body := standin.Submission(job.Spec{Text: "1", Steps: []job.Step{{Count: 1}}})
+			answer := httptest.NewRecorder()
+			asked := httptest.NewRequest(http.MethodPost, "/quick/0000000000000001", strings.NewReader(body))
+			require.NoError(t, p.submitJob(&request{
+				Context: echo.New().NewContext(asked, answer), queue: manifest.Queue{Service: "ledger"}, rest: "0000000000000001", ctx: ctx, began: time.Now(),
+			}))
+			require.Equal(t, c.want, answer.Code, answer.Body.String())
+			require.Equal(t, 2, calls)
+		})
+	}
+}
