Decode a worker's refusal of a start in the adapter

Change: platform.StartResult decodes them into named results; the shard, the log line run-rejected and the start histogram use these.

--- a/internal/entry/measures.go
+++ b/internal/entry/measures.go
@@ -37,8 +37,7 @@
 }
 
 func (m *measures) start(took time.Duration, result shard.StartResult) {
-	name := map[shard.StartResult]string{shard.StartAccepted: "accepted", shard.StartRejected: "rejected", shard.StartUnknown: "unknown"}[result]
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`yuccalanding_run_start_seconds{result=%q}`, name)).Update(took.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`yuccalanding_run_start_seconds{result=%q}`, result)).Update(took.Seconds())
 }
 
 func (m *measures) look(err error) {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -48,19 +48,12 @@
 func (h *holder) start(start shard.Start) {
 	sent := time.Now()
 	err := h.order(startTimeout, func(ctx context.Context) error { return h.process.workers.Start(ctx, start, h.epoch) })
-	result, reason := shard.StartAccepted, ""
-	switch {
-	case err == nil:
-	case platform.NotDone(err):
-		result, reason = shard.StartRejected, platform.ReasonOf(err)
-		if reason == "" {
-			reason = err.Error()
-		}
-	default:
-		result, reason = shard.StartUnknown, err.Error()
+	result, cause := platform.StartResult(err), ""
+	if err != nil {
+		cause = err.Error()
 	}
 	h.process.metrics.start(time.Since(sent), result)
-	h.input(func(now time.Time) { h.shard.StartAnswered(now, start.ID, start.RunKey, result, reason) })
+	h.input(func(now time.Time) { h.shard.StartAnswered(now, start.ID, start.RunKey, result, cause) })
 }
 
 func (h *holder) stop(stop shard.Stop) {
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -73,20 +73,23 @@
 }
 
 // StartResult is how an order to start ended.
-type StartResult int
+type StartResult string
 
-// Results.
+// Results. After each but the first two the worker did nothing.
 const (
-	// StartAccepted: the run is there.
-	StartAccepted StartResult = iota
-	// StartRejected: the worker did nothing.
-	StartRejected
-	// StartUnknown: no answer.
-	StartUnknown
+	StartAccepted  StartResult = "accepted"
+	StartUnknown   StartResult = "unknown" // no answer
+	TicketInvalid  StartResult = "ticket-invalid"
+	WorkerFull     StartResult = "worker-full"
+	LeaseExpired   StartResult = "lease-expired"   // the lease was over when the order came
+	RunOutdated    StartResult = "run-outdated"    // the worker had that run or a later one of the task
+	WorkerDeclined StartResult = "worker-declined" // for another cause, or it wasn't reached
 )
 
-// StartAnswered takes the answer to a Start. The reason is the worker's.
-func (s *Shard) StartAnswered(now time.Time, worker string, key RunKey, result StartResult, reason string) {
+func (r StartResult) rejected() bool { return r != StartAccepted && r != StartUnknown }
+
+// StartAnswered takes the answer to a Start; cause is for the log.
+func (s *Shard) StartAnswered(now time.Time, worker string, key RunKey, result StartResult, cause string) {
 	r := s.lookup(worker, key)
 	if r == nil || r.phase == running {
 		return
@@ -100,35 +103,35 @@
 		s.sendStop(now, r)
 	case result == StartAccepted:
 		s.started(now, r)
-	case result == StartRejected && r.tries == 1:
-		s.options.Log("run-rejected", "task", key.Task, "run", key.Run, "worker", worker, "reason", reason)
-		s.rejected(now, r, reason)
+	case result.rejected() && r.tries == 1:
+		s.options.Log("run-rejected", "task", key.Task, "run", key.Run, "worker", worker, "result", result, "cause", cause)
+		s.rejected(now, r, result)
 	case r.asked || r.phase == stopping:
 		r.phase = stopping
 		s.sendStop(now, r)
-	case result == StartRejected && reason == "old":
+	case result == RunOutdated:
 		// An earlier try of this order was carried out, and is over or was stopped.
 		r.phase = doubtful
-		s.doubt(now, r, "rejected as "+reason)
+		s.doubt(now, r, string(result))
 	case r.tries < maxStartTries && s.authority:
 		s.sendStart(now, r)
 	default:
-		s.doubt(now, r, reason)
+		s.doubt(now, r, cause)
 	}
 }
 
 // rejected handles a first order that a worker has not carried out.
-func (s *Shard) rejected(now time.Time, r *run, reason string) {
+func (s *Shard) rejected(now time.Time, r *run, result StartResult) {
 	st := r.task.step
-	switch reason {
-	case "ticket":
+	switch result {
+	case TicketInvalid:
 		st.advice.drop(r.worker)
-	case "room":
+	case WorkerFull:
 		r.worker.checking = true
 		r.worker.nextHold = now
-	case "late":
+	case LeaseExpired:
 		r.worker.checking = true
-	case "old":
+	case RunOutdated:
 		r.task.lastRun++
 	default:
 		r.worker.health.refused(now)
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -591,7 +591,7 @@
 func (m *modelWorker) start(start shard.Start, epoch int64, delay time.Duration) (shard.StartResult, string) {
 	w := m.world
 	if epoch < m.fence {
-		return shard.StartRejected, "fence"
+		return shard.WorkerDeclined, "fence"
 	}
 	m.fence = epoch
 	for _, r := range m.runs {
@@ -600,10 +600,10 @@
 		}
 	}
 	if start.Run <= m.highest[start.Task] {
-		return shard.StartRejected, "old"
+		return shard.RunOutdated, "old"
 	}
 	if start.Until-time.Duration(m.born)*time.Hour <= w.now {
-		return shard.StartRejected, "late"
+		return shard.LeaseExpired, "late"
 	}
 	facts := w.jobs[start.Task[:16]]
 	if facts == nil {
@@ -618,7 +618,7 @@
 	if facts.terms.Advised {
 		parts := strings.Split(start.Ticket, "|")
 		if len(parts) != 4 || parts[0] != start.Task[:strings.LastIndex(start.Task, ".")] || parts[1] != m.id || parts[2] != fmt.Sprint(m.born) || parts[3] < fmt.Sprint(int64(w.now)) && len(parts[3]) <= len(fmt.Sprint(int64(w.now))) {
-			return shard.StartRejected, "ticket"
+			return shard.TicketInvalid, "ticket"
 		}
 	}
 	w.checkStart(m, start, facts, &spec, number, delay)
