Spread a service's shards over topics when one has too few partitions

No node could hold these shards; the nodes claimed them from each other without end, which also used up the store's write calls. Change: the settings' number of partitions is read, and shards that don't fit into the first topic take further ones. The stand-in refuses other partitions. Ruled out: one partition a shard: two are needed while one is silent. Before: TestEachShardHasPartitionsThatExist doesn't hold for shard 16. After: it does, for topics of 1 to 32 partitions.

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -13,13 +13,14 @@
 	"yuccalanding.example/yuccalanding/internal/job"
 	"yuccalanding.example/yuccalanding/internal/shard"
 	"yuccalanding.example/yuccalanding/platform"
+	"yuccalanding.example/yuccalanding/platform/standin"
 )
 
 // holderWithoutStore returns a holder that has loaded an empty state and whose
 // store can't be reached.
 func holderWithoutStore(ctx context.Context) *holder {
 	nowhere := netip.MustParseAddrPort("127.0.0.1:1")
-	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
+	p := New(platform.Settings{Store: platform.StoreSettings{Address: nowhere, Partitions: standin.Partitions}}, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1", PerSecond: 1, Burst: 1}))
 	h := newHolder(ctx, p, part{"ledger", 0, 1}, 7, 0)
 	h.shard.Load(time.Now(), nil)
 	return h
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -115,7 +115,7 @@
 		settings: platform.Settings{
 			Node: fmt.Sprintf("entry-%d", number), Zone: "z", Region: "r", IP: ip,
 			Callers: netip.AddrPortFrom(ip, 8149), Ready: netip.AddrPortFrom(ip, 8141), FirstPeerPort: 7380, LastPeerPort: 7395,
-			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address)}, Advice: c.advice,
+			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address), Partitions: standin.Partitions}, Advice: c.advice,
 			Bounds: platform.Bounds{MaxLease: 6 * time.Second, Grace: 6 * time.Second, Status: 2 * time.Minute, FarFactor: 2},
 		},
 		ended: make(chan error, 1), logs: &lockedBuffer{},
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -47,6 +48,17 @@
 // has reports whether a worker or job of this identity belongs to the shard.
 func (p part) has(id string) bool { return deal(id, p.count) == p.index }
 
+// partition is where the shard's records are: the ledger's number p of them. A
+// service with more shards than fit into a topic has several topics.
+func (p part) partition(number, perTopic int) platform.Partition {
+	at := p.index*ledger.Partitions + number
+	topic := "jobs"
+	if group := at / perTopic; group > 0 {
+		topic += strconv.Itoa(group)
+	}
+	return platform.Partition{Topic: platform.KeyedPrefix + topic + "-" + p.service, Part: at % perTopic}
+}
+
 // deal spreads identities over the shards.
 func deal(id string, count int) int {
 	if count <= 1 {
--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/internal/manifest"
 	"yuccalanding.example/yuccalanding/platform"
 )
@@ -69,3 +70,24 @@
 		require.LessOrEqual(t, float64(nodes)/idlePause(nodes).Seconds(), 80.0)
 	}
 }
+
+// Guards against a service with more shards than the topic has partitions, the
+// rest of which no node can hold (sweep of rlts-voucher-grown at 300 VMs: 17
+// and more shards of two partitions each, 32 partitions).
+func TestEachShardHasPartitionsThatExist(t *testing.T) {
+	for _, perTopic := range []int{1, 2, 31, 32} {
+		seen := map[platform.Partition]bool{}
+		for _, service := range []string{"ledger", "1-ledger"} {
+			for index := range 80 {
+				for number := range ledger.Partitions {
+					at := part{service, index, 80}.partition(number, perTopic)
+					require.Less(t, at.Part, perTopic)
+					require.False(t, seen[at], "%v is another shard's", at)
+					seen[at] = true
+				}
+			}
+		}
+	}
+	require.Equal(t, platform.Partition{Topic: "keyed.jobs-ledger", Part: 31}, part{"ledger", 15, 17}.partition(1, 32))
+	require.Equal(t, platform.Partition{Topic: "keyed.jobs1-ledger", Part: 0}, part{"ledger", 16, 17}.partition(0, 32))
+}
--- a/internal/entry/storing.go
+++ b/internal/entry/storing.go
@@ -37,7 +37,7 @@
 
 // partition is where the shard's records are: the ledger's number p of them.
 func (h *holder) partition(p int) platform.Partition {
-	return platform.Partition{Topic: platform.KeyedPrefix + "jobs-" + h.part.service, Part: h.part.index*ledger.Partitions + p}
+	return h.part.partition(p, h.process.settings.Store.Partitions)
 }
 
 // takeOver shuts out the former holder's appends and reads what is stored.
