Spread claims so that many nodes share out many rights

A claim fails when any other record of the rights came between, and every node claimed every free right at once, again at each change: claims kept each other out and used up the store's 1,200 calls a second, which then refused the holders' records too. Change: nodes begin after times whose shares grow exponentially, over a span by the number of rights, so that of any number of nodes a few begin; they look when their time has come, not at steps; a node has two claims on their way, and pauses longer after each failure; a follower pauses longer when the store has too many calls. Ruled out: a partition for each right (32 followers a node); claims without a condition (the store keeps the newest record of a key, also a void one).

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -75,7 +75,11 @@
 		}
 		if err != nil {
 			p.failedAt.Store(int64(time.Since(p.began)))
-			pause(ctx, followRetry)
+			retry := followRetry
+			if platform.TooManyCalls(err) {
+				retry = followRetryLoaded
+			}
+			pause(ctx, retry)
 		}
 	}
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -42,6 +42,9 @@
 	firstTimeout = 400 * time.Millisecond
 	// followRetry is the pause after a failed call of a follower.
 	followRetry = 100 * time.Millisecond
+	// followRetryLoaded is the same after a call that the store refused for the
+	// number of calls: 1,000 nodes with two followers make 5,000 calls a second.
+	followRetryLoaded = 400 * time.Millisecond
 	// helloEvery is the pause between two greetings by a node that watches a
 	// holder, so that three fit into right.SuspectAfter. The others greet it to
 	// be known to it.
@@ -68,6 +71,9 @@
 	// balancer that it isn't ready: the silence after which a holder is
 	// replaced, and the replacement.
 	isolatedAfter = 2 * time.Second
+	// claimTurn is the pause until a node looks again that may not claim now, or
+	// just has: the longest pause after one failure.
+	claimTurn = 20 * time.Millisecond
 	// claimTimeout bounds one claim.
 	claimTimeout = 1 * time.Second
 	// drainListen is how long a stopping process still takes new connections:
@@ -115,6 +121,7 @@
 	counting     map[string]counter       // who counts a service's workers
 	rights       map[string]right.Holding // by the shard's name
 	rightsEnd    int64
+	turns        right.Turns
 	rightsRead   bool
 	holders      map[string]*holder
 	views        map[string]*view
--- a/internal/entry/rights.go
+++ b/internal/entry/rights.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strings"
@@ -121,8 +122,9 @@
 			greeting = make(chan helloResult, 1)
 			go func(result chan helloResult) { result <- p.greet(ctx, service, holding) }(greeting)
 		}
+		wait := right.Step
 		if read && !holds && !p.stopping.Load() {
-			p.consider(ctx, shard, holding, v, now, at)
+			wait = p.consider(ctx, shard, holding, v, now, at)
 		}
 		select {
 		case <-ctx.Done():
@@ -130,7 +132,7 @@
 			greeting = nil
 			p.heard(service, greeted, result)
 		case <-changed:
-		case <-time.After(right.Step):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -202,13 +204,13 @@
 	return errors.As(err, &netError) && netError.Timeout()
 }
 
-// consider claims the right if it is free.
-func (p *Process) consider(ctx context.Context, shard part, holding right.Holding, v *view, now time.Time, at int64) {
+// consider claims the right if it is free. It returns the pause until the next look.
+func (p *Process) consider(ctx context.Context, shard part, holding right.Holding, v *view, now time.Time, at int64) time.Duration {
 	service := shard.name()
 	p.mu.Lock()
 	known := right.View{
 		Now: now, Holding: holding, Self: holding.Node == p.settings.Node, Vacant: v.vacant, Heard: v.heard, Refused: v.refused,
-		ProofAge: v.proofAge, StoreSound: p.storeSound(), Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service),
+		ProofAge: v.proofAge, StoreSound: p.storeSound(), Near: p.near(), Small: p.settings.Cores < smallCores, Load: len(p.holders), Jitter: p.jitter(service), Rights: len(p.views),
 		Newer: p.boot > holding.Boot, Watches: v.watches, Pause: v.pause,
 	}
 	others := make([]netip.AddrPort, 0, len(v.peers))
@@ -220,15 +222,25 @@
 	p.mu.Unlock()
 	claim, cause := right.Decide(known)
 	if !claim {
-		return
+		return right.Wait(known)
 	}
 	if cause == right.Silent {
 		known.Others, known.Reached, known.Vouched = p.askOthers(ctx, service, holding, others)
 		if claim, cause = right.Decide(known); !claim {
-			return
+			return right.Step
 		}
 	}
-	p.claim(ctx, shard, cause, now.Sub(v.heard), at)
+	p.mu.Lock()
+	turn := p.turns.Begin(now)
+	p.mu.Unlock()
+	if !turn {
+		return claimTurn
+	}
+	stored := p.claim(ctx, shard, cause, now.Sub(v.heard), at)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.turns.End(time.Now(), stored, rand.Float64())
+	return claimTurn
 }
 
 func (p *Process) jitter(service string) float64 {
@@ -264,14 +276,14 @@
 }
 
 // claim appends a claim, which fails if anybody appended after the node
-// looked: at is the end of the rights then.
-func (p *Process) claim(ctx context.Context, shard part, cause right.Cause, silence time.Duration, at int64) {
+// looked: at is the end of the rights then. It reports whether it is stored.
+func (p *Process) claim(ctx context.Context, shard part, cause right.Cause, silence time.Duration, at int64) bool {
 	service := shard.name()
 	sent := time.Now()
 	offset, end, err := p.appendRight(ctx, service, rightRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address}, at)
 	if err != nil {
 		p.log("claim-failed", "service", service, "at", at, "cause", cause, "error", err)
-		return
+		return false
 	}
 	p.log("right-claimed", "service", service, "epoch", offset+1, "cause", cause, "silence", silence, "near", p.near())
 	p.mu.Lock()
@@ -290,6 +302,7 @@
 			delete(p.holders, service)
 		}
 	}()
+	return true
 }
 
 // appendRight appends a right's record if the rights still end at the offset.
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -8,11 +8,15 @@
 //
 // # Usage
 //
-//	claim, wait := right.Decide(view)
-//	if claim { ... append the claim ... } else { ... look again after wait ... }
+//	if claim, cause := right.Decide(view); claim {
+//		... append the claim ...
+//	} else {
+//		... look again after right.Wait(view) ...
+//	}
 package right
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -64,7 +68,7 @@
 	// OlderDelay leaves a released right to a node that was started after the
 	// one that releases it: a rolling restart comes to the others yet.
 	OlderDelay = 150 * time.Millisecond
-	// Step is the pause between two looks.
+	// Step is the longest pause between two looks.
 	Step = 100 * time.Millisecond
 )
 
@@ -103,6 +107,8 @@
 	Newer bool
 	// Jitter differs between nodes, from 0 to 1.
 	Jitter float64
+	// Rights is how many rights there are: many may be free at once.
+	Rights int
 }
 
 // Cause is why a right may be claimed, or why not.
@@ -147,6 +153,15 @@
 	return !v.Now.Before(since.Add(v.delay())), cause
 }
 
+// Wait is the pause until a node that doesn't claim yet looks again.
+func Wait(v View) time.Duration {
+	since, _ := v.vacantSince()
+	if due := since.Add(v.delay()).Sub(v.Now); !since.IsZero() && due > 0 {
+		return min(due, Step)
+	}
+	return Step
+}
+
 // vacantSince is since when the right may be claimed; zero if it may not.
 func (v View) vacantSince() (time.Time, Cause) {
 	switch {
@@ -184,14 +199,43 @@
 	return max(IdleSuspectAfter, time.Duration(Missed*float64(pause)))
 }
 
-// jitterSpan spreads the claims of nodes that are alike.
-const jitterSpan = 120 * time.Millisecond
+const (
+	// jitterSpan spreads the claims of nodes that are alike.
+	jitterSpan = 120 * time.Millisecond
+	// claimSlot is the time in which one claim is stored and the nodes near the
+	// store read it: claims that were sent meanwhile fail.
+	claimSlot = 8 * time.Millisecond
+	// ownSlots spreads the claims of nodes that all take their own rights back:
+	// half of the slots stay free, so that few claims meet.
+	ownSlots = 2
+	// manyNodes is the number of nodes up to which about one begins first.
+	manyNodes = 4000
+)
+
+// spread is the node's part of the span in which nodes that are alike claim. A
+// node doesn't know how many others claim too. The shares of nodes that begin
+// grow exponentially with time, so that of any number up to manyNodes a few
+// begin, and the others see their claims.
+func (v View) spread() time.Duration {
+	if v.Watches {
+		return time.Duration(v.Jitter * float64(jitterSpan)) // a few nodes watch a holder
+	}
+	foldings := math.Log(manyNodes)
+	span := max(float64(jitterSpan), float64(v.slots())*foldings)
+	const least = 1.0 / manyNodes
+	return time.Duration(span * (1 + math.Log(least+v.Jitter*(1-least))/foldings))
+}
+
+// slots is the time that the claims of all rights take one after the other.
+func (v View) slots() time.Duration { return time.Duration(v.Rights) * claimSlot }
 
 func (v View) delay() time.Duration {
 	if v.Self && !v.Holding.Released {
-		return 0 // its own former process is over, so nobody else has a reason yet
+		// Its own former process is over, so nobody else has a reason yet. All
+		// nodes may have been restarted.
+		return time.Duration(v.Jitter * ownSlots * float64(v.slots()))
 	}
-	delay := time.Duration(v.Jitter * float64(jitterSpan))
+	delay := v.spread()
 	if !v.Near {
 		delay += FarDelay
 	}
