Write capacities and other structures legibly into the log

Cause: each worker-listed line said capacity="unsupported value type": logfmt refuses structures, lists and tables. Change: a demand says how it is printed; the recorder prints other structures by their fields.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,8 +21,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding"
 	"fmt"
 	"io"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -141,6 +143,9 @@
 	if suppressed > 0 {
 		head = append(head, "suppressed", suppressed)
 	}
+	for i := 1; i < len(keyvals); i += 2 {
+		keyvals[i] = printable(keyvals[i])
+	}
 	var line bytes.Buffer
 	if err := log.NewLogfmtLogger(&line).Log(append(head, keyvals...)...); err != nil {
 		line.Reset()
@@ -149,6 +154,20 @@
 	return line.Bytes()
 }
 
+// printable returns what logfmt can write of a value: it refuses structures,
+// lists and tables that don't say how they are printed.
+func printable(value any) any {
+	switch value.(type) {
+	case fmt.Stringer, error, encoding.TextMarshaler:
+		return value
+	}
+	switch reflect.ValueOf(value).Kind() {
+	case reflect.Struct, reflect.Map, reflect.Slice, reflect.Array, reflect.Pointer:
+		return fmt.Sprint(value)
+	}
+	return value
+}
+
 func (r *Recorder) write(ctx context.Context) {
 	defer close(r.finished)
 	for {
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"flag"
+	"net/netip"
 	"os"
 	"strings"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/event"
+	"yuccalanding.example/yuccalanding/internal/job"
 )
 
 var update = flag.Bool("update", false, "write docs/events.md from the catalogue")
@@ -60,3 +63,32 @@
 	require.Contains(t, out.String(), "event=200")
 	require.EqualValues(t, 11, recorder.Total(event.SessionLost))
 }
+
+// Guards against values that reach the log as "unsupported value type", as the
+// capacity of each listed worker did.
+func TestValuesAreLegible(t *testing.T) {
+	type size struct{ width, height int }
+	for name, c := range map[string]struct {
+		value any
+		want  string
+	}{
+		"demand":    {job.Demand{MilliCPU: 4000, MemoryMB: 8192, GPUs: 2}, "value=4000m,8192MB,2gpu\n"},
+		"structure": {size{3, 4}, "value=\"{3 4}\"\n"},
+		"list":      {[]string{"a", "b"}, "value=\"[a b]\"\n"},
+		"address":   {netip.MustParseAddrPort("127.0.0.1:80"), "value=127.0.0.1:80\n"},
+		"duration":  {time.Second, "value=1s\n"},
+		"error":     {errors.New("no answer"), "value=\"no answer\"\n"},
+		"number":    {3, "value=3\n"},
+		"nothing":   {nil, "value=null\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			ctx, cancel := context.WithCancel(t.Context())
+			recorder := event.New(ctx, event.Options{Out: &out, PerSecond: 1, Burst: 1})
+			recorder.Record(event.SessionLost, "value", c.value)
+			cancel()
+			<-recorder.Done()
+			require.Contains(t, out.String(), c.want)
+		})
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -51,6 +51,9 @@
 	GPUs     int `cbor:"3,keyasint,omitempty"`
 }
 
+// String returns the demand for logs, such as "4000m,8192MB,2gpu".
+func (d Demand) String() string { return fmt.Sprintf("%dm,%dMB,%dgpu", d.MilliCPU, d.MemoryMB, d.GPUs) }
+
 // Plus returns the sum.
 func (d Demand) Plus(o Demand) Demand {
 	return Demand{d.MilliCPU + o.MilliCPU, d.MemoryMB + o.MemoryMB, d.GPUs + o.GPUs}
