Report a process of a cell that ended by itself

Cause: as in cells within one process, the wait for a cell of processes lasted until its bound when a process had ended, and didn't name it. TestEndedProcessEndsTheWait waits for its whole minute without the change.

--- a/internal/processcell/faults_test.go
+++ b/internal/processcell/faults_test.go
@@ -164,3 +164,16 @@
 		require.Zero(t, summary.NotRun+summary.MayHaveRun, "a planned stop or a log outage must not refuse or cut off requests: %s", summary.Examples)
 	}
 }
+
+// Guards against a wait until its bound for a cell whose process has ended, and
+// against an error that doesn't say which one.
+func TestEndedProcessEndsTheWait(t *testing.T) {
+	binary, err := exec.LookPath("false")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	c, err := processcell.Start(ctx, processcell.Options{Binary: binary, Folder: t.TempDir(), Nodes: 1, Workers: 1})
+	require.ErrorContains(t, err, "log ended by itself: exit status 1")
+	require.NoError(t, ctx.Err())
+	c.Stop()
+}
--- a/internal/processcell/processcell.go
+++ b/internal/processcell/processcell.go
@@ -13,6 +13,7 @@
 package processcell
 
 import (
+	"cmp"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -263,9 +264,13 @@
 	}
 }
 
+func (c *Cell) processes() []*Process {
+	return append(append([]*Process{c.log, c.vms}, c.Workers...), c.Nodes...)
+}
+
 // Stop ends every process.
 func (c *Cell) Stop() {
-	for _, process := range append(append([]*Process{c.log, c.vms}, c.Workers...), c.Nodes...) {
+	for _, process := range c.processes() {
 		if process != nil {
 			_ = process.Thaw()
 			_ = process.Kill()
@@ -348,7 +353,27 @@
 	return dump.Owned.Workers, err
 }
 
-// AwaitReady waits until every worker has an owner.
+// ended returns an error if a process ended by itself.
+func (c *Cell) ended() error {
+	for _, process := range c.processes() {
+		if process == nil || process.ended == nil {
+			continue
+		}
+		select {
+		case err := <-process.ended:
+			process.ended <- err
+			return fmt.Errorf("%s ended by itself: %w; see its log in %s", process.Name, cmp.Or(err, errNoFailure), c.options.Folder)
+		default:
+		}
+	}
+	return nil
+}
+
+// errNoFailure stands for the exit status 0.
+var errNoFailure = errors.New("without a failure")
+
+// AwaitReady waits until every worker has an owner. A process that ends by
+// itself is an error at once.
 func (c *Cell) AwaitReady(ctx context.Context) error {
 	for {
 		owned := 0
@@ -360,6 +385,9 @@
 		if owned >= len(c.Workers) {
 			return nil
 		}
+		if err := c.ended(); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("%d of %d workers have an owner: %w; see the logs in %s", owned, len(c.Workers), ctx.Err(), c.options.Folder)
