Give shards up to 256 workers where the VMs bear it

A job that lasts wants 26 tasks on 26 workers; its shard had 124 workers, all were asked about, and the adviser allowed 24. The rest of the service's 252 workers belong to another shard. The logs show it in each of 18 step-waiting lines: usable=124 allowed=24 cause=no-room. Change: a shard takes 320 workers for each core of the VM that counts them, 128 to 256; small VMs leave the count to larger ones. So a service of the grown sites is one shard. Ruled out: room, tickets and the order of steps (the step was first of one); moving single tasks to another shard, which needs promises between holders.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -17,11 +17,15 @@
 )
 
 const (
-	// workersPerShard is how many workers without accelerators one holder has:
-	// at the grown sizes (252 workers, 700 starts a second) two holders share
-	// the work. A step that is spread over more workers than the adviser allows
-	// in one shard can't run whole, so shards are as few as processors bear.
-	workersPerShard = 128
+	// workersPerCore is how many workers without accelerators one holder has
+	// for each core of its VM: 252 workers at 700 starts a second take 0.34
+	// cores, half of what one has that keeps as much free for a flood.
+	workersPerCore = 320
+	// leastPerShard and mostPerShard bound a shard's workers. A step that is
+	// spread over more workers than the adviser allows in one shard can't run
+	// whole, so shards are as large as one control thread bears.
+	leastPerShard = 128
+	mostPerShard  = 256
 	// acceleratedWeight is what a worker with accelerators counts: it runs few
 	// large tasks, and large gangs need many such workers in one shard.
 	acceleratedWeight = 0.6
@@ -129,6 +133,9 @@
 	if !p.near() {
 		wait += countRetry
 	}
+	if p.settings.Cores < smallCores {
+		wait += countRetry
+	}
 	if !p.settings.FirstStart {
 		wait -= countAfter
 	}
@@ -166,7 +173,7 @@
 	if weight == 0 {
 		return
 	}
-	value, err := cbor.Marshal(int(math.Ceil(weight / workersPerShard)))
+	value, err := cbor.Marshal(shardsFor(weight, p.settings.Cores))
 	if err != nil {
 		p.log("record-not-encoded", "key", service, "cause", err)
 		return
@@ -175,6 +182,13 @@
 	p.log("shards-offered", "service", service, "workers", len(records), "weight", weight, "cause", err)
 }
 
+// shardsFor is how many shards a service with workers of this weight has, where
+// the larger VMs have so many cores.
+func shardsFor(weight, cores float64) int {
+	size := min(mostPerShard, max(leastPerShard, workersPerCore*cores))
+	return max(1, int(math.Ceil(weight/size)))
+}
+
 // errCounted says that a service has its count of shards.
 var errCounted = errors.New("the service is counted")
 
--- a/internal/entry/parts_test.go
+++ b/internal/entry/parts_test.go
@@ -151,3 +151,25 @@
 	loops.Wait()
 	require.LessOrEqual(t, lists.Load(), int64(2), "one node reads the list, and a second one if the first is late")
 }
+
+// Guards against shards that are smaller than their holders can bear, in which
+// a wide step finds too few workers that the adviser allows (hunt of
+// mcog-bakehouse-grown, mix, seed 945390005485: 26 tasks on 26 workers, 24 of
+// 124 allowed), and against shards that are too large for a small VM.
+func TestShardsFitTheirHolders(t *testing.T) {
+	for name, c := range map[string]struct {
+		weight, cores float64
+		want          int
+	}{
+		"a small site":                        {35, 0.4, 1},
+		"a grown site, VMs of 0.8 cores":      {252, 0.8, 1},
+		"a grown site, VMs of 0.4 cores":      {252, 0.4, 2},
+		"a grown site, a small VM counts":     {252, 0.192, 2},
+		"3,000 workers, VMs of 0.8 cores":     {3000, 0.8, 12},
+		"no figure for the cores":             {252, 0, 2},
+		"a VM of many cores":                  {1000, 16, 4},
+		"less than one worker by its weights": {0.6, 0.8, 1},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, shardsFor(c.weight, c.cores)) })
+	}
+}
--- a/internal/processcell/processcell.go
+++ b/internal/processcell/processcell.go
@@ -13,8 +13,8 @@
 package processcell
 
 import (
-	"cmp"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
