--- a/internal/entry/borrow.go
+++ b/internal/entry/borrow.go
@@ -108,25 +108,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := false
 	for service, count := range answer.Counts {
-		if p.counts[service] == 0 && count > 0 {
-			p.counts[service] = count
-			changed = true
-		}
+		p.noteCount(service, count, "node")
 	}
 	for _, known := range answer.Rights {
-		if p.rights[known.Shard].Epoch >= known.Epoch {
-			continue
-		}
-		p.rights[known.Shard] = right.Holding{
+		p.noteRight(known.Shard, right.Holding{
 			Epoch: known.Epoch, Node: known.Node, Boot: known.Boot, Address: known.Address, Released: known.Released,
-		}
-		p.log("right-seen", "service", known.Shard, "epoch", known.Epoch, "holder", known.Node, "released", known.Released, "from", "node")
-		changed = true
-	}
-	if changed {
-		p.announce()
+		}, "node")
 	}
 }
 
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -111,18 +111,25 @@
 	}
 }
 
-// takeCount notes a service's shards; the lock is held. The first count holds.
+// takeCount notes a service's shards; the lock is held.
 func (p *Process) takeCount(service string, record platform.Record) {
 	var count int
 	if err := cbor.Unmarshal(record.Value, &count); err != nil || count < 1 {
 		p.log("record-unreadable", "key", record.Key, "cause", err)
 		return
 	}
-	if p.counts[service] == 0 {
-		p.counts[service] = count
-		p.log("shards-counted", "service", service, "shards", count)
-		p.announce()
+	p.noteCount(service, count, "store")
+}
+
+// noteCount takes what the store or another node says of a service's shards;
+// the lock is held. The first count holds.
+func (p *Process) noteCount(service string, count int, from string) {
+	if p.counts[service] != 0 || count < 1 {
+		return
 	}
+	p.counts[service] = count
+	p.log("shards-counted", "service", service, "shards", count, "from", from)
+	p.announce()
 }
 
 // countShards stores how many shards a new service has, by its workers. Nodes
--- a/internal/entry/rights.go
+++ b/internal/entry/rights.go
@@ -20,9 +20,6 @@
 
 // takeRight notes a right's record; the lock is held.
 func (p *Process) takeRight(record platform.Record) {
-	if p.rights[record.Key].Epoch > record.Offset {
-		return
-	}
 	if service, is := strings.CutPrefix(record.Key, countKey); is {
 		p.takeCount(service, record)
 		return
@@ -36,11 +33,19 @@
 		p.log("record-unreadable", "key", record.Key, "cause", err)
 		return
 	}
-	holding := right.Holding{Epoch: record.Offset + 1, Node: read.Node, Boot: read.Boot, Address: read.Address, Released: read.Released}
-	p.rights[record.Key] = holding
-	p.log("right-seen", "service", record.Key, "epoch", holding.Epoch, "holder", read.Node, "released", read.Released)
-	if h := p.holders[record.Key]; h != nil && holding.Epoch > h.epoch && !(read.Node == p.settings.Node && read.Boot == p.boot) {
-		h.lose("a newer claim is stored")
+	p.noteRight(record.Key, right.Holding{Epoch: record.Offset + 1, Node: read.Node, Boot: read.Boot, Address: read.Address, Released: read.Released}, "store")
+}
+
+// noteRight takes what the store or another node says of a right, if it is
+// newer; the lock is held.
+func (p *Process) noteRight(name string, holding right.Holding, from string) {
+	if p.rights[name].Epoch >= holding.Epoch {
+		return
+	}
+	p.rights[name] = holding
+	p.log("right-seen", "service", name, "epoch", holding.Epoch, "holder", holding.Node, "released", holding.Released, "from", from)
+	if h := p.holders[name]; h != nil && holding.Epoch > h.epoch && !(holding.Node == p.settings.Node && holding.Boot == p.boot) {
+		h.lose("a newer claim is known")
 	}
 	p.announce()
 }
