Say in the log when a step has taken all workers that the adviser allows

The line now says all-allowed-taken and counts them. TestWideStepNeedsAWholeService plays the pattern: a step of 60 tasks on workers of their own, 30% of the workers allowed, runs whole with 252 workers and never with 126.

--- a/internal/shard/explain.go
+++ b/internal/shard/explain.go
@@ -30,7 +30,7 @@
 
 // census counts the workers by what keeps the step from them.
 func (p *pass) census(st *step) []any {
-	var usable, allowed, ticket, room, shunned int
+	var usable, allowed, taken, ticket, room, shunned int
 	demand := st.spec.Reserved()
 	for _, w := range p.shard.ordered {
 		if !w.usable() || !w.matches(st) {
@@ -44,13 +44,17 @@
 		if st.occurrence.job.record.Terms.Advised {
 			good, valid = st.advice.allowed(w, p.now)
 		}
+		saturated := st.saturates(w)
 		if good {
 			allowed++
 		}
+		if good && saturated {
+			taken++
+		}
 		if valid {
 			ticket++
 		}
-		if good && demand.Fits(w.free()) && !st.saturates(w) {
+		if good && demand.Fits(w.free()) && !saturated {
 			room++
 		}
 	}
@@ -68,7 +72,9 @@
 		cause = "advice-on-its-way"
 	case room > 0:
 		cause = "room-kept-or-ticket-over"
+	case allowed > 0 && taken == allowed:
+		cause = "all-allowed-taken" // each has as many of the step's tasks as it may
 	}
 	out, slots := p.shard.slots(adviceTime(st, 1))
-	return []any{"cause", cause, "advice-out", *out, "advice-slots", slots, "usable", usable, "allowed", allowed, "with-ticket", ticket, "with-room", room, "shunned", shunned}
+	return []any{"cause", cause, "advice-out", *out, "advice-slots", slots, "usable", usable, "allowed", allowed, "taken", taken, "with-ticket", ticket, "with-room", room, "shunned", shunned}
 }
--- a/internal/shard/patterns_test.go
+++ b/internal/shard/patterns_test.go
@@ -295,6 +295,41 @@
 	require.Equal(t, spread.Count, running)
 }
 
+// Pattern: a step wants more workers of their own than the adviser allows in its
+// shard, and the service has others in another shard (mcog-bakehouse-grown, mix,
+// seed 945390005485: 26 tasks, 24 of 124 workers allowed). It runs whole if its
+// shard has all workers of the service; if not, the log says what it lacks.
+func TestWideStepNeedsAWholeService(t *testing.T) {
+	const service, width = 252, 60
+	for name, c := range map[string]struct {
+		workers int
+		whole   bool
+	}{
+		"one shard":   {service, true},
+		"half of two": {service / 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 21, c.workers, workerSize)
+			w.advised, w.goodShare = true, 0.3
+			causes := map[any]bool{}
+			w.onLog = func(event string, keyvals []any) {
+				for i := 0; i+1 < len(keyvals); i += 2 {
+					if event == "step-waiting" && keyvals[i] == "cause" {
+						causes[keyvals[i+1]] = true
+					}
+				}
+			}
+			w.run(time.Second)
+			wide := job.Step{Count: width, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 100}, Estimate: 500 * time.Millisecond, LongRunning: true, MaxPerWorker: 1}
+			w.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{wide}}, time.Hour)
+			w.run(15 * time.Second)
+			_, running := w.holder.shard.Jobs()
+			require.Equal(t, c.whole, running == width, "%d of %d tasks run", running, width)
+			require.Equal(t, !c.whole, causes["all-allowed-taken"], "%v", causes)
+		})
+	}
+}
+
 // Pattern: the same job arrives again, also after its end and at the next holder.
 func TestTheSameJobAgainIsOneJob(t *testing.T) {
 	w := newWorld(t, 8, 2, workerSize)
--- a/internal/shard/world_test.go
+++ b/internal/shard/world_test.go
@@ -108,6 +108,7 @@
 }
 
 type world struct {
+	onLog     func(event string, keyvals []any) // sees each line of the holders' logs
 	t         testing.TB
 	random    *rand.Rand
 	base      time.Time
@@ -179,6 +180,9 @@
 			if os.Getenv("SHARD_LOG") != "" {
 				w.t.Log(w.now, h.epoch, event, keyvals)
 			}
+			if w.onLog != nil {
+				w.onLog(event, keyvals)
+			}
 		},
 	})
 	records := make([]shard.Record, 0, len(w.store))
