--- a/internal/entry/count.go
+++ b/internal/entry/count.go
@@ -70,59 +70,76 @@
 // first append that they count, so that one of them reads the list of workers:
 // if all did, they would fill the link between regions and the store's reads.
 func (p *Process) countShards(ctx context.Context, service string) {
-	wait := countAfter + time.Duration(p.jitter(service)*float64(countRetry))
-	if !p.near() {
-		wait += countRetry
-	}
-	if p.settings.Cores < smallCores {
-		wait += countRetry
-	}
-	if !p.settings.FirstStart {
-		wait -= countAfter
-	}
 	p.mu.Lock()
 	named := p.counting[service]
 	p.mu.Unlock()
 	mine := named.node == p.settings.Node
-	if time.Since(p.began) < wait || time.Since(p.countTried) < countRetry || !mine && time.Since(named.since) < countPatience {
+	switch {
+	case time.Since(p.began) < p.countDelay(service), time.Since(p.countTried) < countRetry:
 		return
+	case !mine && time.Since(named.since) < countPatience:
+		return // another node counts
 	}
 	p.countTried = time.Now()
-	call, cancel := context.WithTimeout(ctx, countPatience)
+	ctx, cancel := context.WithTimeout(ctx, countPatience)
 	defer cancel()
 	if !mine {
-		if err := p.appendCount(call, service, platform.Record{Key: countingKey + service, Value: []byte(p.settings.Node)}, 0); err != nil {
+		if err := p.appendCount(ctx, service, platform.Record{Key: countingKey + service, Value: []byte(p.settings.Node)}, 0); err != nil {
 			p.log("count-left", "service", service, "cause", err)
 			return
 		}
 	}
-	records, _, err := p.store.Newest(call, platform.Partition{Topic: platform.WorkerTopic}, listTimeout)
+	records, _, err := p.store.Newest(ctx, platform.Partition{Topic: platform.WorkerTopic}, listTimeout)
 	if err != nil {
 		p.log("store-call-failed", "call", "count", "service", service, "cause", err)
 		return
 	}
-	weight := 0.0
-	for _, record := range records {
-		if entry, err := platform.DecodeWorker(record.Key, record.Value); err == nil && entry.Service == service {
-			if entry.Capacity.GPUs > 0 {
-				weight += acceleratedWeight
-			} else {
-				weight++
-			}
-		}
-	}
+	weight := workersWeight(records, service)
 	if weight == 0 {
-		return
+		return // no worker is listed yet
 	}
 	value, err := cbor.Marshal(shardsFor(weight, p.settings.Cores))
 	if err != nil {
 		p.log("record-not-encoded", "key", service, "cause", err)
 		return
 	}
-	err = p.appendCount(call, service, platform.Record{Key: countKey + service, Value: value}, countRetries)
+	err = p.appendCount(ctx, service, platform.Record{Key: countKey + service, Value: value}, countRetries)
 	p.log("shards-offered", "service", service, "workers", len(records), "weight", weight, "cause", err)
 }
 
+// countDelay is how long after its start this node offers to count. Large nodes
+// near the store come first, as the count goes by the cores of the node.
+func (p *Process) countDelay(service string) time.Duration {
+	delay := time.Duration(p.jitter(service) * float64(countRetry))
+	if !p.near() {
+		delay += countRetry
+	}
+	if p.settings.Cores < smallCores {
+		delay += countRetry
+	}
+	if p.settings.FirstStart {
+		delay += countAfter
+	}
+	return delay
+}
+
+// workersWeight adds up the service's workers in a list. Entries that can't be
+// read count nothing; the holder logs them.
+func workersWeight(records []platform.Record, service string) float64 {
+	weight := 0.0
+	for _, record := range records {
+		entry, err := platform.DecodeWorker(record.Key, record.Value)
+		switch {
+		case err != nil || entry.Service != service:
+		case entry.Capacity.GPUs > 0:
+			weight += acceleratedWeight
+		default:
+			weight++
+		}
+	}
+	return weight
+}
+
 // shardsFor is how many shards a service with workers of this weight has, where
 // the larger VMs have so many cores.
 func shardsFor(weight, cores float64) int {
