Give the nodes of a test cell fixed ports

Cause: since each node, or each cell of processes, has a loopback address to itself, the search for free ports and the listeners that held them for a moment have nothing left to find; closing them again was the race that remained. Change: fixed ports; freeAddresses, freePort, reserveAddresses and their bounds are gone. Ruled out: port 0, as settings name the ports before a node listens.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -16,7 +16,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -133,12 +132,7 @@
 		return nil, err
 	}
 	for _, spec := range options.Nodes {
-		addresses, err := freeAddresses()
-		if err != nil {
-			cancel()
-			return nil, err
-		}
-		c.addresses = append(c.addresses, addresses)
+		c.addresses = append(c.addresses, newAddresses())
 		c.Nodes = append(c.Nodes, &Node{Spec: spec})
 	}
 	for i := range c.Nodes {
@@ -249,57 +243,19 @@
 	return netip.ParseAddrPort(listener.Addr().String())
 }
 
-// Ports of nodes are below the range that systems take for outgoing
-// connections.
+// Ports of a node. Each node has a loopback address to itself, so that they are
+// free when it listens, also after a restart.
 const (
-	firstPort = 20_000
-	lastPort  = 32_000
-	portTries = 100
+	callersPort   = 8080
+	operatorsPort = 8081
+	peersPort     = 8082
 )
 
-// freeAddresses finds three free ports of a loopback address that the node has
-// to itself, so that they are still free when it listens, also after a restart.
-func freeAddresses() (settings.Addresses, error) {
-	var addresses settings.Addresses
-	var opened []io.Closer
-	defer func() {
-		for _, each := range opened {
-			_ = each.Close()
-		}
-	}()
+func newAddresses() settings.Addresses {
 	ip := loopback.New()
-	for _, address := range []*netip.AddrPort{&addresses.Callers, &addresses.Operators, &addresses.Peers} {
-		found, closers, err := freePort(ip)
-		if err != nil {
-			return addresses, err
-		}
-		*address = found
-		opened = append(opened, closers...)
-	}
-	return addresses, nil
-}
-
-// freePort finds a port that is free for TCP and UDP and holds it until the
-// closers are called.
-func freePort(ip netip.Addr) (netip.AddrPort, []io.Closer, error) {
-	var last error
-	for range portTries {
-		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
-		address := netip.AddrPortFrom(ip, port)
-		listener, err := net.Listen("tcp", address.String())
-		if err != nil {
-			last = err
-			continue
-		}
-		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-		if err != nil {
-			_ = listener.Close()
-			last = err
-			continue
-		}
-		return address, []io.Closer{listener, socket}, nil
+	return settings.Addresses{
+		Callers: netip.AddrPortFrom(ip, callersPort), Operators: netip.AddrPortFrom(ip, operatorsPort), Peers: netip.AddrPortFrom(ip, peersPort),
 	}
-	return netip.AddrPort{}, nil, fmt.Errorf("no free port after %d tries: %w", portTries, last)
 }
 
 // Settings returns the settings of a node.
--- a/internal/cell/relay.go
+++ b/internal/cell/relay.go
@@ -23,17 +23,10 @@
 	group sync.WaitGroup
 }
 
-// startRelay listens at an address, or at a free port if it is not valid.
+// startRelay listens at an address, or at one of its own if that is not valid.
 func startRelay(ctx context.Context, at, to netip.AddrPort) (*relay, error) {
 	if !at.IsValid() {
-		free, closers, err := freePort(loopback.New())
-		if err != nil {
-			return nil, err
-		}
-		for _, each := range closers {
-			_ = each.Close()
-		}
-		at = free
+		at = netip.AddrPortFrom(loopback.New(), callersPort)
 	}
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", at.String())
 	if err != nil {
--- a/internal/processcell/processcell.go
+++ b/internal/processcell/processcell.go
@@ -19,7 +19,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -83,9 +82,7 @@
 // Start starts every process of a cell.
 func Start(ctx context.Context, options Options) (*Cell, error) {
 	c := &Cell{options: options, http: &http.Client{Timeout: callTimeout}}
-	if err := c.reserveAddresses(); err != nil {
-		return nil, err
-	}
+	c.assignAddresses()
 	if err := c.startPlatform(); err != nil {
 		c.Stop()
 		return nil, err
@@ -109,45 +106,25 @@
 
 func nodeName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
 
-// reserveAddresses finds free ports. They are closed again before the
-// processes listen, so another process may take one in between; the cell then
-// does not get ready, and says which process failed.
-func (c *Cell) reserveAddresses() error {
-	free := netip.AddrPortFrom(loopback.New(), 0)
-	var sockets []interface{ Close() error }
-	defer func() {
-		for _, socket := range sockets {
-			_ = socket.Close()
-		}
-	}()
-	tcp := func() (netip.AddrPort, error) {
-		listener, err := net.Listen("tcp", free.String())
-		if err != nil {
-			return netip.AddrPort{}, err
-		}
-		sockets = append(sockets, listener)
-		return netip.ParseAddrPort(listener.Addr().String())
-	}
-	var errs []error
+// firstPort is the first of a cell's ports. A cell has a loopback address to
+// itself, so that they are free when its processes listen.
+const firstPort = 7001
+
+// assignAddresses gives each process its ports.
+func (c *Cell) assignAddresses() {
+	next := netip.AddrPortFrom(loopback.New(), firstPort)
 	take := func() netip.AddrPort {
-		address, err := tcp()
-		errs = append(errs, err)
-		return address
+		taken := next
+		next = netip.AddrPortFrom(taken.Addr(), taken.Port()+1)
+		return taken
 	}
 	c.LogAt, c.VMsAt = take(), take()
 	for range c.options.Workers {
 		c.workersAt = append(c.workersAt, take())
 	}
 	for range c.options.Nodes {
-		c.callers, c.operators = append(c.callers, take()), append(c.operators, take())
-		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(free))
-		if err != nil {
-			return err
-		}
-		sockets = append(sockets, socket)
-		c.peers = append(c.peers, netip.MustParseAddrPort(socket.LocalAddr().String()))
+		c.callers, c.operators, c.peers = append(c.callers, take()), append(c.operators, take()), append(c.peers, take())
 	}
-	return errors.Join(errs...)
 }
 
 func (c *Cell) startPlatform() error {
