Drop five more settings that nothing reads

Cause: the sizes of a record and of a call, and the bounds of stops, of cancellations and of far data were decoded and only written again by the stand-in. The tests that set them checked nothing of them.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -116,7 +116,7 @@
 			Node: fmt.Sprintf("entry-%d", number), Zone: "z", Region: "r", IP: ip,
 			Callers: netip.AddrPortFrom(ip, 8149), Ready: netip.AddrPortFrom(ip, 8141), FirstPeerPort: 7380, LastPeerPort: 7395,
 			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address), Partitions: standin.Partitions}, Advice: c.advice,
-			Bounds: platform.Bounds{MaxLease: 6 * time.Second, Grace: 6 * time.Second, Status: 2 * time.Minute, FarFactor: 2},
+			Bounds: platform.Bounds{MaxLease: 6 * time.Second, Grace: 6 * time.Second, Status: 2 * time.Minute},
 		},
 		ended: make(chan error, 1), logs: &lockedBuffer{},
 	}
@@ -322,12 +322,7 @@
 	c.configure(1)
 	c.submit(c.nodes[0], "/quick/0000000000000001", jobOf(50))
 	holder := c.holder("ledger")
-	var front *node
-	for _, n := range c.nodes {
-		if n != holder {
-			front = n
-		}
-	}
+	front := c.otherThan(holder)
 	time.Sleep(time.Second) // the nodes have greeted the holders
 	front.gate.closed.Store(true)
 	holder.cancel()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -147,7 +147,7 @@
 			Callers: netip.AddrPortFrom(ip, 8149), Ready: netip.AddrPortFrom(ip, 8141), Advice: netip.MustParseAddrPort(advice),
 			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(proxy.Address())},
 			Bounds: platform.Bounds{
-				MaxLease: 6 * time.Second, Grace: 6 * time.Second, Status: 2 * time.Minute, Stop: 900 * time.Millisecond, Cancel: 3 * time.Second, FarFactor: 2,
+				MaxLease: 6 * time.Second, Grace: 6 * time.Second, Status: 2 * time.Minute,
 			},
 		})
 		require.NoError(t, os.WriteFile(p.settings, []byte(content), 0o600))
