Keep completed occurrences over two changes of leader

Cause: progressOf stored only the completions of occurrences that this leader had created. loadJob restores the earlier ones into completedOccurrences, so the next progress record dropped them, and the leader after that ran them again: work that was handled as done ran twice.

Change: a progress record holds all completed occurrences, in order.

--- a/internal/shard/intake_test.go
+++ b/internal/shard/intake_test.go
@@ -99,6 +99,24 @@
 	require.Empty(t, sim.violations)
 }
 
+// Each leader's records replace those of the one before. An occurrence that an earlier
+// leader completed must not run again after a second change of leader.
+func TestCompletedOccurrencesSurviveTwoChangesOfLeader(t *testing.T) {
+	sim := newSimulation(t, 10, 2, workerSize)
+	sim.advance(time.Second)
+	spec := job.Spec{
+		Steps: []job.Step{tasks(2, 1000, 300*time.Millisecond)}, Repeat: 6, FirstStart: sim.time().Add(2 * time.Second), Interval: 5 * time.Second,
+	}
+	sim.submit(id(0), urgentTerms, spec, 300*time.Millisecond)
+	for range 2 {
+		sim.advance(6 * time.Second)
+		sim.leader.dead = true
+		sim.replaceLeader()
+	}
+	sim.requireAllEnded(time.Minute)
+	require.Equal(t, 12, sim.startCount, "2 tasks in each of 6 occurrences")
+}
+
 // The number of waiting jobs, which callers are told, must count each job once, also
 // after a change of leader.
 func TestWaitingCountsUnstartedJobs(t *testing.T) {
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -107,9 +109,11 @@
 		progress.EndedAt = now.Round(0)
 		return progress
 	}
+	// Includes those that a former leader completed, as each record replaces the one
+	// before.
+	progress.CompletedOccurrences = slices.Sorted(maps.Keys(j.completedOccurrences))
 	for _, o := range j.occurrences {
 		if j.completedOccurrences[o.number] {
-			progress.CompletedOccurrences = append(progress.CompletedOccurrences, o.number)
 			continue
 		}
 		for _, st := range o.steps {
