Bound what other writers leave in the list of workers, and what a job holds

Cause: DecodeWorker took entries with a CPU of 2^63-1, negative amounts, port 0, labels of any length and IDs of up to 255 bytes. The worker's own record has a key one byte longer than the ID, so one entry with a 255-byte key made every append of its shard fail: the shard accepted nothing any more, and neither did its next leaders. Floats that don't fit a duration were converted in a way that depends on the processor. A job with 10,000 occurrences that are due at once created all tasks in memory, at each new leader again, and a progress record of more than 4,000 tasks doesn't fit into a record of the store.

A worker gets its record after its first answer. A job has at most 4,000 tasks, and only as many open occurrences; the others follow. A shard with 100,000 tasks refuses more. An occurrence of which a worker reports a run is created on demand.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -246,6 +246,48 @@
 	}
 }
 
+// Another writer may leave any bytes among the workers' entries. Every node must
+// still follow the list: workers that join later get tasks.
+func TestInvalidWorkerEntriesDoNotStopTheFollowers(t *testing.T) {
+	c := newCell(t, 2)
+	valid := func(address, cpu string) string {
+		return `{"service":"ledger","address":"` + address + `","zone":"z","state":"ready","born":1,"capacity":{"cpu":` + cpu + `,"mem-mb":1,"gpu":0},"labels":["a","r"]}`
+	}
+	entries := map[string]string{
+		"deeply-nested":          strings.Repeat(`{"a":`, 20_000),
+		"large-number":           valid("10.0.0.1:80", "1e999"),
+		"overflowing-number":     valid("10.0.0.1:80", "9223372036854775807"),
+		"port-out-of-range":      valid("10.0.0.1:99999", "1000"),
+		"port-0":                 valid("10.0.0.1:0", "1000"),
+		"no-text":                "\x00\xff\xfe",
+		"line\nbreak":            valid("127.0.0.1:1", "1000"),
+		"nothing-listens":        valid("127.0.0.1:1", "1000"),
+		strings.Repeat("k", 255): valid("127.0.0.1:1", "1000"),
+	}
+	put := func() {
+		for id, entry := range entries {
+			c.site.Store.Put(platform.WorkerTopic, id, entry)
+		}
+	}
+	put()
+	c.configure(1)
+	c.submit(c.nodes[0], "/quick/0000000000000001", jobWithTaskMS(50))
+	put()
+	late, err := c.site.AddWorker("i-late", "ledger", 64000, 32000, 8)
+	require.NoError(t, err)
+	require.NotNil(t, late)
+	c.submit(c.nodes[0], "/quick/0000000000000002", jobWithTaskMS(50))
+	wide := standin.Submission(job.Spec{Text: "50", Steps: []job.Step{{Count: 1, Demand: job.Demand{MilliCPU: 60000, MemoryMB: 10}, Estimate: 50 * time.Millisecond}}})
+	c.submit(c.nodes[0], "/quick/0000000000000003", wide) // fits only the new worker
+	for i := 1; i <= 3; i++ {
+		c.requireState(c.nodes[1], fmt.Sprintf("/quick/%016x", i), job.Completed, 10*time.Second)
+	}
+	c.requireRunsOnce()
+	for _, n := range c.nodes {
+		require.Empty(t, n.ended, "no process has ended")
+	}
+}
+
 // Guards against jobs that are lost or run twice when their shard's leader is
 // stopped.
 func TestStoppedLeaderHandsOver(t *testing.T) {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -22,12 +22,18 @@
 )
 
 // Limits of a job. They keep each record of a job below the record size limit of the
-// platform's log (256 KiB).
+// platform's log (256 KiB): a task of a progress record takes up to 35 bytes, and the
+// number of a completed occurrence 3 bytes.
 const (
 	MaxSteps       = 64
 	MaxTasksOfStep = 2000
+	MaxTasks       = 4000 // of all steps together
 	MaxOccurrences = 10000
-	idLength       = 16 // digits
+	// MaxEstimate is the longest estimated run time, and MaxSchedule the longest time
+	// from the first occurrence to the last. Their sums don't overflow.
+	MaxEstimate = 366 * 24 * time.Hour
+	MaxSchedule = 100 * 366 * 24 * time.Hour
+	idLength    = 16 // digits
 )
 
 // State is the state of a job as reported to its caller.
@@ -149,11 +155,16 @@
 	if s.Repeat < 0 || s.Repeat > MaxOccurrences {
 		errs = append(errs, fmt.Errorf("repeat count %d is outside 0 to %d", s.Repeat, MaxOccurrences))
 	}
-	if s.Repeat > 1 && s.Interval < 0 {
-		errs = append(errs, errors.New("the interval of a repeated job is negative"))
+	if s.Repeat > 1 && (s.Interval < 0 || s.Interval > MaxSchedule/time.Duration(s.Repeat)) {
+		errs = append(errs, fmt.Errorf("the interval %s of a job that is repeated %d times is outside 0 to %s", s.Interval, s.Repeat, MaxSchedule/time.Duration(s.Repeat)))
 	}
+	tasks := 0
 	for i := range s.Steps {
 		errs = append(errs, s.Steps[i].validate(i)...)
+		tasks += min(s.Steps[i].Count, MaxTasksOfStep)
+	}
+	if tasks > MaxTasks {
+		errs = append(errs, fmt.Errorf("a job has up to %d tasks, this one has %d", MaxTasks, tasks))
 	}
 	return errors.Join(errs...)
 }
@@ -166,6 +177,9 @@
 	if s.Demand.MilliCPU < 0 || s.Demand.MemoryMB < 0 || s.Demand.GPUs < 0 {
 		errs = append(errs, fmt.Errorf("step %d: a demand is negative", number))
 	}
+	if s.Estimate < 0 || s.Estimate > MaxEstimate {
+		errs = append(errs, fmt.Errorf("step %d: the estimate %s is outside 0 to %s", number, s.Estimate, MaxEstimate))
+	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= number {
 			errs = append(errs, fmt.Errorf("step %d: depends on step %d, which isn't an earlier step", number, earlier))
--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -29,3 +29,6 @@
 	}
 	return openJobs, runs
 }
+
+// OpenTasks returns the number of tasks that are kept in memory.
+func (s *Shard) OpenTasks() int { return s.openTasks }
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -100,14 +100,17 @@
 }
 
 // createDueOccurrences creates the occurrences of a job that are due and not yet
-// created or completed.
+// created or completed. With job.MaxTasks open tasks or more the others wait: thousands
+// of occurrences may be due at once.
 func (s *Shard) createDueOccurrences(now time.Time, j *jobState) {
-	for j.nextOccurrence < j.accepted.Spec.Occurrences() {
+	open := j.openTaskCount()
+	for j.nextOccurrence < j.accepted.Spec.Occurrences() && open < job.MaxTasks {
 		if j.accepted.Spec.Repeat > 0 && wallSince(now, j.accepted.Spec.Due(j.nextOccurrence)) < 0 {
 			return
 		}
-		if !j.completedOccurrences[j.nextOccurrence] {
+		if !j.completedOccurrences[j.nextOccurrence] && j.findOccurrence(j.nextOccurrence) == nil {
 			s.createOccurrence(now, j, j.nextOccurrence)
+			open += j.occurrences[len(j.occurrences)-1].taskCount()
 		}
 		j.nextOccurrence++
 	}
@@ -120,9 +123,21 @@
 			return "no worker of the service holds a task of this size", time.Minute
 		}
 	}
+	if s.openTasks >= maxOpenTasks {
+		return "the service holds too many tasks", tooManyTasksRetryAfter
+	}
 	return s.checkOverload(terms, spec)
 }
 
+const (
+	// maxOpenTasks bounds the memory for tasks, about 300 bytes each, on the smallest
+	// VMs.
+	maxOpenTasks = 100_000
+	// tooManyTasksRetryAfter is when the caller of a job beyond maxOpenTasks is told to
+	// retry.
+	tooManyTasksRetryAfter = 5 * time.Second
+)
+
 // fitsSomewhere reports whether a task of the step fits the capacity of any worker
 // that was ever listed. Workers that are no longer listed count, as the list may be
 // incomplete for a moment.
@@ -145,6 +160,7 @@
 	}
 	s.options.Log("refused", "job", id, "queue", j.accepted.Terms.Queue, "reason", reason, "after", now.Sub(j.acceptedAt))
 	s.removeReadySteps(j)
+	s.removeOccurrences(j, func(*occurrence) bool { return true })
 	delete(s.jobs, id)
 	s.activeJobs = slices.DeleteFunc(s.activeJobs, func(o *jobState) bool { return o == j })
 	s.dirtyJobs = slices.DeleteFunc(s.dirtyJobs, func(o *jobState) bool { return o == j })
--- a/internal/shard/intake_test.go
+++ b/internal/shard/intake_test.go
@@ -117,6 +117,66 @@
 	require.Equal(t, 12, sim.startCount, "2 tasks in each of 6 occurrences")
 }
 
+// A job with thousands of occurrences that are due at once must not fill the memory of
+// its leader, and of each next one. All of them must still run, and each once.
+func TestOccurrencesThatAreDueAtOnceAreBounded(t *testing.T) {
+	const repeat, width = 2500, 4
+	sim := newSimulation(t, 21, 2, workerSize)
+	sim.advance(time.Second)
+	step := job.Step{Count: width, Demand: job.Demand{MilliCPU: 100, MemoryMB: 10}, Estimate: 20 * time.Millisecond}
+	sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{step}, Repeat: repeat, FirstStart: sim.time()}, 20*time.Millisecond)
+	requireBounded := func() { require.LessOrEqual(t, sim.leader.shard.OpenTasks(), 2*job.MaxTasks) }
+	requireBounded()
+	sim.advance(time.Second)
+	requireBounded()
+	sim.leader.dead = true
+	sim.replaceLeader()
+	requireBounded()
+	sim.requireAllEnded(2 * time.Minute)
+	require.Equal(t, repeat*width, sim.startCount)
+	sim.advance(time.Second)
+	require.Zero(t, sim.leader.shard.OpenTasks())
+}
+
+// An ended job with thousands of occurrences must not fill the memory of a new leader
+// either, and its runs that are left must be stopped.
+func TestEndedJobIsLoadedWithoutItsOccurrences(t *testing.T) {
+	sim := newSimulation(t, 22, 2, workerSize)
+	sim.advance(time.Second)
+	spec := job.Spec{Steps: []job.Step{tasks(4, 100, 10*time.Second)}, Repeat: 5000, FirstStart: sim.time()}
+	sim.submit(id(0), urgentTerms, spec, 10*time.Second)
+	sim.advance(time.Second)
+	require.NotZero(t, sim.startCount)
+	sim.workers[0].unreachable = true // its runs can't be stopped, so the job's record is kept
+	sim.cancel(id(0))
+	sim.advance(500 * time.Millisecond)
+	sim.leader.dead = true
+	sim.replaceLeader()
+	require.LessOrEqual(t, sim.leader.shard.OpenTasks(), job.MaxTasks)
+	sim.workers[0].unreachable = false
+	sim.requireAllEnded(20 * time.Second)
+	sim.advance(10 * time.Second)
+	_, runs := sim.leader.shard.CountJobsAndRuns()
+	require.Zero(t, runs)
+	for _, worker := range sim.workers {
+		require.Empty(t, worker.runs)
+	}
+}
+
+// Jobs that would fill the memory of the smallest VM must be refused.
+func TestJobsAreRefusedWhileTooManyTasksAreHeld(t *testing.T) {
+	sim := newSimulation(t, 23, 2, workerSize)
+	sim.advance(time.Second)
+	spec := job.Spec{Steps: []job.Step{{Count: job.MaxTasksOfStep, Demand: job.Demand{MilliCPU: 1}, Estimate: time.Millisecond}}}
+	result := shard.AcceptResult{}
+	for i := 0; i < 1000 && result.Outcome != shard.Refused; i++ {
+		result = sim.leader.shard.Accept(sim.time(), id(i), batchTerms, spec)
+	}
+	require.Equal(t, shard.Refused, result.Outcome)
+	require.Positive(t, result.RetryAfter)
+	require.LessOrEqual(t, sim.leader.shard.OpenTasks(), 100_000+job.MaxTasks)
+}
+
 // The number of waiting jobs, which callers are told, must count each job once, also
 // after a change of leader.
 func TestWaitingCountsUnstartedJobs(t *testing.T) {
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -239,19 +239,11 @@
 	s.activeJobs = append(s.activeJobs, j)
 	if j.state.Ended() {
 		j.endedAt = now.Add(-wallSince(now, progress.EndedAt))
-		// Runs of its tasks may be left on workers. Until they are over, each occupies
-		// the resources that its step reserves.
-		for number := range accepted.Spec.Occurrences() {
-			if j.accepted.Spec.Repeat == 0 || wallSince(now, j.accepted.Spec.Due(number)) >= 0 {
-				s.createOccurrence(now, j, number)
-			}
-		}
-		s.removeReadySteps(j)
-		return
+		return // restoreTask creates the occurrences whose runs are left on workers
 	}
 	s.createDueOccurrences(now, j)
 	for _, stored := range progress.Tasks {
-		t := s.findTask(taskKey{id, stored.Occurrence, stored.Step, stored.Index})
+		t := s.restoreTask(now, taskKey{id, stored.Occurrence, stored.Step, stored.Index})
 		if t == nil {
 			continue
 		}
@@ -286,10 +278,12 @@
 	for _, j := range s.activeJobs {
 		if j.state.Ended() && j.storedState == j.state && j.runCount == 0 && s.recovered && !j.dirty {
 			s.deletedKeys = append(s.deletedKeys, acceptedPrefix+j.id)
-			j.acceptanceDeleted, j.occurrences = true, nil
+			j.acceptanceDeleted = true
+			s.removeOccurrences(j, func(*occurrence) bool { return true })
 			j.accepted.Spec = job.Spec{}
 			continue
 		}
+		s.removeOccurrences(j, func(o *occurrence) bool { return j.completedOccurrences[o.number] && !o.hasRuns() })
 		kept = append(kept, j)
 	}
 	clear(s.activeJobs[len(kept):])
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -283,7 +283,7 @@
 		t = r.task
 		s.detachRun(r)
 	} else if key, err := parseTask(result.Task); err == nil {
-		t = s.findTask(key)
+		t = s.restoreTask(now, key)
 	}
 	if t == nil {
 		return
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -32,6 +32,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -87,6 +88,7 @@
 	// readySteps holds the steps that may have tasks to start.
 	readySteps  map[*step]bool
 	waitingJobs map[string]int // by queue: accepted jobs that have not started
+	openTasks   int            // tasks of all occurrences that are kept
 
 	workers       map[string]*worker
 	sortedWorkers []*worker // by ID
@@ -263,16 +265,84 @@
 	if j == nil {
 		return nil
 	}
+	o := j.findOccurrence(key.occurrence)
+	if o == nil || key.step < 0 || key.step >= len(o.steps) {
+		return nil
+	}
+	if st := o.steps[key.step]; key.index >= 0 && key.index < len(st.tasks) {
+		return st.tasks[key.index]
+	}
+	return nil
+}
+
+// restoreTask returns the task of a key that a worker reports. If a former leader
+// created its occurrence and this one has not, it creates the occurrence.
+func (s *Shard) restoreTask(now time.Time, key taskKey) *task {
+	j := s.jobs[key.jobID]
+	if j == nil || j.acceptanceDeleted || key.occurrence < 0 || key.occurrence >= j.accepted.Spec.Occurrences() || j.completedOccurrences[key.occurrence] {
+		return nil
+	}
+	if j.findOccurrence(key.occurrence) == nil {
+		s.createOccurrence(now, j, key.occurrence)
+		if j.state.Ended() {
+			s.removeReadySteps(j)
+		}
+	}
+	return s.findTask(key)
+}
+
+// findOccurrence returns the occurrence with this number, or nil if it isn't created.
+func (j *jobState) findOccurrence(number int) *occurrence {
 	for _, o := range j.occurrences {
-		if o.number == key.occurrence && key.step >= 0 && key.step < len(o.steps) {
-			if st := o.steps[key.step]; key.index >= 0 && key.index < len(st.tasks) {
-				return st.tasks[key.index]
-			}
+		if o.number == number {
+			return o
 		}
 	}
 	return nil
 }
 
+// openTaskCount returns the number of tasks of the occurrences that aren't complete.
+func (j *jobState) openTaskCount() int {
+	count := 0
+	for _, o := range j.occurrences {
+		if !j.completedOccurrences[o.number] {
+			count += o.taskCount()
+		}
+	}
+	return count
+}
+
+func (o *occurrence) taskCount() int {
+	count := 0
+	for _, st := range o.steps {
+		count += len(st.tasks)
+	}
+	return count
+}
+
+// hasRuns reports whether a task of the occurrence has a run.
+func (o *occurrence) hasRuns() bool {
+	for _, st := range o.steps {
+		for _, t := range st.tasks {
+			if len(t.runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// removeOccurrences removes those occurrences of a job for which remove is true.
+func (s *Shard) removeOccurrences(j *jobState, remove func(*occurrence) bool) {
+	j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool {
+		if !remove(o) {
+			return false
+		}
+		s.openTasks -= o.taskCount()
+		return true
+	})
+}
+
 // SetAuthority sets whether this process can still prove that it leads the shard. If
 // it can't, the shard accepts no jobs, starts no tasks and renews no leases.
 func (s *Shard) SetAuthority(held bool) {
@@ -336,6 +406,7 @@
 		st.criticalPath = longest + st.spec.Estimate
 	}
 	j.occurrences = append(j.occurrences, o)
+	s.openTasks += o.taskCount()
 	for _, st := range o.steps {
 		if st.openDependencies == 0 {
 			s.markReady(now, st)
@@ -376,9 +447,15 @@
 
 // objectiveOf returns the objective of a job with this critical path.
 func objectiveOf(terms *job.Terms, criticalPath time.Duration) time.Duration {
-	return time.Duration(terms.Stretch*float64(criticalPath)) + terms.Target
+	// A float that doesn't fit would be converted to any integer.
+	stretched := min(terms.Stretch*float64(criticalPath), float64(maxObjective))
+	return time.Duration(max(0, stretched)) + min(max(0, terms.Target), maxObjective)
 }
 
+// maxObjective bounds both parts of an objective, so that worthlessFactor times their
+// sum doesn't overflow.
+const maxObjective = 10 * 366 * 24 * time.Hour
+
 func (s *Shard) sortWorkers() {
 	s.sortedWorkers = s.sortedWorkers[:0]
 	for _, w := range s.workers {
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -139,9 +139,10 @@
 }
 
 // recordIfPlaceable schedules the storage of a worker's record if it has none. It is
-// stored before the worker gets its first task.
+// stored before the worker gets its first task. An entry whose worker never answered
+// gets none, as the next leader waits for every worker with a record.
 func (s *Shard) recordIfPlaceable(w *worker) {
-	if w.placeable() && !w.recordStored && !w.suspended {
+	if w.listsRead && w.placeable() && !w.recordStored && !w.suspended {
 		s.markWorkerDirty(w)
 	}
 }
@@ -347,6 +348,7 @@
 	firstAnswer := !w.listsRead
 	w.listsRead, w.stale = true, false
 	if firstAnswer {
+		s.recordIfPlaceable(w)
 		// The worker now refuses the orders of former leaders by their fencing
 		// tokens, so no lease lasts longer than one that is granted now.
 		w.leaseEnd = now.Add(s.leaseLength())
@@ -435,7 +437,7 @@
 		s.options.Log("foreign-run", "worker", w.ID, "task", status.Task, "cause", err)
 		return
 	}
-	t := s.findTask(key)
+	t := s.restoreTask(now, key)
 	if t == nil {
 		s.options.Log("unknown-run", "worker", w.ID, "task", status.Task, "run", status.Run)
 		s.commands.Stops = append(s.commands.Stops, Stop{RunKey: status.RunKey, Target: w.target()})
--- a/internal/shard/workers_test.go
+++ b/internal/shard/workers_test.go
@@ -170,3 +170,37 @@
 	sim.advanceUntilEnded(id(0), time.Minute)
 	require.Empty(t, sim.violations)
 }
+
+// An entry of another writer looks like a worker, but nothing ever answers at its
+// address. The next leader must not wait for it before it starts stored jobs.
+func TestWorkerThatNeverAnsweredDoesNotDelayRecovery(t *testing.T) {
+	sim := newSimulation(t, 31, 3, workerSize)
+	sim.workers[2].unreachable = true
+	sim.advance(2 * time.Second)
+	for i := range 6 { // twice as much as the two workers hold
+		sim.submit(id(i), urgentTerms, job.Spec{Steps: []job.Step{tasks(2, 8000, time.Second)}}, time.Second)
+	}
+	sim.advance(200 * time.Millisecond)
+	sim.leader.dead = true
+	sim.replaceLeader()
+	started := sim.now
+	sim.requireAllEnded(time.Minute)
+	// The jobs take three rounds of 1 s. A wait for the worker would take 6.5 s.
+	require.Less(t, sim.now-started, 5*time.Second)
+}
+
+// While an entry that can't be used replaces the one of a live worker, its runs must
+// neither be given up nor started elsewhere, and it must get no new ones.
+func TestRunsOutliveTheEntryOfTheirWorker(t *testing.T) {
+	sim := newSimulation(t, 32, 2, workerSize)
+	sim.advance(time.Second)
+	sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(4, 8000, 12*time.Second)}}, 12*time.Second)
+	sim.advance(time.Second)
+	require.Equal(t, 4, sim.startCount)
+	sim.workers[0].listed = false
+	sim.requireAllEnded(14 * time.Second)
+	require.Equal(t, 4, sim.startCount, "no task started again")
+	sim.submit(id(1), batchTerms, job.Spec{Steps: []job.Step{tasks(4, 8000, time.Second)}}, time.Second)
+	sim.advance(500 * time.Millisecond)
+	require.Empty(t, sim.workers[0].runs)
+}
