Act only on a confirmed leadership after a pause, and outlive a panic

Cause: confirmations of leadership were timed with the steady clock, which stops while a VM is suspended. A leader that was suspended could act for up to 10 s after its successor counted every lease of it as over, if it reached neither the store nor a worker that knows the new fencing token. Inputs that were handled right after a pause used the authority of the round before it, and orders that were decided before the pause were sent without a check. Nothing caught a panic: one fault in a decision ended the process and with it every shard that it led.

Change: package uptime reads a clock that includes suspensions, and confirmations are timed with it. Authority is evaluated before an input is handled and again before a start or a renewal of leases is sent.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -53,7 +53,7 @@
 		var calls sync.WaitGroup
 		for p := range ledger.Partitions {
 			if !done[p] {
-				calls.Go(func() { read[p], done[p] = l.loadPartition(p) })
+				calls.Go(func() { l.guard("load", func() { read[p], done[p] = l.loadPartition(p) }) })
 			}
 		}
 		calls.Wait()
@@ -93,7 +93,7 @@
 // older epochs. Success confirms leadership. The leader steps down if the store
 // knows a newer epoch.
 func (l *shardLeader) fence(ctx context.Context, p int, epoch int64) error {
-	sent := time.Now()
+	sent := l.process.sinceBoot()
 	return l.handleAppendResult(p, "fence", sent, l.send(ctx, ledger.Attempt{Partition: p, Epoch: epoch}))
 }
 
@@ -112,7 +112,7 @@
 
 // handleAppendResult confirms leadership if an append succeeded, and steps down
 // if it was fenced.
-func (l *shardLeader) handleAppendResult(p int, call string, sent time.Time, err error) error {
+func (l *shardLeader) handleAppendResult(p int, call string, sent time.Duration, err error) error {
 	switch {
 	case err == nil:
 		l.confirm(sent)
@@ -138,7 +138,7 @@
 	results := make(chan result, ledger.Partitions)
 	begin := func(p int) {
 		call, succeeded := prepare(p)
-		go func() { results <- result{succeeded, call(ctx)} }()
+		go func() { results <- result{succeeded, guardedCall(func() error { return call(ctx) })} }()
 	}
 	other := l.ledger.Other()
 	begin(l.ledger.Current())
@@ -174,7 +174,7 @@
 		return
 	}
 	l.appendStarted.Store(int64(time.Since(l.process.startedAt)))
-	go l.appendRecords(batch)
+	go l.guard("append", func() { l.appendRecords(batch) })
 }
 
 // appendRecords stores a batch of records. It retries until it succeeds or the
@@ -200,9 +200,9 @@
 func (l *shardLeader) prepareAppend(p int) (call func(context.Context) error, succeeded func()) {
 	attempt := l.ledger.Attempt(p)
 	call = func(ctx context.Context) error {
-		sent := time.Now()
+		started, sent := time.Now(), l.process.sinceBoot()
 		err := l.send(ctx, attempt)
-		l.process.metrics.observeAppend(time.Since(sent), err)
+		l.process.metrics.observeAppend(time.Since(started), err)
 		return l.handleAppendResult(p, "append", sent, err)
 	}
 	return call, func() {
@@ -242,11 +242,11 @@
 	}
 }
 
-// confirmedSince waits until leadership is confirmed for the given time or
-// later. It reports false if the caller's context or the leader ends before.
-func (l *shardLeader) confirmedSince(ctx context.Context, since time.Time) bool {
-	required := int64(since.Sub(l.process.startedAt))
-	for l.confirmed.Load() < required {
+// confirmedSince waits until leadership is confirmed for the given time, a reading of
+// Process.sinceBoot, or later. It reports false if the caller's context or the leader
+// ends before.
+func (l *shardLeader) confirmedSince(ctx context.Context, since time.Duration) bool {
+	for time.Duration(l.confirmed.Load()) < since {
 		select {
 		case l.confirmNow <- struct{}{}:
 		default: // already requested
@@ -277,7 +277,8 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, secondPartitionDelay)
 	defer cancel()
-	if l.handleAppendResult(attempt.Partition, "drop", time.Now(), l.send(ctx, attempt)) == nil {
+	sent := l.process.sinceBoot()
+	if l.handleAppendResult(attempt.Partition, "drop", sent, l.send(ctx, attempt)) == nil {
 		l.ledger.Confirm(attempt)
 	}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,11 +17,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/entry"
 	"yuccalanding.example/yuccalanding/internal/event"
 	"yuccalanding.example/yuccalanding/internal/job"
 	"yuccalanding.example/yuccalanding/internal/loopback"
 	"yuccalanding.example/yuccalanding/internal/manifest"
+	"yuccalanding.example/yuccalanding/internal/uptime"
 	"yuccalanding.example/yuccalanding/platform"
 	"yuccalanding.example/yuccalanding/platform/standin"
 )
@@ -51,6 +53,8 @@
 }
 
 type node struct {
+	process    *entry.Process
+	suspended  atomic.Int64 // time for which its VM was suspended, in ns
 	storeProxy *storeProxy
 	settings   platform.Settings
 	cancel     context.CancelFunc
@@ -125,8 +129,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	recorder := event.New(context.Background(), event.Options{Out: n.logs, Node: n.settings.Node, RateLimit: entry.LogLinesPerSecond, Burst: entry.LogLinesBurst})
-	process := entry.New(n.settings, recorder)
-	go func() { n.ended <- process.Run(ctx) }()
+	n.process = entry.New(n.settings, recorder)
+	n.process.SetSinceBoot(func() time.Duration { return uptime.Now() + time.Duration(n.suspended.Load()) })
+	go func() { n.ended <- n.process.Run(ctx) }()
 	c.nodes = append(c.nodes, n)
 	c.t.Cleanup(func() {
 		cancel()
@@ -309,6 +314,47 @@
 	c.requireRunsOnce()
 }
 
+// A fault in the program must end neither the process nor the other shards that it
+// leads, and the jobs of the shard must go on without being run twice.
+func TestPanicEndsOnlyTheLeadership(t *testing.T) {
+	c := newCell(t, 2)
+	c.configure(1)
+	for i := range 4 {
+		c.submit(c.nodes[i%2], fmt.Sprintf("/quick/%016x", i), jobWithTaskMS(700))
+	}
+	c.submit(c.nodes[0], "/batch/0000000000000010", jobWithTaskMS(700))
+	for range 2 {
+		require.True(t, c.leader("ledger").process.PanicInControlLoop("ledger/0"))
+		c.submit(c.nodes[0], "/quick/00000000000000ff", jobWithTaskMS(50))
+	}
+	for i := range 4 {
+		c.requireState(c.nodes[1], fmt.Sprintf("/quick/%016x", i), job.Completed, 15*time.Second)
+	}
+	c.requireState(c.nodes[1], "/batch/0000000000000010", job.Completed, 15*time.Second)
+	c.requireRunsOnce()
+	for _, n := range c.nodes {
+		require.Empty(t, n.ended, "no process has ended")
+	}
+}
+
+// The steady clock stops while a VM is suspended. A leader whose confirmation expired
+// meanwhile must start nothing when its VM goes on.
+func TestSuspendedLeaderStartsNothing(t *testing.T) {
+	c := newCell(t, 2)
+	c.configure(1)
+	c.submit(c.nodes[0], "/quick/0000000000000001", jobWithTaskMS(50))
+	c.requireState(c.nodes[1], "/quick/0000000000000001", job.Completed, 10*time.Second)
+	for _, n := range c.nodes {
+		n.storeProxy.unavailable.Store(true) // so that nobody confirms or replaces the leader
+	}
+	leader := c.leader("ledger")
+	require.Eventually(t, func() bool { return !strings.Contains(leader.logs.String(), "name=authority") }, time.Second, 10*time.Millisecond)
+	leader.suspended.Add(int64(election.MaxConfirmationAge))
+	require.Eventually(t, func() bool {
+		return strings.Contains(leader.logs.String(), "name=authority node="+leader.settings.Node+" service=ledger/0 has=false")
+	}, 2*time.Second, 10*time.Millisecond, "the leader has lost its authority")
+}
+
 // leader returns the node that leads a service's first shard.
 func (c *cell) leader(service string) *node {
 	c.t.Helper()
--- /dev/null
+++ b/internal/entry/export_test.go
@@ -0,0 +1,14 @@
+package entry
+
+import "time"
+
+// PanicInControlLoop makes the control loop of a shard panic. It reports false if this
+// process doesn't lead the shard.
+func (p *Process) PanicInControlLoop(key string) bool {
+	l, err := p.ledShard(key)
+	return err == nil && l.enqueue(func(time.Time) { panic("a fault of the test") })
+}
+
+// SetSinceBoot replaces the clock that times the confirmations of leadership. Call it
+// before Run.
+func (p *Process) SetSinceBoot(read func() time.Duration) { p.sinceBoot = read }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -61,7 +61,9 @@
 			if snapshot {
 				p.recordStoreLatency(time.Since(sent))
 			}
-			apply(records, topic.next)
+			if failure := guarded(func() { apply(records, topic.next) }); failure != nil {
+				p.log("loop-failed", "loop", name, "cause", failure) // the records are skipped
+			}
 		}
 		if ctx.Err() != nil {
 			return
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -112,7 +112,7 @@
 
 // jobState returns a job's stored state.
 func (l *shardLeader) jobState(ctx context.Context, request jobRequest) (stateAnswer, error) {
-	id, requestedAt := request.ID, time.Now()
+	id, requestedAt := request.ID, l.process.sinceBoot()
 	answer, err := askControlLoop(ctx, l, errNotLeader, func(time.Time) stateAnswer {
 		state, known := l.shard.State(id)
 		if !known {
@@ -128,7 +128,7 @@
 
 // cancelJob cancels a job and waits until the cancellation is stored.
 func (l *shardLeader) cancelJob(ctx context.Context, request jobRequest) (stateAnswer, error) {
-	id, requestedAt := request.ID, time.Now()
+	id, requestedAt := request.ID, l.process.sinceBoot()
 	stored := make(chan struct{})
 	outcome, err := askControlLoop(ctx, l, errOutcomeUnknown, func(now time.Time) shard.Outcome {
 		outcome := l.shard.Cancel(now, id)
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/event"
 	"yuccalanding.example/yuccalanding/internal/job"
 	"yuccalanding.example/yuccalanding/internal/shard"
@@ -33,7 +36,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	l := leaderWithoutStore(ctx)
-	l.confirm(time.Now())
+	l.confirm(l.process.sinceBoot())
 	ended := make(chan struct{}, 2)
 	go func() { l.controlLoop(); ended <- struct{}{} }()
 	go func() { l.renewConfirmation(); ended <- struct{}{} }()
@@ -91,11 +94,56 @@
 	l := leaderWithoutStore(ctx)
 	for name, newer := range map[string]time.Duration{"older": -1, "equal": 0, "newer": 1} {
 		t.Run(name, func(t *testing.T) {
-			asked := time.Now()
-			l.confirm(asked.Add(newer))
+			asked := l.process.sinceBoot()
+			l.confirm(asked + newer)
 			callerCtx, cancelCaller := context.WithTimeout(ctx, 10*confirmPollInterval)
 			defer cancelCaller()
 			require.Equal(t, newer >= 0, l.confirmedSince(callerCtx, asked))
 		})
 	}
 }
+
+// An order may wait to be sent while the process is paused. Guards against sending it on
+// a leadership that expired meanwhile.
+func TestPausedLeaderSendsNoStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		paused   time.Duration
+		released bool
+		sent     bool
+	}{
+		"not paused":               {0, false, true},
+		"paused for a short time":  {election.MaxConfirmationAge / 2, false, true},
+		"paused for too long":      {election.MaxConfirmationAge, false, false},
+		"paused after it released": {election.MaxConfirmationAgeReleased, true, false},
+		"released, but not paused": {0, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			site := standin.New()
+			defer site.Close()
+			calls := make(chan string, 2)
+			address, err := site.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				content, _ := io.ReadAll(r.Body)
+				calls <- r.URL.Path + string(content)
+				_, _ = w.Write([]byte(`{"clock-ms":1,"born":1}`))
+			}))
+			require.NoError(t, err)
+			l := leaderWithoutStore(ctx)
+			paused := time.Duration(0)
+			l.process.sinceBoot = func() time.Duration { return time.Hour + paused }
+			l.confirm(l.process.sinceBoot())
+			l.released.Store(c.released)
+			paused = c.paused
+			target := shard.Target{ID: "i-1", Address: netip.MustParseAddrPort(address)}
+			l.start(shard.Start{RunKey: shard.RunKey{Task: "0000000000000001.0.0.0", Run: 1}, Target: target, LeaseUntil: time.Minute})
+			require.Equal(t, c.sent, len(calls) == 1)
+			l.poll(shard.Poll{Target: target, LeaseUntil: time.Minute})
+			var last string
+			for len(calls) > 0 {
+				last = <-calls
+			}
+			require.Equal(t, c.sent, strings.Contains(last, "until-ms"), "the poll renews leases: %s", last)
+		})
+	}
+}
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -69,7 +69,10 @@
 			if supervised[ref.key()] == nil {
 				done := make(chan struct{})
 				supervised[ref.key()] = done
-				go func() { defer close(done); p.superviseShard(ctx, ref) }()
+				go func() {
+					defer close(done)
+					p.keepRunning(ctx, "shard "+ref.key(), func(ctx context.Context) { p.superviseShard(ctx, ref) })
+				}()
 			}
 		}
 		select {
@@ -224,6 +227,10 @@
 func (p *Process) maybeClaim(ctx context.Context, ref shardRef, leader election.Leader, v *leaderView, now time.Time, expectedEnd int64) time.Duration {
 	key := ref.key()
 	p.mu.Lock()
+	if failedAt, failed := p.leaderFailures[key]; failed && now.Sub(failedAt) < leaderFailurePause {
+		p.mu.Unlock()
+		return election.CheckInterval
+	}
 	view := election.View{
 		Now: now, Leader: leader, OwnRecord: leader.Node == p.settings.Node, VacantSince: v.vacantSince, LastHeard: v.lastHeard, RefusedSince: v.refusedSince,
 		ConfirmationAge: v.confirmationAge, StoreHealthyFor: p.storeHealthyFor(), NearStore: p.nearStore(), SmallVM: p.settings.Cores < smallVMCores,
@@ -301,7 +308,7 @@
 // starts to lead the shard. claim reports whether the record is stored.
 func (p *Process) claim(ctx context.Context, ref shardRef, cause election.Cause, silence time.Duration, expectedEnd int64) bool {
 	key := ref.key()
-	sent := time.Now()
+	sent := p.sinceBoot()
 	offset, end, err := p.appendLeaderRecord(ctx, key, leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address}, expectedEnd)
 	if err != nil {
 		p.log("claim-failed", "service", key, "at", expectedEnd, "cause", cause, "error", err)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -139,11 +139,14 @@
 		var answer adviseAnswer
 		var err error
 		request := adviseRequest{Step: adviceRequest.Step, Workers: adviceRequest.Workers}
-		if node != l.process.address {
-			answer, err = callPeer[adviseAnswer](ctx, l.process.peerClient, node, pathAdvise, request)
-		} else {
-			answer = l.process.askAdviser(ctx, request)
-		}
+		err = guardedCall(func() (err error) {
+			if node != l.process.address {
+				answer, err = callPeer[adviseAnswer](ctx, l.process.peerClient, node, pathAdvise, request)
+			} else {
+				answer = l.process.askAdviser(ctx, request)
+			}
+			return err
+		})
 		l.mu.Lock()
 		m.adviceCalls--
 		l.mu.Unlock()
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/shard"
@@ -39,14 +40,24 @@
 func (l *shardLeader) sendOrder(timeout time.Duration, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	defer cancel()
-	err := call(ctx)
+	err := guardedCall(func() error { return call(ctx) })
 	if platform.Fenced(err) {
 		l.stepDown("a worker refused an order because it knows a newer fencing token")
 	}
 	return err
 }
 
+// errNoAuthority means that an order was not sent because this process can't prove
+// any more that it is the leader.
+var errNoAuthority = errors.New("the leadership was not confirmed for too long")
+
 func (l *shardLeader) start(start shard.Start) {
+	if !l.hasAuthority() { // the process was paused after the decision
+		l.enqueue(func(now time.Time) {
+			l.shard.StartAnswered(now, start.ID, start.RunKey, shard.WorkerDeclined, errNoAuthority.Error())
+		})
+		return
+	}
 	sent := time.Now()
 	err := l.sendOrder(orderTimeout, func(ctx context.Context) error { return l.process.workers.Start(ctx, start, l.epoch) })
 	result, cause := platform.StartResult(err), ""
@@ -74,6 +85,9 @@
 }
 
 func (l *shardLeader) poll(poll shard.Poll) {
+	if !l.hasAuthority() {
+		poll.LeaseUntil = 0
+	}
 	sent := time.Now()
 	var report shard.Report
 	err := l.sendOrder(poll.Wait+pollTimeout, func(ctx context.Context) (err error) {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -131,7 +131,15 @@
 
 // callPeer sends a message to another node and returns its answer. hadNoEffect
 // tells whether a failed call may have taken effect.
-func callPeer[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any) (Answer, error) {
+func callPeer[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any) (answer Answer, err error) {
+	err = guardedCall(func() (err error) {
+		answer, err = exchange[Answer](ctx, p, to, path, message)
+		return err
+	})
+	return answer, err
+}
+
+func exchange[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any) (Answer, error) {
 	var answer Answer
 	body, err := cbor.Marshal(message)
 	if err != nil {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -28,6 +28,7 @@
 	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/event"
 	"yuccalanding.example/yuccalanding/internal/manifest"
+	"yuccalanding.example/yuccalanding/internal/uptime"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -115,6 +116,10 @@
 	recorder   *event.Recorder
 	metrics    *processMetrics
 
+	// sinceBoot reads the clock that times the confirmations of leadership. It goes on
+	// while the VM is suspended.
+	sinceBoot func() time.Duration
+
 	lastCountAttempt time.Time // used only by superviseShards
 
 	manifest      atomic.Pointer[manifest.Manifest]
@@ -134,6 +139,7 @@
 	ledShards      map[string]*shardLeader // by shard key
 	leaderViews    map[string]*leaderView  // by shard key
 	leadersChanged chan struct{}           // closed and replaced when leaders or shardCounts change
+	leaderFailures map[string]time.Time    // by shard key; when a panic ended this node's leadership
 }
 
 // leaderView is what the process knows of a shard's leader.
@@ -160,12 +166,14 @@
 		peerClient:     newPeerClient(),
 		recorder:       recorder,
 		metrics:        newProcessMetrics(),
+		sinceBoot:      uptime.Now,
 		shardCounts:    map[string]int{},
 		countingNodes:  map[string]countingNode{},
 		leaders:        map[string]election.Leader{},
 		ledShards:      map[string]*shardLeader{},
 		leaderViews:    map[string]*leaderView{},
 		leadersChanged: make(chan struct{}),
+		leaderFailures: map[string]time.Time{},
 	}
 	if settings.AdviserAddress.IsValid() {
 		p.adviser = platform.NewAdviser(settings.AdviserAddress)
@@ -201,10 +209,12 @@
 	}
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	loops := []func(context.Context){p.followManifest, p.followLeaders, p.superviseShards, p.pollPeers}
+	loops := map[string]func(context.Context){
+		"manifest": p.followManifest, "leaders": p.followLeaders, "shards": p.superviseShards, "peers": p.pollPeers,
+	}
 	ended := make(chan struct{}, len(loops))
-	for _, loop := range loops {
-		go func() { loop(workCtx); ended <- struct{}{} }()
+	for name, loop := range loops {
+		go func() { p.keepRunning(workCtx, name, loop); ended <- struct{}{} }()
 	}
 	select {
 	case err := <-failures:
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -61,7 +61,7 @@
 	released atomic.Bool // leadership is released; another node may claim it
 
 	appendStarted atomic.Int64               // when the pending append was first sent, in ns since the process started; 0 if none is pending
-	confirmed     atomic.Int64               // when the last call that confirmed leadership was sent, in ns since the process started
+	confirmed     atomic.Int64               // when the last call that confirmed leadership was sent, in ns of Process.sinceBoot
 	lastAppend    time.Time                  // when the last append ended
 	waiters       map[string][]chan struct{} // by job; closed when the job's change is stored
 
@@ -107,16 +107,17 @@
 }
 
 // confirm records that this process was still the leader when a call that the
-// store accepted was sent.
-func (l *shardLeader) confirm(sent time.Time) {
-	l.confirmed.Store(int64(sent.Sub(l.process.startedAt)))
-}
+// store accepted was sent. The time is a reading of Process.sinceBoot.
+func (l *shardLeader) confirm(sent time.Duration) { l.confirmed.Store(int64(sent)) }
 
 // confirmationAge is how long ago leadership was last confirmed.
 func (l *shardLeader) confirmationAge() time.Duration {
-	return time.Since(l.process.startedAt) - time.Duration(l.confirmed.Load())
+	return l.process.sinceBoot() - time.Duration(l.confirmed.Load())
 }
 
+// hasAuthority reports whether this process can still prove that it is the leader.
+func (l *shardLeader) hasAuthority() bool { return l.confirmationAge() < l.maxConfirmationAge() }
+
 // maxConfirmationAge is the age of its confirmation up to which the leader
 // acts.
 func (l *shardLeader) maxConfirmationAge() time.Duration {
@@ -131,16 +132,20 @@
 func (l *shardLeader) run() {
 	defer close(l.ended)
 	defer l.cancel()
-	records, ok := l.loadState()
+	var records []shard.Record
+	ok := false
+	l.guard("load", func() { records, ok = l.loadState() })
 	if !ok {
 		return
 	}
-	l.shard.Load(time.Now(), records)
-	l.process.log("state-loaded", "service", l.key, "epoch", l.epoch, "records", len(records))
 	loopsEnded := make(chan struct{}, 2)
-	go func() { l.followWorkers(); loopsEnded <- struct{}{} }()
-	go func() { l.renewConfirmation(); loopsEnded <- struct{}{} }()
-	l.controlLoop()
+	go func() { l.guard("workers", l.followWorkers); loopsEnded <- struct{}{} }()
+	go func() { l.guard("confirmation", l.renewConfirmation); loopsEnded <- struct{}{} }()
+	l.guard("control", func() {
+		l.shard.Load(time.Now(), records)
+		l.process.log("state-loaded", "service", l.key, "epoch", l.epoch, "records", len(records))
+		l.controlLoop()
+	})
 	l.cancel()
 	<-loopsEnded
 	<-loopsEnded
@@ -187,6 +192,8 @@
 		case <-l.ctx.Done():
 			return
 		case input := <-l.inputs:
+			// The process may have been paused since the last round.
+			l.shard.SetAuthority(l.hasAuthority())
 			input(time.Now())
 		case <-ticker.C:
 		}
@@ -199,7 +206,7 @@
 			}
 		}
 		now := time.Now()
-		l.shard.SetAuthority(l.confirmationAge() < l.maxConfirmationAge())
+		l.shard.SetAuthority(l.hasAuthority())
 		l.shard.SetAdviceSlots(l.adviceSlots())
 		l.shard.Tick(now)
 		l.execute(l.shard.TakeCommands())
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -21,6 +21,7 @@
 		{710, "record-not-encoded", Error, "A record can't be encoded and is not written.", "Report the fault with the record's key.", false},
 		{711, "settings-reloaded", Info, "The settings were read again after SIGHUP.", noAction, false},
 		{712, "settings-refused", Error, "The settings that were read again have errors; the previous ones stay in force.", "Correct the settings that the cause of the event names.", false},
+		{713, "loop-failed", Error, "A fault in the program was caught; a loop goes on or the leadership of a service was given up.", "Report the fault with the cause of the event.", false},
 
 		{720, "right-seen", Info, "The store names a new holder of the exclusive right to a service.", noAction, false},
 		{721, "right-claimed", Info, "This process claimed the right to a service; the fields cause and silence say why.", noAction, false},
