Claim a leadership only if the store has just answered

A silent store fails no poll before the poll's limit of 1.6 s, so nodes took it for healthy for 0.6 s of each 1.7 s and claimed the shards of leaders that only waited for the store, cause without-proof. Two claims, sent by a node in the other region, were carried out when the store recovered, at 22.27 and 22.51 s. The work of both shards stopped until 22.82 and 23.13 s, and their new leader was far from the store from then on.

Change: the store counts as healthy only since its first answer after a failed poll, and only while it answers. Before a claim of a shard that has a leader the node reads the leadership topic within 0.4 s, and claims only if its end is unchanged.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -103,8 +103,8 @@
 	// ConfirmationAge is the age of the leader's confirmation, as the leader
 	// reported it.
 	ConfirmationAge time.Duration
-	// StoreHealthyFor is how long ago a poll of the store by this node last
-	// failed, or this process started if none has failed.
+	// StoreHealthyFor is for how long the store has answered this node's polls; 0 if
+	// the last one failed.
 	StoreHealthyFor time.Duration
 	// PeersAsked is how many other nodes were asked whether the leader answers
 	// their heartbeats, PeersReached how many of them replied, and HeardByPeer
@@ -163,6 +163,16 @@
 	return MaxConfirmationAge
 }
 
+// NeedsProbe reports whether the store must have answered this node just before the
+// claim: the leader may be the one that works, and the store the one that doesn't.
+func (c Cause) NeedsProbe() bool {
+	switch c {
+	case NeverLed, OwnPreviousBoot, Released:
+		return false
+	}
+	return true
+}
+
 // Decide reports whether to claim leadership now, and the cause.
 func Decide(v View) (claim bool, cause Cause) {
 	if v.Leading {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -38,10 +38,11 @@
 }
 
 // storeProxy forwards one node's calls to the store. While unavailable is set,
-// it answers them with status 503.
+// it answers them with status 503. While silent is set, it holds them back, and
+// then carries them out even if the caller has left.
 type storeProxy struct {
-	store       http.Handler
-	unavailable atomic.Bool
+	store               http.Handler
+	unavailable, silent atomic.Bool
 }
 
 func (p *storeProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -49,6 +50,14 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if p.silent.Load() {
+		body, _ := io.ReadAll(r.Body)
+		for p.silent.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		r = r.Clone(context.WithoutCancel(r.Context()))
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
 	p.store.ServeHTTP(w, r)
 }
 
@@ -408,6 +417,39 @@
 	c.requireRunsOnce()
 }
 
+// A silent store fails no poll until the poll's time limit. Guards against nodes that
+// take the store for healthy until then, and claim the shards of leaders that only wait
+// for the store: such a claim is carried out when the store recovers (site
+// rlts-voucher-large, run trouble-3).
+func TestSilentStoreDoesNotChangeLeaders(t *testing.T) {
+	c := newCell(t, 4)
+	c.configure(1)
+	c.submit(c.nodes[0], "/quick/0000000000000001", jobWithTaskMS(50))
+	c.submit(c.nodes[0], "/batch/0000000000000002", jobWithTaskMS(50))
+	time.Sleep(2 * election.StaleConfirmationAge)
+	claims := func() (count int) {
+		for _, n := range c.nodes {
+			count += strings.Count(n.logs.String(), "name=right-claimed")
+		}
+		return count
+	}
+	require.Equal(t, 2, claims(), "one for each shard")
+	for _, outage := range []time.Duration{1300 * time.Millisecond, 4200 * time.Millisecond} {
+		for _, n := range c.nodes {
+			n.storeProxy.silent.Store(true)
+		}
+		time.Sleep(outage)
+		for _, n := range c.nodes {
+			n.storeProxy.silent.Store(false)
+		}
+		began := time.Now()
+		c.submit(c.nodes[1], fmt.Sprintf("/quick/%016x", outage), jobWithTaskMS(50))
+		require.Less(t, time.Since(began), 1500*time.Millisecond, "the leader goes on when the store does")
+		time.Sleep(2 * election.StaleConfirmationAge)
+		require.Equal(t, 2, claims(), "the leaders are not replaced")
+	}
+}
+
 // Guards against a node that doesn't learn of the next leader while its own
 // calls to the store fail and those of other nodes succeed (site rlts-voucher,
 // incident inc-30eb).
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -58,6 +58,7 @@
 		records, snapshot, err := topic.read(ctx, timeout, followPollWait)
 		timeout = min(2*timeout, followTimeout)
 		if err == nil {
+			p.recordStoreAnswer()
 			if snapshot {
 				p.recordStoreLatency(time.Since(sent))
 			}
@@ -77,7 +78,8 @@
 			}
 		}
 		if err != nil {
-			p.storeFailedAt.Store(int64(time.Since(p.startedAt)))
+			p.storeHealthySince.Store(0)
+			p.storeAnsweredAt.Store(0)
 			retry := followRetryPause
 			if platform.TooManyCalls(err) {
 				retry = overloadRetryPause
@@ -95,10 +97,25 @@
 	}
 }
 
-// storeHealthyFor is how long ago a poll of the store last failed, or the
-// process started if none has failed.
+// recordStoreAnswer records that the store answered a poll.
+func (p *Process) recordStoreAnswer() {
+	now := int64(time.Since(p.startedAt))
+	if p.storeHealthyFor() == 0 {
+		p.storeHealthySince.Store(now)
+	}
+	p.storeAnsweredAt.Store(now)
+}
+
+// storeHealthyFor is for how long the store has answered this node's polls. It is 0
+// if the last one failed, or if none was answered for followTimeout: a silent store
+// fails no poll before that.
 func (p *Process) storeHealthyFor() time.Duration {
-	return time.Since(p.startedAt) - time.Duration(p.storeFailedAt.Load())
+	now := time.Since(p.startedAt)
+	since, answered := time.Duration(p.storeHealthySince.Load()), time.Duration(p.storeAnsweredAt.Load())
+	if since == 0 || now-answered > followTimeout {
+		return 0
+	}
+	return now - since
 }
 
 // nearStore reports whether the store is in the node's own region, judged by
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -254,6 +254,9 @@
 			return election.CheckInterval
 		}
 	}
+	if cause.NeedsProbe() && !p.storeServesClaims(ctx, expectedEnd) {
+		return election.CheckInterval
+	}
 	p.mu.Lock()
 	allowed := p.claimLimiter.Begin(now)
 	p.mu.Unlock()
@@ -267,6 +270,16 @@
 	return claimRetryPause
 }
 
+// storeServesClaims reads the leadership topic. It reports whether the store answered
+// and the topic still ends at expectedEnd. A claim that is sent to a silent store may
+// be carried out when the store recovers, and replace a leader that works.
+func (p *Process) storeServesClaims(ctx context.Context, expectedEnd int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimProbeTimeout)
+	defer cancel()
+	result, err := p.store.Read(ctx, leadershipPartition, expectedEnd, 0)
+	return err == nil && result.End == expectedEnd
+}
+
 // jitter returns a number in [0, 1) that differs between nodes and between
 // keys.
 func (p *Process) jitter(key string) float64 {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -81,6 +81,10 @@
 	// just claimed, until it decides again: as long as the longest pause after
 	// one failed claim.
 	claimRetryPause = 20 * time.Millisecond
+	// claimProbeTimeout bounds the read that shows, before a claim, that the store
+	// serves this node. It covers a store that is 60 times slower than usual (240 ms
+	// for a read), called from another region.
+	claimProbeTimeout = 400 * time.Millisecond
 	// claimTimeout bounds the append of a leadership record.
 	claimTimeout = 1 * time.Second
 	// drainListenTime is how long a stopping process still accepts connections:
@@ -122,10 +126,13 @@
 
 	lastCountAttempt time.Time // used only by superviseShards
 
-	manifest      atomic.Pointer[manifest.Manifest]
-	storeLatency  atomic.Int64 // lowest latency of a read of the store's newest records, in ns
-	storeFailedAt atomic.Int64 // when a poll of the store last failed, in ns since startedAt
-	stopping      atomic.Bool
+	manifest     atomic.Pointer[manifest.Manifest]
+	storeLatency atomic.Int64 // lowest latency of a read of the store's newest records, in ns
+	// storeHealthySince is when the store answered first since a poll last failed, and
+	// storeAnsweredAt when it answered last, in ns since startedAt. They are 0 if a poll
+	// has failed since, or none was answered.
+	storeHealthySince, storeAnsweredAt atomic.Int64
+	stopping                           atomic.Bool
 
 	mu sync.Mutex
 	// manifestText is the manifest in force, as the operator wrote it.
