Plan the start of a gang by places and reserve them

A task of 15.8 of 64 cores is just not large, so the gang reserved nothing, and a plan counted a worker as free for four tasks when it is free for one.

Change: a plan counts the places of each worker at the times at which they become free. A gang reserves the workers of its plan, unless the start is over 30 s away or the allowed workers don't hold the gang.

--- a/internal/shard/overload_test.go
+++ b/internal/shard/overload_test.go
@@ -94,6 +94,45 @@
 	require.Empty(t, sim.violations)
 }
 
+// A gang whose tasks are small, but that needs most of the fleet at once, must start even
+// if other small tasks arrive all the time and take each place that becomes free (site
+// bouffon-hq-grown, run scale-2: a gang of 52 waited for 21 s).
+func TestWideGangStartsDespiteSmallTasks(t *testing.T) {
+	for name, requireTickets := range map[string]bool{"any worker": false, "workers that the adviser allows": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 24, 8, workerSize)
+			sim.requireTickets = requireTickets
+			sim.allowedShare = 1
+			sim.advance(time.Second)
+			const runTime = time.Second
+			small := job.Step{Count: 4, Demand: job.Demand{MilliCPU: 3900, MemoryMB: 100}, Estimate: runTime}
+			neverRefused := batchTerms
+			neverRefused.Stretch = 1000
+			number := 0
+			submitSmallJob := func() {
+				sim.submit(id(number), neverRefused, job.Spec{Steps: []job.Step{small}}, runTime)
+				number++
+				sim.advance(125 * time.Millisecond) // 32 tasks a second, as many as the fleet runs
+			}
+			for range 24 {
+				submitSmallJob()
+			}
+			submittedAt := sim.now
+			gang := job.Step{Count: 24, Demand: job.Demand{MilliCPU: 3900, MemoryMB: 100}, Estimate: 2 * time.Second, Gang: true}
+			sim.submit(id(5000), job.Terms{Queue: "gangs", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond}, job.Spec{Steps: []job.Step{gang}}, 2*time.Second)
+			for {
+				state, _ := sim.leader.shard.State(id(5000))
+				if state == job.Running || state.Ended() {
+					break
+				}
+				submitSmallJob()
+				require.Less(t, sim.now-submittedAt, 3*runTime, "a gang must start soon after the tasks before it have ended")
+			}
+			require.Empty(t, sim.violations)
+		})
+	}
+}
+
 // An urgent job must not wait for long while many jobs are cancelled at once.
 func TestMassCancellationDoesNotDelayUrgentJob(t *testing.T) {
 	sim := newSimulation(t, 6, 4, workerSize)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -18,6 +18,9 @@
 	// more, most workers would be reserved and idle.
 	minReservations       = 2
 	workersPerReservation = 16
+	// maxReservation is the longest time for which workers are reserved ahead of a
+	// planned start. Behind long-running tasks it would be an hour.
+	maxReservation = 30 * time.Second
 	// maxTicketWaits bounds the steps that reserve workers while they wait for
 	// tickets.
 	maxTicketWaits = 24
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -8,8 +8,8 @@
 )
 
 // planStart plans the earliest start of count tasks of a step that don't fit now. For
-// large tasks it also reserves the workers of the plan; otherwise small tasks would
-// always take the free capacity first.
+// large tasks and for gangs it also reserves the workers of the plan; otherwise small
+// tasks would always take the free capacity first.
 func (p *pass) planStart(st *step, count int) {
 	if len(p.plans) >= maxPlans {
 		return
@@ -19,7 +19,10 @@
 		return
 	}
 	p.plans[st] = planned
-	if isLarge(st.spec.Reserved(), planned.workers[0].Capacity) {
+	if planned.at.Sub(p.now) > maxReservation {
+		return
+	}
+	if st.spec.Gang && count > 1 || isLarge(st.spec.Reserved(), planned.workers[0].Capacity) {
 		if p.reservations >= max(minReservations, len(p.shard.sortedWorkers)/workersPerReservation) {
 			return
 		}
@@ -34,7 +37,6 @@
 	type availability struct {
 		worker *worker
 		at     time.Time
-		slots  int
 	}
 	var list []availability
 	demand := st.spec.Reserved()
@@ -50,17 +52,24 @@
 				continue
 			}
 		}
-		list = append(list, availability{w, w.availableAt(p.now, demand), max(1, taskCapacity(demand, w.Capacity))})
+		limit := count
+		if st.spec.MaxPerWorker > 0 {
+			limit = min(limit, st.spec.MaxPerWorker-st.runsOn(w))
+		}
+		for _, at := range w.slotTimes(p.now, demand, limit) {
+			list = append(list, availability{w, at})
+		}
+	}
+	if len(list) < count {
+		return plan{} // the workers that are known to be allowed don't hold the gang
 	}
 	slices.SortStableFunc(list, func(a, b availability) int { return a.at.Compare(b.at) })
 	var planned plan
-	for _, e := range list {
-		if count <= 0 {
-			break
+	for _, e := range list[:count] {
+		if !slices.Contains(planned.workers, e.worker) {
+			planned.workers = append(planned.workers, e.worker)
 		}
-		planned.workers = append(planned.workers, e.worker)
 		planned.at = e.at
-		count -= e.slots
 	}
 	return planned
 }
@@ -75,9 +84,24 @@
 // that no run is added. If the demand would not fit even without the present runs, it
 // returns the time one hour from now.
 func (w *worker) availableAt(now time.Time, demand job.Demand) time.Time {
+	return w.slotTimes(now, demand, 1)[0]
+}
+
+// slotTimes returns the earliest times at which the first, second and further tasks
+// with this demand fit on the worker, at most limit of them and at least one, provided
+// that no other run is added.
+func (w *worker) slotTimes(now time.Time, demand job.Demand, limit int) []time.Time {
 	free := w.free()
-	if demand.Fits(free) {
-		return now
+	var times []time.Time
+	fill := func(at time.Time) bool {
+		for len(times) < max(1, limit) && demand.Fits(free) {
+			times = append(times, at)
+			free = free.Minus(demand)
+		}
+		return len(times) >= max(1, limit)
+	}
+	if fill(now) {
+		return times
 	}
 	type ending struct {
 		at    time.Time
@@ -90,11 +114,14 @@
 	slices.SortStableFunc(endings, func(a, b ending) int { return a.at.Compare(b.at) })
 	for _, e := range endings {
 		free = free.Plus(e.freed)
-		if demand.Fits(free) {
-			return e.at
+		if fill(e.at) {
+			return times
 		}
 	}
-	return now.Add(time.Hour)
+	if len(times) == 0 {
+		return []time.Time{now.Add(time.Hour)}
+	}
+	return times
 }
 
 // minProgressPercent is the least progress in percent at which the end of a run is
