Delete records of one group in order, and others at once

Cause: deletions were carried out strictly in order, and one whose key is in both partitions let the next ones wait until the other partition was called, every 5 s. After a change of partition most keys are in both, so about one key was deleted every 5 s.

Change: deletions keep their order only within a group: the records of one job, or the record of one worker. Those that only the other partition missed are carried out every 2 s.

Result: TestDeletionsOfOtherGroupsDoNotWait fails if a group that waits holds up the others, and passes.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -35,7 +35,7 @@
 	confirmPollInterval = 2 * time.Millisecond
 	// deletionInterval is the time between two tries to carry out the deletions
 	// that a partition missed because it didn't answer.
-	deletionInterval = 5 * time.Second
+	deletionInterval = 2 * time.Second
 )
 
 // partition is the store partition that holds the ledger's partition p.
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -95,6 +95,7 @@
 		inputs: make(chan func(time.Time), inputQueueLength), ended: make(chan struct{}),
 		confirmNow: make(chan struct{}, 1), waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
 	}
+	l.ledger.Group = shard.RecordGroup
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	bounds := p.settings.Bounds
 	lease := min(bounds.MaxLease, maxLease)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,11 +21,11 @@
 // a higher producer epoch, so that the partition then refuses the late one; a second
 // copy of a batch is harmless.
 //
-// A key is deleted in every partition that may hold it. Deletions are carried out
-// strictly in order: the acceptance record of a job is deleted from both partitions
-// before its final state is. Otherwise a new leader could find the job without its
-// final state and run it again. Deletions wait while a partition from which a key has
-// to be deleted doesn't answer.
+// A key is deleted in every partition that may hold it. Deletions of one group of keys
+// are carried out strictly in order: the acceptance record of a job is deleted from both
+// partitions before its final state is. Otherwise a new leader could find the job
+// without its final state and run it again. Deletions wait while a partition from which
+// an earlier key of their group has to be deleted doesn't answer.
 package ledger
 
 import (
@@ -54,13 +54,16 @@
 	Epoch     int64
 	Sequence  int64
 	Records   []shard.Record
-	deletions int // number of pending deletions among the records
+	deletions map[string]bool // the keys among the records whose deletion was pending
 	hasBatch  bool
 }
 
 // Ledger is the state of one writer, the leader of one epoch. It is not safe for
 // concurrent use.
 type Ledger struct {
+	// Group returns the group of a key. If it is nil, all keys are in one group.
+	Group func(key string) string
+
 	epoch       int64
 	batchNumber int64
 	current     int
@@ -174,10 +177,11 @@
 }
 
 // DeletionAttempt returns an append of the deletions that are due at the partition that
-// is not the current one. It reports false if there are no pending deletions, or the
-// first one also has to be carried out at the current partition.
+// is not the current one. It reports false if there are none that the current partition
+// has carried out.
 func (l *Ledger) DeletionAttempt() (Attempt, bool) {
-	if len(l.deletions) == 0 || l.deletions[0].pendingIn.has(l.current) {
+	due := slices.ContainsFunc(l.deletions, func(d deletion) bool { return !d.pendingIn.has(l.current) })
+	if !due {
 		return Attempt{}, false
 	}
 	attempt := l.newAttempt(l.Other())
@@ -198,30 +202,42 @@
 	return Attempt{Partition: p, Epoch: l.Epoch(p), Sequence: state.sequence}
 }
 
-// dueDeletions returns the deletions that the partition can carry out now: in order, up
-// to and including the first one that another partition still has to carry out too.
-func (l *Ledger) dueDeletions(p int) (records []shard.Record, count int) {
+// dueDeletions returns the deletions that the partition can carry out now: of each
+// group in order, up to and including the first one that another partition still has to
+// carry out too.
+func (l *Ledger) dueDeletions(p int) (records []shard.Record, keys map[string]bool) {
+	keys = map[string]bool{}
+	blockedGroups := map[string]bool{}
 	for _, next := range l.deletions {
-		if next.pendingIn.has(p) {
+		group := l.groupOf(next.key)
+		if blockedGroups[group] {
+			continue
+		}
+		if next.pendingIn.has(p) && !keys[next.key] {
 			records = append(records, shard.Record{Key: next.key})
-			count++
+			keys[next.key] = true
 		}
 		if next.pendingIn&^partitionBit(p) != 0 {
-			break
+			blockedGroups[group] = true
 		}
 	}
-	return records, count
+	return records, keys
+}
+
+func (l *Ledger) groupOf(key string) string {
+	if l.Group == nil {
+		return ""
+	}
+	return l.Group(key)
 }
 
 // Confirm records that an attempt is stored.
 func (l *Ledger) Confirm(attempt Attempt) {
 	p := attempt.Partition
 	l.partitions[p].unanswered = false
-	remaining := attempt.deletions
 	kept := l.deletions[:0]
 	for _, next := range l.deletions {
-		if remaining > 0 && next.pendingIn.has(p) {
-			remaining--
+		if attempt.deletions[next.key] && next.pendingIn.has(p) {
 			next.pendingIn &^= partitionBit(p)
 			l.removeLocation(next.key, p)
 		}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -130,6 +130,41 @@
 	require.Empty(t, values)
 }
 
+// A deletion that waits for a partition must not hold up those of other groups. After a
+// change of partition each key is in both, so the records of workers that had left stayed
+// for many seconds, and the next leader waited for these workers (site
+// rlts-voucher-large, run trouble-3).
+func TestDeletionsOfOtherGroupsDoNotWait(t *testing.T) {
+	const keys = 50
+	s := newStore()
+	l, _ := s.load(t, 5)
+	l.Group = func(key string) string { return key[1:] }
+	var puts, firstDeletions, secondDeletions []shard.Record
+	for i := range keys {
+		puts = append(puts, put(fmt.Sprintf("a%d", i), "1"), put(fmt.Sprintf("b%d", i), "1"))
+		firstDeletions = append(firstDeletions, deletion(fmt.Sprintf("a%d", i)))
+		secondDeletions = append(secondDeletions, deletion(fmt.Sprintf("b%d", i)))
+	}
+	s.write(t, l, puts...)
+	s.writeOther(t, l, puts...)
+	s.write(t, l, append(firstDeletions, secondDeletions...)...)
+	_, values := s.load(t, 6) // fences l, whose deletions are pending in one partition
+	require.Len(t, values, 2*keys)
+
+	l, _ = s.load(t, 7)
+	l.Group = func(key string) string { return key[1:] }
+	s.write(t, l, append(firstDeletions, secondDeletions...)...)
+	attempt, due := l.DeletionAttempt()
+	require.True(t, due)
+	require.True(t, s.tryAppend(attempt))
+	l.Confirm(attempt)
+	s.write(t, l)
+	_, due = l.DeletionAttempt()
+	require.False(t, due)
+	_, values = s.load(t, 8)
+	require.Empty(t, values)
+}
+
 // A late attempt must not restore a deleted key.
 func TestDeletionFencesLateAttempt(t *testing.T) {
 	s := newStore()
@@ -180,6 +215,11 @@
 		s := newStore()
 		epoch := int64(1)
 		l, _ := s.load(t, epoch)
+		var group func(string) string // of every second seed: each key is a group
+		if seed%2 == 1 {
+			group = func(key string) string { return key }
+		}
+		l.Group = group
 		want := map[string]string{}
 		var late []ledger.Attempt
 		delayRandomly := func(attempt ledger.Attempt) {
@@ -226,6 +266,7 @@
 				epoch++
 				var values map[string]string
 				l, values = s.load(t, epoch)
+				l.Group = group
 				for key, value := range want {
 					require.Equal(t, value, values[key], "seed %d round %d", seed, round)
 				}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -25,6 +25,15 @@
 
 func workerKey(id string) string { return workerPrefix + id }
 
+// RecordGroup returns the group of a key within which deletions must keep their order:
+// the records of one job, or the record of one worker.
+func RecordGroup(key string) string {
+	if id, isWorker := strings.CutPrefix(key, workerPrefix); isWorker {
+		return workerKey(id)
+	}
+	return key[min(1, len(key)):]
+}
+
 // maxBatchBytes is the size above which a batch takes no more jobs. It is well
 // below the store's limit of 2 MB a call.
 const maxBatchBytes = 1 << 20
