Start next steps before recovery; ask for the tickets that a step needs

Cause: a new leader started no task of any stored job until it had read every worker with a record, or its last lease was over. A step that became ready only now can't run anywhere, but waited too. And a step that waited for tickets asked for all allowed workers with room and reserved all of them: up to 53 for a gang of 3, in calls that take 8 ms longer for each worker, while other steps waited for room.

Change: a step starts before recovery if a step that it depends on was completed by a run that this leader saw running. A step asks for the tickets of the best candidates that hold it and two more, and reserves only the former; it keeps the workers reserved that the call in flight names.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -58,6 +58,7 @@
 	askedWorkers map[string]int64  // by worker ID: the incarnation that was asked about
 	tickets      map[string]ticket // by worker ID; expired tickets are kept
 	inFlight     bool              // a call has no answer yet
+	awaited      []string          // IDs of the workers that the call in flight names
 	askedAt      time.Time         // when the last call was sent
 	retryAt      time.Time         // no call is sent before this time
 }
@@ -79,6 +80,9 @@
 	return true, now.Before(t.validUntil)
 }
 
+// awaits reports whether a call in flight names the worker.
+func (a *advice) awaits(w *worker) bool { return a.inFlight && slices.Contains(a.awaited, w.ID) }
+
 // invalidate marks the worker's ticket as expired.
 func (a *advice) invalidate(w *worker) {
 	if t, found := a.tickets[w.ID]; found {
@@ -284,7 +288,7 @@
 	for i, w := range workers {
 		ids[i] = w.ID
 	}
-	st.advice.inFlight, st.advice.askedAt = true, now
+	st.advice.inFlight, st.advice.awaited, st.advice.askedAt = true, ids, now
 	s.commands.AdviceRequests = append(s.commands.AdviceRequests, AdviceRequest{Step: st.name(), Workers: ids, ExpectedTime: expected})
 }
 
--- a/internal/shard/explain.go
+++ b/internal/shard/explain.go
@@ -63,7 +63,7 @@
 	switch {
 	case !st.occurrence.job.durable:
 		cause = "not-stored"
-	case st.occurrence.job.loaded && !p.shard.recovered:
+	case !p.shard.recovered && st.mayRunElsewhere():
 		cause = "former-holder-unsettled"
 	case usable == 0:
 		cause = "no-usable-worker"
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -21,6 +21,9 @@
 	// maxReservation is the longest time for which workers are reserved ahead of a
 	// planned start. Behind long-running tasks it would be an hour.
 	maxReservation = 30 * time.Second
+	// spareTickets is the number of further workers for which a step requests tickets,
+	// in case a reserved one can't be used when they arrive.
+	spareTickets = 2
 	// maxTicketWaits bounds the steps that reserve workers while they wait for
 	// tickets.
 	maxTicketWaits = 24
@@ -65,8 +68,7 @@
 	order := s.stepsByUrgency(now)
 	p := &pass{shard: s, now: now, reserved: map[*worker]time.Time{}, ticketsWanted: map[*step][]*worker{}, plans: map[*step]plan{}}
 	for _, st := range order {
-		j := st.occurrence.job
-		if !j.durable || j.loaded && !s.recovered {
+		if !st.occurrence.job.durable || !s.recovered && st.mayRunElsewhere() {
 			continue
 		}
 		if st.spec.Gang {
@@ -80,6 +82,23 @@
 	p.explain(order)
 }
 
+// mayRunElsewhere reports whether a former leader may have started tasks of the step. It
+// can't have if a step before this one was complete only after this leader had read a
+// run of it: the worker of that run refuses the former leader since then. With
+// speculative runs another one may have completed that step before.
+func (st *step) mayRunElsewhere() bool {
+	o := st.occurrence
+	if !o.job.loaded {
+		return false
+	}
+	for _, dependency := range st.spec.After {
+		if earlier := o.steps[dependency]; earlier.endedHere && !earlier.spec.Speculative {
+			return false
+		}
+	}
+	return true
+}
+
 // candidate is a worker on which at least one task of a step fits now.
 type candidate struct {
 	worker      *worker
@@ -198,25 +217,25 @@
 // or plans a start.
 func (p *pass) placeTasks(st *step) {
 	valid, expired := p.candidates(st)
-	blocked := false
+	blocked := 0
 	for _, t := range st.tasks {
 		if !t.startable(p.now) {
 			continue
 		}
 		c := bestCandidate(valid, t)
 		if c == nil {
-			blocked = true
-			break
+			blocked++
+			continue
 		}
 		p.shard.startRun(p.now, t, c.worker, t.lastRunNumber+1, c.ticket)
 		c.slots--
 		c.score = p.score(st, c.worker, st.spec.Reserved())
 	}
-	if !blocked {
+	if blocked == 0 {
 		return
 	}
 	if len(expired) > 0 {
-		p.requestTickets(st, expired)
+		p.requestTickets(st, expired, blocked)
 		return
 	}
 	p.planStart(st, 1)
@@ -266,19 +285,38 @@
 	return best
 }
 
-// requestTickets records that the step needs new tickets for the candidates, and
-// reserves these workers until the tickets are expected. It does nothing if
+// requestTickets records that the step needs new tickets for count tasks, and reserves
+// the best candidates that hold them until the tickets are expected. It does nothing if
 // maxTicketWaits steps already wait for tickets.
-func (p *pass) requestTickets(st *step, expired []candidate) {
-	workers := make([]*worker, len(expired))
-	for i, c := range expired {
-		workers[i] = c.worker
-	}
+func (p *pass) requestTickets(st *step, candidates []candidate, count int) {
 	if len(p.ticketsWanted) >= maxTicketWaits {
 		return
 	}
+	// Keeps the workers reserved that the call in flight names.
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return boolToInt(st.advice.awaits(b.worker)) - boolToInt(st.advice.awaits(a.worker))
+	})
+	var workers []*worker
+	for _, c := range candidates {
+		if count <= 0 {
+			break
+		}
+		workers = append(workers, c.worker)
+		count -= c.slots
+	}
+	needed := len(workers)
+	for _, c := range candidates[needed:min(needed+spareTickets, len(candidates))] {
+		workers = append(workers, c.worker)
+	}
 	p.ticketsWanted[st] = workers
-	p.reserve(workers, p.now.Add(adviceTime(st, len(workers))))
+	p.reserve(workers[:needed], p.now.Add(adviceTime(st, len(workers))+adviceTransitTime))
+}
+
+func boolToInt(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
 }
 
 // reserve reserves the workers that aren't reserved yet until the given time.
@@ -306,7 +344,7 @@
 	if chosen == nil {
 		all := append(slices.Clone(valid), expired...)
 		if len(expired) > 0 && assignGang(all, count, false) != nil {
-			p.requestTickets(st, all)
+			p.requestTickets(st, all, count)
 			return
 		}
 		p.planStart(st, count)
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -306,6 +306,7 @@
 	switch result.EndReason {
 	case EndDone:
 		s.recordRunTime(now, r, duration)
+		t.step.endedHere = t.step.endedHere || r != nil
 		s.taskDone(now, t)
 	case EndFailed:
 		s.taskFailed(now, w, t, result.Run)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -162,9 +162,11 @@
 	doneTasks        int
 	openDependencies int // steps in spec.After that aren't complete
 	complete         bool
-	advice           advice
-	criticalPath     time.Duration // estimated duration of the longest chain of steps that begins with this one
-	readyAt          time.Time
+	// endedHere means that this leader saw a run of the step before it ended as done.
+	endedHere    bool
+	advice       advice
+	criticalPath time.Duration // estimated duration of the longest chain of steps that begins with this one
+	readyAt      time.Time
 	// lastExplained is when the reason why the step waits was last logged.
 	lastExplained time.Time
 }
--- a/internal/shard/workers_test.go
+++ b/internal/shard/workers_test.go
@@ -204,3 +204,36 @@
 	sim.advance(500 * time.Millisecond)
 	require.Empty(t, sim.workers[0].runs)
 }
+
+// After a change of leader stored jobs wait until every worker is read that may run
+// their tasks. A step that only became ready under the new leader can't run anywhere, so
+// it must start at once, also if a worker doesn't answer (site rlts-voucher-large, run
+// trouble-3: 5.6 s without starts after a restart of all processes).
+func TestNextStepStartsWhileAWorkerIsUnread(t *testing.T) {
+	for name, speculative := range map[string]bool{"speculative": true, "not speculative": false} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 33, 3, workerSize)
+			sim.advance(time.Second)
+			first, second := tasks(2, 8000, 2*time.Second), tasks(2, 1000, 500*time.Millisecond)
+			first.Speculative = speculative
+			second.After = []int{0}
+			sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{first, second}}, 2*time.Second, 500*time.Millisecond)
+			sim.advance(time.Second)
+			require.Equal(t, 2, sim.startCount)
+			for _, worker := range sim.workers {
+				worker.unreachable = len(worker.runs) == 0
+			}
+			sim.leader.dead = true
+			sim.replaceLeader()
+			changed := sim.now
+			ended := sim.advanceUntilEnded(id(0), 30*time.Second) - changed
+			require.Equal(t, 4, sim.startCount)
+			if speculative {
+				require.Greater(t, ended, orphanTimeoutAfterCrash, "another run may have ended before")
+			} else {
+				require.Less(t, ended, 2500*time.Millisecond, "the rest of the first step and the second one")
+			}
+			require.Empty(t, sim.violations)
+		})
+	}
+}
