Answer at once if a shard has no leader while the store is away

No node can claim a leadership that the store can't record.

Change: if no leader can be called and the store doesn't serve this node, a request is refused at once with a true 503, or answered 504 if an earlier call may have taken effect.

Result: TestRequestsDoNotWaitForALeaderWhileTheStoreIsAway failed before (0.6 s and 1.5 s in the two cases) and passes.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -269,6 +269,9 @@
 // be sent again to the same or the next leader, which knows whether an earlier
 // call took effect.
 //
+// If the shard has no leader while the store doesn't serve this node, it returns at once:
+// no claim that this node could wait for can be stored.
+//
 // earlierErr is the error of an earlier call that the leader that answered may
 // still carry out. A call to a former leader can't take effect any more, as the
 // next leader has fenced it.
@@ -279,6 +282,7 @@
 	for {
 		leader, leadersChanged, l := p.leaderOf(ref.key())
 		answer, err = zero, errNoLeader
+		called := true
 		switch {
 		case l != nil && !l.lost.Load():
 			answer, err = local(l, r.ctx, message)
@@ -286,7 +290,10 @@
 			ctx, cancel := p.untilReplaced(r.ctx, ref.key(), leader)
 			answer, err = callPeer[Answer](ctx, p.peerClient, leader.Address, path, message)
 			cancel()
+		default:
+			called = false
 		}
+		giveUp := r.ctx.Err() != nil || !called && p.storeHealthyFor() == 0
 		switch {
 		case err == nil && pendingEpoch == leader.Epoch:
 			return answer, pendingErr, nil
@@ -296,9 +303,9 @@
 			pendingErr, pendingEpoch = err, leader.Epoch
 		}
 		switch {
-		case pendingErr != nil && r.ctx.Err() != nil:
+		case pendingErr != nil && giveUp:
 			return zero, pendingErr, fmt.Errorf("%w: %w", errOutcomeUnknown, pendingErr)
-		case pendingErr == nil && (r.ctx.Err() != nil || time.Since(r.startedAt) > leaderWait):
+		case pendingErr == nil && (giveUp || time.Since(r.startedAt) > leaderWait):
 			return zero, nil, errNoLeader
 		}
 		select {
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -56,6 +56,7 @@
 			defer peer.Close()
 			p.leaders["ledger/0"] = election.Leader{Epoch: 7, Node: "entry-1", Address: netip.MustParseAddrPort(peer.Listener.Addr().String())}
 			p.shardCounts["ledger"] = 1
+			p.recordStoreAnswer()
 
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
@@ -70,3 +71,49 @@
 		})
 	}
 }
+
+// While the store is away, no node can claim a shard whose leader is gone. Guards against
+// callers that wait for a leader which can't come, until their deadline or for 0.6 s, and
+// can't use that time for another try.
+func TestRequestsDoNotWaitForALeaderWhileTheStoreIsAway(t *testing.T) {
+	for name, c := range map[string]struct {
+		storeAnswers bool
+		leaderDies   bool // it reads the request and leaves without an answer
+		want         int
+		wantWait     time.Duration
+	}{
+		"no leader, store away":          {false, false, http.StatusServiceUnavailable, 0},
+		"no leader, store answers":       {true, false, http.StatusServiceUnavailable, leaderWait},
+		"leader dies, store away":        {false, true, http.StatusGatewayTimeout, 0},
+		"leader dies, the store answers": {true, true, http.StatusGatewayTimeout, 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(platform.Settings{Node: "entry-0"}, event.New(t.Context(), event.Options{Out: &strings.Builder{}}))
+			p.shardCounts["ledger"] = 1
+			if c.storeAnswers {
+				p.recordStoreAnswer()
+			}
+			if c.leaderDies {
+				peer := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+					p.mu.Lock()
+					defer p.mu.Unlock()
+					p.leaders["ledger/0"] = election.Leader{}
+					panic(http.ErrAbortHandler)
+				}))
+				defer peer.Close()
+				p.leaders["ledger/0"] = election.Leader{Epoch: 7, Node: "entry-1", Address: netip.MustParseAddrPort(peer.Listener.Addr().String())}
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			defer cancel()
+			answer := httptest.NewRecorder()
+			body := standin.Submission(job.Spec{Text: "1", Steps: []job.Step{{Count: 1}}})
+			httpRequest := httptest.NewRequest(http.MethodPost, "/quick/0000000000000001", strings.NewReader(body))
+			startedAt := time.Now()
+			require.NoError(t, p.submitJob(&request{
+				Context: echo.New().NewContext(httpRequest, answer), queue: manifest.Queue{Service: "ledger"}, jobID: "0000000000000001", ctx: ctx, startedAt: startedAt,
+			}))
+			require.Equal(t, c.want, answer.Code, answer.Body.String())
+			require.InDelta(t, c.wantWait.Seconds(), time.Since(startedAt).Seconds(), 0.3)
+		})
+	}
+}
