Let time limits of appends follow the store; ask a leader before claiming

The store was 82 times slower, an append of 50 jobs took about 1 s, and an append that was unanswered for 0.6 s counted as a stalled store: new jobs were refused and waiting ones withdrawn until the next append. Copies of the batch that were sent after 0.3 and 0.9 s delayed the next one, as did confirmations in between.

Change: the delays after which an append is sent to the other partition and again, and after which the store counts as stalled, follow the time of recent appends. A batch that waits stands for a confirmation. Before a claim for an old confirmation a node asks the leader again, and allows for the time that the store takes.

Result: TestSlowStoreIsNotStalled and a case of TestClaimNeedsAnAnswerOfTheStore are new; the former can't be written for the code before, which had one limit.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -19,21 +19,22 @@
 	// appendTimeout bounds one append. A store that is 60 times slower than usual
 	// takes 360 ms, and 300 ms more for 100 KB; several appends may wait there.
 	appendTimeout = 3 * time.Second
-	// appendRoundTime is the time after which an append without an answer is sent
-	// again, on another connection: an established one may have gone silent.
-	appendRoundTime = 900 * time.Millisecond
 	// loadTimeout bounds a call that fences a partition, or reads a page of it.
 	loadTimeout = 900 * time.Millisecond
-	// secondPartitionDelay is how long one partition may leave a call
-	// unanswered before the other one is called too: four times an append
-	// between regions.
-	secondPartitionDelay = 300 * time.Millisecond
+	// minSecondDelay and maxSecondDelay bound the time for which one partition may
+	// leave a call unanswered before the other one is called too: at least four
+	// times an append between regions.
+	minSecondDelay = 300 * time.Millisecond
+	maxSecondDelay = time.Second
 	// appendRetryPause is the pause after a round in which both partitions
 	// failed.
 	appendRetryPause = 100 * time.Millisecond
 	// confirmInterval is the age of the confirmation at which an empty append
 	// renews it.
 	confirmInterval = 400 * time.Millisecond
+	// confirmRounds is the number of rounds after which a confirmation lets waiting
+	// records go first.
+	confirmRounds = 2
 	// confirmPollInterval is the time between two checks for a requested
 	// confirmation: a fraction of an append's time (5 ms and more).
 	confirmPollInterval = 2 * time.Millisecond
@@ -129,16 +130,36 @@
 	return err
 }
 
+// secondPartitionDelay is how long a partition may leave a call unanswered before the
+// other one is called too. It follows the time that appends took: each further copy of a
+// batch delays the next one at a slow store.
+func (l *shardLeader) secondPartitionDelay() time.Duration {
+	return min(max(2*l.recentAppendLatency(), minSecondDelay), maxSecondDelay)
+}
+
+// observeAppendLatency records the time that a successful append took. The caller holds
+// appendMu.
+func (l *shardLeader) observeAppendLatency(took time.Duration) {
+	l.appendLatency.Store(int64(max(took, l.recentAppendLatency()/2)))
+}
+
+// recentAppendLatency is the time that recent appends took.
+func (l *shardLeader) recentAppendLatency() time.Duration {
+	return time.Duration(l.appendLatency.Load())
+}
+
 // appendToEither makes a call to the current partition, and to the other one too if the
 // first fails or doesn't answer soon. It repeats both until one succeeds, the leader ends
-// or, if rounds isn't 0, this number of rounds has passed. An earlier round's calls go on
-// meanwhile, as a slow store may take longer than a round. It reports whether a call
-// succeeded. Before each call it calls prepare, on the caller's goroutine.
+// or, if rounds isn't 0, this number of rounds has passed: a connection may have gone
+// silent, or an answer was lost. An earlier round's calls go on meanwhile, as a slow
+// store may take longer than a round. It reports whether a call succeeded. Before each
+// call it calls prepare, on the caller's goroutine, which holds appendMu.
 func (l *shardLeader) appendToEither(rounds int, prepare func(p int) (call func(context.Context) error, succeeded func())) bool {
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
 	type result struct {
 		succeeded func()
+		took      time.Duration
 		err       error
 	}
 	results := make(chan result)
@@ -147,7 +168,9 @@
 		go func() {
 			callCtx, cancelCall := context.WithTimeout(ctx, appendTimeout)
 			defer cancelCall()
-			outcome := result{succeeded, guardedCall(func() error { return call(callCtx) })}
+			began := time.Now()
+			err := guardedCall(func() error { return call(callCtx) })
+			outcome := result{succeeded, time.Since(began), err}
 			select {
 			case results <- outcome:
 			case <-ctx.Done():
@@ -160,7 +183,8 @@
 		begin(l.ledger.Current())
 		pending++
 		calledOther := false
-		roundEnd, secondCall := time.After(appendRoundTime), time.After(secondPartitionDelay)
+		delay := l.secondPartitionDelay()
+		roundEnd, secondCall := time.After(2*delay), time.After(delay)
 		for ended := false; !ended; {
 			select {
 			case <-ctx.Done():
@@ -171,6 +195,7 @@
 			case answer := <-results:
 				pending--
 				if answer.err == nil {
+					l.observeAppendLatency(answer.took)
 					answer.succeeded()
 					return true
 				}
@@ -259,8 +284,10 @@
 			timer.Reset(confirmInterval)
 		}
 		l.appendMu.Lock()
-		if requested || l.confirmationAge() >= confirmInterval {
-			l.appendToEither(1, l.prepareConfirm)
+		// A batch that waits confirms too.
+		batchWaits := l.appendStarted.Load() != 0
+		if requested || l.confirmationAge() >= confirmInterval && !batchWaits {
+			l.appendToEither(confirmRounds, l.prepareConfirm)
 		}
 		if time.Since(lastDeletion) >= deletionInterval {
 			lastDeletion = time.Now()
@@ -303,7 +330,7 @@
 	if !due {
 		return
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, secondPartitionDelay)
+	ctx, cancel := context.WithTimeout(l.ctx, minSecondDelay)
 	defer cancel()
 	sent := l.process.sinceBoot()
 	if l.handleAppendResult(attempt.Partition, "drop", sent, l.send(ctx, attempt)) == nil {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -11,7 +11,13 @@
 // the store counts as stalled.
 func (l *shardLeader) storeStalled() bool {
 	started := l.appendStarted.Load()
-	return started != 0 && time.Since(l.process.startedAt)-time.Duration(started) >= storeStallTimeout
+	return started != 0 && time.Since(l.process.startedAt)-time.Duration(started) >= l.stallTimeout()
+}
+
+// stallTimeout is how long an append may be unanswered before the store counts as
+// stalled. A store whose recent appends took long is slow, but serves.
+func (l *shardLeader) stallTimeout() time.Duration {
+	return min(max(2*l.recentAppendLatency(), minStallTimeout), maxStallTimeout)
 }
 
 // storeStalledReason is the reason that callers get while the store is stalled.
@@ -77,7 +83,7 @@
 // awaitJobStored waits until a job is stored. If the store stalls before the
 // job's record was sent, the job is withdrawn and refused.
 func (l *shardLeader) awaitJobStored(ctx context.Context, id string, stored chan struct{}) (submitAnswer, error) {
-	timer := time.NewTimer(storeStallTimeout)
+	timer := time.NewTimer(l.stallTimeout())
 	defer timer.Stop()
 	select {
 	case <-stored:
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -69,11 +69,11 @@
 	require.Equal(t, shard.Pending, l.shard.Accept(now, inFlight, job.Terms{Queue: "q"}, job.Spec{}).Outcome)
 	require.NotEmpty(t, l.shard.TakeBatch(now))
 	l.appendStarted.Store(1)
-	time.Sleep(storeStallTimeout)
+	time.Sleep(minStallTimeout)
 	ended := make(chan struct{})
 	go func() { l.controlLoop(); close(ended) }()
 	submit := func(id string) (submitAnswer, error) {
-		callerCtx, cancelCaller := context.WithTimeout(ctx, 2*storeStallTimeout)
+		callerCtx, cancelCaller := context.WithTimeout(ctx, 2*minStallTimeout)
 		defer cancelCaller()
 		return l.submit(callerCtx, submitRequest{ID: id, Terms: job.Terms{Queue: "q"}})
 	}
@@ -147,3 +147,30 @@
 		})
 	}
 }
+
+// A slow store still stores jobs. Guards against refusing jobs because an append takes as
+// long as the ones before it (site bouffon-hq, run trouble-2: with appends of 1 s nearly
+// every job was refused for 4 s).
+func TestSlowStoreIsNotStalled(t *testing.T) {
+	for name, c := range map[string]struct {
+		recent, unanswered time.Duration
+		stalled            bool
+	}{
+		"a fast store doesn't answer":       {5 * time.Millisecond, 700 * time.Millisecond, true},
+		"a slow store is as slow as before": {900 * time.Millisecond, 1200 * time.Millisecond, false},
+		"a slow store doesn't answer":       {900 * time.Millisecond, 1600 * time.Millisecond, true},
+		"nothing is known of the store":     {0, 500 * time.Millisecond, false},
+		"nothing is known, and no answer":   {0, 700 * time.Millisecond, true},
+		"a very slow store doesn't answer":  {3 * time.Second, 1600 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			l := leaderWithoutStore(ctx)
+			l.process.startedAt = time.Now().Add(-time.Minute)
+			l.observeAppendLatency(c.recent)
+			l.appendStarted.Store(int64(time.Minute - c.unanswered))
+			require.Equal(t, c.stalled, l.storeStalled())
+		})
+	}
+}
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -254,8 +254,11 @@
 			return election.CheckInterval
 		}
 	}
-	if cause.NeedsProbe() && !p.storeServesClaims(ctx, expectedEnd) {
-		return election.CheckInterval
+	if cause.NeedsProbe() {
+		storeTime, served := p.probeStore(ctx, expectedEnd)
+		if !served || cause == election.Unconfirmed && p.leaderIsConfirmed(ctx, key, leader, storeTime) {
+			return election.CheckInterval
+		}
 	}
 	p.mu.Lock()
 	allowed := p.claimLimiter.Begin(now)
@@ -270,14 +273,28 @@
 	return claimRetryPause
 }
 
-// storeServesClaims reads the leadership topic. It reports whether the store answered
-// and the topic still ends at expectedEnd. A claim that is sent to a silent store may
-// be carried out when the store recovers, and replace a leader that works.
-func (p *Process) storeServesClaims(ctx context.Context, expectedEnd int64) bool {
+// appendsPerRead is how many times as long as a read an append may take at a slow store.
+const appendsPerRead = 4
+
+// leaderIsConfirmed asks a leader for the age of its confirmation, which may have been
+// renewed since the last heartbeat. It reports whether the age is normal for a store that
+// takes storeTime for a read.
+func (p *Process) leaderIsConfirmed(ctx context.Context, key string, leader election.Leader, storeTime time.Duration) bool {
+	result := p.sendHeartbeat(ctx, key, leader)
+	p.applyHeartbeat(key, leader, result)
+	return result.err == nil && result.answer.ConfirmationAge < election.StaleConfirmationAge+appendsPerRead*storeTime
+}
+
+// probeStore reads the leadership topic. It reports the time that the store took, and
+// whether it answered and the topic still ends at expectedEnd. A claim that is sent to a
+// silent store may be carried out when the store recovers, and replace a leader that
+// works.
+func (p *Process) probeStore(ctx context.Context, expectedEnd int64) (took time.Duration, served bool) {
 	ctx, cancel := context.WithTimeout(ctx, claimProbeTimeout)
 	defer cancel()
+	sent := time.Now()
 	result, err := p.store.Read(ctx, leadershipPartition, expectedEnd, 0)
-	return err == nil && result.End == expectedEnd
+	return time.Since(sent), err == nil && result.End == expectedEnd
 }
 
 // jitter returns a number in [0, 1) that differs between nodes and between
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/election"
@@ -24,11 +26,13 @@
 	for name, c := range map[string]struct {
 		silent      bool
 		expectedEnd int64
+		confirmed   bool // the leader answers that it was confirmed meanwhile
 		claims      int64
 	}{
-		"the store answers":           {false, 0, 1},
-		"the store is silent":         {true, 0, 0},
-		"another record was appended": {false, 7, 0},
+		"the store answers":                  {false, 0, false, 1},
+		"the store is silent":                {true, 0, false, 0},
+		"another record was appended":        {false, 7, false, 0},
+		"the leader was confirmed meanwhile": {false, 0, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
@@ -54,6 +58,15 @@
 			now := time.Now().Add(election.StaleConfirmationAge)
 			p.storeHealthySince.Add(-int64(election.StaleConfirmationAge))
 			leader := election.Leader{Epoch: 3, Node: "entry-2", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+			if c.confirmed {
+				peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					content, err := cbor.Marshal(heartbeatAnswer{Epoch: leader.Epoch, ConfirmationAge: election.StaleConfirmationAge / 2})
+					require.NoError(t, err)
+					_, _ = w.Write(content)
+				}))
+				defer peer.Close()
+				leader.Address = netip.MustParseAddrPort(peer.Listener.Addr().String())
+			}
 			view := &leaderView{leader: leader, lastHeard: now.Add(-time.Minute), confirmationAge: 2 * election.StaleConfirmationAge, isMonitor: true}
 			p.maybeClaim(ctx, shardRef{"ledger", 0, 1}, leader, view, now, c.expectedEnd)
 			require.Equal(t, c.claims, appends.Load())
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -17,10 +17,12 @@
 	tickInterval = 50 * time.Millisecond
 	// inputQueueLength bounds the inputs that wait for the control loop.
 	inputQueueLength = 1024
-	// storeStallTimeout is how long an append may be unanswered before the
-	// store counts as stalled: new jobs are refused at once, and jobs whose
-	// record has not been sent are withdrawn.
-	storeStallTimeout = 600 * time.Millisecond
+	// minStallTimeout and maxStallTimeout bound the time for which an append may
+	// be unanswered before the store counts as stalled: new jobs are refused at
+	// once, and jobs whose record has not been sent are withdrawn. The upper bound
+	// leaves a caller that waits for 3 s the time for an append.
+	minStallTimeout = 600 * time.Millisecond
+	maxStallTimeout = 1500 * time.Millisecond
 	// workerListInterval is the time between two reads of the list of workers.
 	workerListInterval = 400 * time.Millisecond
 	// workerListTimeout bounds one call that reads a page of the list, of at
@@ -68,6 +70,8 @@
 	confirmNow chan struct{} // requests a confirmation
 	appendMu   sync.Mutex    // serializes the uses of ledger
 	ledger     *ledger.Ledger
+	// appendLatency is the time that recent appends took, in ns.
+	appendLatency atomic.Int64
 
 	mu      sync.Mutex
 	members map[netip.AddrPort]*member
