--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -220,25 +220,25 @@
 // or plans a start.
 func (p *pass) placeTasks(st *step) {
 	valid, expired := p.candidates(st)
-	blocked := 0
+	blocked := false
 	for _, t := range st.tasks {
 		if !t.startable(p.now) {
 			continue
 		}
 		c := bestCandidate(valid, t)
 		if c == nil {
-			blocked++
-			continue
+			blocked = true
+			break
 		}
 		p.shard.startRun(p.now, t, c.worker, t.lastRunNumber+1, c.ticket)
 		c.slots--
 		c.score = p.score(st, c.worker, st.spec.Reserved())
 	}
-	if blocked == 0 {
+	if !blocked {
 		return
 	}
 	if len(expired) > 0 {
-		p.requestTickets(st, expired, blocked)
+		p.requestTickets(st, expired, st.startableCount(p.now))
 		return
 	}
 	p.planStart(st, 1)
