Share the wait for a started job between three tests

Cause: three tests of gangs had the same loop. Change: requireStarted submits more work until the job has started, with the same bounds and checks after each step.

--- a/internal/shard/helpers_test.go
+++ b/internal/shard/helpers_test.go
@@ -42,3 +42,16 @@
 	require.Fail(sim.t, "the job didn't end", "%s within %s", id, limit)
 	return 0
 }
+
+// requireStarted calls submitMore, which advances the simulation, until the job has
+// started. It fails the test if that takes longer than the limit or a rule is broken.
+func (sim *simulation) requireStarted(id string, limit time.Duration, submitMore func()) {
+	sim.t.Helper()
+	for submittedAt := sim.now; ; submitMore() {
+		require.Less(sim.t, sim.now-submittedAt, limit, "%s has not started", id)
+		if state, _ := sim.leader.shard.State(id); state == job.Running || state.Ended() {
+			break
+		}
+	}
+	require.Empty(sim.t, sim.violations)
+}
--- a/internal/shard/overload_test.go
+++ b/internal/shard/overload_test.go
@@ -80,18 +80,9 @@
 	for range 30 {
 		submitSmallJob()
 	}
-	submittedAt := sim.now
 	sim.submit(id(5000), job.Terms{Queue: "gangs", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond},
 		job.Spec{Steps: []job.Step{gang(2, 8, 2*time.Second)}}, 2*time.Second)
-	for {
-		state, _ := sim.leader.shard.State(id(5000))
-		if state == job.Running || state.Ended() {
-			break
-		}
-		submitSmallJob()
-		require.Less(t, sim.now-submittedAt, 2*time.Second, "a gang must start within twice the run time of the tasks before it")
-	}
-	require.Empty(t, sim.violations)
+	sim.requireStarted(id(5000), 2*time.Second, submitSmallJob) // a gang must start within twice the run time of the tasks before it
 }
 
 // A gang whose tasks are small, but that needs most of the fleet at once, must start even
@@ -117,18 +108,9 @@
 			for range 24 {
 				submitSmallJob()
 			}
-			submittedAt := sim.now
 			gang := job.Step{Count: 24, Demand: job.Demand{MilliCPU: 3900, MemoryMB: 100}, Estimate: 2 * time.Second, Gang: true}
 			sim.submit(id(5000), job.Terms{Queue: "gangs", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond}, job.Spec{Steps: []job.Step{gang}}, 2*time.Second)
-			for {
-				state, _ := sim.leader.shard.State(id(5000))
-				if state == job.Running || state.Ended() {
-					break
-				}
-				submitSmallJob()
-				require.Less(t, sim.now-submittedAt, 3*runTime, "a gang must start soon after the tasks before it have ended")
-			}
-			require.Empty(t, sim.violations)
+			sim.requireStarted(id(5000), 3*runTime, submitSmallJob) // a gang must start soon after the tasks before it have ended
 		})
 	}
 }
@@ -153,17 +135,8 @@
 	for range 24 {
 		submitSmallJob()
 	}
-	submittedAt := sim.now
 	sim.submit(id(5000), job.Terms{Queue: "gangs", Priority: 1, MaxAttempts: 3, Stretch: 2.2, Target: 1200 * time.Millisecond}, job.Spec{Steps: []job.Step{gang(8, 8, 2*time.Second)}}, 2*time.Second)
-	for {
-		state, _ := sim.leader.shard.State(id(5000))
-		if state == job.Running || state.Ended() {
-			break
-		}
-		submitSmallJob()
-		require.Less(t, sim.now-submittedAt, 2*runTime, "a gang must start within twice the run time of the tasks before it")
-	}
-	require.Empty(t, sim.violations)
+	sim.requireStarted(id(5000), 2*runTime, submitSmallJob) // a gang must start within twice the run time of the tasks before it
 }
 
 // An urgent job must not wait for long while many jobs are cancelled at once.
