--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -87,6 +87,18 @@
 	return unanswered
 }
 
+// finishDeletions carries out the deletions that the other partition missed, and then
+// those that waited for it. None may be left.
+func (s *store) finishDeletions(t *testing.T, l *ledger.Ledger) {
+	attempt, due := l.DeletionAttempt()
+	require.True(t, due)
+	require.True(t, s.tryAppend(attempt))
+	l.Confirm(attempt)
+	s.write(t, l)
+	_, due = l.DeletionAttempt()
+	require.False(t, due)
+}
+
 // The next leader must read the newest values, also if one partition missed some of them
 // because it didn't answer.
 func TestLoadTakesNewerValue(t *testing.T) {
@@ -119,13 +131,7 @@
 	l.SetCurrent(1)
 	s.write(t, l, deletion("acceptance"))
 	s.write(t, l, deletion("final"))
-	attempt, due := l.DeletionAttempt()
-	require.True(t, due)
-	require.True(t, s.tryAppend(attempt))
-	l.Confirm(attempt)
-	s.write(t, l)
-	_, due = l.DeletionAttempt()
-	require.False(t, due)
+	s.finishDeletions(t, l)
 	_, values = s.load(t, 8)
 	require.Empty(t, values)
 }
@@ -154,13 +160,7 @@
 	l, _ = s.load(t, 7)
 	l.Group = func(key string) string { return key[1:] }
 	s.write(t, l, append(firstDeletions, secondDeletions...)...)
-	attempt, due := l.DeletionAttempt()
-	require.True(t, due)
-	require.True(t, s.tryAppend(attempt))
-	l.Confirm(attempt)
-	s.write(t, l)
-	_, due = l.DeletionAttempt()
-	require.False(t, due)
+	s.finishDeletions(t, l)
 	_, values = s.load(t, 8)
 	require.Empty(t, values)
 }
