--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -44,6 +44,7 @@
 	store               http.Handler
 	unavailable, silent atomic.Bool
 	appendDelay         atomic.Int64 // before each append of a shard's records, in ns
+	link                slowLink
 }
 
 func (p *storeProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -62,7 +63,7 @@
 		r = r.Clone(context.WithoutCancel(r.Context()))
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
-	p.store.ServeHTTP(w, r)
+	p.store.ServeHTTP(slowWriter{w, &p.link}, r)
 }
 
 type node struct {
