Limit the silence of a large answer instead of its whole time

Cause: a read of the store was cut off 1.6 s after it was sent, whatever had arrived, and was sent again 0.1 s later. Two versions of a manifest of 262 KB for 13 nodes take the link between the regions (60 Mbit/s) about as long, so no read ended, and the link stayed full: 181 MB in 26 s instead of 6.9 MB. Heartbeats, polls of workers and claims waited behind them. The exchange of the manifest between nodes had the same fault with 0.4 s.

Evidence: store-lost topic=manifest 'reading the answer: context deadline exceeded' on 11 of 13 nodes of the far region, without store-regained for 17 s, and kb_in of that region at the link's rate for the same time.

Change: reads of the store and the exchange of manifests between nodes fail only if no byte arrives for the time that bounded the whole call (internal/transfer). A dead connection is still noticed as soon. Each transfer goes on until it is whole, so the link carries each copy once.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -22,19 +22,17 @@
 
 // read returns the next records. snapshot reports that they are the newest
 // records of all keys. If the store has deleted records that weren't read yet,
-// read fails and the next call starts again with the newest records. Each call
-// to the store may take up to timeout, which includes wait.
-func (r *topicReader) read(ctx context.Context, timeout, wait time.Duration) (records []platform.Record, snapshot bool, err error) {
+// read fails and the next call starts again with the newest records. It fails if no
+// byte arrives from the store for maxSilence, which includes wait.
+func (r *topicReader) read(ctx context.Context, maxSilence, wait time.Duration) (records []platform.Record, snapshot bool, err error) {
 	if r.next < 0 {
-		records, end, err := r.store.Newest(ctx, r.partition, timeout)
+		records, end, err := r.store.Newest(ctx, r.partition, maxSilence)
 		if err == nil {
 			r.next = end
 		}
 		return records, true, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	result, err := r.store.Read(ctx, r.partition, r.next, wait)
+	result, err := r.store.Read(ctx, r.partition, r.next, wait, maxSilence)
 	switch {
 	case err == nil:
 		r.next = result.Next
@@ -49,14 +47,14 @@
 func (p *Process) follow(ctx context.Context, name string, partition platform.Partition, apply func(records []platform.Record, end int64)) {
 	topic := newTopicReader(p.store, partition)
 	down := false
-	timeout := firstReadTimeout
+	maxSilence := firstReadTimeout
 	for ctx.Err() == nil {
 		if topic.next >= 0 {
-			timeout = followTimeout
+			maxSilence = followTimeout
 		}
 		sent := time.Now()
-		records, snapshot, err := topic.read(ctx, timeout, followPollWait)
-		timeout = min(2*timeout, followTimeout)
+		records, snapshot, err := topic.read(ctx, maxSilence, followPollWait)
+		maxSilence = min(2*maxSilence, followTimeout)
 		if err == nil {
 			p.recordStoreAnswer()
 			if snapshot {
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -293,7 +293,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimProbeTimeout)
 	defer cancel()
 	sent := time.Now()
-	result, err := p.store.Read(ctx, leadershipPartition, expectedEnd, 0)
+	result, err := p.store.Read(ctx, leadershipPartition, expectedEnd, 0, claimProbeTimeout)
 	return time.Since(sent), err == nil && result.End == expectedEnd
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -15,6 +15,7 @@
 
 	"yuccalanding.example/yuccalanding/internal/job"
 	"yuccalanding.example/yuccalanding/internal/shard"
+	"yuccalanding.example/yuccalanding/internal/transfer"
 )
 
 // Paths of the calls between nodes.
@@ -133,13 +134,25 @@
 // tells whether a failed call may have taken effect.
 func callPeer[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any) (answer Answer, err error) {
 	err = guardedCall(func() (err error) {
-		answer, err = exchange[Answer](ctx, p, to, path, message)
+		answer, err = exchange[Answer](ctx, p, to, path, message, func(body io.Reader) io.Reader { return body })
 		return err
 	})
 	return answer, err
 }
 
-func exchange[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any) (Answer, error) {
+// downloadFromPeer is callPeer for a large answer: the limit is on the time without a
+// byte of it, and not on the whole call.
+func downloadFromPeer[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any, maxSilence time.Duration) (answer Answer, err error) {
+	ctx, silence := transfer.Limit(ctx, maxSilence)
+	defer silence.Stop()
+	err = guardedCall(func() (err error) {
+		answer, err = exchange[Answer](ctx, p, to, path, message, silence.Reader)
+		return err
+	})
+	return answer, err
+}
+
+func exchange[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any, reader func(body io.Reader) io.Reader) (Answer, error) {
 	var answer Answer
 	body, err := cbor.Marshal(message)
 	if err != nil {
@@ -154,7 +167,7 @@
 		return answer, fmt.Errorf("peer %s: %w", path, err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxPeerBodyBytes))
+	content, err := io.ReadAll(io.LimitReader(reader(response.Body), maxPeerBodyBytes))
 	if err != nil {
 		return answer, fmt.Errorf("peer %s: reading the answer: %w", path, err)
 	}
--- a/internal/entry/peerstate.go
+++ b/internal/entry/peerstate.go
@@ -11,7 +11,8 @@
 
 const (
 	// peerStateInterval is the time between two calls to other nodes while this
-	// node can't use the store, and peerStateTimeout bounds one call.
+	// node can't use the store. A call fails if no byte of its answer, which may
+	// contain a large manifest, arrives for peerStateTimeout.
 	peerStateInterval = 400 * time.Millisecond
 	peerStateTimeout  = 400 * time.Millisecond
 )
@@ -76,9 +77,7 @@
 		if current := p.manifest.Load(); current != nil {
 			request.ManifestVersion = current.Version
 		}
-		callCtx, cancel := context.WithTimeout(ctx, peerStateTimeout)
-		answer, err := callPeer[peerStateAnswer](callCtx, p.peerClient, nodes[next%len(nodes)], pathPeerState, request)
-		cancel()
+		answer, err := downloadFromPeer[peerStateAnswer](ctx, p.peerClient, nodes[next%len(nodes)], pathPeerState, request, peerStateTimeout)
 		if err != nil {
 			continue // the next node is asked after peerStateInterval
 		}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -34,8 +34,9 @@
 
 const (
 	// followPollWait is how long the store may delay its answer to a long poll.
-	// With followTimeout, a dead connection is noticed well within the 3 s in
-	// which a new manifest has to be in force.
+	// followTimeout is how long no byte of the answer may arrive, so that a dead
+	// connection is noticed well within the 3 s in which a new manifest has to be
+	// in force.
 	followPollWait = 1000 * time.Millisecond
 	followTimeout  = 1600 * time.Millisecond
 	// firstReadTimeout bounds the first try to read a topic's newest records.
