--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -143,7 +143,7 @@
 // downloadFromPeer is callPeer for a large answer: the limit is on the time without a
 // byte of it, and not on the whole call.
 func downloadFromPeer[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any, maxSilence time.Duration) (answer Answer, err error) {
-	ctx, silence := transfer.Limit(ctx, maxSilence)
+	ctx, silence := transfer.Limit(ctx, maxSilence, maxSilence)
 	defer silence.Stop()
 	err = guardedCall(func() (err error) {
 		answer, err = exchange[Answer](ctx, p, to, path, message, silence.Reader)
