Let an isolated node claim only if the leader appends nothing

Callers: in the incident inc1 over a tenth of one queue's requests weren't served, and two standing tasks had no run for over 16 s. Two leaders that worked for their own region and the store were replaced by VMs of the other one.

Cause: the link between the regions was full. A node that reaches neither the leader nor any of its monitors claims after 6 s, as all others may be dead, if the store answers one read. The store answered the far nodes now and then.

Change: such a node first reads the ends of the shard's two partitions. It claims if neither moves for 2 s, and 6 s after the last answer or append. A read that fails is no sign of silence, so a node that can't read the state doesn't take the shard. A leader that has stored nothing for 1 s confirms its leadership with one small record in place of the empty append, which doesn't move the end: an idle leader may have running tasks, and a new leader behind a full link can't renew their leases. The reads begin 4 s after the last answer, so a sole surviving node claims after 6 s as before. Nodes that reach each other replace a leader as before, even if it appends.

Why it works: the store answers both sides, and only the leader's appends are accepted there. Whoever reads that the end moves knows that the leader reaches the store and isn't replaced.

Tests: with the two conditions taken out and the fields kept, TestIsolatedNodeClaimsOnlyIfLeaderAppendsNothing fails in all five cases, as it does on the code before ("Should be zero, but was 1 ... the node doesn't know yet whether the leader appends"), and two cases of TestDecide ("expected: alone, actual: silent"). Without the record, TestIdleLeaderAppends fails with "Condition never satisfied". The case of TestDecide in which an isolated node claims now says that it saw no append; its twin without that must not claim.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -56,10 +56,17 @@
 	// RefusedAfter is how long a leader's port may refuse connections. A
 	// process that is restarted at once listens again within this time.
 	RefusedAfter = 300 * time.Millisecond
-	// IsolatedAfter is how long a node that reaches no other node waits before
-	// it takes an unresponsive leader for dead. A network failure of this node
+	// IsolatedAfter is how long a node that reaches no other node waits after the
+	// leader's last answer or append before it takes the leader for dead. A network failure of this node
 	// alone (5.5 s on the users' platform) ends within this time.
 	IsolatedAfter = 6 * time.Second
+	// AppendInterval is the time after which a leader without changes appends a
+	// record to the shard's partitions, so that nodes that don't reach it see
+	// that it works.
+	AppendInterval = 1 * time.Second
+	// QuietAfter is for how long a leader must append nothing before a node that
+	// reaches no other node claims.
+	QuietAfter = 2 * AppendInterval
 	// StaleConfirmationAge is how old a leader's confirmation may become while
 	// the store serves this node. An older one means that only the leader is
 	// cut off from the store. A store that is 60 times slower than usual (360
@@ -111,6 +118,12 @@
 	// whether the leader answers one of them.
 	PeersAsked, PeersReached int
 	HeardByPeer              bool
+	// LastAppend is when this node last found that the leader had appended
+	// records to the shard's partitions; zero if it never did. QuietFor is for
+	// how long it has found none; 0 if it hasn't just read the partitions' ends.
+	// A node reads them only if MustObserveAppends.
+	LastAppend time.Time
+	QuietFor   time.Duration
 	// NearStore is set if the store is in the node's region.
 	NearStore bool
 	// SmallVM is set if the VM has only a small share of a core.
@@ -146,7 +159,7 @@
 	Unconfirmed       Cause = "without-proof"   // the leader's confirmation is too old
 	Heard             Cause = "heard"           // the leader answers heartbeats
 	HeardByPeers      Cause = "heard-by-others" // the leader answers another node's heartbeats
-	NoPeerReached     Cause = "alone"           // neither the leader nor another node answers
+	NoPeerReached     Cause = "alone"           // no node answers, and the leader may still append records
 	Silent            Cause = "silent"          // the leader answers no heartbeats
 )
 
@@ -215,12 +228,30 @@
 		return time.Time{}, Heard
 	case v.HeardByPeer:
 		return time.Time{}, HeardByPeers
-	case v.PeersAsked > 0 && v.PeersReached == 0 && v.Now.Sub(v.LastHeard) < IsolatedAfter:
+	case v.isolated() && (v.Now.Sub(v.lastSign()) < IsolatedAfter || v.QuietFor < QuietAfter):
 		return time.Time{}, NoPeerReached
 	}
 	return v.LastHeard.Add(SuspectTimeout(v.IsMonitor, v.HeartbeatInterval)), Silent
 }
 
+// isolated reports whether the node reaches no other node. Then it is most
+// likely the node that is cut off, and not the leader.
+func (v View) isolated() bool { return v.PeersAsked > 0 && v.PeersReached == 0 }
+
+// lastSign is when the leader last answered this node or was found to append.
+func (v View) lastSign() time.Time {
+	if v.LastAppend.After(v.LastHeard) {
+		return v.LastAppend
+	}
+	return v.LastHeard
+}
+
+// MustObserveAppends reports whether the node has to find out whether the leader
+// appends records. It begins QuietAfter before it may claim.
+func (v View) MustObserveAppends() bool {
+	return v.isolated() && v.Now.Sub(v.lastSign()) >= IsolatedAfter-QuietAfter
+}
+
 // MissedHeartbeats is how many heartbeat intervals a leader may leave
 // unanswered.
 const MissedHeartbeats = 2.5
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -51,8 +51,17 @@
 		"a node that reaches no peer doesn't claim": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(2 * election.SuspectAfter), NearStore: true, PeersAsked: 3}, false, "alone",
 		},
-		"a node that reaches no peer claims after IsolatedAfter, as all others may be dead": {
-			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.IsolatedAfter), NearStore: true, PeersAsked: 3}, true, "silent",
+		"a node that reaches no peer claims after IsolatedAfter if the leader appends nothing, as all others may be dead": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.IsolatedAfter), NearStore: true, PeersAsked: 3, QuietFor: election.QuietAfter}, true, "silent",
+		},
+		"a node that reaches no peer and hasn't seen whether the leader appends doesn't claim": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(10 * election.IsolatedAfter), NearStore: true, PeersAsked: 3}, false, "alone",
+		},
+		"a node that reaches no peer waits for IsolatedAfter from the leader's last append": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(10 * election.IsolatedAfter), LastAppend: ago(election.IsolatedAfter / 2), QuietFor: election.QuietAfter, NearStore: true, PeersAsked: 3}, false, "alone",
+		},
+		"nodes that reach each other replace a leader that they don't reach though it appends": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.SuspectAfter), LastAppend: now, NearStore: true, PeersAsked: 3, PeersReached: 1}, true, "silent",
 		},
 		"a leader whose port refuses connections is replaced sooner": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(600 * time.Millisecond), RefusedSince: ago(election.RefusedAfter), NearStore: true}, true, "refused",
--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/internal/shard"
 	"yuccalanding.example/yuccalanding/platform"
@@ -263,12 +264,14 @@
 			l.process.log("partition-changed", "service", l.key, "partition", p)
 		}
 		l.ledger.Confirm(attempt)
+		l.recordsStoredAt = time.Now()
 	}
 }
 
 // renewConfirmation renews the confirmation of leadership when it gets old and
-// on request. It also carries out the deletions that a partition missed because
-// it didn't answer.
+// on request. If nothing was stored for election.AppendInterval it appends a
+// record, because an empty append doesn't change the partition's end. It also
+// carries out the deletions that a partition missed because it didn't answer.
 func (l *shardLeader) renewConfirmation() {
 	lastDeletion := time.Now()
 	timer := time.NewTimer(confirmInterval)
@@ -286,7 +289,11 @@
 		l.appendMu.Lock()
 		// A batch that waits confirms too.
 		batchWaits := l.appendStarted.Load() != 0
-		if requested || l.confirmationAge() >= confirmInterval && !batchWaits {
+		switch {
+		case !batchWaits && time.Since(l.recordsStoredAt) >= election.AppendInterval:
+			l.ledger.Begin([]shard.Record{{Key: shard.ActivityKey, Value: []byte{1}}})
+			l.appendToEither(confirmRounds, l.prepareAppend)
+		case requested || l.confirmationAge() >= confirmInterval && !batchWaits:
 			l.appendToEither(confirmRounds, l.prepareConfirm)
 		}
 		if time.Since(lastDeletion) >= deletionInterval {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -477,6 +477,27 @@
 	}
 }
 
+// Guards against a leader that has nothing to store and therefore shows no sign of life
+// to a node that reaches no other node.
+func TestIdleLeaderAppends(t *testing.T) {
+	c := newCell(t, 1)
+	c.configure(1)
+	c.submit(c.nodes[0], "/quick/0000000000000001", jobWithTaskMS(10))
+	c.requireState(c.nodes[0], "/quick/0000000000000001", job.Completed, 10*time.Second)
+	ends := func() (sum int64) {
+		for part := range 2 {
+			end, err := platform.NewStore(c.nodes[0].settings.Store.Address).End(t.Context(), platform.Partition{Topic: "keyed.jobs-ledger", Part: part}, time.Second)
+			require.NoError(t, err)
+			sum += end
+		}
+		return sum
+	}
+	for range 3 {
+		before := ends()
+		require.Eventually(t, func() bool { return ends() > before }, election.QuietAfter, 50*time.Millisecond)
+	}
+}
+
 // Guards against a node that doesn't learn of the next leader while its own
 // calls to the store fail and those of other nodes succeed (site rlts-voucher,
 // incident inc-30eb).
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"yuccalanding.example/yuccalanding/internal/election"
+	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -250,6 +251,9 @@
 	}
 	if cause == election.Silent {
 		view.PeersAsked, view.PeersReached, view.HeardByPeer = p.askPeers(ctx, key, leader, peers)
+		if view.MustObserveAppends() {
+			view.LastAppend, view.QuietFor = p.observeAppends(ctx, ref, v, now)
+		}
 		if claim, cause = election.Decide(view); !claim {
 			return election.CheckInterval
 		}
@@ -273,6 +277,33 @@
 	return claimRetryPause
 }
 
+// observeAppends reads the ends of the shard's partitions if that is due. It returns when
+// this node last found that the leader had appended records, and for how long it has found
+// none; 0 if it didn't read the ends now. Both partitions must answer, as a new leader has
+// to read both.
+func (p *Process) observeAppends(ctx context.Context, ref shardRef, v *leaderView, now time.Time) (lastAppend time.Time, quietFor time.Duration) {
+	if now.Before(v.readEndsAt) {
+		return v.lastAppend, 0
+	}
+	v.readEndsAt = now.Add(overloadRetryPause)
+	var ends [ledger.Partitions]int64
+	for i := range ends {
+		end, err := p.store.End(ctx, ref.partition(i, p.settings.Store.Partitions), claimProbeTimeout)
+		if err != nil {
+			return v.lastAppend, 0
+		}
+		ends[i] = end
+	}
+	v.readEndsAt = now.Add(election.QuietAfter)
+	switch {
+	case v.quietSince.Before(v.lastHeard):
+		v.ends, v.quietSince = ends, now
+	case ends != v.ends:
+		v.ends, v.quietSince, v.lastAppend = ends, now, now
+	}
+	return v.lastAppend, now.Sub(v.quietSince)
+}
+
 // appendsPerRead is how many times as long as a read an append may take at a slow store.
 const appendsPerRead = 4
 
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +19,26 @@
 	"yuccalanding.example/yuccalanding/platform/standin"
 )
 
+// newClaimant returns a process that isn't running, its platform, and the number of claims
+// that it has sent. If silent is set the store answers it nothing.
+func newClaimant(t *testing.T, silent bool) (*Process, *standin.Site, *atomic.Int64) {
+	site, claims := standin.New(), &atomic.Int64{}
+	t.Cleanup(site.Close)
+	address, err := site.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/log-append") && r.URL.Query().Get("topic") == leadershipPartition.Topic {
+			claims.Add(1)
+		}
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		site.Store.ServeHTTP(w, r)
+	}))
+	require.NoError(t, err)
+	settings := platform.Settings{Node: "entry-1", Cores: 1, Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address), Partitions: standin.Partitions}}
+	return New(settings, event.New(t.Context(), event.Options{Out: io.Discard, Node: "entry-1"})), site, claims
+}
+
 // A claim that is sent to a silent store may be carried out when the store recovers, and
 // then replaces a leader that works.
 func TestClaimNeedsAnAnswerOfTheStore(t *testing.T) {
@@ -35,24 +54,7 @@
 		"the leader was confirmed meanwhile": {false, 0, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			site := standin.New()
-			defer site.Close()
-			var appends atomic.Int64
-			address, err := site.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if strings.HasSuffix(r.URL.Path, "/log-append") && r.URL.Query().Get("topic") == leadershipPartition.Topic {
-					appends.Add(1)
-				}
-				if c.silent {
-					<-r.Context().Done()
-					return
-				}
-				site.Store.ServeHTTP(w, r)
-			}))
-			require.NoError(t, err)
-			settings := platform.Settings{Node: "entry-1", Cores: 1, Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address), Partitions: standin.Partitions}}
-			p := New(settings, event.New(ctx, event.Options{Out: io.Discard, Node: "entry-1"}))
+			p, _, claims := newClaimant(t, c.silent)
 			p.startedAt = time.Now().Add(-time.Minute)
 			p.recordStoreAnswer()
 			now := time.Now().Add(election.StaleConfirmationAge)
@@ -68,8 +70,47 @@
 				leader.Address = netip.MustParseAddrPort(peer.Listener.Addr().String())
 			}
 			view := &leaderView{leader: leader, lastHeard: now.Add(-time.Minute), confirmationAge: 2 * election.StaleConfirmationAge, isMonitor: true}
-			p.maybeClaim(ctx, shardRef{"ledger", 0, 1}, leader, view, now, c.expectedEnd)
-			require.Equal(t, c.claims, appends.Load())
+			p.maybeClaim(t.Context(), shardRef{"ledger", 0, 1}, leader, view, now, c.expectedEnd)
+			require.Equal(t, c.claims, claims.Load())
+		})
+	}
+}
+
+// A node that reaches no other node is most likely the one that is cut off. Guards against
+// its claim of a shard whose leader works (incident inc1).
+func TestIsolatedNodeClaimsOnlyIfLeaderAppendsNothing(t *testing.T) {
+	ref := shardRef{"ledger", 0, 1}
+	partition := func(p int) platform.Partition { return ref.partition(p, standin.Partitions) }
+	for name, c := range map[string]struct {
+		appendsTo    []platform.Partition // between the node's checks
+		unresponsive bool                 // one of the partitions
+		claims       int64
+	}{
+		"the leader appends nothing":                   {nil, false, 1},
+		"the leader appends to the first partition":    {[]platform.Partition{partition(0)}, false, 0},
+		"the leader appends to the second partition":   {[]platform.Partition{partition(1)}, false, 0},
+		"another shard's leader appends":               {[]platform.Partition{{Topic: partition(0).Topic, Part: 2}}, false, 1},
+		"a partition of which the state can't be read": {nil, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, site, claims := newClaimant(t, false)
+			appendTo := func(partition platform.Partition) {
+				_, _, err := p.store.Append(t.Context(), platform.Append{Partition: partition, ExpectedEnd: -1, Records: []platform.Record{{Key: "p1", Value: []byte("1")}}})
+				require.NoError(t, err)
+			}
+			appendTo(partition(0))
+			site.Store.SetUnresponsive(partition(1).Topic, partition(1).Part, c.unresponsive)
+			unreachable := netip.MustParseAddrPort("127.0.0.1:1")
+			leader := election.Leader{Epoch: 3, Node: "entry-2", Address: netip.MustParseAddrPort("127.0.0.2:1")}
+			now := time.Now()
+			view := &leaderView{leader: leader, lastHeard: now.Add(-election.IsolatedAfter), isMonitor: true, monitorAddresses: []netip.AddrPort{unreachable}}
+			p.maybeClaim(t.Context(), ref, leader, view, now, 0)
+			require.Zero(t, claims.Load(), "the node doesn't know yet whether the leader appends")
+			for _, partition := range c.appendsTo {
+				appendTo(partition)
+			}
+			p.maybeClaim(t.Context(), ref, leader, view, now.Add(election.QuietAfter), 0)
+			require.Equal(t, c.claims, claims.Load())
 		})
 	}
 }
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -27,6 +27,7 @@
 
 	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/event"
+	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/internal/manifest"
 	"yuccalanding.example/yuccalanding/internal/uptime"
 	"yuccalanding.example/yuccalanding/platform"
@@ -160,6 +161,12 @@
 	isMonitor         bool          // this node is one of the leader's monitors
 	heartbeatInterval time.Duration // of this node, unless it is a monitor
 	monitorAddresses  []netip.AddrPort
+
+	// The following fields are used only by superviseShard, through observeAppends.
+	ends       [ledger.Partitions]int64 // of the shard's partitions, as last read
+	quietSince time.Time                // when the node first read these ends
+	lastAppend time.Time                // when the node last found that the ends had changed
+	readEndsAt time.Time                // when to read the ends next
 }
 
 // New returns a process that has not started.
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -68,8 +68,10 @@
 	waiters       map[string][]chan struct{} // by job; closed when the job's change is stored
 
 	confirmNow chan struct{} // requests a confirmation
-	appendMu   sync.Mutex    // serializes the uses of ledger
+	appendMu   sync.Mutex    // serializes the uses of ledger and recordsStoredAt
 	ledger     *ledger.Ledger
+	// recordsStoredAt is when the last append of records succeeded.
+	recordsStoredAt time.Time
 	// appendLatency is the time that recent appends took, in ns.
 	appendLatency atomic.Int64
 
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -23,6 +23,10 @@
 	workerPrefix   = "w"
 )
 
+// ActivityKey is the key of the record that a leader without changes stores to show that
+// it works. Load ignores it.
+const ActivityKey = "a"
+
 func workerKey(id string) string { return workerPrefix + id }
 
 // RecordGroup returns the group of a key within which deletions must keep their order:
