Ask the former leader's monitors for 2 s after a change of leader

A new leader lists the nodes that have sent it a heartbeat, first those close to it.

Change: an answer in the first 2 s after a change of leader, memberTimeout, doesn't replace the list of the former leader.

Why it works: the list of a leader that is replaced again within that time is never taken, so the node asks nodes on both sides of the link and knows that it reaches none of the other side.

Tests: TestMonitorsOfFormerLeaderAreAskedAtFirst failed on the code before: "Not equal", expected 10.0.0.1:1, actual 10.1.0.1:1.

Result: the tests of election, entry, shard and platform pass; gofmt, go vet and staticcheck report nothing.

--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -158,6 +158,7 @@
 		next := &leaderView{leader: leader, learnedAt: time.Now(), lastHeard: time.Now()}
 		if v != nil {
 			next.monitorAddresses, next.isMonitor, next.heartbeatInterval = v.monitorAddresses, v.isMonitor, v.heartbeatInterval
+			next.hasFormerMonitors = len(v.monitorAddresses) > 0
 		}
 		if leader.Epoch == 0 || leader.Released || leader.Node == p.settings.Node {
 			next.vacantSince = time.Now()
@@ -203,8 +204,12 @@
 		if !v.leader.Released {
 			v.vacantSince = time.Time{}
 		}
-		v.confirmationAge, v.monitorAddresses, v.isMonitor = result.answer.ConfirmationAge, result.answer.Monitors, result.answer.Monitor
+		v.confirmationAge, v.isMonitor = result.answer.ConfirmationAge, result.answer.Monitor
 		v.heartbeatInterval = result.answer.Interval
+		// At first a leader knows only the nodes close to it, which may all be cut off.
+		if !v.hasFormerMonitors || now.Sub(v.learnedAt) >= memberTimeout {
+			v.monitorAddresses, v.hasFormerMonitors = result.answer.Monitors, false
+		}
 	case errors.Is(result.err, errNotLeader):
 		// A new leader refuses heartbeats until it learns that its claim was
 		// stored, so the shard counts as vacant only after claimTimeout.
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// A new leader knows first the nodes that are close to it. Guards against a node that asks
+// only these about the leader after it, and takes itself for connected (incident inc1).
+func TestMonitorsOfFormerLeaderAreAskedAtFirst(t *testing.T) {
+	near, far := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}, []netip.AddrPort{netip.MustParseAddrPort("10.1.0.1:1")}
+	p, _, _ := newClaimant(t, false)
+	heartbeat := func(epoch int64, monitors []netip.AddrPort) *leaderView {
+		leader := election.Leader{Epoch: epoch, Node: "entry-2"}
+		v := p.viewOfLeader("ledger/0", leader)
+		p.applyHeartbeat("ledger/0", leader, heartbeatResult{answer: heartbeatAnswer{Monitors: monitors}, sent: time.Now()})
+		return v
+	}
+	require.Equal(t, near, heartbeat(3, near).monitorAddresses, "the first leader has no former one")
+	v := heartbeat(4, far)
+	require.Equal(t, near, v.monitorAddresses)
+	v.learnedAt = v.learnedAt.Add(-memberTimeout)
+	require.Equal(t, far, heartbeat(4, far).monitorAddresses)
+	require.Equal(t, near, heartbeat(4, near).monitorAddresses)
+}
+
 // A silent store fails no poll before the poll's time limit, so its last answer tells
 // whether it serves this node.
 func TestStoreHealth(t *testing.T) {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -161,6 +161,7 @@
 	isMonitor         bool          // this node is one of the leader's monitors
 	heartbeatInterval time.Duration // of this node, unless it is a monitor
 	monitorAddresses  []netip.AddrPort
+	hasFormerMonitors bool // monitorAddresses are those of the former leader
 
 	// The following fields are used only by superviseShard, through observeAppends.
 	ends       [ledger.Partitions]int64 // of the shard's partitions, as last read
