--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"yuccalanding.example/yuccalanding/internal/election"
+	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -157,6 +158,7 @@
 		next := &leaderView{leader: leader, learnedAt: time.Now(), lastHeard: time.Now()}
 		if v != nil {
 			next.monitorAddresses, next.isMonitor, next.heartbeatInterval = v.monitorAddresses, v.isMonitor, v.heartbeatInterval
+			next.hasFormerMonitors = len(v.monitorAddresses) > 0
 		}
 		if leader.Epoch == 0 || leader.Released || leader.Node == p.settings.Node {
 			next.vacantSince = time.Now()
@@ -202,8 +204,12 @@
 		if !v.leader.Released {
 			v.vacantSince = time.Time{}
 		}
-		v.confirmationAge, v.monitorAddresses, v.isMonitor = result.answer.ConfirmationAge, result.answer.Monitors, result.answer.Monitor
+		v.confirmationAge, v.isMonitor = result.answer.ConfirmationAge, result.answer.Monitor
 		v.heartbeatInterval = result.answer.Interval
+		// At first a leader knows only the nodes close to it, which may all be cut off.
+		if !v.hasFormerMonitors || now.Sub(v.learnedAt) >= memberTimeout {
+			v.monitorAddresses, v.hasFormerMonitors = result.answer.Monitors, false
+		}
 	case errors.Is(result.err, errNotLeader):
 		// A new leader refuses heartbeats until it learns that its claim was
 		// stored, so the shard counts as vacant only after claimTimeout.
@@ -250,6 +256,9 @@
 	}
 	if cause == election.Silent {
 		view.PeersAsked, view.PeersReached, view.HeardByPeer = p.askPeers(ctx, key, leader, peers)
+		if view.MustObserveAppends() {
+			view.LastAppend, view.QuietFor = p.observeAppends(ctx, ref, v, now)
+		}
 		if claim, cause = election.Decide(view); !claim {
 			return election.CheckInterval
 		}
@@ -273,6 +282,33 @@
 	return claimRetryPause
 }
 
+// observeAppends reads the ends of the shard's partitions if that is due. It returns when
+// this node last found that the leader had appended records, and for how long it has found
+// none; 0 if it didn't read the ends now. Both partitions must answer, as a new leader has
+// to read both.
+func (p *Process) observeAppends(ctx context.Context, ref shardRef, v *leaderView, now time.Time) (lastAppend time.Time, quietFor time.Duration) {
+	if now.Before(v.readEndsAt) {
+		return v.lastAppend, 0
+	}
+	v.readEndsAt = now.Add(overloadRetryPause)
+	var ends [ledger.Partitions]int64
+	for i := range ends {
+		end, err := p.store.End(ctx, ref.partition(i, p.settings.Store.Partitions), claimProbeTimeout)
+		if err != nil {
+			return v.lastAppend, 0
+		}
+		ends[i] = end
+	}
+	v.readEndsAt = now.Add(election.QuietAfter)
+	switch {
+	case v.quietSince.Before(v.lastHeard):
+		v.ends, v.quietSince = ends, now
+	case ends != v.ends:
+		v.ends, v.quietSince, v.lastAppend = ends, now, now
+	}
+	return v.lastAppend, now.Sub(v.quietSince)
+}
+
 // appendsPerRead is how many times as long as a read an append may take at a slow store.
 const appendsPerRead = 4
 
