Evaluate only the workers that advice allows in a placement pass

Cause: a pass tried each waiting step on each worker of the shard, and a second time for a planned start, also if the adviser hadn't allowed the step on any worker yet. The slow store left a backlog; the passes over it took the leader's processor time, so that answers of the adviser and of workers waited, and the shard started fewer jobs than arrived.

--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -32,3 +32,6 @@
 
 // OpenTasks returns the number of tasks that are kept in memory.
 func (s *Shard) OpenTasks() int { return s.openTasks }
+
+// Evaluations returns how many workers placement passes have evaluated for steps so far.
+func (s *Shard) Evaluations() int { return s.evaluations }
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -221,6 +221,9 @@
 	sim := inst.simulation
 	sim.adviceCalls++
 	sim.adviserTime += request.ExpectedTime
+	if sim.dropAdvice {
+		return
+	}
 	sim.schedule(request.ExpectedTime, inst, func(now time.Time) {
 		var allowed []shard.AllowedWorker
 		for _, id := range request.Workers {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -59,6 +59,7 @@
 	reservations  int                 // steps that reserve workers for a planned start
 	ticketsWanted map[*step][]*worker // workers for which a step lacks only a valid ticket
 	plans         map[*step]plan
+	usable        []*worker // by ID
 }
 
 // schedule starts the waiting tasks that fit on workers, and requests the advice that
@@ -70,6 +71,11 @@
 	}
 	order := s.stepsByUrgency(now)
 	p := &pass{shard: s, now: now, reserved: map[*worker]time.Time{}, ticketsWanted: map[*step][]*worker{}, plans: map[*step]plan{}}
+	for _, w := range s.sortedWorkers {
+		if w.usable() {
+			p.usable = append(p.usable, w)
+		}
+	}
 	for _, st := range order {
 		if !st.occurrence.job.durable || !s.recovered && st.mayRunElsewhere() {
 			continue
@@ -111,13 +117,30 @@
 	score       float64 // lower is better
 }
 
-// candidates returns the workers that can run a task of the step now, best first,
-// and those that lack only a valid ticket.
-func (p *pass) candidates(st *step) (valid, expired []candidate) {
+// permittedWorkers returns the usable workers that may run the step. If the step needs a
+// ticket, these are the workers that the adviser has allowed, in any order: far fewer than
+// all, and none before the first answer.
+func (p *pass) permittedWorkers(st *step) []*worker {
+	if !st.occurrence.job.accepted.Terms.RequiresTicket {
+		return p.usable
+	}
+	permitted := make([]*worker, 0, len(st.advice.tickets))
+	for id, t := range st.advice.tickets {
+		if w := p.shard.workers[id]; w != nil && t.incarnation == w.observedIncarnation && w.usable() {
+			permitted = append(permitted, w)
+		}
+	}
+	return permitted
+}
+
+// candidates returns those of the permitted workers that can run a task of the step now,
+// best first, and those that lack only a valid ticket.
+func (p *pass) candidates(st *step, permitted []*worker) (valid, expired []candidate) {
+	p.shard.evaluations += len(permitted)
 	terms := &st.occurrence.job.accepted.Terms
 	demand := st.spec.Reserved()
-	for _, w := range p.shard.sortedWorkers {
-		if !w.usable() || !demand.Fits(w.free()) || !w.matches(st) || w.health.excluded(p.now) {
+	for _, w := range permitted {
+		if !demand.Fits(w.free()) || !w.matches(st) || w.health.excluded(p.now) {
 			continue
 		}
 		if end, reserved := p.reserved[w]; reserved && p.now.Add(backfillMargin*st.spec.Estimate).After(end) {
@@ -131,11 +154,8 @@
 			}
 		}
 		if terms.RequiresTicket {
-			isAllowed, ticketValid := st.advice.allowed(w, p.now)
-			if !isAllowed {
-				continue
-			}
-			c.ticketValid, c.ticket = ticketValid, st.advice.tickets[w.ID].text
+			t := st.advice.tickets[w.ID]
+			c.ticketValid, c.ticket = p.now.Before(t.validUntil), t.text
 		}
 		c.score = p.score(st, w, demand)
 		if c.ticketValid {
@@ -219,7 +239,11 @@
 // placeTasks starts as many tasks of the step as fit. For the rest it requests tickets
 // or plans a start.
 func (p *pass) placeTasks(st *step) {
-	valid, expired := p.candidates(st)
+	permitted := p.permittedWorkers(st)
+	if len(permitted) == 0 {
+		return
+	}
+	valid, expired := p.candidates(st, permitted)
 	blocked := false
 	for _, t := range st.tasks {
 		if !t.startable(p.now) {
@@ -241,7 +265,7 @@
 		p.requestTickets(st, expired, st.startableCount(p.now))
 		return
 	}
-	p.planStart(st, 1)
+	p.planStart(st, permitted, 1)
 }
 
 // placeSpeculative starts second runs of speculative tasks whose first run is slow
@@ -257,7 +281,7 @@
 			if !eligible || r.phase != phaseRunning || r.slowness < slowFactor {
 				continue
 			}
-			valid, _ := p.candidates(t.step)
+			valid, _ := p.candidates(t.step, p.permittedWorkers(t.step))
 			c := bestCandidate(valid, t)
 			if c == nil || c.worker == w || c.worker.isSlow {
 				continue
@@ -342,7 +366,11 @@
 		runNumber = max(runNumber, t.lastRunNumber+1)
 		count++
 	}
-	valid, expired := p.candidates(st)
+	permitted := p.permittedWorkers(st)
+	if len(permitted) == 0 {
+		return
+	}
+	valid, expired := p.candidates(st, permitted)
 	chosen := assignGang(valid, count, st.spec.SameRack)
 	if chosen == nil {
 		all := append(slices.Clone(valid), expired...)
@@ -350,7 +378,7 @@
 			p.requestTickets(st, all, count)
 			return
 		}
-		p.planStart(st, count)
+		p.planStart(st, permitted, count)
 		return
 	}
 	for i, t := range st.tasks {
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,11 +11,11 @@
 // planStart plans the earliest start of count tasks of a step that don't fit now. For
 // large tasks and for gangs it also reserves the workers of the plan; otherwise small
 // tasks would always take the free capacity first.
-func (p *pass) planStart(st *step, count int) {
+func (p *pass) planStart(st *step, permitted []*worker, count int) {
 	if len(p.plans) >= maxPlans {
 		return
 	}
-	planned := p.earliestStart(st, count)
+	planned := p.earliestStart(st, permitted, count)
 	if len(planned.workers) == 0 {
 		return
 	}
@@ -31,27 +32,23 @@
 	}
 }
 
-// earliestStart returns the workers on which count tasks of the step can start
-// earliest, and the time. It skips reserved workers.
-func (p *pass) earliestStart(st *step, count int) plan {
+// earliestStart returns those of the permitted workers on which count tasks of the step
+// can start earliest, and the time. It skips reserved workers.
+func (p *pass) earliestStart(st *step, permitted []*worker, count int) plan {
+	p.shard.evaluations += len(permitted)
 	type availability struct {
 		worker *worker
 		at     time.Time
 	}
 	var list []availability
 	demand := st.spec.Reserved()
-	for _, w := range p.shard.sortedWorkers {
-		if !w.usable() || !w.matches(st) || st.saturates(w) {
+	for _, w := range permitted {
+		if !w.matches(st) || st.saturates(w) {
 			continue
 		}
 		if _, reserved := p.reserved[w]; reserved {
 			continue
 		}
-		if st.occurrence.job.accepted.Terms.RequiresTicket {
-			if isAllowed, _ := st.advice.allowed(w, p.now); !isAllowed {
-				continue
-			}
-		}
 		limit := count
 		if st.spec.MaxPerWorker > 0 {
 			limit = min(limit, st.spec.MaxPerWorker-st.runsOn(w))
@@ -63,7 +60,9 @@
 	if len(list) < count {
 		return plan{} // the workers that are known to be allowed don't hold the gang
 	}
-	slices.SortStableFunc(list, func(a, b availability) int { return a.at.Compare(b.at) })
+	slices.SortFunc(list, func(a, b availability) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker.ID, b.worker.ID))
+	})
 	var planned plan
 	for _, e := range list[:count] {
 		if !slices.Contains(planned.workers, e.worker) {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -119,6 +119,7 @@
 	lastCleanup      time.Time
 	lastSpeedCheck   time.Time
 	lastPass         time.Time
+	evaluations      int // workers that placement passes evaluated for steps
 }
 
 // jobState is the state of one job.
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -80,6 +80,7 @@
 	pollCount       int           // number of polls of workers
 	stopTime        time.Duration // time that a worker takes to stop a run
 	adviceCalls     int           // number of advice calls
+	dropAdvice      bool          // the adviser answers no more calls
 	// adviserTime is the total expected time of the advice calls.
 	adviserTime time.Duration
 	// allowedShares are the shares of workers that the adviser allows, by queue name.
