Don't claim on an old report of a leader that answers no more

Found while reading the paths by which an isolated node can claim.

Cause: the last reported age of a leader's confirmation counted for ever. A node whose link fills while the store is slow, so that the last report is over 1 s old, claimed with cause=without-proof as soon as its own polls were answered for 1 s: neither other nodes nor the leader's appends were asked. The heartbeat just before the claim had no answer, which counted as not confirmed.

A heartbeat that times out just before the claim doesn't show that the leader is unconfirmed. A refused connection or an answer of another kind still does.

Why it works: a leader that only the store refuses answers heartbeats, and is replaced as before. A leader that answers neither is replaced as silent by the nodes that reach each other.

Tests: on the code before, the new cases fail: of TestDecide with "expected: alone, actual: without-proof", of TestClaimNeedsAnAnswerOfTheStore with "expected: 0, actual: 1". The other cases of the latter test now say that the leader answered 0.7 s ago and not a minute ago, as the cause that they test can't arise otherwise.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -108,7 +108,7 @@
 	// connections; zero if it doesn't.
 	RefusedSince time.Time
 	// ConfirmationAge is the age of the leader's confirmation, as the leader
-	// reported it.
+	// reported it in its last answer. It counts only while the leader answers.
 	ConfirmationAge time.Duration
 	// StoreHealthyFor is for how long the store has answered this node's polls; 0 if
 	// the last one failed.
@@ -222,9 +222,10 @@
 		return v.VacantSince, NotLeading
 	case !v.RefusedSince.IsZero() && v.Now.Sub(v.RefusedSince) >= RefusedAfter:
 		return v.RefusedSince.Add(RefusedAfter), ConnectionRefused
-	case v.ConfirmationAge >= StaleConfirmationAge && v.StoreHealthyFor >= StaleConfirmationAge:
-		return v.LastHeard, Unconfirmed
 	case v.Now.Sub(v.LastHeard) < SuspectTimeout(v.IsMonitor, v.HeartbeatInterval):
+		if v.ConfirmationAge >= StaleConfirmationAge && v.StoreHealthyFor >= StaleConfirmationAge {
+			return v.LastHeard, Unconfirmed
+		}
 		return time.Time{}, Heard
 	case v.HeardByPeer:
 		return time.Time{}, HeardByPeers
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -72,6 +72,9 @@
 		"a leader without a recent confirmation stays while the store is down": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(200 * time.Millisecond), ConfirmationAge: 3 * election.StaleConfirmationAge, StoreHealthyFor: election.StaleConfirmationAge / 2, NearStore: true}, false, "heard",
 		},
+		"a report of an old confirmation is out of date when the leader doesn't answer any more": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.SuspectAfter), ConfirmationAge: election.StaleConfirmationAge, StoreHealthyFor: election.StaleConfirmationAge, NearStore: true, PeersAsked: 3}, false, "alone",
+		},
 		"a node that was started later claims a released shard": {
 			election.View{Now: now, Leader: election.Leader{Epoch: 7, Released: true}, VacantSince: ago(election.CheckInterval), NearStore: true, StartedLater: true}, true, "released",
 		},
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -265,7 +265,7 @@
 	}
 	if cause.NeedsProbe() {
 		storeTime, served := p.probeStore(ctx, expectedEnd)
-		if !served || cause == election.Unconfirmed && p.leaderIsConfirmed(ctx, key, leader, storeTime) {
+		if !served || cause == election.Unconfirmed && p.leaderMayBeConfirmed(ctx, key, leader, storeTime) {
 			return election.CheckInterval
 		}
 	}
@@ -312,13 +312,16 @@
 // appendsPerRead is how many times as long as a read an append may take at a slow store.
 const appendsPerRead = 4
 
-// leaderIsConfirmed asks a leader for the age of its confirmation, which may have been
+// leaderMayBeConfirmed asks a leader for the age of its confirmation, which may have been
 // renewed since the last heartbeat. It reports whether the age is normal for a store that
-// takes storeTime for a read.
-func (p *Process) leaderIsConfirmed(ctx context.Context, key string, leader election.Leader, storeTime time.Duration) bool {
+// takes storeTime for a read, or the leader doesn't answer in time.
+func (p *Process) leaderMayBeConfirmed(ctx context.Context, key string, leader election.Leader, storeTime time.Duration) bool {
 	result := p.sendHeartbeat(ctx, key, leader)
 	p.applyHeartbeat(key, leader, result)
-	return result.err == nil && result.answer.ConfirmationAge < election.StaleConfirmationAge+appendsPerRead*storeTime
+	if result.err != nil {
+		return isTimeout(result.err)
+	}
+	return result.answer.ConfirmationAge < election.StaleConfirmationAge+appendsPerRead*storeTime
 }
 
 // probeStore reads the leadership topic. It reports the time that the store took, and
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -46,12 +46,14 @@
 		silent      bool
 		expectedEnd int64
 		confirmed   bool // the leader answers that it was confirmed meanwhile
+		unanswered  bool // the leader answers no more
 		claims      int64
 	}{
-		"the store answers":                  {false, 0, false, 1},
-		"the store is silent":                {true, 0, false, 0},
-		"another record was appended":        {false, 7, false, 0},
-		"the leader was confirmed meanwhile": {false, 0, true, 0},
+		"the store answers":                  {false, 0, false, false, 1},
+		"the store is silent":                {true, 0, false, false, 0},
+		"another record was appended":        {false, 7, false, false, 0},
+		"the leader was confirmed meanwhile": {false, 0, true, false, 0},
+		"the leader doesn't answer any more": {false, 0, false, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, _, claims := newClaimant(t, c.silent)
@@ -60,8 +62,13 @@
 			now := time.Now().Add(election.StaleConfirmationAge)
 			p.storeHealthySince.Add(-int64(election.StaleConfirmationAge))
 			leader := election.Leader{Epoch: 3, Node: "entry-2", Address: netip.MustParseAddrPort("127.0.0.1:1")}
-			if c.confirmed {
-				peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if c.confirmed || c.unanswered {
+				peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if c.unanswered {
+						_, _ = io.Copy(io.Discard, r.Body) // the server notices that the caller has left only once the body is read
+						<-r.Context().Done()
+						return
+					}
 					content, err := cbor.Marshal(heartbeatAnswer{Epoch: leader.Epoch, ConfirmationAge: election.StaleConfirmationAge / 2})
 					require.NoError(t, err)
 					_, _ = w.Write(content)
@@ -69,7 +76,7 @@
 				defer peer.Close()
 				leader.Address = netip.MustParseAddrPort(peer.Listener.Addr().String())
 			}
-			view := &leaderView{leader: leader, lastHeard: now.Add(-time.Minute), confirmationAge: 2 * election.StaleConfirmationAge, isMonitor: true}
+			view := &leaderView{leader: leader, lastHeard: now.Add(100*time.Millisecond - election.SuspectAfter), confirmationAge: 2 * election.StaleConfirmationAge, isMonitor: true}
 			p.maybeClaim(t.Context(), shardRef{"ledger", 0, 1}, leader, view, now, c.expectedEnd)
 			require.Equal(t, c.claims, claims.Load())
 		})
