Skip steps in a placement pass that can only wait

Cause: a step whose tickets have all expired can only ask for new ones or plan a start, and a pass makes at most 24 requests and 24 plans. Each pass still tried all others, to find that neither was left.

TestPassSkipsStepsThatCanOnlyWait failed before: "508950" is not less than or equal to "145728".

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -57,6 +57,7 @@
 type advice struct {
 	askedWorkers map[string]int64  // by worker ID: the incarnation that was asked about
 	tickets      map[string]ticket // by worker ID; expired tickets are kept
+	ticketsEnd   time.Time         // no ticket is valid at this time or later
 	inFlight     bool              // a call has no answer yet
 	awaited      []string          // IDs of the workers that the call in flight names
 	askedAt      time.Time         // when the last call was sent
@@ -342,6 +343,7 @@
 	for _, worker := range allowed {
 		if w := s.workers[worker.ID]; w != nil {
 			st.advice.tickets[worker.ID] = ticket{worker.Ticket, w.observedIncarnation, validUntil}
+			st.advice.ticketsEnd = maxTime(st.advice.ticketsEnd, validUntil)
 		}
 	}
 	// Answers to later calls of a step don't count: these calls also name workers that
--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -35,3 +35,9 @@
 
 // Evaluations returns how many workers placement passes have evaluated for steps so far.
 func (s *Shard) Evaluations() int { return s.evaluations }
+
+// BusyPassInterval is the least time between two passes while many steps wait.
+const BusyPassInterval = busyPassInterval
+
+// MaxTriedWithoutTicket is how many steps without a valid ticket a pass may try.
+const MaxTriedWithoutTicket = maxTicketWaits + maxPlans
--- a/internal/shard/passcost_test.go
+++ b/internal/shard/passcost_test.go
@@ -1,12 +1,14 @@
 package shard_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
 // Steps must not be tried on workers that the adviser hasn't allowed. Otherwise the passes
@@ -48,3 +50,49 @@
 		})
 	}
 }
+
+// Steps whose tickets have expired must not be tried in each pass once more urgent steps
+// have all requests for tickets and all plans: with hundreds of such steps the passes take
+// the leader's processor time (mcog-bakehouse-grown, day trouble-2).
+func TestPassSkipsStepsThatCanOnlyWait(t *testing.T) {
+	const workers, jobs = 60, 500
+	sim := newSimulation(t, 6, workers, workerSize)
+	sim.requireTickets, sim.allowedShares = true, map[string]float64{"batch": 0.3, "spread": 1}
+	mostTickets := 0
+	sim.onLog = func(event string, keyvals []any) {
+		if event == "advised" && slices.Contains(keyvals, any("batch")) {
+			mostTickets = max(mostTickets, keyvals[slices.Index(keyvals, any("good"))+1].(int))
+		}
+	}
+	sim.advance(time.Second)
+	sim.leader.shard.SetAdviceSlots(2*jobs, 2*jobs)
+	neverLate := batchTerms
+	neverLate.Stretch = 1000 // so that no job is refused for lack of capacity
+	spread := neverLate
+	spread.Queue = "spread"
+	onEachWorker := func(number, milliCPU int, runTime time.Duration) {
+		step := tasks(workers, milliCPU, runTime)
+		step.MaxPerWorker = 1
+		sim.submit(id(number), spread, job.Spec{Steps: []job.Step{step}}, runTime)
+	}
+	onEachWorker(0, 1000, time.Hour)
+	onEachWorker(1, 14000, 4*time.Second)
+	sim.advance(time.Second)
+	for i := range jobs {
+		demand := 2000 // there is room for it when the tasks of 4 s have ended
+		if i < jobs/10 {
+			demand = workerSize.MilliCPU // there is never room for it
+		}
+		sim.submit(id(10+i), neverLate, job.Spec{Steps: []job.Step{tasks(1, demand, time.Second)}}, time.Second)
+	}
+	sim.advance(time.Second)
+	sim.dropAdvice = true
+	sim.advance(2 * ticketLifetime)
+	before := sim.leader.shard.Evaluations()
+	sim.advance(time.Second)
+	// A pass evaluates the workers of a step for a start, and once more for a planned start.
+	passes := int(time.Second / shard.BusyPassInterval)
+	require.LessOrEqual(t, sim.leader.shard.Evaluations()-before, passes*2*shard.MaxTriedWithoutTicket*mostTickets)
+	require.Positive(t, mostTickets)
+	require.Empty(t, sim.violations)
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -117,6 +117,13 @@
 	score       float64 // lower is better
 }
 
+// canOnlyWait reports whether the step has no valid ticket, so that it can't start, and
+// more urgent steps already make the most requests for tickets and the most plans.
+func (p *pass) canOnlyWait(st *step) bool {
+	return st.occurrence.job.accepted.Terms.RequiresTicket && !p.now.Before(st.advice.ticketsEnd) &&
+		len(p.ticketsWanted) >= maxTicketWaits && len(p.plans) >= maxPlans
+}
+
 // permittedWorkers returns the usable workers that may run the step. If the step needs a
 // ticket, these are the workers that the adviser has allowed, in any order: far fewer than
 // all, and none before the first answer.
@@ -239,6 +246,9 @@
 // placeTasks starts as many tasks of the step as fit. For the rest it requests tickets
 // or plans a start.
 func (p *pass) placeTasks(st *step) {
+	if p.canOnlyWait(st) {
+		return
+	}
 	permitted := p.permittedWorkers(st)
 	if len(permitted) == 0 {
 		return
@@ -366,6 +376,9 @@
 		runNumber = max(runNumber, t.lastRunNumber+1)
 		count++
 	}
+	if p.canOnlyWait(st) {
+		return
+	}
 	permitted := p.permittedWorkers(st)
 	if len(permitted) == 0 {
 		return
