Count a step as ended only if no former leader can know of the end

Two runs of a task at the same time were possible for 0.7 s after a change of leader. A new leader that can't read all workers starts a stored step early if it saw the step before end, as the worker of that run refuses the former leader since it was read. But a poll of the former leader may have waited at that worker since before the read, and its answer lists the end too. Then both leaders start the next step on workers that the other hasn't read.

--- a/internal/shard/leaderchange_test.go
+++ b/internal/shard/leaderchange_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -186,3 +187,29 @@
 	sim.leader.shard.LimitLeases(sim.time(), map[string]time.Duration{sim.workers[0].id: time.Hour})
 	require.Equal(t, after, sim.leader.shard.LeaseEnds(), "a bound is never raised")
 }
+
+// Guards against two runs of a task when a former leader learns the end of the step before
+// from a poll that waited at the worker when the new leader read it (seeds 298 and 895 of
+// TestInvariantsUnderLeaderChanges).
+func TestFormerLeadersWaitingPollDoesNotStartTasksTwice(t *testing.T) {
+	for unreached := range 2 { // of the two workers without a run
+		t.Run(strconv.Itoa(unreached), func(t *testing.T) {
+			sim := newSimulation(t, 53, 3, workerSize)
+			sim.crashesUnknown = true
+			sim.advance(time.Second)
+			second := tasks(3, 16000, 2*time.Second)
+			second.After = []int{0}
+			sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{tasks(1, 16000, time.Second), second}}, time.Second, 2*time.Second)
+			sim.advance(900 * time.Millisecond)
+			require.Equal(t, 1, sim.startCount)
+			sim.leader.storeUnreachable = true
+			sim.replaceLeader()
+			idle := slices.DeleteFunc(slices.Clone(sim.workers), func(worker *modelWorker) bool { return len(worker.runs) > 0 })
+			idle[unreached].cutOff = map[*instance]bool{sim.leader: true}
+			sim.advance(30 * time.Second)
+			require.Empty(t, sim.violations)
+			state, _ := sim.leader.shard.State(id(0))
+			require.Equal(t, job.Completed, state)
+		})
+	}
+}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -306,7 +306,11 @@
 	switch result.EndReason {
 	case EndDone:
 		s.recordRunTime(now, r, duration)
-		t.step.endedHere = t.step.endedHere || r != nil
+		// A former leader's poll may have waited at the worker when this leader read it.
+		// Its answer lists ends of the next pollWait. This run was running after that.
+		if r != nil && w.previousClock-w.firstClock >= pollWait {
+			t.step.endedHere = true
+		}
 		s.taskDone(now, t)
 	case EndFailed:
 		s.taskFailed(now, w, t, result.Run)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -164,7 +164,8 @@
 	doneTasks        int
 	openDependencies int // steps in spec.After that aren't complete
 	complete         bool
-	// endedHere means that this leader saw a run of the step before it ended as done.
+	// endedHere means that this leader saw a run of the step before it ended as done,
+	// and that no former leader can know of this end.
 	endedHere    bool
 	advice       advice
 	criticalPath time.Duration // estimated duration of the longest chain of steps that begins with this one
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -45,8 +45,10 @@
 
 	clock              time.Duration // reading of the worker's clock at clockReadAt
 	clockReadAt        time.Time
-	leaseEnd           time.Time // no lease of its runs lasts longer
-	leaseEndReported   bool      // the former leader reported reportedLeaseEnd
+	previousClock      time.Duration // the reading before clock
+	firstClock         time.Duration // the first reading of this incarnation
+	leaseEnd           time.Time     // no lease of its runs lasts longer
+	leaseEndReported   bool          // the former leader reported reportedLeaseEnd
 	reportedLeaseEnd   time.Time
 	pollInFlight       bool
 	nextPollAt         time.Time
@@ -342,12 +344,15 @@
 		w.suspended = false
 		s.markWorkerDirty(w) // its leases are renewed once this record is stored
 	}
-	w.clock, w.clockReadAt = report.Clock, now
+	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
 	w.nextPollAt = now
 	if report.Incarnation != w.observedIncarnation {
 		s.handleRestart(now, w, report.Incarnation)
 	}
 	firstAnswer := !w.listsRead
+	if firstAnswer {
+		w.firstClock = report.Clock
+	}
 	w.listsRead, w.stale = true, false
 	if firstAnswer {
 		s.recordIfPlaceable(w)
@@ -372,6 +377,7 @@
 		s.options.Log("worker-restarted", "worker", w.ID, "born", incarnation, "before", w.observedIncarnation, "runs", len(w.runs))
 	}
 	w.observedIncarnation, w.handledResult, w.storedResult, w.acknowledgedResult, w.inFlightResult = incarnation, 0, 0, 0, 0
+	w.firstClock = w.clock
 	s.markWorkerDirty(w)
 	for _, r := range slices.Clone(w.runs) {
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
