Suspend an unread worker only when no earlier leader can renew its leases

Two runs of a task at the same time were possible after two changes of leader within 10 s. A leader that can't reach a worker records it as suspended after three failed polls, and the next leader then waits only for one lease. It did so also for a worker that it had never read. A leader before it, which the store refuses but which still reaches that worker, goes on renewing its leases for up to 10 s.

Such a worker is now suspended only when the leases of all former leaders, as far as their reports and the time since the load show, last no longer than one that is granted now, which is what the next leader assumes. A worker that was read is suspended as before.

--- a/internal/shard/leaderchange_test.go
+++ b/internal/shard/leaderchange_test.go
@@ -213,3 +213,29 @@
 		})
 	}
 }
+
+// Guards against a suspended record of a worker that its writer never read: the next leader
+// would take it for read, and not wait for an earlier leader that still renews leases.
+func TestUnreadWorkerIsNotSuspendedWhileEarlierLeaderActs(t *testing.T) {
+	sim := newSimulation(t, 54, 3, workerSize)
+	sim.crashesUnknown = true
+	sim.advance(time.Second)
+	sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, 20*time.Second)}}, 20*time.Second)
+	sim.advance(time.Second)
+	first := sim.leader
+	first.storeUnreachable = true
+	cutOff := map[*instance]bool{}
+	for _, worker := range sim.workers {
+		if len(worker.runs) > 0 {
+			worker.cutOff = cutOff
+		}
+	}
+	sim.replaceLeader()
+	cutOff[sim.leader] = true
+	sim.advance(3 * time.Second)
+	sim.leader.dead = true
+	sim.replaceLeader()
+	cutOff[sim.leader] = true
+	sim.advance(20 * time.Second)
+	require.Empty(t, sim.violations)
+}
--- a/internal/shard/leaseends.go
+++ b/internal/shard/leaseends.go
@@ -9,17 +9,23 @@
 	for id, w := range s.workers {
 		end := w.leaseEnd
 		if !w.listsRead {
-			// OrphanTimeout may cover only the leader just before this one.
-			end = s.loadedAt.Add(s.options.MaxOrphanTimeout)
-			if w.leaseEndReported && w.reportedLeaseEnd.Before(end) {
-				end = w.reportedLeaseEnd
-			}
+			end = s.formerLeaseEnd(w)
 		}
 		ends[id] = end
 	}
 	return ends
 }
 
+// formerLeaseEnd returns the time after which no lease of any earlier leader is left on a
+// worker that this leader has not read. OrphanTimeout may cover only the last of them.
+func (s *Shard) formerLeaseEnd(w *worker) time.Time {
+	end := s.loadedAt.Add(s.options.MaxOrphanTimeout)
+	if w.leaseEndReported && w.reportedLeaseEnd.Before(end) {
+		return w.reportedLeaseEnd
+	}
+	return end
+}
+
 // LimitLeases applies the report of the former leader, which has stepped down: for how
 // long after reportedAt leases of it or of earlier leaders can be left, by worker ID. It
 // only lowers the bounds of workers that this leader has not read. It returns how many it
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -77,6 +77,8 @@
 	// which a worker is recorded as suspended. No leader renews a lease on a
 	// suspended worker, so the next leader knows when its runs are over. When the
 	// worker is reached again, a new record is stored before its leases are renewed.
+	// A worker that was not read is suspended only when the leases of former leaders,
+	// who may renew them, last no longer than one that is granted now.
 	suspendAfter = 3
 	// unreachableAfter is the number of consecutive failed polls after which a worker
 	// gets no new tasks.
@@ -315,7 +317,7 @@
 		w.nextPollAt = now.Add(pollRetryDelay)
 	}
 	s.placementChanged = true
-	if w.failedPolls == suspendAfter && w.recordStored {
+	if w.failedPolls >= suspendAfter && w.recordStored && (w.listsRead || !s.formerLeaseEnd(w).After(now.Add(s.leaseLength()))) {
 		w.recordStored, w.suspended = false, true
 		s.markWorkerDirty(w)
 	}
