--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -45,7 +45,11 @@
 
 	clock              time.Duration // reading of the worker's clock at clockReadAt
 	clockReadAt        time.Time
-	leaseEnd           time.Time // no lease of its runs lasts longer
+	previousClock      time.Duration // the reading before clock
+	firstClock         time.Duration // the first reading of this incarnation
+	leaseEnd           time.Time     // no lease of its runs lasts longer
+	leaseEndReported   bool          // the former leader reported reportedLeaseEnd
+	reportedLeaseEnd   time.Time
 	pollInFlight       bool
 	nextPollAt         time.Time
 	failedPolls        int // consecutive polls without an answer
@@ -73,6 +77,8 @@
 	// which a worker is recorded as suspended. No leader renews a lease on a
 	// suspended worker, so the next leader knows when its runs are over. When the
 	// worker is reached again, a new record is stored before its leases are renewed.
+	// A worker that was not read is suspended only when the leases of former leaders,
+	// who may renew them, last no longer than one that is granted now.
 	suspendAfter = 3
 	// unreachableAfter is the number of consecutive failed polls after which a worker
 	// gets no new tasks.
@@ -311,7 +317,7 @@
 		w.nextPollAt = now.Add(pollRetryDelay)
 	}
 	s.placementChanged = true
-	if w.failedPolls == suspendAfter && w.recordStored {
+	if w.failedPolls >= suspendAfter && w.recordStored && (w.listsRead || !s.formerLeaseEnd(w).After(now.Add(s.leaseLength()))) {
 		w.recordStored, w.suspended = false, true
 		s.markWorkerDirty(w)
 	}
@@ -340,12 +346,15 @@
 		w.suspended = false
 		s.markWorkerDirty(w) // its leases are renewed once this record is stored
 	}
-	w.clock, w.clockReadAt = report.Clock, now
+	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
 	w.nextPollAt = now
 	if report.Incarnation != w.observedIncarnation {
 		s.handleRestart(now, w, report.Incarnation)
 	}
 	firstAnswer := !w.listsRead
+	if firstAnswer {
+		w.firstClock = report.Clock
+	}
 	w.listsRead, w.stale = true, false
 	if firstAnswer {
 		s.recordIfPlaceable(w)
@@ -370,6 +379,7 @@
 		s.options.Log("worker-restarted", "worker", w.ID, "born", incarnation, "before", w.observedIncarnation, "runs", len(w.runs))
 	}
 	w.observedIncarnation, w.handledResult, w.storedResult, w.acknowledgedResult, w.inFlightResult = incarnation, 0, 0, 0, 0
+	w.firstClock = w.clock
 	s.markWorkerDirty(w)
 	for _, r := range slices.Clone(w.runs) {
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
