Check runs for stops, leases and stalls at intervals

Cause: the control loop ticks after each group of events, and each tick went through the runs of all workers for stops to resend, leases that have ended and stalled runs. These take 0.4 s and more to become due.

They are made every 50 ms now, the interval at which a leader without events ticks anyway, so no code could rely on less. Polls that are due are still sent in each tick.

TestFrequentTicksCheckRunsAtIntervals failed before, with only the counter added: "1000" is not less than or equal to "20".

--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -36,6 +36,12 @@
 // Evaluations returns how many workers placement passes have evaluated for steps so far.
 func (s *Shard) Evaluations() int { return s.evaluations }
 
+// RunChecks returns how often all runs were checked so far.
+func (s *Shard) RunChecks() int { return s.runChecks }
+
+// RunCheckInterval is the time between two checks of all runs.
+const RunCheckInterval = runCheckInterval
+
 // BusyPassInterval is the least time between two passes while many steps wait.
 const BusyPassInterval = busyPassInterval
 
--- a/internal/shard/passcost_test.go
+++ b/internal/shard/passcost_test.go
@@ -96,3 +96,17 @@
 	require.Positive(t, mostTickets)
 	require.Empty(t, sim.violations)
 }
+
+// A leader ticks after each group of events, up to 2,000 times a second. It must not check
+// all runs each time: that takes a fifth of the processor time of a leader of 252 workers,
+// which then lacks it in a burst (mcog-bakehouse-grown, day trouble-2).
+func TestFrequentTicksCheckRunsAtIntervals(t *testing.T) {
+	sim := newSimulation(t, 7, 4, workerSize)
+	sim.advance(time.Second)
+	before := sim.leader.shard.RunChecks()
+	for range 1000 {
+		sim.now += time.Millisecond
+		sim.leader.shard.Tick(sim.time())
+	}
+	require.LessOrEqual(t, sim.leader.shard.RunChecks()-before, int(time.Second/shard.RunCheckInterval))
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -117,9 +117,11 @@
 	longAdviceCalls  int
 	placementChanged bool // a change may have made a start possible since the last pass
 	lastCleanup      time.Time
+	lastRunCheck     time.Time
 	lastSpeedCheck   time.Time
 	lastPass         time.Time
 	evaluations      int // workers that placement passes evaluated for steps
+	runChecks        int // checks of all runs
 }
 
 // jobState is the state of one job.
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// runCheckInterval is the time between two checks of all runs for stops to resend, leases
+// that have ended, and stalls: a fraction of the shortest of these times.
+const runCheckInterval = 50 * time.Millisecond
+
 // speedCheckInterval is the time between two checks of the workers for slow or
 // draining ones.
 const speedCheckInterval = 200 * time.Millisecond
@@ -21,9 +25,13 @@
 			s.createDueOccurrences(now, j)
 		}
 	}
-	s.resendStops(now)
-	s.expireLeases(now)
-	s.stopStalledRuns(now)
+	if now.Sub(s.lastRunCheck) >= runCheckInterval {
+		s.lastRunCheck = now
+		s.runChecks++
+		s.resendStops(now)
+		s.expireLeases(now)
+		s.stopStalledRuns(now)
+	}
 	if now.Sub(s.lastSpeedCheck) >= speedCheckInterval {
 		s.lastSpeedCheck = now
 		s.updateSpeeds(now)
