--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -35,6 +36,7 @@
 	site           *standin.Site
 	nodes          []*node
 	adviserAddress netip.AddrPort
+	cores          float64 // of the VMs of nodes that start
 }
 
 // storeProxy forwards one node's calls to the store. While unavailable is set,
@@ -63,6 +65,14 @@
 		r = r.Clone(context.WithoutCancel(r.Context()))
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
+	if strings.HasSuffix(r.URL.Path, "/log-newest") {
+		// The stand-in store holds its lock until it has written the answer.
+		answer := httptest.NewRecorder()
+		p.store.ServeHTTP(answer, r)
+		w.WriteHeader(answer.Code)
+		_, _ = slowWriter{w, &p.link}.Write(answer.Body.Bytes())
+		return
+	}
 	p.store.ServeHTTP(slowWriter{w, &p.link}, r)
 }
 
@@ -133,7 +143,7 @@
 	n := &node{
 		storeProxy: storeProxy,
 		settings: platform.Settings{
-			Node: fmt.Sprintf("entry-%d", number), Zone: "z", Region: "r", IP: ip,
+			Node: fmt.Sprintf("entry-%d", number), Cores: c.cores, Zone: "z", Region: "r", IP: ip,
 			CallerAddress: netip.AddrPortFrom(ip, 8149), ReadyAddress: netip.AddrPortFrom(ip, 8141), FirstPeerPort: 7380, LastPeerPort: 7395,
 			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address), Partitions: standin.Partitions}, AdviserAddress: c.adviserAddress,
 			Bounds: platform.Bounds{MaxLease: 6 * time.Second, StopGrace: 6 * time.Second, StateRetention: 2 * time.Minute},
