--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -148,7 +148,6 @@
 			Node: fmt.Sprintf("entry-%d", number), Cores: c.cores, Zone: "z", Region: "r", IP: ip,
 			CallerAddress: netip.AddrPortFrom(ip, 8149), ReadyAddress: netip.AddrPortFrom(ip, 8141), FirstPeerPort: 7380, LastPeerPort: 7395,
 			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(address), Partitions: standin.Partitions}, AdviserAddress: c.adviserAddress,
-			Cores:  c.cores,
 			Bounds: platform.Bounds{MaxLease: 6 * time.Second, StopGrace: 6 * time.Second, StateRetention: 2 * time.Minute},
 		},
 		ended: make(chan error, 1), logs: &lockedBuffer{},
