Renew the confirmation of leadership while the state is loading

Cause: a leader's confirmation was renewed only after it had read the shard's state. A state that takes over 1.2 s to read, at a slow store or over a busy link, let other nodes take the leader for one that the store refuses. Before the limit on silence one leader stayed, but read the state anew each 1.05 s.

Evidence: TestLargeStateIsLoadedOverASlowLink, six nodes and a state of 4 s, failed before with 12 claims, one each 1.35 s, each cut off after 182 to 226 KB: 'Condition never satisfied: the state is loaded'.

Change: empty appends renew the confirmation from the claim on. A record of activity counts as stored only if the append had records.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -64,7 +64,7 @@
 		}
 		calls.Wait()
 		if !slices.Contains(done[:], false) {
-			records, err := l.ledger.Load(read)
+			records, err := l.ledger.Load(read) // uses no field that confirmWhile uses
 			if err != nil {
 				l.process.log("record-unreadable", "service", l.key, "cause", err)
 			}
@@ -264,7 +264,24 @@
 			l.process.log("partition-changed", "service", l.key, "partition", p)
 		}
 		l.ledger.Confirm(attempt)
-		l.recordsStoredAt = time.Now()
+		if len(attempt.Records) > 0 { // an empty append doesn't change the partition's end
+			l.recordsStoredAt = time.Now()
+		}
+	}
+}
+
+// confirmWhile renews the confirmation of leadership while the shard's state is loading.
+// A large state may take seconds to read, and a leader with an old confirmation is
+// replaced.
+func (l *shardLeader) confirmWhile(loading context.Context) {
+	for {
+		pause(loading, confirmInterval)
+		if loading.Err() != nil {
+			return
+		}
+		l.appendMu.Lock()
+		l.appendToEither(confirmRounds, l.prepareConfirm)
+		l.appendMu.Unlock()
 	}
 }
 
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -150,7 +150,15 @@
 	defer l.cancel()
 	var records []shard.Record
 	ok := false
+	loading, loaded := context.WithCancel(l.ctx)
+	confirmationEnded := make(chan struct{})
+	go func() {
+		defer close(confirmationEnded)
+		l.guard("confirmation", func() { l.confirmWhile(loading) })
+	}()
+	defer func() { loaded(); <-confirmationEnded }()
 	l.guard("load", func() { records, ok = l.loadState() })
+	loaded()
 	if !ok {
 		return
 	}
