Let manifests from other nodes arrive over a busy link

Cause: a node whose polls of the store fail asked other nodes for the manifest, gave up after 0.4 s without a byte and asked the next one 0.4 s later. It asked also while the store's copy of the same manifest was arriving.

Evidence: TestManifestFromPeerArrivesOverABusyLink failed before in two of its three cases ('Condition never satisfied: the manifest is in force').

Change: the limit is 1.6 s without a byte, as for the store, and a manifest is asked for only while reads of it from the store fail. A node that doesn't answer now holds up the next question for 1.6 s instead of 0.4 s, unless its port refuses or its VM is down.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/shard"
@@ -43,10 +44,9 @@
 }
 
 // follow applies a topic's newest records and then its changes, until the
-// context ends.
-func (p *Process) follow(ctx context.Context, name string, partition platform.Partition, apply func(records []platform.Record, end int64)) {
+// context ends. It sets lost while reads fail.
+func (p *Process) follow(ctx context.Context, name string, partition platform.Partition, lost *atomic.Bool, apply func(records []platform.Record, end int64)) {
 	topic := newTopicReader(p.store, partition)
-	down := false
 	maxSilence := firstReadTimeout
 	for ctx.Err() == nil {
 		if topic.next >= 0 {
@@ -67,9 +67,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if (err != nil) != down {
-			down = err != nil
-			if down {
+		if failed := err != nil; lost.Swap(failed) != failed {
+			if failed {
 				p.log("store-lost", "topic", name, "cause", err)
 			} else {
 				p.log("store-regained", "topic", name)
@@ -125,7 +124,7 @@
 
 // followManifest keeps the manifest of the highest version in force.
 func (p *Process) followManifest(ctx context.Context) {
-	p.follow(ctx, "manifest", platform.Partition{Topic: platform.OperatorTopic}, func(records []platform.Record, _ int64) {
+	p.follow(ctx, "manifest", platform.Partition{Topic: platform.OperatorTopic}, &p.manifestLost, func(records []platform.Record, _ int64) {
 		for _, record := range records {
 			if record.Key != platform.ManifestKey || len(record.Value) == 0 {
 				continue
@@ -137,7 +136,7 @@
 
 // followLeaders keeps the newest record of each key of the leadership topic.
 func (p *Process) followLeaders(ctx context.Context) {
-	p.follow(ctx, "rights", leadershipPartition, func(records []platform.Record, end int64) {
+	p.follow(ctx, "rights", leadershipPartition, new(atomic.Bool), func(records []platform.Record, end int64) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.leadersRead, p.leadersEnd = true, max(p.leadersEnd, end)
--- a/internal/entry/peerstate.go
+++ b/internal/entry/peerstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -9,20 +10,19 @@
 	"yuccalanding.example/yuccalanding/platform"
 )
 
-const (
-	// peerStateInterval is the time between two calls to other nodes while this
-	// node can't use the store. A call fails if no byte of its answer, which may
-	// contain a large manifest, arrives for peerStateTimeout.
-	peerStateInterval = 400 * time.Millisecond
-	peerStateTimeout  = 400 * time.Millisecond
-)
+// peerStateInterval is the time between two calls to other nodes while this node
+// can't use the store. A call fails if no byte of its answer arrives for followTimeout.
+const peerStateInterval = 400 * time.Millisecond
 
-// peerStateRequest asks for a manifest newer than the caller's, and for all
-// leaders and shard counts.
+// peerStateRequest asks for a manifest newer than ManifestVersion, and for all leaders
+// and shard counts.
 type peerStateRequest struct {
 	ManifestVersion int64 `cbor:"1,keyasint"`
 }
 
+// noManifest is a ManifestVersion that no manifest exceeds.
+const noManifest = math.MaxInt64
+
 type peerLeader struct {
 	Shard    string         `cbor:"1,keyasint"`
 	Epoch    int64          `cbor:"2,keyasint"`
@@ -81,11 +81,7 @@
 			continue
 		}
 		next++
-		request := peerStateRequest{}
-		if current := p.manifest.Load(); current != nil {
-			request.ManifestVersion = current.Version
-		}
-		answer, err := downloadFromPeer[peerStateAnswer](ctx, p.peerClient, nodes[next%len(nodes)], pathPeerState, request, peerStateTimeout)
+		answer, err := downloadFromPeer[peerStateAnswer](ctx, p.peerClient, nodes[next%len(nodes)], pathPeerState, p.newPeerStateRequest(), followTimeout)
 		if err != nil {
 			continue // the next node is asked after peerStateInterval
 		}
@@ -93,6 +89,18 @@
 	}
 }
 
+// newPeerStateRequest returns a request that asks for a manifest only if the store's copy
+// isn't arriving: a second copy of a large manifest would slow down both.
+func (p *Process) newPeerStateRequest() peerStateRequest {
+	switch current := p.manifest.Load(); {
+	case !p.manifestLost.Load():
+		return peerStateRequest{ManifestVersion: noManifest}
+	case current != nil:
+		return peerStateRequest{ManifestVersion: current.Version}
+	}
+	return peerStateRequest{}
+}
+
 // peerAddresses returns the addresses of the other nodes that this one knows.
 func (p *Process) peerAddresses() []netip.AddrPort {
 	p.mu.Lock()
--- a/internal/entry/peerstate_test.go
+++ b/internal/entry/peerstate_test.go
@@ -53,6 +53,7 @@
 			p := New(platform.Settings{Node: "entry-1"}, event.New(t.Context(), event.Options{Out: io.Discard, Node: "entry-1"}))
 			leader := election.Leader{Epoch: 1, Node: "entry-2", Address: netip.MustParseAddrPort(peer.Listener.Addr().String())}
 			p.leaderViews["ledger/0"] = &leaderView{leader: leader}
+			p.manifestLost.Store(true)
 			go p.pollPeers(t.Context())
 			require.Eventually(t, func() bool { return p.manifest.Load() != nil }, 5*time.Second, 20*time.Millisecond,
 				"the manifest is in force")
@@ -60,3 +61,25 @@
 		})
 	}
 }
+
+// Guards against a second copy of a large manifest from another node while the store's
+// copy arrives over the same busy link (incident inc1).
+func TestManifestIsAskedForOnlyIfTheStoreFails(t *testing.T) {
+	cases := map[string]struct {
+		lost  bool
+		asked int64 // a manifest newer than this
+	}{
+		"the store's copy arrives": {false, noManifest},
+		"reads of the store fail":  {true, 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := New(platform.Settings{Node: "entry-1"}, event.New(t.Context(), event.Options{Out: io.Discard, Node: "entry-1"}))
+			p.applyManifest([]byte(standin.Manifest(7, nil, []string{"ledger"}, 4096)), "store")
+			p.manifestLost.Store(c.lost)
+			request := p.newPeerStateRequest()
+			require.Equal(t, c.asked, request.ManifestVersion)
+			require.Empty(t, p.peerState(request).Manifest)
+		})
+	}
+}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -129,6 +129,7 @@
 	lastCountAttempt time.Time // used only by superviseShards
 
 	manifest     atomic.Pointer[manifest.Manifest]
+	manifestLost atomic.Bool  // reads of the manifest from the store fail
 	storeLatency atomic.Int64 // lowest latency of a read of the store's newest records, in ns
 	// storeHealthySince is when the store answered first since a poll last failed, and
 	// storeAnsweredAt when it answered last, in ns since startedAt. They are 0 if a poll
