Let far nodes claim only if the leader appends nothing

Found by review: on deployments whose monitors are in both regions, a node of the far one reaches its neighbours, doesn't count as isolated, and claims the shard of a leader that works 0.8 s after the link between the regions is full.

Cause: reaching any other node counted as a sign that the leader is the one that is cut off. A full or cut link leaves groups of nodes that reach each other.

Change: nodes report whether the store is in their region. A node of another region that reaches none of those reads the ends of the shard's partitions, as an isolated node does, and claims if neither moves for 2 s. If all nodes near the store are lost, a change of leader takes 2 s longer.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -118,6 +118,9 @@
 	// whether the leader answers one of them.
 	PeersAsked, PeersReached int
 	HeardByPeer              bool
+	// PeersChecked is set once the three fields above are valid. NearPeerReached is
+	// set if one of the nodes that replied has the store in its region.
+	PeersChecked, NearPeerReached bool
 	// LastAppend is when this node last found that the leader had appended
 	// records to the shard's partitions; zero if it never did. QuietFor is for
 	// how long it has found none; 0 if it hasn't just read the partitions' ends.
@@ -160,6 +163,7 @@
 	Heard             Cause = "heard"           // the leader answers heartbeats
 	HeardByPeers      Cause = "heard-by-others" // the leader answers another node's heartbeats
 	NoPeerReached     Cause = "alone"           // no node answers, and the leader may still append records
+	NoNearPeerReached Cause = "far-alone"       // no node near the store answers, and the leader may still append records
 	Silent            Cause = "silent"          // the leader answers no heartbeats
 )
 
@@ -231,6 +235,8 @@
 		return time.Time{}, HeardByPeers
 	case v.isolated() && (v.Now.Sub(v.lastSign()) < IsolatedAfter || v.QuietFor < QuietAfter):
 		return time.Time{}, NoPeerReached
+	case v.cutOffFromStoreRegion() && v.QuietFor < QuietAfter:
+		return time.Time{}, NoNearPeerReached
 	}
 	return v.LastHeard.Add(SuspectTimeout(v.IsMonitor, v.HeartbeatInterval)), Silent
 }
@@ -239,6 +245,13 @@
 // likely the node that is cut off, and not the leader.
 func (v View) isolated() bool { return v.PeersAsked > 0 && v.PeersReached == 0 }
 
+// cutOffFromStoreRegion reports whether a node of another region than the store's reaches
+// only nodes like itself. Then the link between the regions may be full or cut, and the
+// leader may work.
+func (v View) cutOffFromStoreRegion() bool {
+	return v.PeersChecked && !v.isolated() && !v.NearStore && !v.NearPeerReached
+}
+
 // lastSign is when the leader last answered this node or was found to append.
 func (v View) lastSign() time.Time {
 	if v.LastAppend.After(v.LastHeard) {
@@ -248,9 +261,9 @@
 }
 
 // MustObserveAppends reports whether the node has to find out whether the leader
-// appends records. It begins QuietAfter before it may claim.
+// appends records. An isolated node begins QuietAfter before it may claim.
 func (v View) MustObserveAppends() bool {
-	return v.isolated() && v.Now.Sub(v.lastSign()) >= IsolatedAfter-QuietAfter
+	return v.isolated() && v.Now.Sub(v.lastSign()) >= IsolatedAfter-QuietAfter || v.cutOffFromStoreRegion()
 }
 
 // MissedHeartbeats is how many heartbeat intervals a leader may leave
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -63,6 +63,18 @@
 		"nodes that reach each other replace a leader that they don't reach though it appends": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.SuspectAfter), LastAppend: now, NearStore: true, PeersAsked: 3, PeersReached: 1}, true, "silent",
 		},
+		"a far node that reaches only far ones doesn't claim while the leader may append": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(10 * election.IsolatedAfter), PeersChecked: true, PeersAsked: 3, PeersReached: 1}, false, "far-alone",
+		},
+		"a far node that reaches only far ones claims if the leader appends nothing": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.IsolatedAfter), QuietFor: election.QuietAfter, PeersChecked: true, PeersAsked: 3, PeersReached: 1}, true, "silent",
+		},
+		"a far node that reaches one near the store needs no look at the appends": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.IsolatedAfter), PeersChecked: true, PeersAsked: 3, PeersReached: 1, NearPeerReached: true}, true, "silent",
+		},
+		"a far node that knows no other node doesn't claim while the leader may append": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(10 * election.IsolatedAfter), PeersChecked: true}, false, "far-alone",
+		},
 		"a leader whose port refuses connections is replaced sooner": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(600 * time.Millisecond), RefusedSince: ago(election.RefusedAfter), NearStore: true}, true, "refused",
 		},
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -255,7 +255,7 @@
 		return election.NextCheck(view)
 	}
 	if cause == election.Silent {
-		view.PeersAsked, view.PeersReached, view.HeardByPeer = p.askPeers(ctx, key, leader, peers)
+		p.askPeers(ctx, key, peers, &view)
 		if view.MustObserveAppends() {
 			view.LastAppend, view.QuietFor = p.observeAppends(ctx, ref, v, now)
 		}
@@ -344,10 +344,9 @@
 	return float64(sum.Sum32()%1000) / 1000
 }
 
-// askPeers asks other nodes whether the leader answers their heartbeats. It
-// returns how many were asked, how many replied, and whether the leader answers
-// one of them.
-func (p *Process) askPeers(ctx context.Context, key string, leader election.Leader, peers []netip.AddrPort) (asked, reached int, heardByPeer bool) {
+// askPeers asks other nodes whether the leader of the view answers their heartbeats, and
+// records in the view what they reply.
+func (p *Process) askPeers(ctx context.Context, key string, peers []netip.AddrPort, view *election.View) {
 	ctx, cancel := context.WithTimeout(ctx, peerViewTimeout)
 	defer cancel()
 	answers := make(chan *viewAnswer, len(peers))
@@ -361,15 +360,16 @@
 			answers <- &answer
 		}()
 	}
+	view.PeersAsked, view.PeersChecked = len(peers), true
 	for range peers {
-		if answer := <-answers; answer != nil {
-			reached++
-			if answer.Epoch == leader.Epoch && answer.SinceHeard < election.SuspectAfter {
-				heardByPeer = true
-			}
+		answer := <-answers
+		if answer == nil {
+			continue
 		}
+		view.PeersReached++
+		view.NearPeerReached = view.NearPeerReached || answer.NearStore
+		view.HeardByPeer = view.HeardByPeer || answer.Epoch == view.Leader.Epoch && answer.SinceHeard < election.SuspectAfter
 	}
-	return len(peers), reached, heardByPeer
 }
 
 // claim appends a leadership record that names this process. The append fails
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -122,6 +122,47 @@
 	}
 }
 
+// Nodes of a region that the store isn't in reach each other while the link between the
+// regions is full. Guards against their claim of a shard whose leader works (incident inc1).
+func TestFarNodesClaimOnlyIfLeaderAppendsNothing(t *testing.T) {
+	ref := shardRef{"ledger", 0, 1}
+	cases := map[string]struct {
+		nearPeer, leaderAppends   bool
+		firstClaims, secondClaims int64
+	}{
+		"the leader appends":                   {false, true, 0, 0},
+		"the leader appends nothing":           {false, false, 0, 1},
+		"a node near the store also misses it": {true, true, 1, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, _, claims := newClaimant(t, false)
+			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				content, err := cbor.Marshal(viewAnswer{Epoch: 3, SinceHeard: time.Minute, NearStore: c.nearPeer})
+				require.NoError(t, err)
+				_, _ = w.Write(content)
+			}))
+			defer peer.Close()
+			leader := election.Leader{Epoch: 3, Node: "entry-2", Address: netip.MustParseAddrPort("127.0.0.2:1")}
+			now := time.Now()
+			view := &leaderView{
+				leader: leader, lastHeard: now.Add(-election.IsolatedAfter), isMonitor: true,
+				monitorAddresses: []netip.AddrPort{netip.MustParseAddrPort(peer.Listener.Addr().String())},
+			}
+			p.maybeClaim(t.Context(), ref, leader, view, now, 0)
+			require.Equal(t, c.firstClaims, claims.Load())
+			if c.leaderAppends {
+				_, _, err := p.store.Append(t.Context(), platform.Append{Partition: ref.partition(0, standin.Partitions), ExpectedEnd: -1, Records: []platform.Record{{Key: "p1", Value: []byte("1")}}})
+				require.NoError(t, err)
+			}
+			if c.firstClaims == 0 {
+				p.maybeClaim(t.Context(), ref, leader, view, now.Add(election.QuietAfter), 0)
+			}
+			require.Equal(t, c.secondClaims, claims.Load())
+		})
+	}
+}
+
 // A new leader knows first the nodes that are close to it. Guards against a node that asks
 // only these about the leader after it, and takes itself for connected (incident inc1).
 func TestMonitorsOfFormerLeaderAreAskedAtFirst(t *testing.T) {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -106,6 +106,8 @@
 	// SinceHeard is how long ago the last heartbeat that the leader answered
 	// was sent.
 	SinceHeard time.Duration `cbor:"2,keyasint"`
+	// NearStore is set if the store is in the node's region.
+	NearStore bool `cbor:"3,keyasint,omitempty"`
 }
 
 type adviseRequest struct {
@@ -236,9 +238,9 @@
 		defer p.mu.Unlock()
 		v := p.leaderViews[r.Shard]
 		if v == nil || !v.refusedSince.IsZero() || !v.vacantSince.IsZero() {
-			return viewAnswer{}, nil
+			return viewAnswer{NearStore: p.nearStore()}, nil
 		}
-		return viewAnswer{Epoch: v.leader.Epoch, SinceHeard: time.Since(v.lastHeard)}, nil
+		return viewAnswer{Epoch: v.leader.Epoch, SinceHeard: time.Since(v.lastHeard), NearStore: p.nearStore()}, nil
 	})
 	registerCall(mux, pathPeerState, func(_ context.Context, r peerStateRequest) (any, error) { return p.peerState(r), nil })
 	registerCall(mux, pathLeaseEnds, p.handleLeaseEnds)
