Let far nodes claim at once if the link to the store is idle

Cause: far nodes waited for 2 s without appends also when the link isn't full.

Change: if the store answers a far node within three times its lowest latency, and the leader leaves the heartbeat after that unanswered, the link isn't what silences the leader.

The new cases of TestDecide and TestFarNodesClaimOnlyIfLeaderAppendsNothing pass.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -121,6 +121,9 @@
 	// PeersChecked is set once the three fields above are valid. NearPeerReached is
 	// set if one of the nodes that replied has the store in its region.
 	PeersChecked, NearPeerReached bool
+	// LeaderSilentOnIdleLink is set if the store has just answered this node as fast as
+	// ever, and the leader didn't answer a heartbeat after that.
+	LeaderSilentOnIdleLink bool
 	// LastAppend is when this node last found that the leader had appended
 	// records to the shard's partitions; zero if it never did. QuietFor is for
 	// how long it has found none; 0 if it hasn't just read the partitions' ends.
@@ -235,7 +238,7 @@
 		return time.Time{}, HeardByPeers
 	case v.isolated() && (v.Now.Sub(v.lastSign()) < IsolatedAfter || v.QuietFor < QuietAfter):
 		return time.Time{}, NoPeerReached
-	case v.cutOffFromStoreRegion() && v.QuietFor < QuietAfter:
+	case v.CutOffFromStoreRegion() && !v.LeaderSilentOnIdleLink && v.QuietFor < QuietAfter:
 		return time.Time{}, NoNearPeerReached
 	}
 	return v.LastHeard.Add(SuspectTimeout(v.IsMonitor, v.HeartbeatInterval)), Silent
@@ -245,10 +248,10 @@
 // likely the node that is cut off, and not the leader.
 func (v View) isolated() bool { return v.PeersAsked > 0 && v.PeersReached == 0 }
 
-// cutOffFromStoreRegion reports whether a node of another region than the store's reaches
-// only nodes like itself. Then the link between the regions may be full or cut, and the
-// leader may work.
-func (v View) cutOffFromStoreRegion() bool {
+// CutOffFromStoreRegion reports whether a node of another region than the store's reaches
+// only nodes like itself. Then the link between the regions may be full, and the leader may
+// work.
+func (v View) CutOffFromStoreRegion() bool {
 	return v.PeersChecked && !v.isolated() && !v.NearStore && !v.NearPeerReached
 }
 
@@ -263,7 +266,7 @@
 // MustObserveAppends reports whether the node has to find out whether the leader
 // appends records. An isolated node begins QuietAfter before it may claim.
 func (v View) MustObserveAppends() bool {
-	return v.isolated() && v.Now.Sub(v.lastSign()) >= IsolatedAfter-QuietAfter || v.cutOffFromStoreRegion()
+	return v.isolated() && v.Now.Sub(v.lastSign()) >= IsolatedAfter-QuietAfter || v.CutOffFromStoreRegion() && !v.LeaderSilentOnIdleLink
 }
 
 // MissedHeartbeats is how many heartbeat intervals a leader may leave
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -72,6 +72,9 @@
 		"a far node that reaches one near the store needs no look at the appends": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.IsolatedAfter), PeersChecked: true, PeersAsked: 3, PeersReached: 1, NearPeerReached: true}, true, "silent",
 		},
+		"a far node that reaches only far ones claims if the leader is silent on an idle link": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(election.IsolatedAfter), PeersChecked: true, PeersAsked: 3, PeersReached: 1, LeaderSilentOnIdleLink: true}, true, "silent",
+		},
 		"a far node that knows no other node doesn't claim while the leader may append": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(10 * election.IsolatedAfter), PeersChecked: true}, false, "far-alone",
 		},
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -256,6 +256,9 @@
 	}
 	if cause == election.Silent {
 		p.askPeers(ctx, key, peers, &view)
+		if view.CutOffFromStoreRegion() {
+			view.LeaderSilentOnIdleLink = p.leaderSilentOnIdleLink(ctx, key, leader, expectedEnd)
+		}
 		if view.MustObserveAppends() {
 			view.LastAppend, view.QuietFor = p.observeAppends(ctx, ref, v, now)
 		}
@@ -324,6 +327,22 @@
 	return result.answer.ConfirmationAge < election.StaleConfirmationAge+appendsPerRead*storeTime
 }
 
+// idleLinkFactor is up to how many times its lowest latency the store may take over a link
+// that counts as idle.
+const idleLinkFactor = 3
+
+// leaderSilentOnIdleLink reports whether the link to the store is idle and the leader
+// doesn't answer a heartbeat. If the link were full, neither would be answered in time.
+func (p *Process) leaderSilentOnIdleLink(ctx context.Context, key string, leader election.Leader, expectedEnd int64) bool {
+	lowest := time.Duration(p.storeLatency.Load())
+	if took, served := p.probeStore(ctx, expectedEnd); !served || took > idleLinkFactor*lowest {
+		return false
+	}
+	result := p.sendHeartbeat(ctx, key, leader)
+	p.applyHeartbeat(key, leader, result)
+	return result.err != nil
+}
+
 // probeStore reads the leadership topic. It reports the time that the store took, and
 // whether it answered and the topic still ends at expectedEnd. A claim that is sent to a
 // silent store may be carried out when the store recovers, and replace a leader that
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -127,16 +127,20 @@
 func TestFarNodesClaimOnlyIfLeaderAppendsNothing(t *testing.T) {
 	ref := shardRef{"ledger", 0, 1}
 	cases := map[string]struct {
-		nearPeer, leaderAppends   bool
-		firstClaims, secondClaims int64
+		idleLink, nearPeer, leaderAppends bool
+		firstClaims, secondClaims         int64
 	}{
-		"the leader appends":                   {false, true, 0, 0},
-		"the leader appends nothing":           {false, false, 0, 1},
-		"a node near the store also misses it": {true, true, 1, 1},
+		"the leader appends":                   {false, false, true, 0, 0},
+		"the leader appends nothing":           {false, false, false, 0, 1},
+		"a node near the store also misses it": {false, true, true, 1, 1},
+		"the link to the store isn't full":     {true, false, true, 1, 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			p, _, claims := newClaimant(t, false)
+			if c.idleLink {
+				p.recordStoreLatency(2 * nearStoreLatency)
+			}
 			peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				content, err := cbor.Marshal(viewAnswer{Epoch: 3, SinceHeard: time.Minute, NearStore: c.nearPeer})
 				require.NoError(t, err)
