--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -54,8 +54,8 @@
 
 const (
 	// busyPassInterval is the least time between two placement passes while more
-	// than busyStepCount steps wait. A pass then takes up to a millisecond, and
-	// hundreds of events arrive per second.
+	// than busyStepCount steps wait. A pass then takes milliseconds, and hundreds of
+	// events arrive per second.
 	busyPassInterval = 15 * time.Millisecond
 	busyStepCount    = 12
 	// idlePassInterval is the time between two passes while no event arrives: retry
