Give up tasks that crash worker after worker

Cause: a lost worker only requeued the tasks of its runs. Nothing counted that the worker had crashed, or which runs were at their start when it did.

Change: a worker has crashed if its incarnation changed, or if at the end of its lease its address refuses connections or belongs to another worker, or it is unlisted without having drained. The tasks whose runs no report had shown 0.5 s after their start are suspected. The next run of each is a trial: it is stored before its start, with its worker, and no other run on the worker is at its start meanwhile, so that a second crash shows its cause and healthy tasks are cleared. At most half of the workers are held for trials. A job ends as failed after two crashes under confirmed starts of a task, or under two trials of it: an unconfirmed start alone doesn't show that a worker crashed under it. The next leader continues from the stored trial.

Why it works: crashes that a leader knows of are stored with the next start at the latest, so a change of leader loses at most the first crash of a task. Of five starts that the contract allows, the shard itself needs two or three.

Costs: after a mass crash without a poison task, tasks at their start wait for their trials.

Not covered: a task that crashes its worker later than about 0.5 s after its start, and three leaders in a row that end before they know of a crash under the same task.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -22,8 +22,8 @@
 )
 
 // Limits of a job. They keep each record of a job below the record size limit of the
-// platform's log (256 KiB): a task of a progress record takes up to 35 bytes, and the
-// number of a completed occurrence 3 bytes.
+// platform's log (256 KiB): a task of a progress record takes up to 40 bytes, the
+// trial of a few of them 40 more, and the number of a completed occurrence 3 bytes.
 const (
 	MaxSteps       = 64
 	MaxTasksOfStep = 2000
@@ -236,7 +236,8 @@
 	State State `cbor:"1,keyasint"`
 	// EndedAt is the wall-clock time at which the final state was reached.
 	EndedAt time.Time `cbor:"2,keyasint,omitempty"`
-	// Tasks holds the tasks that are done, have failed or have a checkpoint.
+	// Tasks holds the tasks that are done, have failed, have a checkpoint or are
+	// suspected to crash workers.
 	Tasks []TaskProgress `cbor:"3,keyasint,omitempty"`
 	// CompletedOccurrences holds the numbers of the occurrences that are complete.
 	// They have no entries in Tasks.
@@ -251,6 +252,17 @@
 	Done       bool   `cbor:"4,keyasint,omitempty"`
 	Failures   int    `cbor:"5,keyasint,omitempty"`
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
+	// Suspected means that a worker crashed while a run of the task, or of its gang, was
+	// at its start, and no run has survived its start since. Crashes is the number of
+	// workers that crashed under a run whose start they had confirmed, and TrialCrashes
+	// of those that crashed under a trial, confirmed or not.
+	Suspected    bool `cbor:"7,keyasint,omitempty"`
+	Crashes      int  `cbor:"8,keyasint,omitempty"`
+	TrialCrashes int  `cbor:"9,keyasint,omitempty"`
+	// TrialRun is the number of a run that may have started on the worker TrialWorker
+	// and was not seen to survive its start.
+	TrialRun    int64  `cbor:"10,keyasint,omitempty"`
+	TrialWorker string `cbor:"11,keyasint,omitempty"`
 }
 
 // WorkerRecord records that a worker may have tasks, and which of its run results were
--- /dev/null
+++ b/internal/shard/crash_test.go
@@ -0,0 +1,255 @@
+package shard_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/shard"
+)
+
+// submitPoison submits a job whose first task crashes each worker that starts it.
+func (sim *simulation) submitPoison(id string, terms job.Terms, steps ...job.Step) *modelJob {
+	runTimes := make([]time.Duration, len(steps))
+	for i := range steps {
+		runTimes[i] = steps[i].Estimate
+	}
+	submitted := sim.submit(id, terms, job.Spec{Steps: steps}, runTimes...)
+	submitted.poisonTasks[id+".0.0.0"] = true
+	return submitted
+}
+
+// A task that crashes each worker that starts it must be given up before it has crashed
+// worker after worker, and the jobs beside it must not fail with it (deadly day of site
+// mcog-bakehouse: 13 tasks were started until the end of the day).
+func TestPoisonTaskIsGivenUp(t *testing.T) {
+	longRunning := tasks(2, 500, 500*time.Millisecond)
+	longRunning.LongRunning = true
+	for name, step := range map[string]job.Step{
+		"single": tasks(1, 1000, time.Second), "one of several": tasks(6, 1000, time.Second), "gang": gang(3, 2, time.Second), "long-running": longRunning,
+	} {
+		for comeback, set := range map[string]func(sim *simulation){
+			"same ID": func(*simulation) {}, "new ID": func(sim *simulation) { sim.newIDs = true },
+			"after its lease": func(sim *simulation) { sim.crashLength, sim.refuses = 8*time.Second, true },
+		} {
+			t.Run(name+", "+comeback, func(t *testing.T) {
+				sim := newSimulation(t, 50, 6, workerSize)
+				set(sim)
+				sim.advance(time.Second)
+				poison := []*modelJob{}
+				number := 0
+				for second := range 12 {
+					for range 4 {
+						sim.submit(id(number), batchTerms, job.Spec{Steps: []job.Step{tasks(2, 1000, time.Second)}}, time.Second)
+						number++
+						sim.advance(250 * time.Millisecond)
+					}
+					if second == 1 || second == 2 {
+						poison = append(poison, sim.submitPoison(id(1000+second), urgentTerms, step))
+					}
+				}
+				sim.advance(40 * time.Second)
+				require.Empty(t, sim.violations)
+				for _, submitted := range poison {
+					state, _ := sim.leader.shard.State(submitted.id)
+					require.Equal(t, job.Failed, state, "crashes: %v", submitted.crashes)
+					require.GreaterOrEqual(t, submitted.crashes[submitted.id+".0.0.0"], 2)
+					require.LessOrEqual(t, submitted.crashes[submitted.id+".0.0.0"], 3)
+				}
+				for i := range number {
+					state, _ := sim.leader.shard.State(id(i))
+					require.Equal(t, job.Completed, state, "job %d", i)
+				}
+				require.Empty(t, sim.violations)
+			})
+		}
+	}
+}
+
+// The crashes of a task must not be forgotten when the process that ordered its starts
+// is killed right after the order, or while the worker is down. Each leader that ends so
+// may lose one crash, but none of a suspected task; the start that a killed leader ordered
+// counts as unconfirmed, though.
+func TestCrashCountOutlivesLeaders(t *testing.T) {
+	for name, c := range map[string]struct {
+		killedStarts []int // starts of the task whose leader is killed
+		maxCrashes   int
+	}{
+		"first start": {[]int{1}, 3}, "second start": {[]int{2}, 3}, "first three starts": {[]int{1, 2, 3}, 5}, "second and third start": {[]int{2, 3}, 3},
+	} {
+		for _, delay := range []time.Duration{tickLength, 2 * time.Second} {
+			for _, newIDs := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, after %s, new IDs %t", name, delay, newIDs), func(t *testing.T) {
+					sim := newSimulation(t, 51, 6, workerSize)
+					sim.newIDs = newIDs
+					sim.advance(time.Second)
+					poison := sim.submitPoison(id(0), urgentTerms, tasks(3, 1000, time.Second))
+					starts := 0
+					sim.onStart = func(start shard.Start) {
+						if start.Task != id(0)+".0.0.0" {
+							return
+						}
+						if starts++; slices.Contains(c.killedStarts, starts) {
+							sim.schedule(delay, nil, func(time.Time) { sim.leader.dead = true })
+							sim.schedule(delay+500*time.Millisecond, nil, func(time.Time) { sim.replaceLeader() })
+						}
+					}
+					sim.advance(90 * time.Second)
+					require.Empty(t, sim.violations)
+					state, _ := sim.leader.shard.State(id(0))
+					require.Equal(t, job.Failed, state)
+					require.LessOrEqual(t, poison.crashes[id(0)+".0.0.0"], c.maxCrashes)
+				})
+			}
+		}
+	}
+}
+
+// A healthy task must not be failed because workers that started it were cut off or left as
+// planned: no caller caused that, and its job would be lost.
+func TestWorkerLossesDoNotFailHealthyTasks(t *testing.T) {
+	for name, lose := range map[string]func(sim *simulation, m *modelWorker){
+		"cut off": func(sim *simulation, m *modelWorker) {
+			m.unreachable = true
+			sim.schedule(7*time.Second, nil, func(time.Time) { m.unreachable = false })
+		},
+		"left as planned": func(sim *simulation, m *modelWorker) { m.drain(600 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 52, 8, workerSize)
+			sim.advance(time.Second)
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, 20*time.Second)}}, 20*time.Second)
+			lost := 0
+			sim.onStart = func(start shard.Start) {
+				if lost < 4 {
+					lost++
+					lose(sim, sim.worker(start.ID))
+				}
+			}
+			sim.advance(time.Second)
+			sim.requireAllEnded(2 * time.Minute)
+			require.Equal(t, 4, lost)
+			state, _ := sim.leader.shard.State(id(0))
+			require.Equal(t, job.Completed, state)
+		})
+	}
+}
+
+// A healthy task must not be failed because poison tasks crashed its workers: a suspected
+// task must not be at its start beside another one, or the crash of that one is counted
+// for it.
+func TestPoisonTasksDoNotFailHealthyTasksBesideThem(t *testing.T) {
+	for seed := range uint64(5) {
+		sim := newSimulation(t, seed, 4, workerSize)
+		sim.crashLength = 1500 * time.Millisecond
+		suspected := func(task string) bool { return sim.jobs[task[:16]].crashes[task] > 0 }
+		sim.onStart = func(start shard.Start) {
+			for _, other := range sim.worker(start.ID).runs {
+				beside := other.key != start.RunKey && sim.now-other.startedAt < 400*time.Millisecond
+				require.False(t, beside && (suspected(start.Task) || suspected(other.key.Task)), "seed %d, %s: %s starts beside %s", seed, sim.now, start.Task, other.key.Task)
+			}
+		}
+		sim.advance(time.Second)
+		number := 0
+		for i := range 15 {
+			sim.submitPoison(id(1000+i), urgentTerms, tasks(1, 1000, time.Second))
+			for range 4 {
+				sim.submit(id(number), batchTerms, job.Spec{Steps: []job.Step{tasks(2, 1000, 400*time.Millisecond)}}, 400*time.Millisecond)
+				number++
+				sim.advance(time.Duration(100+sim.random.IntN(200)) * time.Millisecond)
+			}
+		}
+		sim.advance(2 * time.Minute)
+		require.Empty(t, sim.violations)
+		for i := range number {
+			state, _ := sim.leader.shard.State(id(i))
+			if sim.jobs[id(i)] != nil { // it wasn't refused
+				require.Equal(t, job.Completed, state, "seed %d, job %d", seed, i)
+			}
+		}
+	}
+}
+
+// A start of a suspected task that the store doesn't have yet would be lost with its
+// leader; its worker would crash and nobody would count it.
+func TestTrialIsStoredBeforeItsStart(t *testing.T) {
+	sim := newSimulation(t, 53, 4, workerSize)
+	sim.advance(time.Second)
+	poison := sim.submitPoison(id(0), urgentTerms, tasks(1, 1000, time.Second))
+	sim.advance(time.Second)
+	require.Equal(t, 1, poison.crashes[id(0)+".0.0.0"])
+	sim.storeDown = true
+	sim.advance(8 * time.Second)
+	require.Equal(t, 1, sim.startCount)
+	sim.storeDown = false
+	sim.advance(time.Second)
+	require.Equal(t, 2, sim.startCount)
+}
+
+// While workers crash under poison tasks and the leader changes at the worst moments,
+// no task may be started without end, no other job may fail, and none may be lost.
+func TestInvariantsWithPoisonTasks(t *testing.T) {
+	for seed := range seedCount(t) {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			sim := newSimulation(t, uint64(seed), 8, job.Demand{MilliCPU: 16000, MemoryMB: 32000})
+			sim.requireTickets, sim.newIDs = seed%2 == 0, seed%4 < 2
+			sim.advance(time.Second)
+			var poison []string
+			var endFault func()
+			number := 0
+			for second := range 24 {
+				for range 3 {
+					sim.submitRandomJob(number)
+					number++
+					sim.advance(330 * time.Millisecond)
+				}
+				switch second {
+				case 2, 3, 5, 8:
+					poisonID := id(5000 + second)
+					sim.submitPoison(poisonID, urgentTerms, tasks(1+sim.random.IntN(4), 1000, time.Second))
+					poison = append(poison, poisonID)
+				case 6, 12:
+					changes := 0
+					sim.onStart = func(start shard.Start) { // kills the process that orders the start
+						if changes < 1 && slices.Contains(poison, start.Task[:16]) {
+							changes++
+							sim.leader.dead = true
+							sim.schedule(500*time.Millisecond, nil, func(time.Time) { sim.replaceLeader() })
+						}
+					}
+				case 15:
+					sim.onStart = nil
+					if !sim.leader.dead {
+						endFault = sim.startRandomFault()
+					}
+				case 20:
+					if endFault != nil {
+						endFault()
+					}
+				}
+			}
+			for _, worker := range sim.workers {
+				if worker.down {
+					worker.restart()
+				}
+				worker.unreachable, worker.listed, worker.stallsTasks, worker.failsTasks = false, true, false, false
+			}
+			sim.storeDown, sim.lostAnswerShare, sim.lateStartShare = false, 0, 0
+			if sim.leader.dead {
+				sim.replaceLeader()
+			}
+			sim.requireAllEnded(3 * time.Minute)
+			for _, poisonID := range poison {
+				state, known := sim.leader.shard.State(poisonID)
+				if sim.jobs[poisonID].accepted || known {
+					require.Equal(t, job.Failed, state, "crashes: %v", sim.jobs[poisonID].crashes)
+				}
+			}
+		})
+	}
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -120,6 +120,9 @@
 		if !w.usable() || !demand.Fits(w.free()) || !w.matches(st) || w.health.excluded(p.now) {
 			continue
 		}
+		if w.held(p.now) && w.hold.task.step != st {
+			continue
+		}
 		if end, reserved := p.reserved[w]; reserved && p.now.Add(backfillMargin*st.spec.Estimate).After(end) {
 			continue
 		}
@@ -225,7 +228,11 @@
 		if !t.startable(p.now) {
 			continue
 		}
-		c := bestCandidate(valid, t)
+		if t.isSuspected() {
+			blocked = !p.placeTrial(st, t, valid) || blocked
+			continue
+		}
+		c := bestCandidate(p.now, valid, t)
 		if c == nil {
 			blocked = true
 			break
@@ -254,11 +261,11 @@
 		for _, r := range slices.Clone(w.runs) {
 			t := r.task
 			eligible := t.step.spec.Speculative && !t.step.spec.Gang && len(t.runs) == 1 && !t.done
-			if !eligible || r.phase != phaseRunning || r.slowness < slowFactor {
+			if !eligible || t.isSuspected() || r.phase != phaseRunning || r.slowness < slowFactor {
 				continue
 			}
 			valid, _ := p.candidates(t.step)
-			c := bestCandidate(valid, t)
+			c := bestCandidate(p.now, valid, t)
 			if c == nil || c.worker == w || c.worker.isSlow {
 				continue
 			}
@@ -267,14 +274,14 @@
 	}
 }
 
-// bestCandidate returns the candidate with the lowest score that has slots left, or
-// nil. The worker that the task is to avoid gets a penalty.
-func bestCandidate(candidates []candidate, t *task) *candidate {
+// bestCandidate returns the candidate with the lowest score that has slots left and isn't
+// held for another task, or nil. The worker that the task is to avoid gets a penalty.
+func bestCandidate(now time.Time, candidates []candidate, t *task) *candidate {
 	var best *candidate
 	bestScore := 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.slots <= 0 {
+		if c.slots <= 0 || c.worker.heldFromTask(now, t) {
 			continue
 		}
 		score := c.score
@@ -343,6 +350,12 @@
 		count++
 	}
 	valid, expired := p.candidates(st)
+	if st.tasks[0].isSuspected() && assignGang(valid, count, false) != nil {
+		valid = p.gangTrialCandidates(st, valid, count)
+		if valid == nil {
+			return
+		}
+	}
 	chosen := assignGang(valid, count, st.spec.SameRack)
 	if chosen == nil {
 		all := append(slices.Clone(valid), expired...)
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -93,6 +93,7 @@
 		s.inFlightJobs = append(s.inFlightJobs, j)
 	}
 	s.dirtyJobs = remaining
+	s.moveTrialsInBatch()
 	for _, w := range s.dirtyWorkers {
 		w.dirty, w.inFlightResult, w.inFlightSuspended = false, w.handledResult, w.suspended
 		add(workerKey(w.ID), job.WorkerRecord{Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended})
@@ -127,11 +128,18 @@
 		}
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
-				if t.done || t.failures > 0 || t.checkpoint != "" {
-					progress.Tasks = append(progress.Tasks, job.TaskProgress{
-						Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
-					})
+				trial := t.trialOf()
+				if !t.done && t.failures == 0 && t.checkpoint == "" && !t.suspected && trial == nil {
+					continue
 				}
+				stored := job.TaskProgress{
+					Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
+					Suspected: t.suspected, Crashes: t.crashes, TrialCrashes: t.trialCrashes,
+				}
+				if trial != nil {
+					stored.TrialRun, stored.TrialWorker = trial.number, trial.worker.ID
+				}
+				progress.Tasks = append(progress.Tasks, stored)
 			}
 		}
 	}
@@ -159,6 +167,7 @@
 		}
 	}
 	s.inFlightJobs, s.inFlightWorkers = s.inFlightJobs[:0], s.inFlightWorkers[:0]
+	s.sendStoredTrials(now)
 	s.placementChanged = true
 }
 
@@ -177,6 +186,7 @@
 			progress[id] = stored
 		}
 	}
+	var trials []storedTrial
 	for _, record := range records {
 		if len(record.Value) == 0 {
 			continue
@@ -187,12 +197,13 @@
 				s.options.Log("record-unreadable", "key", record.Key, "cause", err)
 				continue
 			}
-			s.loadJob(now, id, accepted, progress[id])
+			trials = append(trials, s.loadJob(now, id, accepted, progress[id])...)
 		}
 		if id, found := strings.CutPrefix(record.Key, workerPrefix); found {
 			s.loadWorker(now, id, record.Value)
 		}
 	}
+	s.loadTrials(now, trials)
 	for id, stored := range progress {
 		if s.jobs[id] == nil && stored.State.Ended() {
 			s.jobs[id] = &jobState{
@@ -227,8 +238,9 @@
 	s.sortWorkers()
 }
 
-// loadJob adds a job that a former leader accepted.
-func (s *Shard) loadJob(now time.Time, id string, accepted job.Accepted, progress job.Progress) {
+// loadJob adds a job that a former leader accepted. It returns the stored trials of its
+// tasks.
+func (s *Shard) loadJob(now time.Time, id string, accepted job.Accepted, progress job.Progress) (trials []storedTrial) {
 	j := &jobState{
 		id: id, accepted: accepted, acceptedAt: now.Add(-wallSince(now, accepted.At)), loaded: true, durable: true,
 		state: job.Queued, completedOccurrences: map[int]bool{},
@@ -248,7 +260,7 @@
 	s.activeJobs = append(s.activeJobs, j)
 	if j.state.Ended() {
 		j.endedAt = now.Add(-wallSince(now, progress.EndedAt))
-		return // restoreTask creates the occurrences whose runs are left on workers
+		return nil // restoreTask creates the occurrences whose runs are left on workers
 	}
 	s.createDueOccurrences(now, j)
 	for _, stored := range progress.Tasks {
@@ -257,6 +269,10 @@
 			continue
 		}
 		t.failures, t.checkpoint = stored.Failures, stored.Checkpoint
+		t.suspected, t.crashes, t.trialCrashes = stored.Suspected, stored.Crashes, stored.TrialCrashes
+		if stored.TrialWorker != "" && !stored.Done {
+			trials = append(trials, storedTrial{t, stored.TrialRun, stored.TrialWorker})
+		}
 		if stored.Done && !t.done {
 			t.done = true
 			t.step.doneTasks++
@@ -270,6 +286,7 @@
 			}
 		}
 	}
+	return trials
 }
 
 func (s *Shard) removeReadySteps(j *jobState) {
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -38,6 +38,7 @@
 }
 
 func (s *Shard) detachRun(r *run) {
+	s.endTrial(r)
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(o *run) bool { return o == r })
 	r.worker.used = r.worker.used.Minus(r.task.step.spec.Reserved())
@@ -45,14 +46,19 @@
 	s.placementChanged = true
 }
 
-// startRun creates a run of the task on the worker and sends the start order for it.
+// startRun creates a run of the task on the worker and sends the start order for it, or
+// for a suspected task stores the run first.
 func (s *Shard) startRun(now time.Time, t *task, w *worker, runNumber int64, ticket string) {
 	r := &run{task: t, number: runNumber, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, ticket: ticket, pace: fullPace}
 	t.lastRunNumber = runNumber
 	s.attachRun(r)
-	s.sendStart(now, r)
+	if t.isSuspected() {
+		s.prepareTrial(r)
+	} else {
+		s.sendStart(now, r)
+	}
 	s.options.Log("run-ordered", "task", t.name(), "run", runNumber, "worker", w.ID, "age", now.Sub(t.step.occurrence.due),
-		"ready-for", now.Sub(t.step.readyAt), "free-cpu", w.free().MilliCPU, "free-gpu", w.free().GPUs)
+		"ready-for", now.Sub(t.step.readyAt), "free-cpu", w.free().MilliCPU, "free-gpu", w.free().GPUs, "trial", r.trial)
 }
 
 func (s *Shard) sendStart(now time.Time, r *run) {
@@ -229,6 +235,9 @@
 			continue
 		}
 		s.options.Log("lease-over", "worker", w.ID, "runs", len(w.runs), "looks-failed", w.failedPolls)
+		if w.crashed() {
+			s.recordCrash(now, w, Report{})
+		}
 		for _, r := range slices.Clone(w.runs) {
 			s.removeRun(now, r, "lease-over")
 		}
@@ -303,6 +312,9 @@
 		return
 	}
 	s.markJobStarted(j)
+	if result.EndReason == EndDone || result.EndReason == EndFailed {
+		s.clearSuspicion(t)
+	}
 	switch result.EndReason {
 	case EndDone:
 		s.recordRunTime(now, r, duration)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -102,12 +102,16 @@
 	workersToRead map[string]bool
 	recovered     bool // all runs of former leaders are known or over
 
-	dirtyJobs       []*jobState
-	dirtyWorkers    []*worker
-	deletedKeys     []string
-	inFlightJobs    []*jobState
-	inFlightWorkers []*worker
-	batchInFlight   bool
+	dirtyJobs        []*jobState
+	dirtyWorkers     []*worker
+	deletedKeys      []string
+	inFlightJobs     []*jobState
+	inFlightWorkers  []*worker
+	batchInFlight    bool
+	unrecordedTrials []*run
+	inFlightTrials   []*run // in the batch that is being stored
+	endedTrials      []*run // whose end isn't stored
+	inFlightEnds     []*run // whose end is in the batch that is being stored
 
 	commands         Commands
 	authority        bool // this process can still prove that it is the leader
@@ -183,6 +187,10 @@
 	avoidWorker   string    // ID of the worker on which a run failed, or was stopped as stalled or slow
 	notBefore     time.Time // the earliest time of the next start
 	moveCount     int       // number of moves off slow workers
+	suspected     bool      // it may be a poison task, see crash.go
+	crashes       int       // workers that crashed under a run whose start was confirmed
+	trialCrashes  int       // workers that crashed under a trial
+	crashedRun    int64     // number of the last run under which a crash was counted
 }
 
 // phase is the stage of a run between its start order and its end.
@@ -215,6 +223,11 @@
 	stopRequested   bool
 	usage           float64 // tail latency or CPU use, see RunStatus.Usage
 	pace            int     // speed in percent that was ordered last, or paceUnknown
+	survivedStart   bool    // it was reported startupPeriod after its start
+	trial           bool    // of a suspected task
+	unsent          bool    // a trial whose start order has not been sent
+	loaded          bool    // a trial that a former leader stored and no report has shown
+	crashRecorded   bool    // the crash of its worker was counted
 }
 
 // New returns an empty shard. Call Load before any other method.
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -48,7 +48,9 @@
 	leaseEnd           time.Time // no lease of its runs lasts longer
 	pollInFlight       bool
 	nextPollAt         time.Time
-	failedPolls        int // consecutive polls without an answer
+	failedPolls        int  // consecutive polls without an answer
+	absent             bool // nothing or another worker was at its address at the last poll
+	hold               trialHold
 	lastReply          time.Time
 	answeredPollSentAt time.Time     // when the last answered poll was sent
 	replyInterval      time.Duration // between the last two answers
@@ -297,20 +299,23 @@
 )
 
 // PollFailed handles a Poll of the worker with this ID that had no answer or was
-// refused. The cause is only logged.
-func (s *Shard) PollFailed(now time.Time, id string, cause string) {
+// refused. The worker is absent if nothing listens at its address, or another worker.
+// The cause is only logged.
+func (s *Shard) PollFailed(now time.Time, id string, absent bool, cause string) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
 	w.pollInFlight = false
 	w.failedPolls++
+	w.absent = absent
 	w.stale = true
 	w.nextPollAt = now
 	if w.failedPolls > 1 {
 		w.nextPollAt = now.Add(pollRetryDelay)
 	}
 	s.placementChanged = true
+	s.sendPolledTrials(now, w)
 	if w.failedPolls == suspendAfter && w.recordStored {
 		w.recordStored, w.suspended = false, true
 		s.markWorkerDirty(w)
@@ -335,7 +340,7 @@
 		s.placementChanged = true
 	}
 	w.replyInterval = now.Sub(w.lastReply)
-	w.failedPolls, w.lastReply, w.answeredPollSentAt = 0, now, sentAt
+	w.failedPolls, w.absent, w.lastReply, w.answeredPollSentAt = 0, false, now, sentAt
 	if w.suspended {
 		w.suspended = false
 		s.markWorkerDirty(w) // its leases are renewed once this record is stored
@@ -343,7 +348,7 @@
 	w.clock, w.clockReadAt = report.Clock, now
 	w.nextPollAt = now
 	if report.Incarnation != w.observedIncarnation {
-		s.handleRestart(now, w, report.Incarnation)
+		s.handleRestart(now, w, report)
 	}
 	firstAnswer := !w.listsRead
 	w.listsRead, w.stale = true, false
@@ -358,28 +363,13 @@
 	}
 	s.reconcileRuns(now, sentAt, w, report.Running)
 	s.adjustPace(now, w)
+	s.sendPolledTrials(now, w)
 	if firstAnswer {
 		s.options.Log("worker-read", "worker", id, "running", len(report.Running), "ended", len(report.Ended), "born", report.Incarnation)
 	}
 	s.checkRecovered(now)
 }
 
-// handleRestart removes the runs of the worker's former incarnation.
-func (s *Shard) handleRestart(now time.Time, w *worker, incarnation int64) {
-	if w.listsRead || w.handledResult > 0 {
-		s.options.Log("worker-restarted", "worker", w.ID, "born", incarnation, "before", w.observedIncarnation, "runs", len(w.runs))
-	}
-	w.observedIncarnation, w.handledResult, w.storedResult, w.acknowledgedResult, w.inFlightResult = incarnation, 0, 0, 0, 0
-	s.markWorkerDirty(w)
-	for _, r := range slices.Clone(w.runs) {
-		if r.phase == phaseStarting || r.phase == phaseUncertain {
-			continue // the order may reach the new incarnation; its answer or the next report shows that
-		}
-		s.removeRun(now, r, "worker-restarted")
-	}
-	s.placementChanged = true
-}
-
 // reconcileRuns updates the runs of a worker to match the list of runs that it reported in
 // answer to a poll that was sent at sentAt.
 func (s *Shard) reconcileRuns(now, sentAt time.Time, w *worker, statuses []RunStatus) {
@@ -394,6 +384,8 @@
 		switch {
 		case status != nil:
 			s.updateRun(now, r, status)
+		case r.loaded: // the worker refuses a later order of the former leader
+			s.removeRun(now, r, "not-listed")
 		// A run is over if a report doesn't list it although the poll was sent after
 		// the start or the stop of the run was confirmed.
 		case (r.phase == phaseRunning || r.phase == phaseStopping) && !r.startedAt.IsZero() && r.startedAt.Before(sentAt):
@@ -411,6 +403,7 @@
 
 // updateRun updates a known run from a worker's report.
 func (s *Shard) updateRun(now time.Time, r *run, status *RunStatus) {
+	r.loaded = false
 	if r.phase == phaseStarting || r.phase == phaseUncertain {
 		if r.stopRequested {
 			r.phase = phaseStopping
@@ -419,6 +412,7 @@
 			s.markRunning(now, r)
 		}
 	}
+	s.updateSurvival(now, r)
 	r.usage = status.Usage
 	if status.Percent > r.percent {
 		r.percent, r.progressedAt = status.Percent, now
