--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -625,12 +625,18 @@
 		}
 		return true
 	}, 5*time.Second, 20*time.Millisecond, "the runs of a cancelled job end")
-	metrics, err := http.Get("http://" + net.JoinHostPort(c.nodes[0].settings.IP.String(), "9464") + "/metrics")
+	require.Contains(t, metricsOf(t, c.nodes[0]), "yuccalanding_requests_total")
+	require.Contains(t, metricsOf(t, c.leader("review")), "yuccalanding_control_round_seconds")
+}
+
+// metricsOf returns the metrics that a node serves.
+func metricsOf(t *testing.T, n *node) string {
+	answer, err := http.Get("http://" + net.JoinHostPort(n.settings.IP.String(), "9464") + "/metrics")
 	require.NoError(t, err)
-	content, err := io.ReadAll(metrics.Body)
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
 	require.NoError(t, err)
-	require.NoError(t, metrics.Body.Close())
-	require.Contains(t, string(content), "yuccalanding_requests_total")
+	return string(content)
 }
 
 // Guards against logging events that the catalogue lacks, which are lost.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -42,6 +42,12 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`yuccalanding_run_start_seconds{result=%q}`, result)).Update(took.Seconds())
 }
 
+// observeRound records the time of one round of a leader's control loop. Inputs wait for
+// the round before theirs.
+func (m *processMetrics) observeRound(took time.Duration) {
+	m.set.GetOrCreateHistogram(`yuccalanding_control_round_seconds`).Update(took.Seconds())
+}
+
 func (m *processMetrics) countPoll(err error) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yuccalanding_worker_looks_total{ok="%t"}`, err == nil)).Inc()
 }
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -215,14 +215,16 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		var began time.Time
 		select {
 		case <-l.ctx.Done():
 			return
 		case input := <-l.inputs:
+			began = time.Now()
 			// The process may have been paused since the last round.
 			l.shard.SetAuthority(l.hasAuthority())
-			input(time.Now())
-		case <-ticker.C:
+			input(began)
+		case began = <-ticker.C:
 		}
 		for more := true; more; {
 			select {
@@ -238,5 +240,6 @@
 		l.shard.Tick(now)
 		l.execute(l.shard.TakeCommands())
 		l.startAppend(now)
+		l.process.metrics.observeRound(time.Since(began))
 	}
 }
