Test that a worker over its shrunk capacity gets no start

The rule LIMIT held without a change: SetWorkers puts a new capacity in force at once, and a negative remainder of a resource fits no demand, not even one of zero. Runs that are over the capacity go on, and what waits starts when the capacity has grown.

Evidence: with the first capacity kept in force, or with a negative remainder ignored for resources that a task doesn't need, TestShrunkWorkerGetsNoStartOverItsCapacity fails ("starts while the worker is over its capacity"). It passes on this code.

--- /dev/null
+++ b/internal/shard/capacity_test.go
@@ -0,0 +1,53 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+)
+
+// A worker whose capacity shrinks below what its runs reserve must get no start before
+// these fit again, in whichever resource it shrank. Its runs must go on, and what waits
+// must start when the capacity has grown.
+func TestShrunkWorkerGetsNoStartOverItsCapacity(t *testing.T) {
+	bestEffort := tasks(2, 4000, time.Second)
+	bestEffort.BestEffort = true
+	later := map[string]job.Step{
+		"small": tasks(3, 1000, time.Second), "as large as before": tasks(1, 14000, time.Second), "gang": gang(2, 1, time.Second), "best-effort": bestEffort,
+		"no memory": {Count: 1, Demand: job.Demand{MilliCPU: 100}, Estimate: time.Second}, "GPU only": {Count: 1, Demand: job.Demand{GPUs: 1}, Estimate: time.Second},
+	}
+	for resource, shrunk := range map[string]job.Demand{
+		"CPU": {MilliCPU: 6000, MemoryMB: 32000, GPUs: 8}, "memory": {MilliCPU: 16000, MemoryMB: 300, GPUs: 8}, "GPUs": {MilliCPU: 16000, MemoryMB: 32000, GPUs: 1},
+		"all": {},
+	} {
+		t.Run(resource, func(t *testing.T) {
+			sim := newSimulation(t, 60, 1, workerSize)
+			sim.advance(time.Second)
+			// Reserves 8000m, 400 MB and 4 GPUs until second 9.
+			held := job.Step{Count: 4, Demand: job.Demand{MilliCPU: 2000, MemoryMB: 100, GPUs: 1}, Estimate: 8 * time.Second}
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{held}}, 8*time.Second)
+			sim.advance(time.Second)
+			require.Equal(t, 4, sim.startCount)
+			sim.workers[0].capacity = shrunk
+			sim.advance(500 * time.Millisecond) // until the list shows it
+			number := 1
+			for _, step := range later {
+				sim.submit(id(number), urgentTerms, job.Spec{Steps: []job.Step{step}}, time.Second)
+				number++
+			}
+			sim.advance(5 * time.Second)
+			require.Equal(t, 4, sim.startCount, "starts while the worker is over its capacity")
+			require.Len(t, sim.workers[0].runs, 4, "its runs go on")
+			sim.advance(3 * time.Second)
+			sim.workers[0].capacity = workerSize
+			sim.requireAllEnded(20 * time.Second)
+			for i := range number {
+				state, _ := sim.leader.shard.State(id(i))
+				require.Equal(t, job.Completed, state)
+			}
+		})
+	}
+}
