Don't send a trial to a worker that has shrunk meanwhile

What callers would see: a start that brings a worker over its capacity (LIMIT). The start order of a suspected task's trial is sent once the trial is stored, which takes as long as the store is down; the worker's capacity may have shrunk since the placement.

Change: sendTrial removes the run instead if the worker is over its capacity, and the task is placed again.

--- a/internal/shard/capacity_test.go
+++ b/internal/shard/capacity_test.go
@@ -51,3 +51,23 @@
 		})
 	}
 }
+
+// A trial that waits for the store must not start on a worker that has shrunk meanwhile.
+func TestTrialDoesNotStartOnShrunkWorker(t *testing.T) {
+	sim := newSimulation(t, 61, 2, workerSize)
+	sim.advance(time.Second)
+	sim.submitPoison(id(0), urgentTerms, tasks(1, 4000, time.Second))
+	sim.advance(time.Second)
+	sim.storeDown = true
+	sim.advance(9 * time.Second) // the trial is placed
+	starts := sim.startCount
+	for _, worker := range sim.workers {
+		worker.capacity = job.Demand{MilliCPU: 2000, MemoryMB: 32000}
+		worker.listed = true
+	}
+	sim.leader.shard.SetWorkers(sim.time(), sim.workerList())
+	sim.storeDown = false
+	sim.advance(2 * time.Second)
+	require.Equal(t, starts, sim.startCount)
+	require.Empty(t, sim.violations)
+}
--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -108,7 +108,7 @@
 		ticketExpired = !valid
 	}
 	switch {
-	case r.stopRequested || ticketExpired || !s.authority || !w.placeable() || w.failedPolls >= unreachableAfter:
+	case r.stopRequested || ticketExpired || !s.authority || !w.placeable() || w.failedPolls >= unreachableAfter || w.overCapacity():
 		s.removeRun(now, r, "not-sent")
 	case now.Sub(w.lastReply) > maxReplyAge:
 		w.stale, w.nextPollAt = true, now
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -180,6 +180,9 @@
 
 func (w *worker) free() job.Demand { return w.Capacity.Minus(w.used) }
 
+// overCapacity reports whether the worker's capacity has shrunk below what its runs reserve.
+func (w *worker) overCapacity() bool { return !w.used.Fits(w.Capacity) }
+
 // rack returns the last label of the worker, which is the name of its rack.
 func (w *worker) rack() string {
 	if len(w.Labels) == 0 {
