Keep only the largest capacities that workers had

What callers would see: nothing at first; a leader's memory and the time of each reading of the list grow with every capacity that a worker ever reported, as capacities may now change while workers run.

Change: addSeenCapacity drops a capacity that fits into another one. The check that a task fits some worker ever listed gives the same answers.

Evidence: TestChangingCapacitiesAreBounded failed before (expected: 1, actual: 201) and passes now.

--- a/internal/shard/capacity_test.go
+++ b/internal/shard/capacity_test.go
@@ -71,3 +71,19 @@
 	require.Equal(t, starts, sim.startCount)
 	require.Empty(t, sim.violations)
 }
+
+// Capacities that change all the time must not fill the memory, and a job that fits only
+// an earlier, larger one must still be accepted, as the capacity may grow again.
+func TestChangingCapacitiesAreBounded(t *testing.T) {
+	sim := newSimulation(t, 62, 2, workerSize)
+	sim.advance(time.Second)
+	for i := range 200 {
+		sim.workers[0].capacity = job.Demand{MilliCPU: 16000 - 10*i, MemoryMB: 32000 - 100*i, GPUs: 8}
+		sim.leader.shard.SetWorkers(sim.time(), sim.workerList())
+	}
+	sim.workers[1].capacity = job.Demand{MilliCPU: 1000, MemoryMB: 1000}
+	sim.advance(time.Second)
+	require.Equal(t, 1, sim.leader.shard.SeenCapacities())
+	sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 16000, time.Second)}}, time.Second)
+	require.Zero(t, sim.refusedCount)
+}
--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -30,5 +30,8 @@
 	return openJobs, runs
 }
 
+// SeenCapacities returns the number of worker capacities that are kept in memory.
+func (s *Shard) SeenCapacities() int { return len(s.seenCapacities) }
+
 // OpenTasks returns the number of tasks that are kept in memory.
 func (s *Shard) OpenTasks() int { return s.openTasks }
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -150,6 +150,18 @@
 	return false
 }
 
+// addSeenCapacity adds the capacity of a listed worker. Capacities shrink and grow again,
+// so only the largest are kept.
+func (s *Shard) addSeenCapacity(capacity job.Demand) {
+	for _, seen := range s.seenCapacities {
+		if capacity.Fits(seen) {
+			return
+		}
+	}
+	s.seenCapacities = slices.DeleteFunc(s.seenCapacities, func(seen job.Demand) bool { return seen.Fits(capacity) })
+	s.seenCapacities = append(s.seenCapacities, capacity)
+}
+
 // Withdraw removes an accepted job if TakeBatch has not returned any of its records,
 // so that its caller can be told that it never runs. It reports whether it removed
 // the job.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -95,7 +95,8 @@
 	waitingWork   backlog
 	// allowedShares is the share of workers that the adviser allows, by queue.
 	allowedShares map[string]float64
-	// seenCapacities are the distinct capacities of all workers ever listed.
+	// seenCapacities are the capacities of all workers ever listed, without those that are
+	// at most as large as another one.
 	seenCapacities []job.Demand
 	// workersToRead holds the IDs of the workers that a former leader recorded. Their
 	// lists of runs must be read before tasks of stored jobs may start.
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -86,9 +86,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
-		if !slices.Contains(s.seenCapacities, info.Capacity) {
-			s.seenCapacities = append(s.seenCapacities, info.Capacity)
-		}
+		s.addSeenCapacity(info.Capacity)
 		w := s.workers[info.ID]
 		if w == nil {
 			w = &worker{WorkerInfo: info, observedIncarnation: info.Incarnation, listed: true, bestEffortPace: fullPace}
