--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -92,9 +92,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
-		if !slices.Contains(s.seenCapacities, info.Capacity) {
-			s.seenCapacities = append(s.seenCapacities, info.Capacity)
-		}
+		s.addSeenCapacity(info.Capacity)
 		w := s.workers[info.ID]
 		if w == nil {
 			w = &worker{WorkerInfo: info, observedIncarnation: info.Incarnation, listed: true, bestEffortPace: fullPace}
@@ -186,6 +184,9 @@
 
 func (w *worker) free() job.Demand { return w.Capacity.Minus(w.used) }
 
+// overCapacity reports whether the worker's capacity has shrunk below what its runs reserve.
+func (w *worker) overCapacity() bool { return !w.used.Fits(w.Capacity) }
+
 // rack returns the last label of the worker, which is the name of its rack.
 func (w *worker) rack() string {
 	if len(w.Labels) == 0 {
