--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -140,6 +140,17 @@
 	return permitted
 }
 
+// candidatesToTry returns the workers that may run the step, and the candidates among them.
+// It returns none for a step that can only wait.
+func (p *pass) candidatesToTry(st *step) (permitted []*worker, valid, expired []candidate) {
+	if p.canOnlyWait(st) {
+		return nil, nil, nil
+	}
+	permitted = p.permittedWorkers(st)
+	valid, expired = p.candidates(st, permitted)
+	return permitted, valid, expired
+}
+
 // candidates returns those of the permitted workers that can run a task of the step now,
 // best first, and those that lack only a valid ticket.
 func (p *pass) candidates(st *step, permitted []*worker) (valid, expired []candidate) {
@@ -249,14 +260,10 @@
 // placeTasks starts as many tasks of the step as fit. For the rest it requests tickets
 // or plans a start.
 func (p *pass) placeTasks(st *step) {
-	if p.canOnlyWait(st) {
-		return
-	}
-	permitted := p.permittedWorkers(st)
+	permitted, valid, expired := p.candidatesToTry(st)
 	if len(permitted) == 0 {
 		return
 	}
-	valid, expired := p.candidates(st, permitted)
 	blocked := false
 	for _, t := range st.tasks {
 		if !t.startable(p.now) {
@@ -383,14 +390,10 @@
 		runNumber = max(runNumber, t.lastRunNumber+1)
 		count++
 	}
-	if p.canOnlyWait(st) {
-		return
-	}
-	permitted := p.permittedWorkers(st)
+	permitted, valid, expired := p.candidatesToTry(st)
 	if len(permitted) == 0 {
 		return
 	}
-	valid, expired := p.candidates(st, permitted)
 	if st.tasks[0].isSuspected() && assignGang(valid, count, false) != nil {
 		valid = p.gangTrialCandidates(st, valid, count)
 		if valid == nil {
