Keep no context in transfer.Silence

A context in a struct is against the style guide, and it served only to tell whether the limit had run out. The timer tells that itself: a read restarts it only if it could still be stopped. Behaviour is unchanged; the tests of transfer and platform pass twice, with the race detector.

--- a/internal/transfer/transfer.go
+++ b/internal/transfer/transfer.go
@@ -26,7 +26,6 @@
 
 // Silence ends a call when no byte of its answer arrives for a time.
 type Silence struct {
-	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	between time.Duration
 	timer   *time.Timer
@@ -37,7 +36,7 @@
 // over.
 func Limit(ctx context.Context, first, between time.Duration) (context.Context, *Silence) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &Silence{ctx: ctx, cancel: cancel, between: between}
+	s := &Silence{cancel: cancel, between: between}
 	s.timer = time.AfterFunc(first, func() {
 		cancel(fmt.Errorf("no byte arrived in time: %w", context.DeadlineExceeded))
 	})
@@ -58,10 +57,11 @@
 	answer  io.Reader
 }
 
-// Read reads from the answer and restarts the limit if a byte arrived.
+// Read reads from the answer and restarts the limit, unless it has run out, if a byte
+// arrived.
 func (r *reader) Read(into []byte) (int, error) {
 	count, err := r.answer.Read(into)
-	if count > 0 && r.silence.ctx.Err() == nil {
+	if count > 0 && r.silence.timer.Stop() {
 		r.silence.timer.Reset(r.silence.between)
 	}
 	return count, err
