Copy no list of runs for each answered poll

Every poll, answered or not, copied the runs of its worker to look for trials that wait for it, hundreds of times a second on a leader of 252 workers. Only the trials found are collected now; usually there are none. Decisions are unchanged.

--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -91,11 +91,15 @@
 
 // sendPolledTrials sends or removes the stored trials of a worker that was just polled.
 func (s *Shard) sendPolledTrials(now time.Time, w *worker) {
-	for _, r := range slices.Clone(w.runs) {
+	var stored []*run
+	for _, r := range w.runs {
 		if r.unsent && !slices.Contains(s.unrecordedTrials, r) && !slices.Contains(s.inFlightTrials, r) {
-			s.sendTrial(now, r)
+			stored = append(stored, r)
 		}
 	}
+	for _, r := range stored {
+		s.sendTrial(now, r)
+	}
 }
 
 // sendTrial sends the start order of a stored trial. If the worker hasn't just answered,
