Share the end of all faults between two simulations

The runs with poison tasks ended their faults by a copy of the lines of the runs with faults. The assertions are unchanged.

--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -233,16 +233,7 @@
 					}
 				}
 			}
-			for _, worker := range sim.workers {
-				if worker.down {
-					worker.restart()
-				}
-				worker.unreachable, worker.listed, worker.stallsTasks, worker.failsTasks = false, true, false, false
-			}
-			sim.storeDown, sim.lostAnswerShare, sim.lateStartShare = false, 0, 0
-			if sim.leader.dead {
-				sim.replaceLeader()
-			}
+			sim.endAllFaults()
 			sim.requireAllEnded(3 * time.Minute)
 			for _, poisonID := range poison {
 				state, known := sim.leader.shard.State(poisonID)
--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -134,6 +134,12 @@
 			endFaults = nil
 		}
 	}
+	sim.endAllFaults()
+	return sim
+}
+
+// endAllFaults brings back all workers, the store and the leader.
+func (sim *simulation) endAllFaults() {
 	for _, worker := range sim.workers {
 		if worker.down {
 			worker.restart()
@@ -144,7 +150,6 @@
 	if sim.leader.dead {
 		sim.replaceLeader()
 	}
-	return sim
 }
 
 // These rules must hold under two pairs of overlapping faults: no task has two runs at a
