--- a/review/standin/driver.go
+++ b/review/standin/driver.go
@@ -99,7 +99,10 @@
 				return
 			case <-time.After(50 * time.Millisecond):
 			}
-			for _, w := range p.workers {
+			p.mu.Lock()
+			workers := p.workers
+			p.mu.Unlock()
+			for _, w := range workers {
 				w.beat()
 			}
 		}
@@ -123,7 +126,9 @@
 		if err := w.start(); err != nil {
 			return err
 		}
+		p.mu.Lock()
 		p.workers = append(p.workers, w)
+		p.mu.Unlock()
 	}
 	return nil
 }
