Bound the lease of a worker that was idle

Cause: the end of a lease, a time of the worker's clock, was computed from the last reading of that clock and the time since. A worker without runs isn't polled, so the reading was 65 s old. A clock that is 2% slow shows 1.3 s less than computed, and the lease is that much longer; the leader counts 2% of one lease.

The time since the reading now counts at the slowest speed that the protocol allows, so a lease can't last longer than the leader assumes. It may be shorter by 2% of the age of the reading, so a worker without runs is polled each 30 s. The model workers have a clock rate and a longest lease of their own, which makes their checks stricter.

--- a/internal/shard/modelworker_test.go
+++ b/internal/shard/modelworker_test.go
@@ -49,6 +49,7 @@
 	failsTasks        bool    // all runs that it starts fail
 	stallsTasks       bool    // its runs make no progress
 	slowdown          float64 // actual run time divided by the normal one
+	clockRate         float64 // speed of its clock, 0.98 to 1
 	draining          bool
 	leavesAt          time.Duration // when a draining worker leaves
 	waitingPolls      []func()      // replies to polls that wait for a run to end
@@ -100,15 +101,15 @@
 	return !m.unreachable && !m.down && !m.cutOff[inst]
 }
 
-// clock returns the reading of the worker's own clock. It is ahead of the simulated time
-// by as many hours as the incarnation number.
+// clock returns the reading of the worker's own clock. At simulated time 0 it shows as many
+// hours as the incarnation number.
 func (m *modelWorker) clock() time.Duration {
-	return m.simulation.now + time.Duration(m.incarnation)*time.Hour
+	return time.Duration(float64(m.simulation.now)*m.clockRate) + time.Duration(m.incarnation)*time.Hour
 }
 
 func (m *modelWorker) extendLease(until time.Duration) {
-	end := min(until-time.Duration(m.incarnation)*time.Hour, m.simulation.now+taskLease)
-	m.leaseEnd = max(m.leaseEnd, end)
+	remaining := min(until-m.clock(), maxWorkerLease)
+	m.leaseEnd = max(m.leaseEnd, m.simulation.now+time.Duration(float64(remaining)/m.clockRate))
 }
 
 func (m *modelWorker) used() job.Demand {
@@ -145,7 +146,7 @@
 	if start.Run <= m.highestRunNumbers[start.Task] {
 		return shard.RunOutdated, "old"
 	}
-	if start.LeaseUntil-time.Duration(m.incarnation)*time.Hour <= sim.now {
+	if start.LeaseUntil <= m.clock() {
 		return shard.LeaseExpired, "late"
 	}
 	submitted := sim.jobs[start.Task[:16]]
@@ -322,7 +323,7 @@
 	for i, worker := range sim.workers {
 		if worker == m {
 			sim.workers[i] = &modelWorker{
-				simulation: sim, id: fmt.Sprintf("%s-%d", m.id[:4], m.incarnation+100), capacity: m.capacity, incarnation: m.incarnation + 100, highestRunNumbers: map[string]int64{}, listed: true, slowdown: 1,
+				simulation: sim, id: fmt.Sprintf("%s-%d", m.id[:4], m.incarnation+100), capacity: m.capacity, incarnation: m.incarnation + 100, highestRunNumbers: map[string]int64{}, listed: true, slowdown: 1, clockRate: 1,
 			}
 		}
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -46,9 +46,12 @@
 	// epoch. So run numbers rise from leader to leader without a record of each
 	// start.
 	runNumbersPerEpoch = 1 << 16
+	// slowestClockRate is the speed of the slowest clock of a worker that the platform
+	// contract allows.
+	slowestClockRate = 0.98
 	// LeaseDriftFactor is the ratio of the longest actual duration of a lease to its
-	// nominal one: the platform contract allows a worker's clock to be 2% slow.
-	LeaseDriftFactor = 1.02
+	// nominal one.
+	LeaseDriftFactor = 1 / slowestClockRate
 	// orderTransitTime is an upper bound of the transit time of an order to a worker: the
 	// slowest link takes 30 ms, and the order may wait in a queue before it is sent.
 	orderTransitTime = 250 * time.Millisecond
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -24,6 +24,8 @@
 const (
 	tickLength = 10 * time.Millisecond
 	taskLease  = 6 * time.Second
+	// maxWorkerLease is the longest lease that a worker grants itself.
+	maxWorkerLease = 10 * time.Second
 	// orphanTimeout covers the 10 s without a confirmation after which a former leader
 	// loses its authority, and the last lease that it granted.
 	orphanTimeout = 10*time.Second + 6500*time.Millisecond
@@ -128,7 +130,7 @@
 	}
 	for i := range workers {
 		sim.workers = append(sim.workers, &modelWorker{
-			simulation: sim, id: fmt.Sprintf("i-%02d", i), capacity: capacity, incarnation: int64(i + 1), highestRunNumbers: map[string]int64{}, listed: true, slowdown: 1,
+			simulation: sim, id: fmt.Sprintf("i-%02d", i), capacity: capacity, incarnation: int64(i + 1), highestRunNumbers: map[string]int64{}, listed: true, slowdown: 1, clockRate: 1,
 		})
 	}
 	sim.replaceLeader()
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -85,6 +85,9 @@
 	// unreachableAfter is the number of consecutive failed polls after which a worker
 	// gets no new tasks.
 	unreachableAfter = 1
+	// maxClockAge is the age of its clock reading at which a worker without runs is
+	// polled. Until then a lease can be up to 0.6 s shorter than Options.Lease.
+	maxClockAge = 30 * time.Second
 )
 
 // SetWorkers replaces the list of the service's workers.
@@ -167,9 +170,10 @@
 
 func (w *worker) target() Target { return Target{ID: w.ID, Address: w.Address} }
 
-// leaseUntil returns the end, on the worker's clock, of a lease that is granted now.
+// leaseUntil returns the end, on the worker's clock, of a lease that is granted now. It
+// assumes the slowest clock, so that no lease lasts longer than leaseLength.
 func (w *worker) leaseUntil(now time.Time, lease time.Duration) time.Duration {
-	return w.clock + now.Sub(w.clockReadAt) + lease
+	return w.clock + time.Duration(float64(now.Sub(w.clockReadAt))*slowestClockRate) + lease
 }
 
 // leaseLength returns the longest time that a lease granted now can last.
@@ -213,6 +217,8 @@
 			s.sendPoll(w, poll)
 		case len(w.runs) == 0 && w.storedResult > w.acknowledgedResult && resultsStored:
 			s.sendPoll(w, Poll{Target: w.target(), AckThrough: w.storedResult})
+		case len(w.runs) == 0 && w.placeable() && now.Sub(w.clockReadAt) >= maxClockAge:
+			s.sendPoll(w, Poll{Target: w.target(), AckThrough: w.storedResult})
 		}
 	}
 }
--- a/internal/shard/workers_test.go
+++ b/internal/shard/workers_test.go
@@ -237,3 +237,29 @@
 		})
 	}
 }
+
+// The lease of a worker must not last longer than the leader assumes, however long the
+// worker had no runs: its clock may be 2% slow, so that the time since the last reading of
+// the clock overestimates it. A task ran twice at a time (review/4).
+func TestLeaseOfIdleWorkerEndsInTime(t *testing.T) {
+	for name, clockRate := range map[string]float64{"slow clock": 0.98, "accurate clock": 1} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 42, 2, workerSize)
+			for _, worker := range sim.workers {
+				worker.clockRate = clockRate
+			}
+			sim.advance(5 * time.Minute)
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(2, 1000, 15*time.Second)}}, 15*time.Second)
+			sim.advance(300 * time.Millisecond)
+			require.Equal(t, 2, sim.startCount, "the lease must not have ended when the start arrives")
+			for _, worker := range sim.workers {
+				require.Less(t, worker.leaseEnd, sim.now+taskLease*100/98)
+			}
+			worker := sim.workers[0]
+			require.NotEmpty(t, worker.runs)
+			worker.unreachable = true
+			sim.requireAllEnded(time.Minute)
+			require.Greater(t, sim.startCount, 2)
+		})
+	}
+}
