Take no run for over while its worker lists only some results

Cause: a worker lists up to 500 ends that aren't acknowledged. A run that was neither running nor among these counted as over without a result, so its task started again. The first report to a new leader was taken for complete in the same way.

A report with 500 ends is now marked as incomplete. The shard concludes nothing from the absence of a run in it, and a new leader waits for a complete one before it starts stored tasks. The ends are listed as the earlier ones are acknowledged, so each run is resolved by its result. The checker of the simulation also reports starts after an end that is acknowledged later.

--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -108,9 +108,11 @@
 }
 
 // simulateFaults submits random jobs for 24 s with two pairs of overlapping faults, one
-// from second 3 to 9 and one from second 12 to 20, and then ends all faults.
-func simulateFaults(t testing.TB, seed uint64) *simulation {
+// from second 3 to 9 and one from second 12 to 20, and then ends all faults. Workers list
+// up to maxListedResults results, or all if it is 0.
+func simulateFaults(t testing.TB, seed uint64, maxListedResults int) *simulation {
 	sim := newSimulation(t, seed, 8, job.Demand{MilliCPU: 16000, MemoryMB: 32000})
+	sim.maxListedResults = maxListedResults
 	sim.requireTickets = seed%2 == 0
 	sim.advance(time.Second)
 	number := 0
@@ -159,7 +161,7 @@
 func TestInvariantsUnderFaults(t *testing.T) {
 	for seed := range seedCount(t) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			sim := simulateFaults(t, uint64(seed))
+			sim := simulateFaults(t, uint64(seed), 0)
 			sim.requireAllEnded(2 * time.Minute)
 			require.Greater(t, sim.startCount, 50)
 		})
--- a/internal/shard/modelworker_test.go
+++ b/internal/shard/modelworker_test.go
@@ -41,7 +41,9 @@
 	highestRunNumbers map[string]int64 // by task name
 	results           []shard.RunResult
 	lastSequence      int64
-	leaseEnd          time.Duration // in simulated time
+	leaseEnd          time.Duration           // in simulated time
+	lapsedAt          time.Duration           // when a lease last lapsed
+	resultTimes       map[int64]time.Duration // by sequence number: when the run ended
 	down              bool
 	unreachable       bool
 	cutOff            map[*instance]bool // instances that can't reach the worker while others can
@@ -108,10 +110,18 @@
 }
 
 func (m *modelWorker) extendLease(until time.Duration) {
+	m.updateLapse()
 	remaining := min(until-m.clock(), maxWorkerLease)
 	m.leaseEnd = max(m.leaseEnd, m.simulation.now+time.Duration(float64(remaining)/m.clockRate))
 }
 
+// updateLapse records that the lease has lapsed.
+func (m *modelWorker) updateLapse() {
+	if m.leaseEnd < m.simulation.now {
+		m.lapsedAt = m.leaseEnd
+	}
+}
+
 func (m *modelWorker) used() job.Demand {
 	var used job.Demand
 	for _, r := range m.runs {
@@ -127,7 +137,8 @@
 			kept = append(kept, result)
 			continue
 		}
-		m.simulation.resultHandled(result)
+		m.updateLapse()
+		m.simulation.resultHandled(result, m.resultTimes[result.Sequence], m.lapsedAt >= m.resultTimes[result.Sequence])
 	}
 	m.results = kept
 }
@@ -166,6 +177,7 @@
 		}
 	}
 	sim.checkStart(m, start, submitted, &spec, stepNumber, delay)
+	submitted.lastStarts[start.Task] = sim.now
 	sim.startCount++
 	m.extendLease(start.LeaseUntil)
 	m.runs = append(m.runs, &modelRun{
@@ -215,12 +227,16 @@
 		report.Running = append(report.Running, status)
 	}
 	report.Ended = slices.Clone(m.results)
+	if limit := m.simulation.maxListedResults; limit > 0 && len(report.Ended) >= limit {
+		report.Ended, report.ResultsIncomplete = report.Ended[:limit], true
+	}
 	return report
 }
 
 func (m *modelWorker) endRun(r *modelRun, reason shard.EndReason) {
 	m.runs = slices.DeleteFunc(m.runs, func(o *modelRun) bool { return o == r })
 	m.lastSequence++
+	m.resultTimes[m.lastSequence] = m.simulation.now
 	if submitted := m.simulation.jobs[r.key.Task[:16]]; submitted != nil && reason == shard.EndDone {
 		submitted.doneTasks[r.key.Task] = true
 	}
@@ -323,7 +339,7 @@
 	for i, worker := range sim.workers {
 		if worker == m {
 			sim.workers[i] = &modelWorker{
-				simulation: sim, id: fmt.Sprintf("%s-%d", m.id[:4], m.incarnation+100), capacity: m.capacity, incarnation: m.incarnation + 100, highestRunNumbers: map[string]int64{}, listed: true, slowdown: 1, clockRate: 1,
+				simulation: sim, id: fmt.Sprintf("%s-%d", m.id[:4], m.incarnation+100), capacity: m.capacity, incarnation: m.incarnation + 100, highestRunNumbers: map[string]int64{}, resultTimes: map[int64]time.Duration{}, listed: true, slowdown: 1, clockRate: 1,
 			}
 		}
 	}
@@ -360,5 +376,5 @@
 	m.down, m.draining, m.leavesAt = false, false, 0
 	m.incarnation += 100
 	m.lastSequence = 0
-	m.leaseEnd = 0
+	m.leaseEnd, m.lapsedAt = 0, 0
 }
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -49,6 +49,7 @@
 	doneTasks         map[string]bool          // by task name: a run ended as done
 	doneHandledAt     map[string]time.Duration // by task name: when the leader acknowledged the result
 	handledFailures   map[string]int           // by task name: failed runs whose result the leader acknowledged
+	lastStarts        map[string]time.Duration // by task name
 	// poisonTasks crash each worker that starts them. crashes counts the workers that
 	// crashed under a task, otherCrashes those that no poison task crashed, and
 	// startsAfterCrashes the starts after crashesBeforeBudget crashes.
@@ -95,8 +96,10 @@
 	allowedShare    float64
 	pollCount       int           // number of polls of workers
 	stopTime        time.Duration // time that a worker takes to stop a run
-	adviceCalls     int           // number of advice calls
-	dropAdvice      bool          // the adviser answers no more calls
+	// maxListedResults is how many results a worker lists in a report; 0 means all.
+	maxListedResults int
+	adviceCalls      int  // number of advice calls
+	dropAdvice       bool // the adviser answers no more calls
 	// adviserTime is the total expected time of the advice calls.
 	adviserTime time.Duration
 	// allowedShares are the shares of workers that the adviser allows, by queue name.
@@ -130,7 +133,7 @@
 	}
 	for i := range workers {
 		sim.workers = append(sim.workers, &modelWorker{
-			simulation: sim, id: fmt.Sprintf("i-%02d", i), capacity: capacity, incarnation: int64(i + 1), highestRunNumbers: map[string]int64{}, listed: true, slowdown: 1, clockRate: 1,
+			simulation: sim, id: fmt.Sprintf("i-%02d", i), capacity: capacity, incarnation: int64(i + 1), highestRunNumbers: map[string]int64{}, resultTimes: map[int64]time.Duration{}, listed: true, slowdown: 1, clockRate: 1,
 		})
 	}
 	sim.replaceLeader()
@@ -251,7 +254,7 @@
 	submitted := sim.jobs[id]
 	if submitted == nil {
 		submitted = &modelJob{
-			id: id, spec: spec, terms: terms, runTimes: runTimes, doneTasks: map[string]bool{}, doneHandledAt: map[string]time.Duration{}, handledFailures: map[string]int{},
+			id: id, spec: spec, terms: terms, runTimes: runTimes, doneTasks: map[string]bool{}, doneHandledAt: map[string]time.Duration{}, handledFailures: map[string]int{}, lastStarts: map[string]time.Duration{},
 			poisonTasks: map[string]bool{}, crashes: map[string]int{}, otherCrashes: map[string]int{}, startsAfterCrashes: map[string]int{},
 		}
 		sim.jobs[id] = submitted
@@ -295,8 +298,10 @@
 	return float64(sum.Sum32()%1000)/1000 < share || worker == "i-00" || worker == "i-01"
 }
 
-// resultHandled records that the leader acknowledged a result.
-func (sim *simulation) resultHandled(result shard.RunResult) {
+// resultHandled records that the leader acknowledged the result of a run that ended at
+// endedAt. A later start of a task that is done breaks the platform contract unless the
+// lease of its worker lapsed in between.
+func (sim *simulation) resultHandled(result shard.RunResult, endedAt time.Duration, lapsed bool) {
 	submitted := sim.jobs[result.Task[:16]]
 	if submitted == nil {
 		return
@@ -304,6 +309,10 @@
 	switch result.EndReason {
 	case shard.EndDone:
 		submitted.doneHandledAt[result.Task] = sim.now
+		spec := submitted.stepOf(result.Task)
+		if started := submitted.lastStarts[result.Task]; started > endedAt && !lapsed && !spec.LongRunning && !spec.Speculative && !sim.onlyConcurrentRuns {
+			sim.addViolation("TWICE: %s started at %.2fs, but was done at %.2fs", result.Task, started.Seconds(), endedAt.Seconds())
+		}
 	case shard.EndFailed:
 		submitted.handledFailures[result.Task]++
 	}
@@ -419,6 +428,15 @@
 	}
 }
 
+// stepOf returns the step of the task with this name.
+func (j *modelJob) stepOf(task string) *job.Step {
+	var occurrence, step, index int
+	if _, err := fmt.Sscanf(task[len(j.id)+1:], "%d.%d.%d", &occurrence, &step, &index); err != nil {
+		panic(fmt.Sprintf("task name %q is malformed", task))
+	}
+	return &j.spec.Steps[step]
+}
+
 func (j *modelJob) longRunning() bool {
 	for i := range j.spec.Steps {
 		if j.spec.Steps[i].LongRunning {
--- a/internal/shard/workerrecords.go
+++ b/internal/shard/workerrecords.go
@@ -17,7 +17,7 @@
 		return // the batch in flight may contain the record
 	}
 	for _, w := range s.sortedWorkers {
-		if w.listsRead && !w.placeable() && len(w.runs) == 0 && !w.dirty {
+		if w.listsRead && !w.resultsIncomplete && !w.placeable() && len(w.runs) == 0 && !w.dirty {
 			s.deleteWorkerRecord(w)
 		}
 	}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -42,6 +42,7 @@
 	inFlightSuspended bool
 	dirty             bool
 	stale             bool // its state may have changed: it gets no new task before its next report
+	resultsIncomplete bool // its last report listed only the oldest results
 
 	clock              time.Duration // reading of the worker's clock at clockReadAt
 	clockReadAt        time.Time
@@ -247,7 +248,9 @@
 	Incarnation int64
 	Clock       time.Duration // reading of the worker's clock
 	Running     []RunStatus
-	Ended       []RunResult // results that aren't acknowledged yet
+	Ended       []RunResult // results that aren't acknowledged yet, the oldest first
+	// ResultsIncomplete means that the worker may have further results.
+	ResultsIncomplete bool
 }
 
 // RunStatus is the state of a run that is on the worker.
@@ -347,6 +350,7 @@
 	for _, result := range report.Ended {
 		s.handleResult(now, w, result)
 	}
+	w.resultsIncomplete = report.ResultsIncomplete
 	s.reconcileRuns(now, sentAt, w, report.Running)
 	s.adjustPace(now, w)
 	s.sendPolledTrials(now, w)
@@ -370,6 +374,8 @@
 		switch {
 		case status != nil:
 			s.updateRun(now, r, status)
+		case w.resultsIncomplete: // its result may not be listed yet
+			r.progressedAt = now
 		case r.loaded: // the worker refuses a later order of the former leader
 			s.removeRun(now, r, "not-listed")
 		// A run is over if a report doesn't list it although the poll was sent after
@@ -454,6 +460,18 @@
 	return false
 }
 
+// mayHaveUnknownRuns reports whether the worker may run something, or may have a result,
+// that this leader doesn't know.
+func (w *worker) mayHaveUnknownRuns(now time.Time) bool {
+	switch {
+	case !w.listsRead:
+		return now.Before(w.leaseEnd)
+	case w.resultsIncomplete:
+		return w.failedPolls == 0 || now.Before(w.leaseEnd)
+	}
+	return false
+}
+
 // checkRecovered checks whether all runs of former leaders are known or over. If so,
 // tasks of stored jobs may start.
 func (s *Shard) checkRecovered(now time.Time) {
@@ -462,7 +480,7 @@
 	}
 	// Workers without a record have no runs of former leaders.
 	for id := range s.workersToRead {
-		if w := s.workers[id]; w != nil && !w.listsRead && now.Before(w.leaseEnd) {
+		if w := s.workers[id]; w != nil && w.mayHaveUnknownRuns(now) {
 			return
 		}
 	}
