Record which handled results aren't stored

Cause: a batch of more than 1 MB leaves out changed jobs, but it wrote for each worker the number of its last handled result, which says that the effects of all results up to it are stored. These results were then acknowledged, and the next leader skipped them where they were still listed.

A worker's record now names the handled results whose job is not in the batch. The next leader handles these, and only these, again, so no effect is lost and no failed run counts twice. Results are acknowledged up to the first of them. handleResult moves to a file of its own.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -274,6 +274,9 @@
 	// Suspended means that the worker gets no tasks and no lease renewals until a
 	// record without this flag is stored.
 	Suspended bool `cbor:"3,keyasint,omitempty"`
+	// Unstored lists the results up to HandledResult whose effect isn't stored, each by
+	// its distance from HandledResult.
+	Unstored []int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR encoding of a record of this package.
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -123,6 +123,7 @@
 		s.options.Log("worker-restarted", "worker", w.ID, "born", incarnation, "before", w.observedIncarnation, "runs", len(w.runs))
 	}
 	w.observedIncarnation, w.handledResult, w.storedResult, w.acknowledgedResult, w.inFlightResult = incarnation, 0, 0, 0, 0
+	w.unstoredResults = nil
 	w.firstClock = w.clock
 	s.markWorkerDirty(w)
 	s.recordCrash(now, w, report)
--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -50,3 +50,6 @@
 
 // MaxTriedWithoutTicket is how many steps without a valid ticket a pass may try.
 const MaxTriedWithoutTicket = maxTicketWaits + maxPlans
+
+// LimitBatches sets the size in bytes above which a batch takes no more jobs.
+func (s *Shard) LimitBatches(size int) { s.maxBatchBytes = size }
--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -108,11 +108,13 @@
 }
 
 // simulateFaults submits random jobs for 24 s with two pairs of overlapping faults, one
-// from second 3 to 9 and one from second 12 to 20, and then ends all faults. Workers list
-// up to maxListedResults results, or all if it is 0.
-func simulateFaults(t testing.TB, seed uint64, maxListedResults int) *simulation {
+// from second 3 to 9 and one from second 12 to 20, and then ends all faults. It calls
+// configure, unless it is nil, before the first job.
+func simulateFaults(t testing.TB, seed uint64, configure func(sim *simulation)) *simulation {
 	sim := newSimulation(t, seed, 8, job.Demand{MilliCPU: 16000, MemoryMB: 32000})
-	sim.maxListedResults = maxListedResults
+	if configure != nil {
+		configure(sim)
+	}
 	sim.requireTickets = seed%2 == 0
 	sim.advance(time.Second)
 	number := 0
@@ -161,7 +163,7 @@
 func TestInvariantsUnderFaults(t *testing.T) {
 	for seed := range seedCount(t) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			sim := simulateFaults(t, uint64(seed), 0)
+			sim := simulateFaults(t, uint64(seed), nil)
 			sim.requireAllEnded(2 * time.Minute)
 			require.Greater(t, sim.startCount, 50)
 		})
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -100,6 +100,7 @@
 			inst.stepDown()
 			return
 		}
+		sim.batchCount++
 		for _, record := range batch {
 			if len(record.Value) == 0 {
 				delete(sim.store, record.Key)
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -38,9 +38,8 @@
 	return key[min(1, len(key)):]
 }
 
-// maxBatchBytes is the size above which a batch takes no more jobs. It is well
-// below the store's limit of 2 MB a call.
-const maxBatchBytes = 1 << 20
+// defaultMaxBatchBytes is well below the store's limit of 2 MB a call.
+const defaultMaxBatchBytes = 1 << 20
 
 func (s *Shard) markJobDirty(j *jobState) {
 	if !j.dirty {
@@ -81,7 +80,7 @@
 	s.deletedKeys = nil
 	remaining := s.dirtyJobs[:0]
 	for _, j := range s.dirtyJobs {
-		if size > maxBatchBytes {
+		if size > s.maxBatchBytes {
 			remaining = append(remaining, j)
 			continue
 		}
@@ -98,12 +97,19 @@
 	}
 	s.dirtyJobs = remaining
 	s.moveTrialsInBatch()
+	remainingWorkers := s.dirtyWorkers[:0]
 	for _, w := range s.dirtyWorkers {
-		w.dirty, w.inFlightResult, w.inFlightSuspended = false, w.handledResult, w.suspended
-		add(workerKey(w.ID), job.WorkerRecord{Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended})
+		w.dirty = w.removeResultsInBatch()
+		if w.dirty {
+			remainingWorkers = append(remainingWorkers, w)
+		}
+		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
+		add(workerKey(w.ID), job.WorkerRecord{
+			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(),
+		})
 		s.inFlightWorkers = append(s.inFlightWorkers, w)
 	}
-	s.dirtyWorkers = s.dirtyWorkers[:0]
+	s.dirtyWorkers = remainingWorkers
 	s.batchInFlight = len(batch) > 0 || len(s.inFlightJobs) > 0
 	if s.batchInFlight && len(batch) == 0 {
 		s.BatchStored(now)
@@ -227,9 +233,10 @@
 		return
 	}
 	w := &worker{
-		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, storedResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended,
+		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended,
 		unlistedAt: now, bestEffortPace: fullPace,
 	}
+	w.loadUnstoredResults(record.Unstored)
 	w.ID = id
 	w.leaseEnd = now.Add(s.options.OrphanTimeout)
 	if record.Suspended { // no lease was renewed since this record was stored
--- a/internal/shard/results_test.go
+++ b/internal/shard/results_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
 // A run must not count as over because its worker, with many unacknowledged results, doesn't
@@ -75,7 +77,68 @@
 func TestInvariantsWithIncompleteReports(t *testing.T) {
 	for seed := range seedCount(t) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			sim := simulateFaults(t, uint64(seed), 1+seed%3)
+			sim := simulateFaults(t, uint64(seed), func(sim *simulation) { sim.maxListedResults = 1 + seed%3 })
+			sim.requireAllEnded(2 * time.Minute)
+		})
+	}
+}
+
+// A result must not be acknowledged before its effect is stored, also if a batch leaves its
+// job out. Done tasks ran again after a kill of the leader (review/3).
+func TestResultsOfLeftOutJobsOutliveTheLeader(t *testing.T) {
+	cases := map[string]struct {
+		fails         bool
+		startsPerTask int
+	}{
+		"done":   {startsPerTask: 1},
+		"failed": {fails: true, startsPerTask: batchTerms.MaxAttempts},
+	}
+	const jobs, tasksPerJob = 10, 3
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			for batches := range 8 { // stored before the leader is killed
+				sim := newSimulation(t, 45, 2, workerSize)
+				sim.limitBatches(1)
+				sim.advance(time.Second)
+				starts := map[string]int{}
+				sim.onStart = func(start shard.Start) { starts[start.Task]++ }
+				for i := range jobs {
+					// Results of other jobs come between those of the two steps.
+					spec := job.Spec{Steps: []job.Step{tasks(2, 1000, time.Second), tasks(1, 1000, time.Second)}}
+					submitted := sim.submit(id(i), batchTerms, spec, time.Second, 1100*time.Millisecond)
+					submitted.alwaysFails = test.fails
+				}
+				sim.advance(900 * time.Millisecond) // the acceptance of each job takes a batch
+				for stored := sim.batchCount; sim.batchCount <= stored+batches; {
+					sim.advance(tickLength)
+				}
+				sim.advance(3 * tickLength) // results are acknowledged
+				sim.leader.dead = true
+				sim.replaceLeader()
+				sim.requireAllEnded(time.Minute)
+				require.Len(t, starts, jobs*tasksPerJob)
+				for task, count := range starts {
+					require.LessOrEqual(t, count, test.startsPerTask, "%s after %d batches", task, batches)
+				}
+				for i := range jobs {
+					most := 0
+					for task, count := range starts {
+						if strings.HasPrefix(task, id(i)) {
+							most = max(most, count)
+						}
+					}
+					require.Equal(t, test.startsPerTask, most, "%s after %d batches", id(i), batches)
+				}
+			}
+		})
+	}
+}
+
+// Guards the rules of TestInvariantsUnderFaults with batches that hold few jobs.
+func TestInvariantsWithSmallBatches(t *testing.T) {
+	for seed := range seedCount(t) {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			sim := simulateFaults(t, uint64(seed), func(sim *simulation) { sim.limitBatches(1 + 100*(seed%3)) })
 			sim.requireAllEnded(2 * time.Minute)
 		})
 	}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -278,63 +278,6 @@
 	return nil
 }
 
-// handleResult handles a run result that a worker reported. Results that were handled
-// before are skipped.
-func (s *Shard) handleResult(now time.Time, w *worker, result RunResult) {
-	if result.Sequence <= w.handledResult {
-		return
-	}
-	w.handledResult = result.Sequence
-	s.markWorkerDirty(w)
-	r := s.findRun(w.ID, result.RunKey)
-	var t *task
-	if r != nil {
-		t = r.task
-		s.detachRun(r)
-	} else if key, err := parseTask(result.Task); err == nil {
-		t = s.restoreTask(now, key)
-	}
-	if t == nil {
-		return
-	}
-	t.lastRunNumber = max(t.lastRunNumber, result.Run)
-	j := t.step.occurrence.job
-	duration := time.Duration(0)
-	if r != nil {
-		duration = now.Sub(r.orderedAt)
-	}
-	s.options.Log("run-ended", "task", result.Task, "run", result.Run, "worker", w.ID, "how", result.EndReason, "after", duration,
-		"estimate", t.step.spec.Estimate, "unseen", min(w.replyInterval, duration), "worker-slow", w.isSlow)
-	if result.Checkpoint != "" {
-		t.checkpoint = result.Checkpoint
-	}
-	if j.state.Ended() {
-		return
-	}
-	s.markJobStarted(j)
-	if result.EndReason == EndDone || result.EndReason == EndFailed {
-		s.clearSuspicion(t)
-	}
-	switch result.EndReason {
-	case EndDone:
-		s.recordRunTime(now, r, duration)
-		// A former leader's poll may have waited at the worker when this leader read it.
-		// Its answer lists ends of the next pollWait. This run was running after that.
-		if r != nil && w.previousClock-w.firstClock >= pollWait {
-			t.step.endedHere = true
-		}
-		s.taskDone(now, t)
-	case EndFailed:
-		s.taskFailed(now, w, t, result.Run)
-	case EndStopped, EndLeaseExpired, EndGangFailed, EndGangIncomplete:
-		s.markJobDirty(j)
-		s.requeue(now, t)
-	default:
-		s.options.Log("unknown-end", "task", result.Task, "how", result.EndReason)
-		s.requeue(now, t)
-	}
-}
-
 // taskDone marks a task, or its whole gang, as done. A long-running task that ends is
 // started again.
 func (s *Shard) taskDone(now time.Time, t *task) {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -114,6 +114,7 @@
 	inFlightJobs     []*jobState
 	inFlightWorkers  []*worker
 	batchInFlight    bool
+	maxBatchBytes    int // the size above which a batch takes no more jobs
 	unrecordedTrials []*run
 	inFlightTrials   []*run // in the batch that is being stored
 	endedTrials      []*run // whose end isn't stored
@@ -248,6 +249,7 @@
 	return &Shard{
 		options: options, jobs: map[string]*jobState{}, readySteps: map[*step]bool{}, waitingJobs: map[string]int{},
 		workers: map[string]*worker{}, workersToRead: map[string]bool{}, allowedShares: map[string]float64{}, authority: true, shortAdviceLimit: 1, longAdviceLimit: 1,
+		maxBatchBytes: defaultMaxBatchBytes,
 	}
 }
 
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -85,6 +85,7 @@
 	store           map[string][]byte
 	epoch           int64 // of the newest leader
 	storeDown       bool
+	batchCount      int // batches that were stored
 	leader          *instance
 	instances       []*instance
 	messages        []message
@@ -96,6 +97,9 @@
 	allowedShare    float64
 	pollCount       int           // number of polls of workers
 	stopTime        time.Duration // time that a worker takes to stop a run
+	// maxBatchBytes is the size above which a leader's batch takes no more jobs; 0 means
+	// the default.
+	maxBatchBytes int
 	// maxListedResults is how many results a worker lists in a report; 0 means all.
 	maxListedResults int
 	adviceCalls      int  // number of advice calls
@@ -178,6 +182,9 @@
 		records = append(records, shard.Record{Key: key, Value: value})
 	}
 	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	if sim.maxBatchBytes > 0 {
+		inst.shard.LimitBatches(sim.maxBatchBytes)
+	}
 	inst.shard.Load(sim.time(), records)
 	inst.shard.SetAdviceSlots(4, 4)
 	if sim.formerLeadersReport && sim.leader != nil {
@@ -187,6 +194,12 @@
 	sim.instances = append(sim.instances, inst)
 }
 
+// limitBatches sets the size above which a leader's batch takes no more jobs.
+func (sim *simulation) limitBatches(size int) {
+	sim.maxBatchBytes = size
+	sim.leader.shard.LimitBatches(size)
+}
+
 func (sim *simulation) workerList() []shard.WorkerInfo {
 	var list []shard.WorkerInfo
 	for i, worker := range sim.workers {
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -32,8 +32,9 @@
 	listsRead           bool  // this leader has read its lists of runs
 	observedIncarnation int64 // from its last report; before the first one, from its record or the list
 	handledResult       int64 // sequence number of the last result that was handled
-	storedResult        int64 // of the last result whose effect is stored
-	inFlightResult      int64 // of the last result whose effect is in the batch being stored
+	storedResult        int64 // the effects of the results up to this one are stored
+	inFlightResult      int64 // as storedResult, once the batch in flight is stored
+	unstoredResults     []unstoredResult
 	acknowledgedResult  int64 // of the last result that was acknowledged to the worker
 	recordStored        bool  // its record is stored and not suspended, so it may get tasks
 	// suspended means that the worker is recorded as suspended or will be, see
@@ -136,7 +137,7 @@
 func (s *Shard) forgetWorkers(now time.Time) {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && now.Sub(w.unlistedAt) > forgetWorkerAfter && now.After(w.leaseEnd) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && now.After(w.leaseEnd) {
 			delete(s.workers, w.ID)
 			delete(s.workersToRead, w.ID)
 			s.deleteWorkerRecord(w)
@@ -351,6 +352,9 @@
 		s.handleResult(now, w, result)
 	}
 	w.resultsIncomplete = report.ResultsIncomplete
+	if !w.resultsIncomplete {
+		s.removeUnlistedResults(w)
+	}
 	s.reconcileRuns(now, sentAt, w, report.Running)
 	s.adjustPace(now, w)
 	s.sendPolledTrials(now, w)
