Encode times exactly in records and messages

Cause: the CBOR library encodes a time as whole seconds by default. Job records and messages between processes used the default.

Both now encode nanoseconds, as the other packages that store or send times already did. Older records are still read. The simulation checks every start of a scheduled job against its time.

--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -157,7 +157,7 @@
 
 func exchange[Answer any](ctx context.Context, p *peerClient, to netip.AddrPort, path string, message any, reader func(body io.Reader) io.Reader) (Answer, error) {
 	var answer Answer
-	body, err := cbor.Marshal(message)
+	body, err := job.Encode(message)
 	if err != nil {
 		return answer, fmt.Errorf("peer %s: %w", path, err)
 	}
@@ -216,7 +216,7 @@
 			http.Error(w, err.Error(), status)
 			return
 		}
-		encoded, err := cbor.Marshal(answer)
+		encoded, err := job.Encode(answer)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -279,8 +279,18 @@
 	Unstored []int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Encode returns the CBOR encoding of a record of this package.
-func Encode(value any) ([]byte, error) { return cbor.Marshal(value) }
+// encodeMode encodes times exactly. The default of the library is whole seconds.
+var encodeMode = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// Encode returns the CBOR encoding of a record of this package, or of a message that
+// contains one. Times are exact to the nanosecond.
+func Encode(value any) ([]byte, error) { return encodeMode.Marshal(value) }
 
 // Decode decodes a record into the value that into points to.
 func Decode(record []byte, into any) error { return cbor.Unmarshal(record, into) }
--- a/internal/shard/intake_test.go
+++ b/internal/shard/intake_test.go
@@ -99,6 +99,23 @@
 	require.Empty(t, sim.violations)
 }
 
+// The next leader must not start an occurrence before its time. Its record dropped the
+// fraction of the second (review/5).
+func TestNextLeaderStartsRepeatedJobWhenDue(t *testing.T) {
+	sim := newSimulation(t, 46, 2, workerSize)
+	sim.advance(time.Second)
+	spec := job.Spec{
+		Steps: []job.Step{tasks(2, 1000, 300*time.Millisecond)}, Repeat: 4, FirstStart: sim.time().Add(900 * time.Millisecond), Interval: 3 * time.Second,
+	}
+	sim.submit(id(0), urgentTerms, spec, 300*time.Millisecond)
+	sim.advance(2 * time.Second)
+	require.Equal(t, 2, sim.startCount)
+	sim.leader.dead = true
+	sim.replaceLeader()
+	sim.requireAllEnded(time.Minute)
+	require.Equal(t, 8, sim.startCount)
+}
+
 // Each leader's records replace those of the one before. An occurrence that an earlier
 // leader completed must not run again after a second change of leader.
 func TestCompletedOccurrencesSurviveTwoChangesOfLeader(t *testing.T) {
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -343,6 +343,9 @@
 	if sim.onlyConcurrentRuns {
 		return
 	}
+	if occurrence := occurrenceOf(start.Task); sim.time().Before(submitted.spec.Due(occurrence)) {
+		sim.addViolation("ORDER: %s starts %s before its time", start.Task, submitted.spec.Due(occurrence).Sub(sim.time()))
+	}
 	if used := m.used().Plus(spec.Reserved()); !used.Fits(m.capacity) {
 		sim.addViolation("LIMIT: %s on %s: %v of %v", start.Task, m.id, used, m.capacity)
 	}
@@ -443,13 +446,25 @@
 
 // stepOf returns the step of the task with this name.
 func (j *modelJob) stepOf(task string) *job.Step {
-	var occurrence, step, index int
-	if _, err := fmt.Sscanf(task[len(j.id)+1:], "%d.%d.%d", &occurrence, &step, &index); err != nil {
-		panic(fmt.Sprintf("task name %q is malformed", task))
-	}
+	_, step := parseTaskName(task)
 	return &j.spec.Steps[step]
 }
 
+// occurrenceOf returns the number of the occurrence of the task with this name.
+func occurrenceOf(task string) int {
+	occurrence, _ := parseTaskName(task)
+	return occurrence
+}
+
+func parseTaskName(name string) (occurrence, step int) {
+	_, numbers, _ := strings.Cut(name, ".")
+	var index int
+	if _, err := fmt.Sscanf(numbers, "%d.%d.%d", &occurrence, &step, &index); err != nil {
+		panic(fmt.Sprintf("task name %q is malformed", name))
+	}
+	return occurrence, step
+}
+
 func (j *modelJob) longRunning() bool {
 	for i := range j.spec.Steps {
 		if j.spec.Steps[i].LongRunning {
