Count leases granted by a former clock of a restarted worker in full

A worker that restarts under its identity has a new clock. An order sent before the leader knows carries a time of the former clock, which is far ahead, so the worker grants the longest lease that it allows. If it was then cut off, the leader started its tasks elsewhere while they still ran (TWICE).

Shown in the simulation only; model workers' clocks now start anew with each incarnation.

Such leases now count as the longest that a worker allows, from the time at which the list or a report shows the new incarnation.

--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -115,7 +115,7 @@
 	longestLease := time.Duration(float64(lease)*shard.LeaseDriftFactor) + leaseMargin
 	l.orphanTimeout = formerLeaderActsFor + longestLease
 	l.shard = shard.New(shard.Options{
-		Service: key, Epoch: epoch, Lease: lease,
+		Service: key, Epoch: epoch, Lease: lease, MaxWorkerLease: bounds.MaxLease,
 		OrphanTimeout: l.orphanTimeout, MaxOrphanTimeout: election.MaxConfirmationAge + longestLease,
 		FinalStateRetention: bounds.StateRetention, Log: p.log,
 	})
--- a/internal/shard/leaseends.go
+++ b/internal/shard/leaseends.go
@@ -7,7 +7,7 @@
 func (s *Shard) LeaseEnds() map[string]time.Time {
 	ends := make(map[string]time.Time, len(s.workers))
 	for id, w := range s.workers {
-		end := w.leaseEnd
+		end := s.lastLeaseEnd(w)
 		if !w.listsRead {
 			end = s.formerLeaseEnd(w)
 		}
--- a/internal/shard/modelworker_test.go
+++ b/internal/shard/modelworker_test.go
@@ -52,6 +52,7 @@
 	stallsTasks       bool    // its runs make no progress
 	slowdown          float64 // actual run time divided by the normal one
 	clockRate         float64 // speed of its clock, 0.98 to 1
+	bootedAt          time.Duration
 	draining          bool
 	leavesAt          time.Duration // when a draining worker leaves
 	waitingPolls      []func()      // replies to polls that wait for a run to end
@@ -103,10 +104,14 @@
 	return !m.unreachable && !m.down && !m.cutOff[inst]
 }
 
-// clock returns the reading of the worker's own clock. At simulated time 0 it shows as many
-// hours as the incarnation number.
+// clock returns the reading of the worker's own clock, which starts anew with each
+// incarnation. Workers that run from the start show some hours.
 func (m *modelWorker) clock() time.Duration {
-	return time.Duration(float64(m.simulation.now)*m.clockRate) + time.Duration(m.incarnation)*time.Hour
+	reading := time.Duration(float64(m.simulation.now-m.bootedAt) * m.clockRate)
+	if m.bootedAt == 0 {
+		reading += time.Duration(m.incarnation) * time.Hour
+	}
+	return reading
 }
 
 func (m *modelWorker) extendLease(until time.Duration) {
@@ -339,7 +344,7 @@
 	for i, worker := range sim.workers {
 		if worker == m {
 			sim.workers[i] = &modelWorker{
-				simulation: sim, id: fmt.Sprintf("%s-%d", m.id[:4], m.incarnation+100), capacity: m.capacity, incarnation: m.incarnation + 100, highestRunNumbers: map[string]int64{}, resultTimes: map[int64]time.Duration{}, listed: true, slowdown: 1, clockRate: 1,
+				simulation: sim, id: fmt.Sprintf("%s-%d", m.id[:4], m.incarnation+100), capacity: m.capacity, incarnation: m.incarnation + 100, bootedAt: sim.now, highestRunNumbers: map[string]int64{}, resultTimes: map[int64]time.Duration{}, listed: true, slowdown: 1, clockRate: 1,
 			}
 		}
 	}
@@ -376,5 +381,5 @@
 	m.down, m.draining, m.leavesAt = false, false, 0
 	m.incarnation += 100
 	m.lastSequence = 0
-	m.leaseEnd, m.lapsedAt = 0, 0
+	m.leaseEnd, m.lapsedAt, m.bootedAt = 0, 0, m.simulation.now
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -71,6 +71,8 @@
 	Epoch int64
 	// Lease is how long a worker keeps its runs without a lease renewal.
 	Lease time.Duration
+	// MaxWorkerLease is the longest lease that a worker allows.
+	MaxWorkerLease time.Duration
 	// OrphanTimeout is the time from Load after which no run of a former leader
 	// can be left on a worker that could not be reached.
 	OrphanTimeout time.Duration
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -167,7 +167,7 @@
 		timeout = orphanTimeoutAfterCrash
 	}
 	inst.shard = shard.New(shard.Options{
-		Service: "ledger", Epoch: inst.epoch, Lease: taskLease, OrphanTimeout: timeout, MaxOrphanTimeout: orphanTimeout, FinalStateRetention: 2 * time.Minute,
+		Service: "ledger", Epoch: inst.epoch, Lease: taskLease, MaxWorkerLease: maxWorkerLease, OrphanTimeout: timeout, MaxOrphanTimeout: orphanTimeout, FinalStateRetention: 2 * time.Minute,
 		Log: func(event string, keyvals ...any) {
 			if os.Getenv("SHARD_LOG") != "" {
 				sim.t.Log(sim.now, inst.epoch, event, keyvals)
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -49,7 +49,8 @@
 	clockReadAt        time.Time
 	previousClock      time.Duration // the reading before clock
 	firstClock         time.Duration // the first reading of this incarnation
-	leaseEnd           time.Time     // no lease of its runs lasts longer
+	leaseEnd           time.Time     // no lease that was granted by its present clock lasts longer
+	formerClockEnd     time.Time     // no lease that was granted by a former incarnation's clock lasts longer
 	leaseEndReported   bool          // the former leader reported reportedLeaseEnd
 	reportedLeaseEnd   time.Time
 	pollInFlight       bool
@@ -137,7 +138,7 @@
 func (s *Shard) forgetWorkers(now time.Time) {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && now.After(w.leaseEnd) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && now.After(s.lastLeaseEnd(w)) {
 			delete(s.workers, w.ID)
 			delete(s.workersToRead, w.ID)
 			s.deleteWorkerRecord(w)
@@ -193,6 +194,22 @@
 	return w.leaseUntil(now, s.options.Lease)
 }
 
+// restartedLeaseExtension returns how much longer than leaseLength a lease can last that was
+// granted by the clock of a former incarnation. The clock of the new one shows less, so it
+// grants the longest lease that it allows.
+func (s *Shard) restartedLeaseExtension() time.Duration {
+	return time.Duration(float64(max(0, s.options.MaxWorkerLease-s.options.Lease)) * LeaseDriftFactor)
+}
+
+// lastLeaseEnd returns the time after which no lease is left on the worker.
+func (s *Shard) lastLeaseEnd(w *worker) time.Time {
+	end := w.leaseEnd
+	if w.Incarnation > w.observedIncarnation { // it may have restarted before the lease was granted
+		end = end.Add(s.restartedLeaseExtension())
+	}
+	return maxTime(end, w.formerClockEnd)
+}
+
 // sendDuePolls sends the polls that are due.
 func (s *Shard) sendDuePolls(now time.Time) {
 	for _, w := range s.sortedWorkers {
@@ -334,10 +351,15 @@
 	}
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
 	w.nextPollAt = now
+	firstAnswer := !w.listsRead
 	if report.Incarnation != w.observedIncarnation {
+		granted := w.leaseEnd
+		if firstAnswer { // a former leader may have granted the last one just now
+			granted = now.Add(s.leaseLength())
+		}
+		w.formerClockEnd = granted.Add(s.restartedLeaseExtension())
 		s.handleRestart(now, w, report)
 	}
-	firstAnswer := !w.listsRead
 	if firstAnswer {
 		w.firstClock = report.Clock
 	}
@@ -466,12 +488,12 @@
 
 // mayHaveUnknownRuns reports whether the worker may run something, or may have a result,
 // that this leader doesn't know.
-func (w *worker) mayHaveUnknownRuns(now time.Time) bool {
+func (s *Shard) mayHaveUnknownRuns(now time.Time, w *worker) bool {
 	switch {
 	case !w.listsRead:
-		return now.Before(w.leaseEnd)
+		return now.Before(s.lastLeaseEnd(w))
 	case w.resultsIncomplete:
-		return w.failedPolls == 0 || now.Before(w.leaseEnd)
+		return w.failedPolls == 0 || now.Before(s.lastLeaseEnd(w))
 	}
 	return false
 }
@@ -484,7 +506,7 @@
 	}
 	// Workers without a record have no runs of former leaders.
 	for id := range s.workersToRead {
-		if w := s.workers[id]; w != nil && w.mayHaveUnknownRuns(now) {
+		if w := s.workers[id]; w != nil && s.mayHaveUnknownRuns(now, w) {
 			return
 		}
 	}
--- a/internal/shard/workers_test.go
+++ b/internal/shard/workers_test.go
@@ -263,3 +263,31 @@
 		})
 	}
 }
+
+// A start that reaches a restarted worker carries a time of its former clock, so its lease
+// lasts as long as a worker grants at most. If the worker is cut off then, its runs must not
+// start elsewhere before that.
+func TestLeaseOfRestartedWorkerEndsInTime(t *testing.T) {
+	for name, cutOffAfter := range map[string]time.Duration{"before its first report": 10 * time.Millisecond, "after its first report": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 47, 2, workerSize)
+			sim.advance(10*time.Second + 50*time.Millisecond) // the list is read next in 350 ms
+			for _, worker := range sim.workers {
+				worker.crash()
+				worker.restart()
+			}
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(2, 1000, 15*time.Second)}}, 15*time.Second)
+			for sim.startCount < 2 {
+				sim.advance(tickLength)
+			}
+			sim.advance(cutOffAfter)
+			for _, worker := range sim.workers {
+				if len(worker.runs) > 0 {
+					worker.unreachable = true
+					break
+				}
+			}
+			sim.requireAllEnded(time.Minute)
+		})
+	}
+}
