Log what a leader concludes the end of leases and crashes from

The users' record doesn't tell which leader decided what, and on which evidence. All events of a shard now have the epoch. lease-over has the age of the leadership's confirmation, the time since the lease ended, and whether the worker is read, listed or absent; worker-crashed has the evidence; settled has the number of unread workers and the bound that was applied; worker-read has the last result that the loaded record covers; run-ended has the sequence number of the result; right-claimed names the former leader and for how long it may act.

The shard gets the time of the last confirmation (SetConfirmed) and only logs it; no decision changes. go test ./internal/shard ./internal/entry ./internal/event: ok.

--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -402,7 +402,8 @@
 		p.log("claim-failed", "service", key, "at", expectedEnd, "cause", cause, "error", err)
 		return false
 	}
-	p.log("right-claimed", "service", key, "epoch", offset+1, "cause", cause, "silence", silence, "near", p.nearStore())
+	p.log("right-claimed", "service", key, "epoch", offset+1, "cause", cause, "silence", silence, "near", p.nearStore(),
+		"former", former.Node, "former-epoch", former.Epoch, "former-acts-for", cause.FormerLeaderActsFor())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leadersEnd = max(p.leadersEnd, end)
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -117,7 +117,8 @@
 	l.shard = shard.New(shard.Options{
 		Service: key, Epoch: epoch, Lease: lease, MaxWorkerLease: bounds.MaxLease,
 		OrphanTimeout: l.orphanTimeout, MaxOrphanTimeout: election.MaxConfirmationAge + longestLease,
-		FinalStateRetention: bounds.StateRetention, Log: p.log,
+		FinalStateRetention: bounds.StateRetention,
+		Log:                 func(event string, keyvals ...any) { p.log(event, append(keyvals, "epoch", epoch)...) },
 	})
 	return l
 }
@@ -209,6 +210,14 @@
 	}
 }
 
+// updateAuthority tells the shard until when this process was confirmed as its leader, and
+// whether it may still act.
+func (l *shardLeader) updateAuthority(now time.Time) {
+	age := l.confirmationAge()
+	l.shard.SetConfirmed(now.Add(-age))
+	l.shard.SetAuthority(age < l.maxConfirmationAge())
+}
+
 // controlLoop runs the enqueued functions and makes all decisions about the
 // shard, one at a time, until the context ends.
 func (l *shardLeader) controlLoop() {
@@ -222,7 +231,7 @@
 		case input := <-l.inputs:
 			began = time.Now()
 			// The process may have been paused since the last round.
-			l.shard.SetAuthority(l.hasAuthority())
+			l.updateAuthority(began)
 			input(began)
 		case began = <-ticker.C:
 		}
@@ -235,7 +244,7 @@
 			}
 		}
 		now := time.Now()
-		l.shard.SetAuthority(l.hasAuthority())
+		l.updateAuthority(now)
 		l.shard.SetAdviceSlots(l.adviceSlots())
 		l.shard.Tick(now)
 		l.execute(l.shard.TakeCommands())
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -55,7 +55,8 @@
 		onTrial = onTrial || r.trial
 	}
 	if len(young) > 0 {
-		s.options.Log("worker-crashed", "worker", w.ID, "runs", len(w.runs), "starting", len(young), "trial", onTrial)
+		s.options.Log("worker-crashed", "worker", w.ID, "runs", len(w.runs), "starting", len(young), "trial", onTrial,
+			"born", report.Incarnation, "listed", w.listed, "absent", w.absent, "failed-polls", w.failedPolls)
 	}
 	for _, r := range young {
 		j := r.task.step.occurrence.job
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -39,6 +39,7 @@
 		}
 		inst.leadershipConfirmedAt = sim.now
 	}
+	inst.shard.SetConfirmed(sim.startTime.Add(inst.leadershipConfirmedAt))
 	inst.shard.SetAuthority(sim.now-inst.leadershipConfirmedAt < 10*time.Second)
 	inst.shard.Tick(sim.time())
 	commands := inst.shard.TakeCommands()
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -112,7 +112,7 @@
 	if r != nil {
 		duration = now.Sub(r.orderedAt)
 	}
-	s.options.Log("run-ended", "task", result.Task, "run", result.Run, "worker", w.ID, "how", result.EndReason, "after", duration,
+	s.options.Log("run-ended", "task", result.Task, "run", result.Run, "worker", w.ID, "how", result.EndReason, "sequence", result.Sequence, "after", duration,
 		"estimate", t.step.spec.Estimate, "unseen", min(w.replyInterval, duration), "worker-slow", w.isSlow)
 	if result.Checkpoint != "" {
 		t.checkpoint = result.Checkpoint
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -234,7 +234,8 @@
 		if len(w.runs) == 0 || now.Before(s.lastLeaseEnd(w)) || w.failedPolls == 0 && w.listsRead {
 			continue
 		}
-		s.options.Log("lease-over", "worker", w.ID, "runs", len(w.runs), "looks-failed", w.failedPolls)
+		s.options.Log("lease-over", "worker", w.ID, "runs", len(w.runs), "looks-failed", w.failedPolls, "read", w.listsRead, "listed", w.listed, "absent", w.absent,
+			"over-for", now.Sub(s.lastLeaseEnd(w)), "proof-age", now.Sub(s.confirmedAt), "silent", now.Sub(w.lastReply))
 		if w.crashed() {
 			s.recordCrash(now, w, Report{})
 		}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -123,7 +123,8 @@
 	inFlightEnds     []*run // whose end is in the batch that is being stored
 
 	commands         Commands
-	authority        bool // this process can still prove that it is the leader
+	authority        bool      // this process can still prove that it is the leader
+	confirmedAt      time.Time // see SetConfirmed
 	shortAdviceLimit int
 	shortAdviceCalls int
 	longAdviceLimit  int
@@ -382,6 +383,10 @@
 	s.placementChanged = true
 }
 
+// SetConfirmed sets the latest time at which this process is known to have been the
+// leader: when it sent the last call that the store accepted from it.
+func (s *Shard) SetConfirmed(at time.Time) { s.confirmedAt = maxTime(s.confirmedAt, at) }
+
 // SetAdviceSlots sets how many advice calls may be in flight at once: short ones,
 // which take at most MaxShortAdvice, and long ones.
 func (s *Shard) SetAdviceSlots(short, long int) {
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -351,7 +351,7 @@
 	}
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
 	w.nextPollAt = now
-	firstAnswer := !w.listsRead
+	firstAnswer, handledBefore := !w.listsRead, w.handledResult
 	if report.Incarnation != w.observedIncarnation {
 		granted := w.leaseEnd
 		if firstAnswer { // a former leader may have granted the last one just now
@@ -381,7 +381,8 @@
 	s.adjustPace(now, w)
 	s.sendPolledTrials(now, w)
 	if firstAnswer {
-		s.options.Log("worker-read", "worker", id, "running", len(report.Running), "ended", len(report.Ended), "born", report.Incarnation)
+		s.options.Log("worker-read", "worker", id, "running", len(report.Running), "ended", len(report.Ended), "born", report.Incarnation,
+			"handled", handledBefore, "after", now.Sub(s.loadedAt))
 	}
 	s.checkRecovered(now)
 }
@@ -512,7 +513,7 @@
 	}
 	s.recovered = true
 	s.placementChanged = true
-	s.options.Log("settled", "service", s.options.Service, "after", now.Sub(s.loadedAt))
+	s.options.Log("settled", "service", s.options.Service, "after", now.Sub(s.loadedAt), "unread", s.unreadWorkers(), "bound", s.options.OrphanTimeout, "proof-age", now.Sub(s.confirmedAt))
 	// A gang that is incomplete after a change of leader is stopped, and starts anew.
 	for _, j := range s.activeJobs {
 		for _, o := range j.occurrences {
@@ -523,6 +524,18 @@
 	}
 }
 
+// unreadWorkers returns the number of workers that a former leader recorded and this one
+// has not read.
+func (s *Shard) unreadWorkers() int {
+	count := 0
+	for id := range s.workersToRead {
+		if w := s.workers[id]; w != nil && !w.listsRead {
+			count++
+		}
+	}
+	return count
+}
+
 // stopIncompleteGang stops the runs of a gang if only some of its tasks have runs.
 func (s *Shard) stopIncompleteGang(now time.Time, st *step) {
 	if !st.spec.Gang || st.doneTasks == len(st.tasks) {
