Take leases for over only with a confirmation from after their end

Cause: expireLeases knew only the leases that this leader had granted. A leader that reaches neither the store nor its successor acts for 10 s after its last confirmation, and a lease lasts 5.4 s. So it took leases for over that its successor had renewed, and started the tasks again on workers that its successor didn't reach. A second place had it too: a new leader that waits for the leases of unread workers took itself for settled, although its own successor had renewed them.

Change: leasesOver, which expireLeases, checkRecovered and forgetWorkers use, also needs a confirmation of the leadership that was sent after the end of the leases. A successor fences both partitions before it polls a worker, so such a confirmation shows that nobody else renewed a lease until then.

Cost: while the store is down for all, tasks of a lost worker wait until it is back; otherwise their restart waits for the next confirmation, which is sent each 0.4 s.

--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -18,6 +18,7 @@
 	steppedDown           bool // dead, but its process is up and answers the next leader
 	frozen                bool
 	storeUnreachable      bool
+	cutOffFromPeers       bool // the next leader doesn't reach its process
 	leadershipConfirmedAt time.Duration
 	appendInFlight        bool
 	delayedMessages       []message
--- a/internal/shard/leaderchange_test.go
+++ b/internal/shard/leaderchange_test.go
@@ -26,7 +26,7 @@
 		if crashed || sim.now > giveUpAt {
 			return
 		}
-		if former.frozen || sim.random.IntN(3) == 0 { // the call or its answer is lost
+		if former.frozen || former.cutOffFromPeers || sim.random.IntN(3) == 0 { // the call or its answer is lost
 			sim.schedule(askInterval, nil, ask)
 			return
 		}
@@ -62,6 +62,7 @@
 		former.storeUnreachable = true
 		sim.schedule(upTo(14), nil, func(time.Time) { former.storeUnreachable = false })
 	}
+	former.cutOffFromPeers = sim.random.IntN(2) == 0
 	sim.advance(upTo(2))
 	sim.replaceLeader()
 	leader := sim.leader
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -231,7 +231,7 @@
 // or this leader has not read its lists of runs.
 func (s *Shard) expireLeases(now time.Time) {
 	for _, w := range s.sortedWorkers {
-		if len(w.runs) == 0 || now.Before(s.lastLeaseEnd(w)) || w.failedPolls == 0 && w.listsRead {
+		if len(w.runs) == 0 || !s.leasesOver(now, w) || w.failedPolls == 0 && w.listsRead {
 			continue
 		}
 		s.options.Log("lease-over", "worker", w.ID, "runs", len(w.runs), "looks-failed", w.failedPolls, "read", w.listsRead, "listed", w.listed, "absent", w.absent,
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -138,7 +138,7 @@
 func (s *Shard) forgetWorkers(now time.Time) {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && now.After(s.lastLeaseEnd(w)) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) {
 			delete(s.workers, w.ID)
 			delete(s.workersToRead, w.ID)
 			s.deleteWorkerRecord(w)
@@ -210,6 +210,13 @@
 	return maxTime(end, w.formerClockEnd)
 }
 
+// leasesOver reports whether no lease is left on the worker. Without a confirmation from after
+// the end of the leases that this leader knows of, a successor may have renewed them.
+func (s *Shard) leasesOver(now time.Time, w *worker) bool {
+	end := s.lastLeaseEnd(w)
+	return !now.Before(end) && !s.confirmedAt.Before(end)
+}
+
 // sendDuePolls sends the polls that are due.
 func (s *Shard) sendDuePolls(now time.Time) {
 	for _, w := range s.sortedWorkers {
@@ -492,9 +499,9 @@
 func (s *Shard) mayHaveUnknownRuns(now time.Time, w *worker) bool {
 	switch {
 	case !w.listsRead:
-		return now.Before(s.lastLeaseEnd(w))
+		return !s.leasesOver(now, w)
 	case w.resultsIncomplete:
-		return w.failedPolls == 0 || now.Before(s.lastLeaseEnd(w))
+		return w.failedPolls == 0 || !s.leasesOver(now, w)
 	}
 	return false
 }
