Count a failed run once if the acknowledgement of its result is lost

A caller would see a job as failed after fewer failed runs than its queue allows (LOST).

Cause: a result counted as acknowledged once its acknowledgement was sent. If that call was lost, it was not sent again to a worker without runs. If the worker then was unlisted for more than 4 s, its state and record were deleted, and when it came back in the same incarnation it listed the result again. A result as failed was counted twice.

Change: a result is acknowledged when the worker has answered the call that acknowledges it. A worker with handled results that aren't acknowledged is kept for a minute after it left the list.

Evidence: TestResultOfUnlistedWorkerIsCountedOnce failed before in all three cases: "job failed with too few failed runs", and for a lost call alone the result stayed at the worker. go test ./internal/shard: ok.

Not covered: the leader changes while the worker is unlisted, and the next one forgets it before it comes back.

--- a/internal/shard/results_test.go
+++ b/internal/shard/results_test.go
@@ -143,3 +143,34 @@
 		})
 	}
 }
+
+// Guards against a failed run that counts twice, and so fails its job, because its worker was
+// unlisted for some seconds before the acknowledgement of its result arrived.
+func TestResultOfUnlistedWorkerIsCountedOnce(t *testing.T) {
+	for name, unlistedFor := range map[string]time.Duration{"a moment": 0, "longer than its last lease": 10 * time.Second, "20 s": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 45, 2, workerSize)
+			sim.workers[0].failsTasks, sim.workers[1].failsTasks = true, true
+			sim.advance(time.Second)
+			sim.onLog = func(event string, keyvals []any) {
+				if event != "run-ended" {
+					return
+				}
+				sim.onLog = nil
+				failed := sim.worker(keyvals[5].(string))
+				failed.unreachable, failed.listed = true, unlistedFor == 0
+				sim.workers[0].failsTasks, sim.workers[1].failsTasks = false, false
+				sim.schedule(max(unlistedFor, time.Second), nil, func(time.Time) { failed.unreachable, failed.listed = false, true })
+			}
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, 30*time.Second)}}, 30*time.Second)
+			sim.advance(time.Second)
+			sim.requireAllEnded(time.Minute)
+			state, _ := sim.leader.shard.State(id(0))
+			require.Equal(t, job.Completed, state)
+			require.Equal(t, 2, sim.startCount)
+			for _, worker := range sim.workers {
+				require.Empty(t, worker.results, "the acknowledgement is sent again")
+			}
+		})
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -58,6 +58,9 @@
 	// forgetWorkerAfter is how long the state of an unlisted worker without runs is
 	// kept: twice the 2 s after which the platform counts a worker as gone.
 	forgetWorkerAfter = 4 * time.Second
+	// forgetResultsAfter is how long an unlisted worker is kept whose handled results may
+	// not be acknowledged.
+	forgetResultsAfter = time.Minute
 	// retentionMargin is how long final states are kept beyond
 	// Options.FinalStateRetention.
 	retentionMargin = 30 * time.Second
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -47,7 +47,7 @@
 		s.lastCleanup = now
 		s.removeEndedJobs(now)
 		s.forgetWorkers(now)
-		s.deleteIdleRecords()
+		s.deleteIdleRecords(now)
 		s.removeExpiredJobs(now)
 	}
 }
--- a/internal/shard/workerrecords.go
+++ b/internal/shard/workerrecords.go
@@ -1,5 +1,7 @@
 package shard
 
+import "time"
+
 // recordIfPlaceable schedules the storage of a worker's record if it has none. It is
 // stored before the worker gets its first task. An entry whose worker never answered
 // gets none, as the next leader waits for every worker with a record.
@@ -12,12 +14,12 @@
 // deleteIdleRecords deletes the records of workers that get no more tasks and have no
 // runs. Otherwise the next leader would have to read these workers before it starts
 // any task of a stored job.
-func (s *Shard) deleteIdleRecords() {
+func (s *Shard) deleteIdleRecords(now time.Time) {
 	if s.batchInFlight {
 		return // the batch in flight may contain the record
 	}
 	for _, w := range s.sortedWorkers {
-		if w.listsRead && !w.resultsIncomplete && !w.placeable() && len(w.runs) == 0 && !w.dirty {
+		if w.listsRead && !w.resultsIncomplete && !w.placeable() && len(w.runs) == 0 && !w.dirty && !w.mayRepeatResults(now) {
 			s.deleteWorkerRecord(w)
 		}
 	}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -35,7 +35,8 @@
 	storedResult        int64 // the effects of the results up to this one are stored
 	inFlightResult      int64 // as storedResult, once the batch in flight is stored
 	unstoredResults     []unstoredResult
-	acknowledgedResult  int64 // of the last result that was acknowledged to the worker
+	acknowledgedResult  int64 // of the last result whose acknowledgement the worker has answered
+	inFlightAck         int64 // the acknowledgement in the poll in flight
 	recordStored        bool  // its record is stored and not suspended, so it may get tasks
 	// suspended means that the worker is recorded as suspended or will be, see
 	// suspendAfter.
@@ -138,7 +139,7 @@
 func (s *Shard) forgetWorkers(now time.Time) {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) && !w.mayRepeatResults(now) {
 			delete(s.workers, w.ID)
 			delete(s.workersToRead, w.ID)
 			s.deleteWorkerRecord(w)
@@ -150,6 +151,12 @@
 	s.sortedWorkers = kept
 }
 
+// mayRepeatResults reports whether a worker that comes back would list results that were
+// handled before: it hasn't answered their acknowledgement, and may be only cut off.
+func (w *worker) mayRepeatResults(now time.Time) bool {
+	return w.listsRead && w.acknowledgedResult < w.handledResult && (w.listed || now.Sub(w.unlistedAt) <= forgetResultsAfter)
+}
+
 // placeable reports whether the worker is listed and not draining.
 func (w *worker) placeable() bool { return w.listed && !w.Draining }
 
@@ -264,7 +271,7 @@
 
 func (s *Shard) sendPoll(w *worker, poll Poll) {
 	w.pollInFlight = true
-	w.acknowledgedResult = max(w.acknowledgedResult, poll.AckThrough)
+	w.inFlightAck = poll.AckThrough
 	s.commands.Polls = append(s.commands.Polls, poll)
 }
 
@@ -356,6 +363,7 @@
 		w.suspended = false
 		s.markWorkerDirty(w) // its leases are renewed once this record is stored
 	}
+	w.acknowledgedResult = max(w.acknowledgedResult, w.inFlightAck)
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
 	w.nextPollAt = now
 	firstAnswer, handledBefore := !w.listsRead, w.handledResult
