Test that partitioned leaders don't run a task twice

The test has two leaders that both act: the former one is cut off from the store, from its successor and from one worker; the successor reaches only that worker. Each process now has its own way to the other nodes in the tests, next to the one to the store, and a cut loses the answers to calls that are under way.

It fails on the present code (entry-0 is the former leader with epoch 6, entry-1 its successor with epoch 7):

06:16:35.5 entry-0 run-ordered task=bb.0.0.0 run=327681 worker=i-review-0 06:16:36.56 entry-1 right-claimed cause=silent former-acts-for=10s 06:16:36.57 entry-1 worker-read worker=i-review-0 running=2 06:16:40.884 entry-0 lease-over worker=i-review-0 runs=2 proof-age=5.388s 06:16:40.884 entry-0 run-ordered task=bb.0.0.0 run=327682 worker=i-review-1 06:16:40.884 entry-0 run-ordered task=aa.0.0.0 run=327682 worker=i-review-2

bb.0.0.0: run 327681 on i-review-0, then run 327682 on i-review-1 after an end as done that was acknowledged (1.4 s before) aa.0.0.0: run 327681 on i-review-0, then run 327682 on i-review-2 while the earlier one was on its worker

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -36,44 +35,9 @@
 	site           *standin.Site
 	nodes          []*node
 	adviserAddress netip.AddrPort
-	cores          float64 // of each VM; 0 counts as a small one
-}
-
-// storeProxy forwards one node's calls to the store. While unavailable is set,
-// it answers them with status 503. While silent is set, it holds them back, and
-// then carries them out even if the caller has left.
-type storeProxy struct {
-	store               http.Handler
-	unavailable, silent atomic.Bool
-	appendDelay         atomic.Int64 // before each append of a shard's records, in ns
-	link                slowLink
-}
-
-func (p *storeProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if delay := p.appendDelay.Load(); delay > 0 && strings.Contains(r.URL.RawQuery, "producer=") {
-		time.Sleep(time.Duration(delay))
-	}
-	if p.unavailable.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if p.silent.Load() {
-		body, _ := io.ReadAll(r.Body)
-		for p.silent.Load() {
-			time.Sleep(time.Millisecond)
-		}
-		r = r.Clone(context.WithoutCancel(r.Context()))
-		r.Body = io.NopCloser(bytes.NewReader(body))
-	}
-	if strings.HasSuffix(r.URL.Path, "/log-newest") {
-		// The stand-in store holds its lock until it has written the answer.
-		answer := httptest.NewRecorder()
-		p.store.ServeHTTP(answer, r)
-		w.WriteHeader(answer.Code)
-		_, _ = slowWriter{w, &p.link}.Write(answer.Body.Bytes())
-		return
-	}
-	p.store.ServeHTTP(slowWriter{w, &p.link}, r)
+	cores          float64                      // of each VM; 0 counts as a small one
+	workers        map[string][]*standin.Worker // by service
+	isolated       sync.Map                     // the IP addresses of nodes whose calls to and from other nodes are lost
 }
 
 type node struct {
@@ -120,15 +84,14 @@
 func newCell(t *testing.T, nodes int) *cell { return newCellWithCores(t, nodes, 0) }
 
 func newCellWithCores(t *testing.T, nodes int, cores float64) *cell {
-	c := &cell{t: t, site: standin.New(), cores: cores}
+	c := &cell{t: t, site: standin.New(), cores: cores, workers: map[string][]*standin.Worker{}}
 	t.Cleanup(c.site.Close)
 	address, err := c.site.Serve(http.HandlerFunc(standin.Adviser))
 	require.NoError(t, err)
 	c.adviserAddress = netip.MustParseAddrPort(address)
 	for i := range 3 {
 		for _, service := range []string{"ledger", "review"} {
-			_, err := c.site.AddWorker(fmt.Sprintf("i-%s-%d", service, i), service, 16000, 32000, 8)
-			require.NoError(t, err)
+			c.addWorker(fmt.Sprintf("i-%s-%d", service, i), service, 16000)
 		}
 	}
 	for i := range nodes {
@@ -137,6 +100,13 @@
 	return c
 }
 
+func (c *cell) addWorker(id, service string, milliCPU int) *standin.Worker {
+	worker, err := c.site.AddWorker(id, service, milliCPU, 32000, 8)
+	require.NoError(c.t, err)
+	c.workers[service] = append(c.workers[service], worker)
+	return worker
+}
+
 func (c *cell) start(number int) *node {
 	ip := loopback.New()
 	storeProxy := &storeProxy{store: c.site.Store}
@@ -156,6 +126,9 @@
 	n.cancel = cancel
 	recorder := event.New(context.Background(), event.Options{Out: n.logs, Node: n.settings.Node, RateLimit: entry.LogLinesPerSecond, Burst: entry.LogLinesBurst})
 	n.process = entry.New(n.settings, recorder)
+	n.process.WrapPeerTransport(func(transport http.RoundTripper) http.RoundTripper {
+		return peerNetwork{transport, &c.isolated, ip.String()}
+	})
 	n.process.SetSinceBoot(func() time.Duration { return uptime.Now() + time.Duration(n.suspended.Load()) })
 	go func() { n.ended <- n.process.Run(ctx) }()
 	c.nodes = append(c.nodes, n)
@@ -384,23 +357,36 @@
 // leader returns the node that leads a service's first shard.
 func (c *cell) leader(service string) *node {
 	c.t.Helper()
-	var found *node
+	found, _ := c.leadership(service)
+	return found
+}
+
+// leadership returns the node that leads a service's first shard, and its epoch.
+func (c *cell) leadership(service string) (leader *node, epoch int) {
+	c.t.Helper()
 	require.Eventually(c.t, func() bool {
-		newest := -1
-		for _, n := range c.nodes {
-			for _, line := range strings.Split(n.logs.String(), "\n") {
-				var epoch int
-				if at := strings.Index(line, "epoch="); strings.Contains(line, "name=right-claimed") && strings.Contains(line, "service="+service+"/0 ") {
-					_, err := fmt.Sscanf(line[at:], "epoch=%d", &epoch)
-					if err == nil && epoch > newest {
-						newest, found = epoch, n
-					}
+		leader, epoch = c.newestClaim(service)
+		return leader != nil
+	}, 10*time.Second, 20*time.Millisecond)
+	return leader, epoch
+}
+
+// newestClaim returns the node that claimed a service's first shard last, and its epoch;
+// nil if none has.
+func (c *cell) newestClaim(service string) (found *node, newest int) {
+	newest = -1
+	for _, n := range c.nodes {
+		for _, line := range strings.Split(n.logs.String(), "\n") {
+			var epoch int
+			if at := strings.Index(line, "epoch="); strings.Contains(line, "name=right-claimed") && strings.Contains(line, "service="+service+"/0 ") {
+				_, err := fmt.Sscanf(line[at:], "epoch=%d", &epoch)
+				if err == nil && epoch > newest {
+					newest, found = epoch, n
 				}
 			}
 		}
-		return found != nil
-	}, 10*time.Second, 20*time.Millisecond)
-	return found
+	}
+	return found, newest
 }
 
 // otherThan returns a node other than the given one.
--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -1,6 +1,9 @@
 package entry
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // PanicInControlLoop makes the control loop of a shard panic. It reports false if this
 // process doesn't lead the shard.
@@ -12,3 +15,9 @@
 // SetSinceBoot replaces the clock that times the confirmations of leadership. Call it
 // before Run.
 func (p *Process) SetSinceBoot(read func() time.Duration) { p.sinceBoot = read }
+
+// WrapPeerTransport replaces the transport of the calls to other nodes by what wrap
+// returns for it. Call it before Run.
+func (p *Process) WrapPeerTransport(wrap func(http.RoundTripper) http.RoundTripper) {
+	p.peerClient.client.Transport = wrap(p.peerClient.client.Transport)
+}
