Test that a restarted successor waits for the leases of earlier leaders

The leader of three long tasks is cut off from the store and the other node. Its successor is killed right after its claim and started again, and reaches another worker than the former leader, which renews its leases for 10 s after its last confirmation.

It fails on the present code (entry-0 is the former leader with epoch 6, which renewed leases until it lost its authority at 06:16:45.5):

06:16:36.571 entry-1 right-claimed epoch=7 cause=silent former-acts-for=10s 06:16:36.580 entry-1 right-claimed epoch=8 cause=own-former-boot former=entry-1 former-epoch=7 former-acts-for=0s 06:16:42.232 entry-1 settled after=5.651s unread=3 bound=5.602s 06:16:42.232 entry-1 run-ordered task=aa.0.0.0 run=458753 worker=i-spare 06:16:45.492 entry-0 authority has=false epoch=6

aa.0.0.0: run 327681 on i-review-0, then run 458753 on i-spare while the earlier one was on its worker (and so aa.0.0.1 and aa.0.0.2)

--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -58,3 +58,37 @@
 	require.NotSame(t, former, c.leader("review"))
 	c.requireNoRepeatedRuns()
 }
+
+// Guards against a new leader that takes the leases of the leader before the last one for
+// over, because it replaces the previous boot of its own process: that one was killed
+// right after its claim.
+func TestRestartedSuccessorWaitsForLeasesOfEarlierLeaders(t *testing.T) {
+	t.Parallel()
+	c := newCellWithCores(t, 2, 1)
+	c.configure(1)
+	runs := c.submitTasks("00000000000000aa", 3, 9000, time.Minute)
+	time.Sleep(2 * time.Second) // until the store has answered the other node's polls for long enough
+	former, formerEpoch := c.leadership("review")
+	successor := c.otherThan(former)
+	for _, worker := range c.workers["review"] {
+		worker.SetReachable(func(fencingToken int64) bool { return fencingToken <= int64(formerEpoch) })
+	}
+	spare := c.addWorker("i-spare", "review", 64000)
+	spare.SetReachable(func(fencingToken int64) bool { return fencingToken > int64(formerEpoch) })
+	c.isolate(former)
+	killedEpoch := 0
+	require.Eventually(t, func() bool {
+		leader, epoch := c.newestClaim("review")
+		killedEpoch = epoch
+		return leader == successor
+	}, 5*time.Second, time.Millisecond)
+	spare.SetReachable(func(fencingToken int64) bool { return fencingToken > int64(killedEpoch) })
+	c.isolate(successor)
+	successor.cancel()
+	restarted := c.start(slices.Index(c.nodes, successor))
+	for _, run := range runs {
+		c.requireEnded(run, 20*time.Second)
+	}
+	require.Same(t, restarted, c.leader("review"))
+	c.requireNoRepeatedRuns()
+}
