Count a crash only if the worker's process has ended in time

Cause: when a lease was over, a worker that was unlisted, or whose address refused connections, counted as crashed under each run that no report had shown 0.5 s after its start, and two such crashes end the job. But an entry expires after 4.5 s of silence, the lease lasts 5.4 s, and whatever cuts a worker off may refuse connections for it. The runs end as lapsed.

Now a crash counts only with proof that the process ended while the lease of the run lasted: a report of another incarnation that by its own clock started before the earliest end of that lease, or another worker that answers at the address (421) before it. A loss without proof makes a task suspected, as before, so that its next run is a trial. The trial after a lost one waits 1 s, then twice as long each time, up to 64 s, until one survives; the count is stored. platform.WorkerAbsent becomes PollFailure, which tells a 421 from a refused connection. The event worker-crashed becomes start-lost: it was logged for workers that had not crashed.

The simulation now answers 421 for a replaced worker and unlists a crashed one after 4.5 s.

--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -96,7 +96,7 @@
 	})
 	l.process.metrics.countPoll(err)
 	if err != nil {
-		l.enqueue(func(now time.Time) { l.shard.PollFailed(now, poll.ID, platform.WorkerAbsent(err), err.Error()) })
+		l.enqueue(func(now time.Time) { l.shard.PollFailed(now, poll.ID, platform.PollFailure(err), err.Error()) })
 		return
 	}
 	l.enqueue(func(now time.Time) { l.shard.PollAnswered(now, sent, poll.ID, report) })
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -50,7 +50,7 @@
 		{747, "worker-read", Info, "The holder read the worker's lists of runs for the first time.", noAction, false},
 		{748, "worker-entry-bad", Warn, "An entry of the list of workers is invalid and was skipped.", "Correct the entry.", false},
 		{749, "worker-shunned", Warn, "Tasks of several jobs failed or stalled on the worker; it gets no new task for a while.", "Inspect the VM if it repeats.", false},
-		{751, "worker-crashed", Warn, "A worker crashed while runs on it were at their start; the next run of each of their tasks is the only one at its start on its worker.", "Inspect the VM if it repeats.", false},
+		{751, "start-lost", Warn, "A worker was lost while a run on it was at its start; the next run of its task is the only one at its start on its worker. The field crashed says whether the worker is known to have crashed under the run.", "Inspect the VM if it repeats.", false},
 
 		{760, "accepted", Info, "A job was stored and its caller was answered.", noAction, false},
 		{761, "refused", Info, "A job was refused; the fields give the reason and the time after which to retry.", noAction, false},
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -252,7 +252,7 @@
 	Done       bool   `cbor:"4,keyasint,omitempty"`
 	Failures   int    `cbor:"5,keyasint,omitempty"`
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
-	// Suspected means that a worker crashed while a run of the task, or of its gang, was
+	// Suspected means that a worker was lost while a run of the task, or of its gang, was
 	// at its start, and no run has survived its start since. Crashes is the number of
 	// workers that crashed under a run whose start they had confirmed, and TrialCrashes
 	// of those that crashed under a trial, confirmed or not.
@@ -263,6 +263,8 @@
 	// and was not seen to survive its start.
 	TrialRun    int64  `cbor:"10,keyasint,omitempty"`
 	TrialWorker string `cbor:"11,keyasint,omitempty"`
+	// LostTrials is the number of trials in a row whose worker was lost.
+	LostTrials int `cbor:"12,keyasint,omitempty"`
 }
 
 // WorkerRecord records that a worker may have tasks, and which of its run results were
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -50,6 +50,16 @@
 	Wait       time.Duration
 }
 
+// PollFailure says what the failure of a Poll shows about the worker.
+type PollFailure int
+
+// Failures of a Poll.
+const (
+	NoAnswer          PollFailure = iota // or the worker answered with an error
+	ConnectionRefused                    // it has ended, or something in between refuses for it
+	WorkerReplaced                       // another worker answers at its address, so it has ended
+)
+
 // AdviceRequest asks the placement adviser which workers may run a step.
 type AdviceRequest struct {
 	Step    string   // name of the step
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -12,6 +12,11 @@
 // suspected. The next run of a suspected task is its trial: no other run on the worker is
 // at its start meanwhile, so a second crash shows the cause. A trial is stored before its
 // start order is sent, so that the next leader counts a crash under it.
+//
+// A crash is counted only if the process of the worker ended while the lease of the run
+// lasted. A later report of another incarnation shows that, or another worker that
+// answers at its address. A worker that is cut off runs on: its silence, its expired
+// entry, refused connections and the end of its lease make its tasks suspected at most.
 
 const (
 	// maxCrashes is the number of workers that may crash under a task, counted for runs
@@ -21,6 +26,11 @@
 	// startupPeriod is the age at which a run has survived its start if the worker's
 	// report shows it.
 	startupPeriod = 500 * time.Millisecond
+	// The trial after a lost one waits for firstTrialDelay, which doubles with each
+	// further one up to maxTrialDelay: if no crash can be shown, a poison task isn't given
+	// up, but the number of workers that it crashes grows only with the logarithm of time.
+	firstTrialDelay = time.Second
+	maxTrialDelay   = 64 * time.Second
 )
 
 // crashOwner returns the task that has the crash count of a task: the first task of a
@@ -36,52 +46,87 @@
 // at its start, and no run has survived its start since.
 func (t *task) isSuspected() bool { return t.crashOwner().suspected }
 
-// crashed reports whether a worker that is lost has crashed. A worker that is only cut off
-// from this process is listed, and nothing else answers at its address.
-func (w *worker) crashed() bool { return !w.Draining && (!w.listed || w.absent) }
+// trialDelay returns the pause before the next trial of the task.
+func (t *task) trialDelay() time.Duration {
+	delay := firstTrialDelay
+	for range t.crashOwner().lostTrials - 1 {
+		delay = min(2*delay, maxTrialDelay)
+	}
+	return delay
+}
+
+// mayHaveCrashed reports whether a worker that is lost may have crashed. Most workers that
+// are only cut off from this process are listed, and their address refuses nothing.
+func (w *worker) mayHaveCrashed() bool { return !w.Draining && (!w.listed || w.absent) }
+
+// earliestLeaseEnd returns the earliest end of a lease that lasts until the given reading
+// of the worker's clock, which is never fast.
+func (w *worker) earliestLeaseEnd(until time.Duration) time.Time {
+	return w.clockReadAt.Add(until - w.clock)
+}
 
-// recordCrash counts the crash of a worker for the tasks whose runs had not survived their
-// start, or only for those on trial if there are any. Runs that the new incarnation has
-// reported are none of them.
-func (s *Shard) recordCrash(now time.Time, w *worker, report Report) {
+// recordLoss makes the tasks suspected whose runs on a lost worker had not survived their
+// start, or only those on trial if there are any. Runs that the new incarnation has
+// reported are none of them. If the process of the worker is known to have ended, endedBy
+// is the latest time at which it did, and the crash is counted for the runs that can't
+// have lapsed before; otherwise endedBy is the zero time.
+func (s *Shard) recordLoss(now time.Time, w *worker, endedBy time.Time, report Report) {
 	var young []*run
 	onTrial := false
 	for _, r := range w.runs {
-		if r.survivedStart || r.unsent || r.crashRecorded || report.lists(RunKey{r.task.name(), r.number}) {
+		if r.survivedStart || r.unsent || r.lossRecorded || report.lists(RunKey{r.task.name(), r.number}) {
 			continue
 		}
-		r.crashRecorded = true
+		r.lossRecorded = true
 		young = append(young, r)
 		onTrial = onTrial || r.trial
 	}
-	if len(young) > 0 {
-		s.options.Log("worker-crashed", "worker", w.ID, "runs", len(w.runs), "starting", len(young), "trial", onTrial,
-			"born", report.Incarnation, "listed", w.listed, "absent", w.absent, "failed-polls", w.failedPolls)
-	}
 	for _, r := range young {
 		j := r.task.step.occurrence.job
 		owner := r.task.crashOwner()
-		if r.trial != onTrial || r.task.done || j.state.Ended() || owner.crashedRun == r.number {
+		if r.trial != onTrial || r.task.done || j.state.Ended() {
 			continue
 		}
-		owner.crashedRun = r.number
-		if r.trial {
-			owner.trialCrashes++
-		}
-		if !r.startedAt.IsZero() && (r.trial || !owner.suspected) {
-			owner.crashes++
-		}
+		crashed := !endedBy.IsZero() && endedBy.Before(maxTime(r.leaseHeldUntil, w.leaseHeldUntil))
+		s.options.Log("start-lost", "task", r.task.name(), "run", r.number, "worker", w.ID, "crashed", crashed, "trial", r.trial, "starting", len(young),
+			"runs", len(w.runs), "born", report.Incarnation, "listed", w.listed, "absent", w.absent, "failed-polls", w.failedPolls)
 		owner.suspected = true
 		r.task.avoidWorker = w.ID
+		if r.trial {
+			if owner.lostTrial != r.number {
+				owner.lostTrial = r.number
+				owner.lostTrials++
+			}
+			r.task.notBefore = now.Add(r.task.trialDelay())
+		}
 		s.markJobStarted(j)
 		s.markJobDirty(j)
-		if max(owner.crashes, owner.trialCrashes) >= maxCrashes {
-			s.options.Log("poison-task", "task", r.task.name(), "run", r.number, "worker", w.ID, "crashes", owner.crashes, "trials", owner.trialCrashes)
-			s.endJob(now, j, job.Failed)
+		if crashed {
+			s.countCrash(now, r)
 		}
 	}
 }
 
+// countCrash counts the crash of a worker for the task of a run, and ends its job after
+// maxCrashes.
+func (s *Shard) countCrash(now time.Time, r *run) {
+	owner := r.task.crashOwner()
+	if owner.crashedRun == r.number {
+		return
+	}
+	owner.crashedRun = r.number
+	if r.trial {
+		owner.trialCrashes++
+	}
+	if !r.startedAt.IsZero() && (r.trial || owner.crashes == 0) {
+		owner.crashes++
+	}
+	if max(owner.crashes, owner.trialCrashes) >= maxCrashes {
+		s.options.Log("poison-task", "task", r.task.name(), "run", r.number, "worker", r.worker.ID, "crashes", owner.crashes, "trials", owner.trialCrashes)
+		s.endJob(now, r.task.step.occurrence.job, job.Failed)
+	}
+}
+
 // lists reports whether the report has the run, running or ended.
 func (r Report) lists(key RunKey) bool {
 	return slices.ContainsFunc(r.Running, func(status RunStatus) bool { return status.RunKey == key }) ||
@@ -109,10 +154,10 @@
 	return true
 }
 
-// clearSuspicion resets the crash count of a task.
+// clearSuspicion resets the counts of crashes and lost trials of a task.
 func (s *Shard) clearSuspicion(t *task) {
 	if owner := t.crashOwner(); owner.suspected {
-		owner.suspected, owner.crashes, owner.trialCrashes = false, 0, 0
+		owner.suspected, owner.crashes, owner.trialCrashes, owner.lostTrials = false, 0, 0, 0
 		s.markJobDirty(t.step.occurrence.job)
 	}
 }
@@ -127,7 +172,7 @@
 	w.unstoredResults = nil
 	w.firstClock = w.clock
 	s.markWorkerDirty(w)
-	s.recordCrash(now, w, report)
+	s.recordLoss(now, w, now.Add(-report.Clock), report)
 	for _, r := range slices.Clone(w.runs) {
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
 			continue // the order may reach the new incarnation; its answer or the next report shows that
--- a/internal/shard/modelworker_test.go
+++ b/internal/shard/modelworker_test.go
@@ -46,6 +46,8 @@
 	resultTimes       map[int64]time.Duration // by sequence number: when the run ended
 	down              bool
 	unreachable       bool
+	refuses           bool               // its address refuses connections while it is unreachable
+	replaced          bool               // another worker answers at its address
 	cutOff            map[*instance]bool // instances that can't reach the worker while others can
 	listed            bool
 	failsTasks        bool    // all runs that it starts fail
@@ -327,6 +329,7 @@
 		}
 		m.countCrash(true)
 		m.loseAll()
+		sim.schedule(entryExpiry, nil, func(time.Time) { m.listed = m.listed && (!m.down || m.incarnation != incarnation) })
 		sim.schedule(sim.crashLength, nil, func(time.Time) {
 			switch {
 			case !m.down || m.incarnation != incarnation:
@@ -334,6 +337,7 @@
 				sim.replaceWorker(m)
 			default:
 				m.restart()
+				m.listed = true
 			}
 		})
 	})
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -144,7 +144,7 @@
 				}
 				stored := job.TaskProgress{
 					Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
-					Suspected: t.suspected, Crashes: t.crashes, TrialCrashes: t.trialCrashes,
+					Suspected: t.suspected, Crashes: t.crashes, TrialCrashes: t.trialCrashes, LostTrials: t.lostTrials,
 				}
 				if trial != nil {
 					stored.TrialRun, stored.TrialWorker = trial.number, trial.worker.ID
@@ -280,7 +280,7 @@
 			continue
 		}
 		t.failures, t.checkpoint = stored.Failures, stored.Checkpoint
-		t.suspected, t.crashes, t.trialCrashes = stored.Suspected, stored.Crashes, stored.TrialCrashes
+		t.suspected, t.crashes, t.trialCrashes, t.lostTrials = stored.Suspected, stored.Crashes, stored.TrialCrashes, stored.LostTrials
 		if stored.TrialWorker != "" && !stored.Done {
 			trials = append(trials, storedTrial{t, stored.TrialRun, stored.TrialWorker})
 		}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -62,10 +62,13 @@
 }
 
 func (s *Shard) sendStart(now time.Time, r *run) {
-	r.startAttempts++
+	until := s.extendLease(now, r.worker)
+	if r.startAttempts++; r.startAttempts == 1 {
+		r.leaseHeldUntil = r.worker.earliestLeaseEnd(until)
+	}
 	s.commands.Starts = append(s.commands.Starts, Start{
 		RunKey: RunKey{r.task.name(), r.number}, Target: r.worker.target(),
-		Text: r.task.step.occurrence.job.accepted.Spec.Text, LeaseUntil: s.extendLease(now, r.worker),
+		Text: r.task.step.occurrence.job.accepted.Spec.Text, LeaseUntil: until,
 		Checkpoint: r.task.checkpoint, Ticket: r.ticket,
 	})
 }
@@ -236,8 +239,8 @@
 		}
 		s.options.Log("lease-over", "worker", w.ID, "runs", len(w.runs), "looks-failed", w.failedPolls, "read", w.listsRead, "listed", w.listed, "absent", w.absent,
 			"over-for", now.Sub(s.lastLeaseEnd(w)), "proof-age", now.Sub(s.confirmedAt), "silent", now.Sub(w.lastReply))
-		if w.crashed() {
-			s.recordCrash(now, w, Report{})
+		if w.mayHaveCrashed() {
+			s.recordLoss(now, w, time.Time{}, Report{})
 		}
 		for _, r := range slices.Clone(w.runs) {
 			s.removeRun(now, r, "lease-over")
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -205,6 +205,8 @@
 	crashes       int       // workers that crashed under a run whose start was confirmed
 	trialCrashes  int       // workers that crashed under a trial
 	crashedRun    int64     // number of the last run under which a crash was counted
+	lostTrials    int       // trials whose worker was lost, with or without a crash
+	lostTrial     int64     // run number of the last one
 }
 
 // phase is the stage of a run between its start order and its end.
@@ -241,7 +243,10 @@
 	trial           bool    // of a suspected task
 	unsent          bool    // a trial whose start order has not been sent
 	loaded          bool    // a trial that a former leader stored and no report has shown
-	crashRecorded   bool    // the crash of its worker was counted
+	lossRecorded    bool    // recordLoss has handled the loss of its worker
+	// leaseHeldUntil is the earliest end of the lease of its first start order, if the
+	// worker got that.
+	leaseHeldUntil time.Time
 }
 
 // New returns an empty shard. Call Load before any other method.
--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -137,7 +137,9 @@
 		if w == nil {
 			continue
 		}
-		r := &run{task: trial.task, number: trial.number, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, pace: paceUnknown, trial: true, loaded: true}
+		r := &run{task: trial.task, number: trial.number, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, pace: paceUnknown, trial: true, loaded: true,
+			leaseHeldUntil: now.Add(s.options.Lease), // it was ordered by now
+		}
 		trial.task.lastRunNumber = max(trial.task.lastRunNumber, trial.number)
 		s.attachRun(r)
 		w.hold = trialHold{task: trial.task.crashOwner(), trial: r}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -55,8 +55,10 @@
 	reportedLeaseEnd   time.Time
 	pollInFlight       bool
 	nextPollAt         time.Time
-	failedPolls        int  // consecutive polls without an answer
-	absent             bool // nothing or another worker was at its address at the last poll
+	failedPolls        int           // consecutive polls without an answer
+	absent             bool          // the last poll was refused, or answered by another worker
+	polledLease        time.Duration // of the poll in flight: Poll.LeaseUntil
+	leaseHeldUntil     time.Time     // the last lease that is known to be granted doesn't end before
 	hold               trialHold
 	lastReply          time.Time
 	answeredPollSentAt time.Time     // when the last answered poll was sent
@@ -256,7 +258,7 @@
 }
 
 func (s *Shard) sendPoll(w *worker, poll Poll) {
-	w.pollInFlight = true
+	w.pollInFlight, w.polledLease = true, poll.LeaseUntil
 	w.acknowledgedResult = max(w.acknowledgedResult, poll.AckThrough)
 	s.commands.Polls = append(s.commands.Polls, poll)
 }
@@ -303,16 +305,18 @@
 )
 
 // PollFailed handles a Poll of the worker with this ID that had no answer or was
-// refused. The worker is absent if nothing listens at its address, or another worker.
-// The cause is only logged.
-func (s *Shard) PollFailed(now time.Time, id string, absent bool, cause string) {
+// refused. The cause is only logged.
+func (s *Shard) PollFailed(now time.Time, id string, failure PollFailure, cause string) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
 	w.pollInFlight = false
 	w.failedPolls++
-	w.absent = absent
+	w.absent = failure != NoAnswer
+	if failure == WorkerReplaced && !w.Draining {
+		s.recordLoss(now, w, now, Report{})
+	}
 	w.stale = true
 	w.nextPollAt = now
 	if w.failedPolls > 1 {
@@ -350,6 +354,9 @@
 		s.markWorkerDirty(w) // its leases are renewed once this record is stored
 	}
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
+	if w.polledLease > 0 && report.Incarnation == w.observedIncarnation {
+		w.leaseHeldUntil = maxTime(w.leaseHeldUntil, w.earliestLeaseEnd(w.polledLease))
+	}
 	w.nextPollAt = now
 	firstAnswer, handledBefore := !w.listsRead, w.handledResult
 	if report.Incarnation != w.observedIncarnation {
