Keep the leadership if only an own newer copy of a batch fences an older one

Cause: each copy of a batch has a higher producer epoch. A store that was silent may carry out a newer copy first and refuse the older one as fenced. Its answer ended the leadership, although nobody had claimed; the same process claimed again as its own previous boot.

Change: a leader steps down only if the refused attempt is its newest at the partition. A successor refuses that one too.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -100,7 +100,8 @@
 // knows a newer epoch.
 func (l *shardLeader) fence(ctx context.Context, p int, epoch int64) error {
 	sent := l.process.sinceBoot()
-	return l.handleAppendResult(p, "fence", sent, l.send(ctx, ledger.Attempt{Partition: p, Epoch: epoch}))
+	attempt := ledger.Attempt{Partition: p, Epoch: epoch}
+	return l.handleAppendResult(attempt, "fence", sent, l.send(ctx, attempt))
 }
 
 // send appends the records of an attempt.
@@ -117,16 +118,19 @@
 }
 
 // handleAppendResult confirms leadership if an append succeeded, and steps down
-// if it was fenced.
-func (l *shardLeader) handleAppendResult(p int, call string, sent time.Duration, err error) error {
+// if another leader has fenced it. A newer copy of the same batch that the store
+// carried out first fences it too.
+func (l *shardLeader) handleAppendResult(attempt ledger.Attempt, call string, sent time.Duration, err error) error {
 	switch {
 	case err == nil:
 		l.confirm(sent)
+	case platform.Fenced(err) && attempt.Epoch < l.newestEpochs[attempt.Partition].Load():
+		l.process.log("copy-superseded", "call", call, "service", l.key, "partition", attempt.Partition, "epoch", l.epoch)
 	case platform.Fenced(err):
 		l.stepDown("the store refused an append of an older epoch")
 	case errors.Is(err, context.Canceled): // the other partition answered first, or the leader has ended
 	default:
-		l.process.log("store-call-failed", "call", call, "service", l.key, "partition", p, "proof-age", l.confirmationAge(), "cause", err)
+		l.process.log("store-call-failed", "call", call, "service", l.key, "partition", attempt.Partition, "proof-age", l.confirmationAge(), "cause", err)
 	}
 	return err
 }
@@ -253,11 +257,12 @@
 // prepareAppend prepares the append of the current batch to a partition.
 func (l *shardLeader) prepareAppend(p int) (call func(context.Context) error, succeeded func()) {
 	attempt := l.ledger.Attempt(p)
+	l.newestEpochs[p].Store(attempt.Epoch)
 	call = func(ctx context.Context) error {
 		started, sent := time.Now(), l.process.sinceBoot()
 		err := l.send(ctx, attempt)
 		l.process.metrics.observeAppend(time.Since(started), err)
-		return l.handleAppendResult(p, "append", sent, err)
+		return l.handleAppendResult(attempt, "append", sent, err)
 	}
 	return call, func() {
 		if p != l.ledger.Current() {
@@ -354,10 +359,11 @@
 	if !due {
 		return
 	}
+	l.newestEpochs[attempt.Partition].Store(attempt.Epoch)
 	ctx, cancel := context.WithTimeout(l.ctx, minSecondDelay)
 	defer cancel()
 	sent := l.process.sinceBoot()
-	if l.handleAppendResult(attempt.Partition, "drop", sent, l.send(ctx, attempt)) == nil {
+	if l.handleAppendResult(attempt, "drop", sent, l.send(ctx, attempt)) == nil {
 		l.ledger.Confirm(attempt)
 	}
 }
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -77,6 +77,8 @@
 	confirmNow chan struct{} // requests a confirmation
 	appendMu   sync.Mutex    // serializes the uses of ledger and recordsStoredAt
 	ledger     *ledger.Ledger
+	// newestEpochs are the producer epochs of the newest attempts, by partition.
+	newestEpochs [ledger.Partitions]atomic.Int64
 	// recordsStoredAt is when the last append of records succeeded.
 	recordsStoredAt time.Time
 	// appendLatency is the time that recent appends took, in ns.
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -38,6 +38,7 @@
 		{733, "count-begun", Info, "A node started to count the workers of a new service; the other nodes wait for the result.", noAction, false},
 		{734, "count-left", Info, "This node does not count the workers of a new service, because another node started first or the store did not answer.", noAction, false},
 		{732, "partition-changed", Warn, "One of the two partitions for a shard's records did not answer in time; records are now written to the other one.", noAction, false},
+		{736, "copy-superseded", Info, "The store refused a copy of a batch because it had carried out a newer copy of the same leader.", noAction, false},
 		{728, "authority", Warn, "The holder lost or regained the proof that it holds the right; without it no task starts.", noAction, false},
 
 		{740, "worker-listed", Info, "A worker joined the service.", noAction, false},
