Count adopted runs as beyond their start

Callers saw a task wait for a trial, and its job come nearer to being given up, because its worker was lost right after a change of leader, though the run had worked for seconds.

Cause: adoptRun set startedAt to the time of the adoption, so to the new leader the run was at its start until a report 0.5 s later.

Evidence: TestAdoptedRunsAreNotAtTheirStart, 6 of 6 cases red before:

Now an adopted run has survived its start. Trials aren't affected: they are stored, so the next leader knows them without adopting them.

A leader also adopted runs of its own: a run that it had ordered while its worker restarted was removed by handleRestart and adopted from the same report.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -177,6 +177,9 @@
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
 			continue // the order may reach the new incarnation; its answer or the next report shows that
 		}
+		if !r.survivedStart && report.lists(RunKey{r.task.name(), r.number}) {
+			continue // the order has reached the new incarnation; an adopted run would count as beyond its start
+		}
 		s.removeRun(now, r, "worker-restarted")
 	}
 	s.placementChanged = true
--- a/internal/shard/loss_test.go
+++ b/internal/shard/loss_test.go
@@ -94,3 +94,42 @@
 		}
 	}
 }
+
+// Guards against a task that is suspected because its worker is lost right after a change of
+// leader, though its run was far beyond its start: to the new leader it must not look as if
+// it had just started.
+func TestAdoptedRunsAreNotAtTheirStart(t *testing.T) {
+	standing := tasks(1, 1000, time.Second)
+	standing.LongRunning = true
+	for name, step := range map[string]job.Step{"standing": standing, "finite": tasks(1, 1000, time.Minute), "gang": gang(3, 2, time.Minute)} {
+		for loss, lose := range map[string]func(sim *simulation, m *modelWorker){
+			"crashed": func(sim *simulation, m *modelWorker) {
+				m.crash()
+				sim.schedule(3*time.Second, nil, func(time.Time) { m.restart() })
+			},
+			"cut off": func(sim *simulation, m *modelWorker) { sim.cutWorker(m, false) },
+		} {
+			t.Run(name+", "+loss, func(t *testing.T) {
+				sim := newSimulation(t, 56, 6, workerSize)
+				sim.advance(time.Second)
+				sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{step}}, time.Minute)
+				sim.advance(5 * time.Second)
+				require.Equal(t, step.Count, sim.startCount)
+				sim.leader.dead = true
+				sim.replaceLeader()
+				sim.onLog = func(event string, keyvals []any) { require.NotEqual(t, "start-lost", event, "%v", keyvals) }
+				sim.advance(60 * time.Millisecond)
+				_, adopted := sim.leader.shard.CountJobsAndRuns()
+				require.Equal(t, step.Count, adopted)
+				for _, m := range sim.workers {
+					if len(m.runs) > 0 {
+						lose(sim, m)
+					}
+				}
+				sim.advance(20 * time.Second)
+				require.Empty(t, sim.violations)
+				require.Equal(t, 2*step.Count, sim.startCount)
+			})
+		}
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -239,7 +239,7 @@
 	stopRequested   bool
 	usage           float64 // tail latency or CPU use, see RunStatus.Usage
 	pace            int     // speed in percent that was ordered last, or paceUnknown
-	survivedStart   bool    // it was reported startupPeriod after its start
+	survivedStart   bool    // it was reported startupPeriod after its start, or adopted
 	trial           bool    // of a suspected task
 	unsent          bool    // a trial whose start order has not been sent
 	loaded          bool    // a trial that a former leader stored and no report has shown
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -464,7 +464,11 @@
 		w.nextPollAt = now.Add(pollRetryDelay)
 		return
 	}
-	r := &run{task: t, number: status.Run, worker: w, phase: phaseRunning, orderedAt: now, startedAt: now, progressedAt: now, pace: paceUnknown}
+	// When the run started isn't known. Most are beyond their start, and a run that isn't
+	// known to be at it must not make its task suspected.
+	r := &run{
+		task: t, number: status.Run, worker: w, phase: phaseRunning, orderedAt: now, startedAt: now, progressedAt: now, pace: paceUnknown, survivedStart: true,
+	}
 	s.attachRun(r)
 	t.lastRunNumber = max(t.lastRunNumber, status.Run)
 	s.markJobStarted(t.step.occurrence.job)
