Wait for all former leaders unless a record shows that they are over

Cause: after a claim of an own, vacant or released leadership the next leader waits for the leases of the leader that it replaced (0 or 1 s and a lease). The leader before that one may be cut off from the store and act for 10 s after its last confirmation, if the replaced one led for a shorter time. How the last leader ended says nothing of the others.

Change: a leader stores, with the epoch of its claim, that no leader before it acts or has leases any more, once the time for which it waits itself is over. This is counted from the loading of the state; both partitions had refused its predecessors by then, so none has a later confirmation. The next leader compares the epoch with that of the claim that it replaces. If they differ it waits for 10 s and a lease. A release names the claim that it ends, as its own record has another epoch; one that doesn't counts as unknown. By induction OrphanTimeout now covers all former leaders, so LeaseEnds needs no bound of its own. No time of day is compared.

The former leader is asked for its lease ends for that longer time too.

TestInvariantsUnderLeaderChanges plays more: a successor that crashes right after its claim, released leaderships, next leaders that know of a crash, up to 10 s between two changes, and 50 s. A dead instance asks its former leader no more.

It costs a longer wait for workers that can't be read after two changes of leader within 5.6 to 15.6 s, if the last leader doesn't report its leases.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -35,6 +35,9 @@
 	// Released means that any node may claim leadership. The leader goes on
 	// until one does.
 	Released bool
+	// ReleasedClaim is the epoch of the claim that was released; 0 if leadership isn't
+	// released, or the record doesn't say.
+	ReleasedClaim int64
 }
 
 const (
@@ -171,7 +174,7 @@
 )
 
 // FormerLeaderActsFor is how long after the claim the former leader may still
-// extend leases. A refused connection doesn't prove that its process ended: a
+// extend leases. It says nothing of the leaders before that one. A refused connection doesn't prove that its process ended: a
 // network can refuse connections too.
 func (c Cause) FormerLeaderActsFor() time.Duration {
 	switch c {
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -35,7 +35,9 @@
 		p.log("record-unreadable", "key", record.Key, "cause", err)
 		return
 	}
-	p.updateLeader(record.Key, election.Leader{Epoch: record.Offset + 1, Node: decoded.Node, Boot: decoded.Boot, Address: decoded.Address, Released: decoded.Released}, "store")
+	p.updateLeader(record.Key, election.Leader{
+		Epoch: record.Offset + 1, Node: decoded.Node, Boot: decoded.Boot, Address: decoded.Address, Released: decoded.Released, ReleasedClaim: decoded.ReleasedClaim,
+	}, "store")
 }
 
 // updateLeader records a shard's leader as reported by the store or another
@@ -484,7 +486,7 @@
 		p.mu.Lock()
 		expectedEnd := p.leadersEnd
 		p.mu.Unlock()
-		record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true}
+		record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true, ReleasedClaim: l.epoch}
 		offset, _, err := p.appendLeaderRecord(ctx, l.key, record, expectedEnd)
 		if err == nil {
 			l.releasedEpoch.Store(offset + 1)
--- a/internal/entry/leaseends.go
+++ b/internal/entry/leaseends.go
@@ -91,7 +91,7 @@
 		Former: newPeerLeader(l.key, former),
 		New:    newPeerLeader(l.key, election.Leader{Epoch: l.epoch, Node: p.settings.Node, Boot: p.boot, Address: p.address}),
 	}
-	for began := time.Now(); time.Since(began) < l.orphanTimeout && l.ctx.Err() == nil; l.pause(leaseEndsInterval) {
+	for began := time.Now(); time.Since(began) < l.maxOrphanTimeout && l.ctx.Err() == nil; l.pause(leaseEndsInterval) {
 		ctx, cancel := context.WithTimeout(l.ctx, leaseEndsTimeout)
 		answer, err := callPeer[leaseEndsAnswer](ctx, p.peerClient, former.Address, pathLeaseEnds, request)
 		cancel()
--- a/internal/entry/leaseends_test.go
+++ b/internal/entry/leaseends_test.go
@@ -5,10 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/event"
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/shard"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -73,3 +76,72 @@
 	_, err = p.ledShard(l.key)
 	require.ErrorIs(t, err, errNotLeader)
 }
+
+// Guards against a leader that takes the leases of the leader before the last one for over
+// because the last one is known to be over: it led for a short time only, or a released
+// leadership was taken for its claim.
+func TestClaimBoundsLeasesOfAllFormerLeaders(t *testing.T) {
+	const lastEpoch = 7
+	leaseSeconds := maxLease.Seconds() * shard.LeaseDriftFactor
+	lease := time.Duration(leaseSeconds*float64(time.Second)) + leaseMargin
+	maxEnd := election.MaxConfirmationAge + lease
+	claim := leaderRecord{Node: "entry-2", Boot: 1}
+	release := leaderRecord{Node: "entry-2", Boot: 1, Released: true, ReleasedClaim: lastEpoch}
+	oldRelease := leaderRecord{Node: "entry-2", Boot: 1, Released: true}
+	for name, c := range map[string]struct {
+		record *leaderRecord // that the new leader replaced; nil if there is none
+		offset int64
+		ledFor time.Duration // by the last leader
+		cause  election.Cause
+		want   time.Duration
+	}{
+		"the last leader crashed after a long time":      {&claim, lastEpoch - 1, 20 * time.Second, election.OwnPreviousBoot, lease},
+		"the last leader crashed soon":                   {&claim, lastEpoch - 1, time.Second, election.OwnPreviousBoot, maxEnd},
+		"the last leader stepped down soon":              {&claim, lastEpoch - 1, time.Second, election.NotLeading, maxEnd},
+		"another leader claimed after the last one":      {&claim, lastEpoch, 20 * time.Second, election.OwnPreviousBoot, maxEnd},
+		"the last leader released its leadership":        {&release, lastEpoch + 2, 20 * time.Second, election.Released, election.MaxConfirmationAgeReleased + lease},
+		"the last leader released its leadership soon":   {&release, lastEpoch + 2, time.Second, election.Released, maxEnd},
+		"a release that doesn't say which claim":         {&oldRelease, lastEpoch + 2, 20 * time.Second, election.Released, maxEnd},
+		"a leader is recorded, but no leadership record": {nil, 0, 20 * time.Second, election.NeverLed, maxEnd},
+		"nothing is recorded":                            {nil, 0, 0, election.NeverLed, lease},
+		"the last leader is silent":                      {&claim, lastEpoch - 1, 20 * time.Second, election.Silent, maxEnd},
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := platform.Settings{Node: "entry-1", Bounds: platform.Bounds{MaxLease: time.Minute}}
+			p := New(settings, event.New(t.Context(), event.Options{Out: io.Discard, Node: "entry-1"}))
+			ref, now := shardRef{"ledger", 0, 1}, time.Now()
+			worker, err := job.Encode(job.WorkerRecord{Incarnation: 1})
+			require.NoError(t, err)
+			records := []shard.Record{{Key: "wi-1", Value: worker}}
+			last := newShardLeader(t.Context(), p, ref, lastEpoch, election.Leader{}, 0)
+			last.shard.Load(now, nil)
+			last.shard.Tick(now.Add(c.ledFor))
+			records = append(records, last.shard.TakeBatch(now.Add(c.ledFor))...)
+			if c.record != nil {
+				value, err := cbor.Marshal(c.record)
+				require.NoError(t, err)
+				p.applyLeadershipRecord(platform.Record{Key: ref.key(), Value: value, Offset: c.offset})
+			}
+			fromStore := p.leaders[ref.key()]
+			for from, former := range map[string]election.Leader{"store": fromStore, "node": newPeerLeader(ref.key(), fromStore).leader()} {
+				next := newShardLeader(t.Context(), p, ref, lastEpoch+10, former, c.cause.FormerLeaderActsFor())
+				next.shard.Load(now, records)
+				require.Equal(t, c.want, next.shard.LeaseEnds()["i-1"].Sub(now), "the record comes from the %s", from)
+				require.GreaterOrEqual(t, next.maxOrphanTimeout, c.want, "for which the former leader is asked")
+			}
+		})
+	}
+}
+
+// Guards against a release that doesn't tell the next leader which claim it ends.
+func TestReleaseNamesTheClaim(t *testing.T) {
+	p, _, _ := newClaimant(t, false)
+	l := newShardLeader(t.Context(), p, shardRef{"ledger", 0, 1}, 7, election.Leader{}, 0)
+	p.release(t.Context(), l)
+	records, _, err := p.store.Newest(t.Context(), leadershipPartition, time.Second)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	p.applyLeadershipRecord(records[0])
+	require.True(t, p.leaders[l.key].Released)
+	require.Equal(t, l.epoch, replacedEpoch(p.leaders[l.key]))
+}
--- a/internal/entry/peerstate.go
+++ b/internal/entry/peerstate.go
@@ -30,14 +30,16 @@
 	Boot     int64          `cbor:"4,keyasint"`
 	Address  netip.AddrPort `cbor:"5,keyasint"`
 	Released bool           `cbor:"6,keyasint,omitempty"`
+	// ReleasedClaim is the epoch of the claim that was released.
+	ReleasedClaim int64 `cbor:"7,keyasint,omitempty"`
 }
 
 func newPeerLeader(key string, leader election.Leader) peerLeader {
-	return peerLeader{key, leader.Epoch, leader.Node, leader.Boot, leader.Address, leader.Released}
+	return peerLeader{key, leader.Epoch, leader.Node, leader.Boot, leader.Address, leader.Released, leader.ReleasedClaim}
 }
 
 func (l peerLeader) leader() election.Leader {
-	return election.Leader{Epoch: l.Epoch, Node: l.Node, Boot: l.Boot, Address: l.Address, Released: l.Released}
+	return election.Leader{Epoch: l.Epoch, Node: l.Node, Boot: l.Boot, Address: l.Address, Released: l.Released, ReleasedClaim: l.ReleasedClaim}
 }
 
 type peerStateAnswer struct {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -107,6 +107,8 @@
 	Boot     int64          `cbor:"2,keyasint"`
 	Address  netip.AddrPort `cbor:"3,keyasint"`
 	Released bool           `cbor:"4,keyasint,omitempty"`
+	// ReleasedClaim is the epoch of the claim that was released.
+	ReleasedClaim int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Process is the process of one entry VM.
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -62,9 +62,9 @@
 	lost     atomic.Bool
 	released atomic.Bool // leadership is released; another node may claim it
 	// releasedEpoch is the epoch of the record of the release; 0 if it isn't known.
-	releasedEpoch atomic.Int64
-	former        election.Leader // the leader that this one replaced
-	orphanTimeout time.Duration   // see shard.Options
+	releasedEpoch    atomic.Int64
+	former           election.Leader // the leader that this one replaced
+	maxOrphanTimeout time.Duration   // see shard.Options
 	// leaseEnds are the ends of the leases when the control loop had ended; nil if the
 	// state was not loaded, or the loop failed. It may be read once ended is closed.
 	leaseEnds map[string]time.Time
@@ -113,16 +113,28 @@
 	bounds := p.settings.Bounds
 	lease := min(bounds.MaxLease, maxLease)
 	longestLease := time.Duration(float64(lease)*shard.LeaseDriftFactor) + leaseMargin
-	l.orphanTimeout = formerLeaderActsFor + longestLease
+	l.maxOrphanTimeout = election.MaxConfirmationAge + longestLease
 	l.shard = shard.New(shard.Options{
 		Service: key, Epoch: epoch, Lease: lease, MaxWorkerLease: bounds.MaxLease,
-		OrphanTimeout: l.orphanTimeout, MaxOrphanTimeout: election.MaxConfirmationAge + longestLease,
+		ReplacedEpoch: replacedEpoch(former), OrphanTimeout: formerLeaderActsFor + longestLease, MaxOrphanTimeout: l.maxOrphanTimeout,
 		FinalStateRetention: bounds.StateRetention,
 		Log:                 func(event string, keyvals ...any) { p.log(event, append(keyvals, "epoch", epoch)...) },
 	})
 	return l
 }
 
+// replacedEpoch returns the epoch with which the former leader claimed the shard, for
+// shard.Options.
+func replacedEpoch(former election.Leader) int64 {
+	switch {
+	case !former.Released:
+		return former.Epoch
+	case former.ReleasedClaim == 0:
+		return shard.UnknownEpoch
+	}
+	return former.ReleasedClaim
+}
+
 // confirm records that this process was still the leader when a call that the
 // store accepted was sent. The time is a reading of Process.sinceBoot.
 func (l *shardLeader) confirm(sent time.Duration) { l.confirmed.Store(int64(sent)) }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -279,6 +279,12 @@
 	Unstored []int64 `cbor:"4,keyasint,omitempty"`
 }
 
+// FormerLeadersRecord records that no leader of an epoch before OverBefore, which is that of
+// its writer, acts any more or has leases left on a worker.
+type FormerLeadersRecord struct {
+	OverBefore int64 `cbor:"1,keyasint"`
+}
+
 // encodeMode encodes times exactly. The default of the library is whole seconds.
 var encodeMode = func() cbor.EncMode {
 	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -19,6 +19,7 @@
 	frozen                bool
 	storeUnreachable      bool
 	cutOffFromPeers       bool // the next leader doesn't reach its process
+	released              bool // it acts only for a short time without a confirmation
 	leadershipConfirmedAt time.Duration
 	appendInFlight        bool
 	delayedMessages       []message
@@ -41,7 +42,11 @@
 		inst.leadershipConfirmedAt = sim.now
 	}
 	inst.shard.SetConfirmed(sim.startTime.Add(inst.leadershipConfirmedAt))
-	inst.shard.SetAuthority(sim.now-inst.leadershipConfirmedAt < 10*time.Second)
+	maxConfirmationAge := 10 * time.Second
+	if inst.released {
+		maxConfirmationAge = time.Second
+	}
+	inst.shard.SetAuthority(sim.now-inst.leadershipConfirmedAt < maxConfirmationAge)
 	inst.shard.Tick(sim.time())
 	commands := inst.shard.TakeCommands()
 	for _, start := range commands.Starts {
--- a/internal/shard/leaderchange_test.go
+++ b/internal/shard/leaderchange_test.go
@@ -12,7 +12,6 @@
 )
 
 // askInterval is the time after which an instance repeats a call to the former leader.
-
 const askInterval = 400 * time.Millisecond
 
 // askFormerLeader calls the former leader, which steps down and answers when its leases
@@ -23,7 +22,7 @@
 	var ask func(now time.Time)
 	ask = func(now time.Time) {
 		crashed := former.dead && !former.steppedDown
-		if crashed || sim.now > giveUpAt {
+		if crashed || inst.dead || sim.now > giveUpAt {
 			return
 		}
 		if former.frozen || former.cutOffFromPeers || sim.random.IntN(3) == 0 { // the call or its answer is lost
@@ -44,15 +43,18 @@
 }
 
 // changeLeader replaces the leader. The former one has crashed, is frozen for some time, or
-// is refused by the store for some time and still orders starts. For some time the new
-// leader can't reach some workers that the former one may reach; if the network is split,
-// the former leader reaches only these.
+// is refused by the store for some time and still orders starts; it may have released its
+// leadership before, or its successor may crash right after its claim. For some time the
+// new leader can't reach some workers that the former one may reach; if the network is
+// split, the former leader reaches only these.
 func (sim *simulation) changeLeader() {
 	former := sim.leader
 	upTo := func(seconds int) time.Duration {
 		return time.Duration(1+sim.random.IntN(seconds*10)) * 100 * time.Millisecond
 	}
-	switch sim.random.IntN(4) {
+	sim.crashesUnknown = sim.random.IntN(2) == 0
+	fault := sim.random.IntN(6)
+	switch fault {
 	case 0:
 		former.dead = true
 	case 1:
@@ -63,8 +65,14 @@
 		sim.schedule(upTo(14), nil, func(time.Time) { former.storeUnreachable = false })
 	}
 	former.cutOffFromPeers = sim.random.IntN(2) == 0
+	former.released = fault == 4
 	sim.advance(upTo(2))
 	sim.replaceLeader()
+	if fault == 5 {
+		sim.leader.dead = true
+		sim.advance(upTo(2))
+		sim.replaceLeader()
+	}
 	leader := sim.leader
 	split := sim.random.IntN(2) == 0
 	for _, worker := range sim.workers {
@@ -80,7 +88,7 @@
 	}
 }
 
-// simulateLeaderChanges submits random jobs for 40 s with a change of leader each few
+// simulateLeaderChanges submits random jobs for 50 s with a change of leader each few
 // seconds, and then ends all faults.
 func simulateLeaderChanges(t testing.TB, seed uint64, leaseEndError time.Duration) *simulation {
 	sim := newSimulation(t, seed, 6, job.Demand{MilliCPU: 16000, MemoryMB: 32000})
@@ -90,8 +98,8 @@
 	}
 	sim.advance(time.Second)
 	number := 0
-	for end := 40 * time.Second; sim.now < end; {
-		for range 1 + sim.random.IntN(12) {
+	for end := 50 * time.Second; sim.now < end; {
+		for range 1 + sim.random.IntN(20) {
 			sim.submitRandomJob(number)
 			number++
 			sim.advance(500 * time.Millisecond)
@@ -165,6 +173,47 @@
 	}
 }
 
+// Guards against two runs of a task when a leader concludes from how the last leader ended
+// that none acts: the one before it may, if the last one led only for a short time.
+func TestLeaderBeforeTheLastMayStillAct(t *testing.T) {
+	for name, c := range map[string]struct {
+		ledFor   time.Duration // by the last leader
+		released bool          // the last leader released its leadership
+	}{
+		"the last leader crashed right after its claim":     {ledFor: 0},
+		"the last leader crashed after it read the workers": {ledFor: 2 * time.Second},
+		"the last leader released its leadership":           {ledFor: 500 * time.Millisecond, released: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 55, 3, workerSize)
+			sim.advance(time.Second)
+			sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, 30*time.Second)}}, 30*time.Second)
+			sim.advance(time.Second)
+			require.Equal(t, 1, sim.startCount)
+			first := sim.leader
+			first.storeUnreachable = true
+			successors := map[*instance]bool{}
+			replace := func() {
+				sim.replaceLeader()
+				successors[sim.leader] = true
+			}
+			for _, worker := range sim.workers {
+				worker.cutOff = map[*instance]bool{first: true}
+				if len(worker.runs) > 0 {
+					worker.cutOff = successors
+				}
+			}
+			replace()
+			sim.advance(c.ledFor)
+			sim.leader.released, sim.leader.dead = c.released, !c.released
+			replace()
+			sim.advance(20 * time.Second)
+			require.Empty(t, sim.violations)
+			require.Equal(t, 2, sim.startCount, "the task starts again once the first leader's lease is over")
+		})
+	}
+}
+
 // Guards against a leader that passes on less than it must: leases of leaders before it
 // may be left on workers that it never read.
 func TestReportIncludesEarlierLeaders(t *testing.T) {
--- a/internal/shard/leaseends.go
+++ b/internal/shard/leaseends.go
@@ -17,9 +17,9 @@
 }
 
 // formerLeaseEnd returns the time after which no lease of any earlier leader is left on a
-// worker that this leader has not read. OrphanTimeout may cover only the last of them.
+// worker that this leader has not read.
 func (s *Shard) formerLeaseEnd(w *worker) time.Time {
-	end := s.loadedAt.Add(s.options.MaxOrphanTimeout)
+	end := s.loadedAt.Add(s.options.OrphanTimeout)
 	if w.leaseEndReported && w.reportedLeaseEnd.Before(end) {
 		return w.reportedLeaseEnd
 	}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -23,6 +23,9 @@
 	workerPrefix   = "w"
 )
 
+// formerLeadersKey is the key of the job.FormerLeadersRecord.
+const formerLeadersKey = "f"
+
 // ActivityKey is the key of the record that a leader without changes stores to show that
 // it works. Load ignores it.
 const ActivityKey = "a"
@@ -78,6 +81,10 @@
 		batch = append(batch, Record{Key: key})
 	}
 	s.deletedKeys = nil
+	if s.formerLeadersUnrecorded {
+		s.formerLeadersUnrecorded = false
+		add(formerLeadersKey, job.FormerLeadersRecord{OverBefore: s.options.Epoch})
+	}
 	remaining := s.dirtyJobs[:0]
 	for _, j := range s.dirtyJobs {
 		if size > s.maxBatchBytes {
@@ -120,7 +127,7 @@
 // HasChanges reports whether TakeBatch has something to do: state has changed, and no
 // batch is in flight. Some changes need no record, so TakeBatch may still return none.
 func (s *Shard) HasChanges() bool {
-	return !s.batchInFlight && (len(s.dirtyJobs) > 0 || len(s.dirtyWorkers) > 0 || len(s.deletedKeys) > 0)
+	return !s.batchInFlight && (len(s.dirtyJobs) > 0 || len(s.dirtyWorkers) > 0 || len(s.deletedKeys) > 0 || s.formerLeadersUnrecorded)
 }
 
 func (s *Shard) progressOf(now time.Time, j *jobState) job.Progress {
@@ -185,6 +192,7 @@
 // skips records that it can't decode. Call it before any other method.
 func (s *Shard) Load(now time.Time, records []Record) {
 	s.loadedAt = now
+	s.loadFormerLeaders(records)
 	progress := map[string]job.Progress{}
 	for _, record := range records {
 		if id, found := strings.CutPrefix(record.Key, progressPrefix); found && len(record.Value) > 0 {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -66,6 +66,9 @@
 	retentionMargin = 30 * time.Second
 )
 
+// UnknownEpoch is an Options.ReplacedEpoch that no record matches.
+const UnknownEpoch = -1
+
 // Options are the settings of a shard.
 type Options struct {
 	// Service is the name of the service in the log.
@@ -76,10 +79,14 @@
 	Lease time.Duration
 	// MaxWorkerLease is the longest lease that a worker allows.
 	MaxWorkerLease time.Duration
-	// OrphanTimeout is the time from Load after which no run of a former leader
-	// can be left on a worker that could not be reached.
+	// ReplacedEpoch is the epoch with which the leader that this one replaced claimed the
+	// shard: 0 if there was none, and UnknownEpoch if it isn't known.
+	ReplacedEpoch int64
+	// OrphanTimeout is the time from Load after which no run of the replaced leader can be
+	// left on a worker that could not be reached.
 	OrphanTimeout time.Duration
-	// MaxOrphanTimeout is the same if nothing is known of the former leaders.
+	// MaxOrphanTimeout is the same for any former leader. Load sets OrphanTimeout to it
+	// unless a record shows that the leaders before the replaced one are over.
 	MaxOrphanTimeout time.Duration
 	// FinalStateRetention is how long callers can query the final state of a job.
 	FinalStateRetention time.Duration
@@ -112,6 +119,10 @@
 	// lists of runs must be read before tasks of stored jobs may start.
 	workersToRead map[string]bool
 	recovered     bool // all runs of former leaders are known or over
+	// formerLeadersOver means that no former leader acts any more or has leases left, and
+	// formerLeadersUnrecorded that no batch contains the record of it yet.
+	formerLeadersOver       bool
+	formerLeadersUnrecorded bool
 
 	dirtyJobs        []*jobState
 	dirtyWorkers     []*worker
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -32,8 +32,11 @@
 	// orphanTimeoutAfterCrash covers only that lease. It applies if the former leader is
 	// known to have crashed.
 	orphanTimeoutAfterCrash = 6500 * time.Millisecond
-	gangTimeout             = 3 * time.Second // how long a worker waits for the other members of a gang
-	ticketLifetime          = 2 * time.Second
+	// orphanTimeoutAfterRelease covers that lease and the second for which a leader that
+	// released its leadership acts without a confirmation.
+	orphanTimeoutAfterRelease = time.Second + orphanTimeoutAfterCrash
+	gangTimeout               = 3 * time.Second // how long a worker waits for the other members of a gang
+	ticketLifetime            = 2 * time.Second
 )
 
 // modelJob is the simulation's state of a submitted job.
@@ -162,12 +165,19 @@
 func (sim *simulation) replaceLeader() {
 	sim.epoch += 1 + int64(sim.random.IntN(5))
 	inst := &instance{simulation: sim, epoch: sim.epoch, leadershipConfirmedAt: sim.now}
-	timeout := orphanTimeout
-	if sim.leader != nil && sim.leader.dead && !sim.crashesUnknown {
+	timeout, replaced := orphanTimeout, int64(0)
+	if sim.leader != nil {
+		replaced = sim.leader.epoch
+	}
+	switch {
+	case sim.leader == nil:
+	case sim.leader.dead && !sim.crashesUnknown:
 		timeout = orphanTimeoutAfterCrash
+	case sim.leader.released:
+		timeout = orphanTimeoutAfterRelease
 	}
 	inst.shard = shard.New(shard.Options{
-		Service: "ledger", Epoch: inst.epoch, Lease: taskLease, MaxWorkerLease: maxWorkerLease, OrphanTimeout: timeout, MaxOrphanTimeout: orphanTimeout, FinalStateRetention: 2 * time.Minute,
+		Service: "ledger", Epoch: inst.epoch, Lease: taskLease, MaxWorkerLease: maxWorkerLease, ReplacedEpoch: replaced, OrphanTimeout: timeout, MaxOrphanTimeout: orphanTimeout, FinalStateRetention: 2 * time.Minute,
 		Log: func(event string, keyvals ...any) {
 			if os.Getenv("SHARD_LOG") != "" {
 				sim.t.Log(sim.now, inst.epoch, event, keyvals)
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -20,6 +20,7 @@
 // Call it after each group of events and at least every 50 ms.
 func (s *Shard) Tick(now time.Time) {
 	s.checkRecovered(now)
+	s.checkFormerLeadersOver(now)
 	for _, j := range s.activeJobs {
 		if j.accepted.Spec.Repeat > 0 && !j.state.Ended() && j.nextOccurrence < j.accepted.Spec.Occurrences() {
 			s.createDueOccurrences(now, j)
