Start a step after a gang only if no member's end is known elsewhere

Callers saw a task run on two workers at a time (TWICE) after a change of leader: a former leader that was cut off from the store and its successor both started the step after a gang.

Cause: a new leader starts a stored step before all workers are read if the step before it was ended by a run whose worker refuses the former leader (endedHere). The tasks of a gang end together, and one such end stands for all. So a former leader that reaches the worker of another member, which the successor hasn't read, or read only while a poll of the former leader waited there, learns of the same end.

Evidence: TestFormerLeaderThatReadsAnotherGangMemberDoesNotStartTasksTwice, on the code before:

Its other two cases, in which both members are read, pass before and after.

Now the workers of all members must have refused former leaders for the longest wait of a poll before the end. Then no worker could tell a former leader of it. A report that may lack results doesn't show that a run had not ended, so it no longer counts, for single tasks either. TestStepAfterGangStartsWhileAnotherWorkerIsUnread shows that the step still starts at once where all members were read; it passes before and after.

--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -127,9 +127,7 @@
 	switch result.EndReason {
 	case EndDone:
 		s.recordRunTime(now, r, duration)
-		// A former leader's poll may have waited at the worker when this leader read it.
-		// Its answer lists ends of the next pollWait. This run was running after that.
-		if r != nil && w.previousClock-w.firstClock >= pollWait {
+		if r != nil && endUnknownToFormerLeaders(r) {
 			t.step.endedHere = true
 		}
 		s.taskDone(now, t)
@@ -143,3 +141,33 @@
 		s.requeue(now, t)
 	}
 }
+
+// endUnknownToFormerLeaders reports whether no former leader can know that a run ended as
+// done. The end of one member of a gang stands for all of them, so the workers of all
+// members must refuse former leaders.
+func endUnknownToFormerLeaders(r *run) bool {
+	if !r.worker.refusedFormerLeaders(r.worker.previousClock) {
+		return false
+	}
+	if !r.task.step.spec.Gang {
+		return true
+	}
+	for _, member := range r.task.step.tasks {
+		if member == r.task {
+			continue
+		}
+		i := slices.IndexFunc(member.runs, func(other *run) bool { return other.number == r.number })
+		if i < 0 || !member.runs[i].worker.refusedFormerLeaders(member.runs[i].worker.clock) {
+			return false
+		}
+	}
+	return true
+}
+
+// refusedFormerLeaders reports whether no former leader can learn of the end of a run that
+// the worker listed when its clock showed runningAt, its reading in the last report before
+// the one that lists the end. A former leader's poll may have waited at the worker when
+// this leader read it; its answer lists ends of the next pollWait.
+func (w *worker) refusedFormerLeaders(runningAt time.Duration) bool {
+	return !w.resultsIncomplete && runningAt-w.firstClock >= pollWait
+}
