Send a stop again if its worker has restarted

Callers saw two runs of a task at a time (TWICE): its order was in doubt, the worker confirmed a stop and then restarted under its identity, the task was started again, and the late order reached the restarted worker.

Cause: handleRestart keeps a run whose order may still reach the new incarnation, but also kept that the former one had confirmed its stop. The first report after the restart doesn't list the run, which then counted as stopped. The new incarnation knows of no stop, so it carries out a late order.

Evidence: TestStopConfirmedByFormerIncarnationIsSentAgain, on the code before, with one and with two restarts:

Now a restart discards the confirmation, so the stop is sent again until the new incarnation confirms it; that one then rejects the late order. A confirmation by the former incarnation whose answer is read only after the first report of the new one still counts; that is not changed here.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -175,7 +175,10 @@
 	s.recordLoss(now, w, now.Add(-report.Clock), report)
 	for _, r := range slices.Clone(w.runs) {
 		if r.phase == phaseStarting || r.phase == phaseUncertain {
-			continue // the order may reach the new incarnation; its answer or the next report shows that
+			// The order may reach the new incarnation, which knows of no stop. Its answer,
+			// or a report after a new stop, shows whether it does.
+			r.stopConfirmedAt = time.Time{}
+			continue
 		}
 		s.removeRun(now, r, "worker-restarted")
 	}
