Stop late copies of start orders at a restarted worker

A task could run twice at a time, or start again after an end as done that was acknowledged (TWICE), if its worker restarted and then carried out a copy of the order that had got no answer.

Cause: the new incarnation knows neither the run nor a stop of it. handleRestart took the runs of the former incarnation for over, and nothing remembered that a copy of an order might still come.

Change: a leader remembers the start orders without an answer for 30 s. If their worker restarts it stops them at the new incarnation, which rejects them then, and sends the stop again until it is confirmed.

Evidence: TestLateCopyOfOrderIsRejectedAfterRestart failed before ("TWICE: ...0.0.0 starts again after it was handled as done at 2.27s", "run 65537 starts on i-00, run 65538 is on i-00").

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -185,5 +185,7 @@
 		}
 		s.removeRun(now, r, "worker-restarted")
 	}
+	w.stopUnansweredStarts(now, report)
+	s.stopLateStarts(now, w)
 	s.placementChanged = true
 }
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,3 +38,29 @@
 		})
 	}
 }
+
+// Guards against a task that runs again because a copy of its start order had no answer and is
+// carried out late, by a worker that has restarted and knows nothing of the run (TWICE, seed 321
+// of TestInvariantsUnderFaults).
+func TestLateCopyOfOrderIsRejectedAfterRestart(t *testing.T) {
+	for name, runTime := range map[string]time.Duration{"the run has ended as done": 700 * time.Millisecond, "the run was lost with its worker": 20 * time.Second} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				sim := newSimulation(t, 80+seed, 2, workerSize)
+				sim.advance(time.Second)
+				sim.lateStartShare = 1
+				sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, runTime)}}, runTime)
+				sim.advance(100 * time.Millisecond)
+				sim.lateStartShare = 0 // the order is sent again, and answered
+				sim.advance(1500 * time.Millisecond)
+				require.Equal(t, 1, sim.startCount)
+				for _, worker := range sim.workers {
+					worker.crash()
+					worker.restart()
+				}
+				sim.advance(20 * time.Second)
+				require.Empty(t, sim.violations)
+			})
+		}
+	}
+}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -103,6 +103,9 @@
 // StartAnswered handles the answer to a Start. The cause of a result other than
 // StartAccepted is only logged.
 func (s *Shard) StartAnswered(now time.Time, worker string, key RunKey, result StartResult, cause string) {
+	if result == StartUnknown {
+		s.recordUnansweredStart(now, worker, key)
+	}
 	r := s.findRun(worker, key)
 	if r == nil || r.phase == phaseRunning {
 		return
@@ -206,6 +209,9 @@
 // StopAnswered handles the answer to a Stop. If the call failed, done is false and the
 // stop is sent again later.
 func (s *Shard) StopAnswered(now time.Time, worker string, key RunKey, done bool) {
+	if done {
+		s.removeStoppedStart(worker, key)
+	}
 	r := s.findRun(worker, key)
 	if r == nil {
 		return
@@ -221,6 +227,7 @@
 // resendStops resends the stop orders that the worker has not confirmed.
 func (s *Shard) resendStops(now time.Time) {
 	for _, w := range s.sortedWorkers {
+		s.stopLateStarts(now, w)
 		for _, r := range w.runs {
 			stopUnconfirmed := (r.phase == phaseStopping || r.phase == phaseUncertain) && r.stopConfirmedAt.IsZero()
 			if stopUnconfirmed && now.Sub(r.stopSentAt) > stopRetryDelay && s.authority {
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -46,14 +46,16 @@
 	stale             bool // its state may have changed: it gets no new task before its next report
 	resultsIncomplete bool // its last report listed only the oldest results
 
-	clock              time.Duration // reading of the worker's clock at clockReadAt
-	clockReadAt        time.Time
-	previousClock      time.Duration // the reading before clock
-	firstClock         time.Duration // the first reading of this incarnation
-	leaseEnd           time.Time     // no lease that was granted by its present clock lasts longer
-	formerClockEnd     time.Time     // no lease that was granted by a former incarnation's clock lasts longer
-	leaseEndReported   bool          // the former leader reported reportedLeaseEnd
-	reportedLeaseEnd   time.Time
+	clock            time.Duration // reading of the worker's clock at clockReadAt
+	clockReadAt      time.Time
+	previousClock    time.Duration // the reading before clock
+	firstClock       time.Duration // the first reading of this incarnation
+	leaseEnd         time.Time     // no lease that was granted by its present clock lasts longer
+	formerClockEnd   time.Time     // no lease that was granted by a former incarnation's clock lasts longer
+	leaseEndReported bool          // the former leader reported reportedLeaseEnd
+	reportedLeaseEnd time.Time
+	// unansweredStarts are the recent start orders without an answer, see lateorders.go.
+	unansweredStarts   []unansweredStart
 	pollInFlight       bool
 	nextPollAt         time.Time
 	failedPolls        int           // consecutive polls without an answer
