Poll recorded workers before they are listed

After a change of leader standing tasks had no run for 16 s although their workers worked and could be reached: the workers' entries had expired (an outage of the store, or a worker cut off from the store).

Cause: the record of a worker had no address. A new leader that didn't find a worker in the list took it for unreachable: it neither polled it nor renewed its leases, its runs lapsed, and all stored tasks waited for the longest time.

Change: the record has the address, and a new leader polls recorded workers at once. Old records have no address and wait as before.

Evidence: TestRunsOfUnlistedWorkerOutliveTheirLeader failed before ("expected: 6, actual: 10" starts). go test ./internal/shard: ok.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -16,6 +16,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -279,6 +280,8 @@
 	// Unstored lists the results up to HandledResult whose effect isn't stored, each by
 	// its distance from HandledResult.
 	Unstored []int64 `cbor:"4,keyasint,omitempty"`
+	// Address is where the worker takes orders. It isn't valid in old records.
+	Address netip.AddrPort `cbor:"5,keyasint,omitzero"`
 }
 
 // FormerLeadersRecord records that no leader of an epoch before OverBefore, which is that of
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -112,7 +112,7 @@
 		}
 		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
 		add(workerKey(w.ID), job.WorkerRecord{
-			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(),
+			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(), Address: w.Address,
 		})
 		s.inFlightWorkers = append(s.inFlightWorkers, w)
 	}
@@ -250,8 +250,11 @@
 	if record.Suspended { // no lease was renewed since this record was stored
 		w.leaseEnd = now.Add(min(s.options.OrphanTimeout, s.leaseLength()))
 	}
-	w.nextPollAt = now.Add(s.options.OrphanTimeout) // until the worker is listed, its address is unknown
-	w.Incarnation = record.Incarnation
+	w.Incarnation, w.Address = record.Incarnation, record.Address
+	// An entry may expire while its worker works on.
+	if w.nextPollAt = now; !w.Address.IsValid() {
+		w.nextPollAt = now.Add(s.options.OrphanTimeout) // until the worker is listed
+	}
 	s.workers[id] = w
 	s.workersToRead[id] = true
 	s.sortWorkers()
--- a/internal/shard/workers_test.go
+++ b/internal/shard/workers_test.go
@@ -205,6 +205,28 @@
 	require.Empty(t, sim.workers[0].runs)
 }
 
+// Guards against standing tasks that lapse and have no run for 16 s after a change of leader, because
+// the entry of a worker that can be reached has expired: the leases of its runs must be renewed.
+func TestRunsOfUnlistedWorkerOutliveTheirLeader(t *testing.T) {
+	sim := newSimulation(t, 34, 3, workerSize)
+	sim.crashesUnknown = true
+	sim.advance(time.Second)
+	standing := tasks(6, 4000, 500*time.Millisecond)
+	standing.LongRunning = true
+	sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{standing}}, time.Hour)
+	sim.advance(time.Second)
+	require.Equal(t, 6, sim.startCount)
+	for _, worker := range sim.workers {
+		worker.listed = len(worker.runs) == 0
+	}
+	sim.advance(8 * time.Second)
+	sim.leader.dead = true
+	sim.replaceLeader()
+	sim.advance(30 * time.Second)
+	require.Equal(t, 6, sim.startCount, "no task started again")
+	require.Empty(t, sim.violations)
+}
+
 // After a change of leader stored jobs wait until every worker is read that may run
 // their tasks. A step that only became ready under the new leader can't run anywhere, so
 // it must start at once, also if a worker doesn't answer (site rlts-voucher-large, run
