Count only usable workers among those held for trials

Callers saw healthy tasks wait for seconds: after a worker had crashed under them they needed a trial, and trials whose workers had been cut off took all places, half of the usable workers, until the lease of 5.4 s was over.

Cause: trialsLeft compared the held workers, lost ones included, with the number of usable ones.

Evidence: TestTrialsOnLostWorkersDoNotDelayOthers, before: Error: "6.21s" is not less than "2s"

A lost worker takes no start anyway, so holding it costs nothing. Now only usable workers count as held.

--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -12,7 +12,7 @@
 	// maxReplyAge is the time since a worker's last answer within which it gets the start
 	// order of a trial.
 	maxReplyAge = 250 * time.Millisecond
-	// At most one of workersPerTrial workers is held at a time. The others take the
+	// At most one of workersPerTrial usable workers is held at a time. The others take the
 	// starts of tasks that aren't suspected.
 	workersPerTrial = 2
 )
@@ -160,12 +160,13 @@
 func (p *pass) trialsLeft() int {
 	held, usable := 0, 0
 	for _, w := range p.shard.sortedWorkers {
+		if !w.usable() {
+			continue
+		}
+		usable++
 		if w.held(p.now) {
 			held++
 		}
-		if w.usable() {
-			usable++
-		}
 	}
 	return max(1, usable/workersPerTrial) - held
 }
