Start trials on the emptiest worker

Callers saw tasks of other jobs start again and again beside a task that crashed its workers: each crash took down all runs of the worker.

Cause: a trial got its worker like any other task, which fills up the worker that is used most.

Now the candidates for a trial are sorted by the share of their CPU in use. The share outweighs the free share of pass.score, but none of its penalties (rack, avoided or slow worker).

--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -179,7 +180,7 @@
 	if len(free) == 0 {
 		return false
 	}
-	quiet := filter(free, func(c candidate) bool { return c.worker.quiet() })
+	quiet := emptiestFirst(filter(free, func(c candidate) bool { return c.worker.quiet() }))
 	held := p.holdsWorkers(t)
 	if !held && p.trialsLeft() <= 0 {
 		return true
@@ -203,7 +204,7 @@
 	if !p.holdsWorkers(first) && p.trialsLeft() <= 0 {
 		return nil
 	}
-	quiet := filter(valid, func(c candidate) bool { return c.worker.quiet() })
+	quiet := emptiestFirst(filter(valid, func(c candidate) bool { return c.worker.quiet() }))
 	if assignGang(quiet, count, false) != nil {
 		p.releaseHolds(first)
 		return quiet
@@ -230,6 +231,17 @@
 	}
 }
 
+// emptiestFirst sorts the candidates for a trial, which may crash its worker. The share of
+// the CPU in use outweighs the free share of pass.score, but no penalty there.
+func emptiestFirst(candidates []candidate) []candidate {
+	for i := range candidates {
+		w := candidates[i].worker
+		candidates[i].score += 2 * float64(w.used.MilliCPU) / float64(max(1, w.Capacity.MilliCPU))
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	return candidates
+}
+
 func filter(candidates []candidate, keep func(candidate) bool) []candidate {
 	var kept []candidate
 	for _, c := range candidates {
--- a/internal/shard/trial_test.go
+++ b/internal/shard/trial_test.go
@@ -44,3 +44,29 @@
 	require.Positive(t, trialAt)
 	require.Less(t, trialAt-restartedAt, 2*time.Second)
 }
+
+// Guards against a task that takes down many other runs with each worker that it crashes:
+// its trial must start on an empty worker, though other tasks fill up used workers first.
+func TestTrialStartsOnEmptiestWorker(t *testing.T) {
+	for name, step := range map[string]job.Step{"single": tasks(1, 1000, time.Second), "gang": gang(2, 1, time.Second)} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 59, 5, workerSize)
+			sim.advance(time.Second)
+			poison := sim.submitPoison(id(0), urgentTerms, step)
+			sim.advance(2 * time.Second)
+			sim.submit(id(1), batchTerms, job.Spec{Steps: []job.Step{tasks(3, 5000, time.Minute)}}, time.Minute)
+			trials := 0
+			sim.onStart = func(start shard.Start) {
+				if start.Task[:16] != poison.id {
+					return
+				}
+				trials++
+				for _, other := range sim.worker(start.ID).runs {
+					require.Equal(t, poison.id, other.key.Task[:16])
+				}
+			}
+			sim.advance(20 * time.Second)
+			require.GreaterOrEqual(t, trials, step.Count)
+		})
+	}
+}
