Count a release as made from before it is sent

After a released leadership the next leader waits for 1 s and a lease. The former one acted for 10 s without a confirmation until the answer to its release arrived, and for good if that answer was lost.

Change: the leader acts for 1 s after its last confirmation from before it sends the release. Only if the store has refused every release that was sent, or none was sent (platform.HadNoEffect), does that end. A refusal after a release without an answer proves nothing: the condition on the topic's end fails because that release was stored.

--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -480,20 +480,24 @@
 
 // release releases leadership of a shard. It retries, because no node can claim
 // until the store has the release. The leader goes on until another node
-// claims, so no work waits meanwhile.
+// claims, so no work waits meanwhile. Another node may claim before the answer
+// arrives, so leadership counts as released unless no append can be carried out.
 func (p *Process) release(ctx context.Context, l *shardLeader) {
+	mayBeStored := false
 	for ctx.Err() == nil && l.ctx.Err() == nil {
 		p.mu.Lock()
 		expectedEnd := p.leadersEnd
 		p.mu.Unlock()
 		record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true, ReleasedClaim: l.epoch}
+		l.released.Store(true)
 		offset, _, err := p.appendLeaderRecord(ctx, l.key, record, expectedEnd)
 		if err == nil {
 			l.releasedEpoch.Store(offset + 1)
-			l.released.Store(true)
 			p.log("right-released", "service", l.key, "epoch", l.epoch, "offset", offset)
 			return
 		}
+		mayBeStored = mayBeStored || !platform.HadNoEffect(err)
+		l.released.Store(mayBeStored)
 		p.log("release-failed", "service", l.key, "cause", err)
 		l.pause(appendRetryPause)
 	}
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -60,7 +60,7 @@
 	cancel   context.CancelFunc
 	ended    chan struct{}
 	lost     atomic.Bool
-	released atomic.Bool // leadership is released; another node may claim it
+	released atomic.Bool // leadership is or may be released; another node may claim it
 	// releasedEpoch is the epoch of the record of the release; 0 if it isn't known.
 	releasedEpoch    atomic.Int64
 	former           election.Leader // the leader that this one replaced
