Don't lead with a claim that was replaced before its answer

When the answer to a claim arrived, the process led the shard and noted itself as its leader, also if it had learned of a newer leader meanwhile. It then forgot that one, sent its requests to itself, and stepped down only at a refused call.

Change: a claim older than the leader that the process knows is logged as claimed and lost, and the newer leader is kept.

Evidence: TestReplacedClaimDoesNotLead fails in two of four cases before:

a newer claim: expected: false, actual: true both: expected: false, actual: true

and in none after.

--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -395,7 +395,8 @@
 
 // claim appends a leadership record that names this process. The append fails
 // unless the topic still ends at expectedEnd. If it succeeds, this process
-// starts to lead the shard. claim reports whether the record is stored.
+// starts to lead the shard, unless it has learned of a newer claim meanwhile.
+// claim reports whether the record is stored.
 func (p *Process) claim(ctx context.Context, ref shardRef, former election.Leader, cause election.Cause, silence time.Duration, expectedEnd int64) bool {
 	key := ref.key()
 	sent := p.sinceBoot()
@@ -409,6 +410,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leadersEnd = max(p.leadersEnd, end)
+	if p.leaders[key].Epoch > offset+1 {
+		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "another node has a newer claim")
+		return true
+	}
 	p.leaders[key] = election.Leader{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address}
 	l := newShardLeader(ctx, p, ref, offset+1, former, cause.FormerLeaderActsFor())
 	l.confirm(sent)
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -209,3 +209,44 @@
 	elapse(time.Second)
 	requireHealthyFor(time.Second)
 }
+
+// Guards against a process that leads with a claim that another node has replaced already: it
+// would take itself for the leader, and forget the newer one.
+func TestReplacedClaimDoesNotLead(t *testing.T) {
+	key := shardRef{"ledger", 0, 1}.key()
+	for name, c := range map[string]struct {
+		learned []election.Leader // before the claim is answered
+		leads   bool
+	}{
+		"nothing is learned": {nil, true},
+		"its own record":     {[]election.Leader{{Epoch: 1, Node: "entry-1"}}, true},
+		"a newer claim":      {[]election.Leader{{Epoch: 2, Node: "entry-2"}}, false},
+		"both":               {[]election.Leader{{Epoch: 1, Node: "entry-1"}, {Epoch: 2, Node: "entry-2"}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, site, _ := newClaimant(t, false)
+			address, err := site.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/log-append") && r.URL.Query().Get("topic") == leadershipPartition.Topic {
+					p.mu.Lock()
+					for _, leader := range c.learned {
+						p.updateLeader(key, leader, "store")
+					}
+					p.mu.Unlock()
+				}
+				site.Store.ServeHTTP(w, r)
+			}))
+			require.NoError(t, err)
+			p.store = platform.NewStore(netip.MustParseAddrPort(address))
+			require.True(t, p.claim(t.Context(), shardRef{"ledger", 0, 1}, election.Leader{}, election.NeverLed, 0, 0))
+			p.mu.Lock()
+			leader, led := p.leaders[key], p.ledShards[key]
+			p.mu.Unlock()
+			require.Equal(t, c.leads, led != nil)
+			want := election.Leader{Epoch: 1, Node: "entry-1", Boot: p.boot, Address: p.address}
+			if !c.leads {
+				want = c.learned[len(c.learned)-1]
+			}
+			require.Equal(t, want, leader)
+		})
+	}
+}
