Take a shard for vacant only if its leader can't lead any more

A process that doesn't lead the shard of its own record has no authority, so the next leader waits for its leases only (cause not-held). But a new leader refuses heartbeats as well until it has the answer to its claim. Other nodes waited for that for 1 s from when they learned of the claim to when the refusal arrived, so it could have been sent before the answer. And a process that was frozen for more than a second led with an answer that it read when it woke.

Change: only a refusal counts of a heartbeat that was sent 1.1 s after the node learned of the claim, and a claim whose answer is read 1 s or more after it was sent doesn't lead. The process then finds its own record and claims again.

Evidence, before:

TestLeaderThatDoesNotKnowOfItsClaimYet, 2 of 3 cases: expected: false, actual: true TestLateAnswerToClaimDoesNotLead/late: expected: false, actual: true

and none after.

--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -214,8 +214,8 @@
 		}
 	case errors.Is(result.err, errNotLeader):
 		// A new leader refuses heartbeats until it learns that its claim was
-		// stored, so the shard counts as vacant only after claimTimeout.
-		if v.vacantSince.IsZero() && now.Sub(v.learnedAt) >= claimTimeout {
+		// stored. Only a heartbeat that was sent later shows that it never leads.
+		if v.vacantSince.IsZero() && result.sent.Sub(v.learnedAt) >= vacantAfter {
 			v.vacantSince = now
 		}
 	case hadNoEffect(result.err) && !isTimeout(result.err):
@@ -395,8 +395,9 @@
 
 // claim appends a leadership record that names this process. The append fails
 // unless the topic still ends at expectedEnd. If it succeeds, this process
-// starts to lead the shard, unless it has learned of a newer claim meanwhile.
-// claim reports whether the record is stored.
+// starts to lead the shard, unless it has learned of a newer claim meanwhile, or
+// the answer is so late that others may take the shard for vacant. claim reports
+// whether the record is stored.
 func (p *Process) claim(ctx context.Context, ref shardRef, former election.Leader, cause election.Cause, silence time.Duration, expectedEnd int64) bool {
 	key := ref.key()
 	sent := p.sinceBoot()
@@ -415,6 +416,11 @@
 		return true
 	}
 	p.leaders[key] = election.Leader{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address}
+	if p.sinceBoot()-sent >= claimTimeout { // the process was paused
+		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "the answer to the claim was late")
+		p.notifyLeadersChanged()
+		return true
+	}
 	l := newShardLeader(ctx, p, ref, offset+1, former, cause.FormerLeaderActsFor())
 	l.confirm(sent)
 	p.ledShards[key] = l
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -89,6 +89,10 @@
 	claimProbeTimeout = 400 * time.Millisecond
 	// claimTimeout bounds the append of a leadership record.
 	claimTimeout = 1 * time.Second
+	// vacantAfter is how long after its claim a leader may refuse heartbeats until
+	// the shard counts as vacant: claimTimeout, with a margin for the difference
+	// of two clocks.
+	vacantAfter = claimTimeout + claimTimeout/10
 	// drainListenTime is how long a stopping process still accepts connections:
 	// the load balancer needs two health checks, a second apart.
 	drainListenTime = 2200 * time.Millisecond
--- /dev/null
+++ b/internal/entry/vacancy_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/election"
+)
+
+// Guards against a shard that counts as vacant, so that no lease of its leader is waited for,
+// because its leader refused a heartbeat before it learned that its claim is stored.
+func TestLeaderThatDoesNotKnowOfItsClaimYet(t *testing.T) {
+	learnedAt := time.Now().Add(-time.Minute)
+	leader := election.Leader{Epoch: 3, Node: "entry-2"}
+	for name, c := range map[string]struct {
+		sent   time.Duration // after this node learned of the claim
+		vacant bool
+	}{
+		"a heartbeat that the answer to the claim may follow":       {claimTimeout - 100*time.Millisecond, false},
+		"a heartbeat sent when the claim can be answered no more":   {vacantAfter, true},
+		"a clock that is a little faster than that of the claimant": {claimTimeout * 101 / 100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _, _ := newClaimant(t, false)
+			view := &leaderView{leader: leader, learnedAt: learnedAt}
+			p.leaderViews["ledger/0"] = view
+			p.applyHeartbeat("ledger/0", leader, heartbeatResult{err: errNotLeader, sent: learnedAt.Add(c.sent)})
+			require.Equal(t, c.vacant, !view.vacantSince.IsZero())
+		})
+	}
+}
+
+// Guards against a process that leads with a claim that took so long that others may take the
+// shard for vacant: it was frozen before it read the answer.
+func TestLateAnswerToClaimDoesNotLead(t *testing.T) {
+	for name, c := range map[string]struct {
+		took  time.Duration
+		leads bool
+	}{
+		"in time": {claimTimeout - time.Millisecond, true},
+		"late":    {claimTimeout, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _, _ := newClaimant(t, false)
+			ref := shardRef{"ledger", 0, 1}
+			readings := atomic.Int64{}
+			p.sinceBoot = func() time.Duration {
+				if readings.Add(1) == 1 {
+					return time.Minute
+				}
+				return time.Minute + c.took
+			}
+			require.True(t, p.claim(t.Context(), ref, election.Leader{}, election.NeverLed, 0, 0))
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			require.Equal(t, c.leads, p.ledShards[ref.key()] != nil)
+			require.Equal(t, election.Leader{Epoch: 1, Node: "entry-1", Boot: p.boot, Address: p.address}, p.leaders[ref.key()], "the process claims again")
+		})
+	}
+}
