Let only the node of the leader say that it doesn't lead

Any process that got a heartbeat at the leader's address and doesn't lead the shard made it vacant (cause not-held), and the next leader waited for the leases only. If the address has passed to another node, the leader may still act.

Change: a heartbeat names the node that it is for, and another node refuses it with an error that isn't taken for an answer of the leader. Another boot of the same node may answer: it listens at the ports of the former one before it does anything, so that one is over. A heartbeat without a name, of an older version, is answered as before.

Evidence: TestOnlyTheNodeOfTheLeaderSaysThatItDoesNotLead fails in two of three cases before (another node, an answer without a node: expected: false, actual: true), and in none after.

--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -185,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	answer, err := callPeer[heartbeatAnswer](ctx, p.peerClient, leader.Address, pathHeartbeat, heartbeatRequest{
-		Shard: key, Node: p.settings.Node, Address: p.address, NearStore: p.nearStore() && p.settings.Cores >= smallVMCores,
+		Shard: key, Leader: leader.Node, Node: p.settings.Node, Address: p.address, NearStore: p.nearStore() && p.settings.Cores >= smallVMCores,
 	})
 	return heartbeatResult{answer, err, sent}
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -9,6 +9,19 @@
 	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
+// handleHeartbeat answers a heartbeat for the leader of a shard. Only the node that is
+// named as the leader may say that it isn't.
+func (p *Process) handleHeartbeat(ctx context.Context, heartbeat heartbeatRequest) (any, error) {
+	if heartbeat.Leader != "" && heartbeat.Leader != p.settings.Node {
+		return nil, errOtherNode
+	}
+	l, err := p.ledShard(heartbeat.Shard)
+	if err != nil {
+		return nil, err
+	}
+	return l.handleHeartbeat(ctx, heartbeat)
+}
+
 // handleHeartbeat records the sender as a live node and returns the leader's
 // monitors.
 func (l *shardLeader) handleHeartbeat(_ context.Context, heartbeat heartbeatRequest) (heartbeatAnswer, error) {
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -46,6 +46,9 @@
 // errNotLeader means that the called node doesn't lead the shard.
 var errNotLeader = errors.New("the node doesn't hold the right to the service")
 
+// errOtherNode means that the call was for another node, which had this one's address.
+var errOtherNode = errors.New("the call is for another node")
+
 type submitRequest struct {
 	Shard string    `cbor:"1,keyasint"`
 	ID    string    `cbor:"2,keyasint"`
@@ -89,6 +92,8 @@
 	// NearStore is set if the store is in the node's region and the VM isn't
 	// small.
 	NearStore bool `cbor:"4,keyasint,omitempty"`
+	// Leader is the node that the heartbeat is for.
+	Leader string `cbor:"5,keyasint,omitempty"`
 }
 
 type heartbeatAnswer struct {
@@ -232,7 +237,7 @@
 	registerLeaderCall(p, mux, pathState, func(r jobRequest) string { return r.Shard }, (*shardLeader).jobState)
 	registerLeaderCall(p, mux, pathCancel, func(r jobRequest) string { return r.Shard }, (*shardLeader).cancelJob)
 	registerLeaderCall(p, mux, pathWaiting, func(r waitingRequest) string { return r.Shard }, (*shardLeader).waitingJobs)
-	registerLeaderCall(p, mux, pathHeartbeat, func(r heartbeatRequest) string { return r.Shard }, (*shardLeader).handleHeartbeat)
+	registerCall(mux, pathHeartbeat, p.handleHeartbeat)
 	registerCall(mux, pathView, func(_ context.Context, r jobRequest) (any, error) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/internal/entry/vacancy_test.go
+++ b/internal/entry/vacancy_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"net/http/httptest"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -61,3 +63,30 @@
 		})
 	}
 }
+
+// Guards against a shard that counts as vacant because another node has the address of its
+// leader, which may still act.
+func TestOnlyTheNodeOfTheLeaderSaysThatItDoesNotLead(t *testing.T) {
+	for name, c := range map[string]struct {
+		node   string // that answers
+		vacant bool
+	}{
+		"the leader's node":        {"entry-2", true},
+		"another node":             {"entry-3", false},
+		"an answer without a node": {"", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			other, _, _ := newClaimant(t, false)
+			other.settings.Node = c.node
+			peer := httptest.NewServer(other.peerHandler())
+			defer peer.Close()
+			p, _, _ := newClaimant(t, false)
+			leader := election.Leader{Epoch: 3, Node: "entry-2", Address: netip.MustParseAddrPort(peer.Listener.Addr().String())}
+			view := &leaderView{leader: leader, learnedAt: time.Now().Add(-2 * vacantAfter), lastHeard: time.Now()}
+			p.leaderViews["ledger/0"] = view
+			p.applyHeartbeat("ledger/0", leader, p.sendHeartbeat(t.Context(), "ledger/0", leader))
+			require.Equal(t, c.vacant, !view.vacantSince.IsZero())
+			require.Zero(t, view.refusedSince)
+		})
+	}
+}
