Count an unreadable leadership record as an unknown leader

A leadership record that a node couldn't read, for instance one of another version of the program, was skipped, but the claim is conditional on the end of the topic behind it. So the node claimed as if the shard never had a leader, or as if that of an older record were the last one, and waited for leases only (causes never-held, own-former-boot).

Change: such a record replaces the leader before it by one of which only the epoch is known. Calls aren't sent to a leader without an address.

Evidence: TestUnreadableLeadershipRecordNamesALeader fails in three of three cases before (expected: election.Leader{Epoch:7, ...}, actual: Epoch:3, Node:"entry-1" or Epoch:0); with the first change alone calls end as "the call may have been carried out: ... invalid AddrPort". None fails after.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -286,7 +286,7 @@
 		switch {
 		case l != nil && !l.lost.Load():
 			answer, err = local(l, r.ctx, message)
-		case leader.Epoch > 0 && leader.Address != p.address && !p.leaderSilent(ref.key(), leader):
+		case leader.Epoch > 0 && leader.Address.IsValid() && leader.Address != p.address && !p.leaderSilent(ref.key(), leader):
 			ctx, cancel := p.untilReplaced(r.ctx, ref.key(), leader)
 			answer, err = callPeer[Answer](ctx, p.peerClient, leader.Address, path, message)
 			cancel()
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -19,8 +19,9 @@
 	"yuccalanding.example/yuccalanding/platform"
 )
 
-// applyLeadershipRecord applies a record of the leadership topic. The caller
-// holds p.mu.
+// applyLeadershipRecord applies a record of the leadership topic. One that can't be
+// read still replaces the leader before it, by a leader of which only the epoch is
+// known. The caller holds p.mu.
 func (p *Process) applyLeadershipRecord(record platform.Record) {
 	if service, found := strings.CutPrefix(record.Key, shardCountKey); found {
 		p.applyShardCount(service, record)
@@ -33,7 +34,7 @@
 	var decoded leaderRecord
 	if err := cbor.Unmarshal(record.Value, &decoded); err != nil {
 		p.log("record-unreadable", "key", record.Key, "cause", err)
-		return
+		decoded = leaderRecord{}
 	}
 	p.updateLeader(record.Key, election.Leader{
 		Epoch: record.Offset + 1, Node: decoded.Node, Boot: decoded.Boot, Address: decoded.Address, Released: decoded.Released, ReleasedClaim: decoded.ReleasedClaim,
--- a/internal/entry/vacancy_test.go
+++ b/internal/entry/vacancy_test.go
@@ -1,15 +1,18 @@
 package entry
 
 import (
+	"context"
 	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/election"
+	"yuccalanding.example/yuccalanding/platform"
 )
 
 // Guards against a shard that counts as vacant, so that no lease of its leader is waited for,
@@ -90,3 +93,37 @@
 		})
 	}
 }
+
+// Guards against a node that claims as if there were no leader, or the one of an older
+// record, because it can't read the newest leadership record.
+func TestUnreadableLeadershipRecordNamesALeader(t *testing.T) {
+	known, err := cbor.Marshal(leaderRecord{Node: "entry-1", Boot: 1})
+	require.NoError(t, err)
+	for name, records := range map[string][]platform.Record{
+		"the only record":      {{Key: "ledger/0", Value: []byte("?"), Offset: 6}},
+		"after one of its own": {{Key: "ledger/0", Value: known, Offset: 2}, {Key: "ledger/0", Value: []byte("?"), Offset: 6}},
+		"an empty record":      {{Key: "ledger/0", Offset: 6}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, _, _ := newClaimant(t, false)
+			for _, record := range records {
+				p.applyLeadershipRecord(record)
+			}
+			leader := p.leaders["ledger/0"]
+			require.Equal(t, election.Leader{Epoch: 7}, leader)
+			view := p.viewOfLeader("ledger/0", leader)
+			result := p.sendHeartbeat(t.Context(), "ledger/0", leader)
+			require.Error(t, result.err)
+			p.applyHeartbeat("ledger/0", leader, result)
+			later := view.learnedAt.Add(time.Hour)
+			claim, cause := election.Decide(election.View{Now: later, Leader: leader, VacantSince: view.vacantSince, LastHeard: view.lastHeard, RefusedSince: view.refusedSince})
+			require.True(t, claim)
+			require.Equal(t, election.MaxConfirmationAge, cause.FormerLeaderActsFor(), cause)
+			p.address = netip.MustParseAddrPort("127.0.0.1:1")
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, _, err := forward(p, &request{ctx: ctx}, shardRef{"ledger", 0, 1}, pathState, jobRequest{}, (*shardLeader).jobState)
+			require.ErrorIs(t, err, errNoLeader, "nothing was sent")
+		})
+	}
+}
