Keep a stopped run on a restarted worker if its order is unanswered

Callers would see two runs of a member of a gang at a time (TWICE), found while reading handleRestart: the orders of a gang get no answer, the gang is stopped, and a member's worker restarts under its identity.

Cause: handleRestart keeps a run whose order may still reach the new incarnation, which it tells by the phases starting and uncertain. A run that is stopped with the rest of its gang before its order is answered is in the phase stopping, so it was removed at once, and the gang started anew before the late order arrived.

Evidence: TestUnansweredOrderOfStoppedGangOutlivesRestart, on the code before, both cases:

Now a stopping run whose start was never confirmed is kept as an uncertain one is, until the new incarnation has confirmed a stop and then doesn't list it.

--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -174,7 +174,7 @@
 	s.markWorkerDirty(w)
 	s.recordLoss(now, w, now.Add(-report.Clock), report)
 	for _, r := range slices.Clone(w.runs) {
-		if r.phase == phaseStarting || r.phase == phaseUncertain {
+		if r.phase == phaseStarting || r.phase == phaseUncertain || r.phase == phaseStopping && r.startedAt.IsZero() {
 			// The order may reach the new incarnation, which knows of no stop. Its answer,
 			// or a report after a new stop, shows whether it does.
 			r.stopConfirmedAt = time.Time{}
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -37,3 +37,36 @@
 		})
 	}
 }
+
+// Guards against a gang that starts anew while an order for its former attempt is still on the way
+// to a worker that has restarted: the member was being stopped, but its order had never
+// been answered (TWICE).
+func TestUnansweredOrderOfStoppedGangOutlivesRestart(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"before the stop is confirmed": 0, "after the stop is confirmed": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 77, 2, workerSize)
+			sim.advance(time.Second)
+			var inDoubt string
+			sim.onLog = func(event string, keyvals []any) {
+				if event == "run-in-doubt" && inDoubt == "" {
+					inDoubt = keyvals[5].(string)
+				}
+			}
+			sim.lateStartShare = 1
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{gang(2, 8, 20*time.Second)}}, 20*time.Second)
+			for inDoubt == "" && sim.now < 10*time.Second {
+				sim.advance(tickLength)
+			}
+			require.NotEmpty(t, inDoubt)
+			sim.lateStartShare = 0
+			sim.advance(10*time.Millisecond + delay)
+			for _, worker := range sim.workers {
+				if worker.id != inDoubt {
+					worker.crash()
+					worker.restart()
+				}
+			}
+			sim.requireAllEnded(time.Minute)
+		})
+	}
+}
