Ignore late failures of tasks that are done

Callers saw a job as failed whose tasks were done or could be done: a run failed on a worker that was cut off, the task ran again as done, the next step worked, and then the worker was back and listed the failed run.

Cause: taskFailed counted each failed run as an attempt and ended the job after the last allowed one, without a look at whether the task, or its gang, was done.

Evidence: TestLateFailureOfDoneTaskDoesNotFailJob, on the code before, with a task and with a gang (max-attempts 1):

--- FAIL: TestLateFailureOfDoneTaskDoesNotFailJob/task expected: "running" actual : "failed" --- FAIL: TestLateFailureOfDoneTaskDoesNotFailJob/gang the same

Now such a failure counts for the health of its worker only. A task that is done never starts again, so the limit of attempts can't be exceeded by that.

--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -348,13 +348,17 @@
 }
 
 // taskFailed counts a failed run of a task, or of its gang, and fails the job if this
-// was the last allowed attempt.
+// was the last allowed attempt. A run of a task that another run has completed counts
+// only for the health of its worker.
 func (s *Shard) taskFailed(now time.Time, w *worker, t *task, runNumber int64) {
 	st := t.step
 	j := st.occurrence.job
 	wasExcluded := w.health.excluded(now)
 	w.health.recordFailure(now, j.id)
 	s.logQuarantine(now, w, wasExcluded, "failures")
+	if t.done {
+		return
+	}
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(taskRetryDelay)
 	failures := &t.failures
