Renew leases if no batch has taken the mark of a suspended worker

Callers saw all runs of a worker lapse, seconds after it could be reached again: the store was down for 5 to 9 s, and the worker was cut off for 2 s or more in that time.

Cause: after three failed polls a worker is marked as suspended, so that the next leader knows when its runs are over. Once it answers again its leases are renewed only after a record without the mark is stored, as the stored record may have it. But while a batch is in flight, which hangs as long as the store is down, no batch takes the mark. The stored record is not suspended then.

Evidence: TestWorkerIsNotSuspendedByMarkThatNoBatchHas, on the code before (cut of 3.5 s, store down for 9 s):

--- FAIL: TestWorkerIsNotSuspendedByMarkThatNoBatchHas/store_down expected: 2 actual : 3 (starts; the runs lapsed and started again)

Now the worker keeps whether its stored record, or one in a batch that was taken since, may be suspended. If not, an answer withdraws the mark and the leases are renewed at once. TestWithdrawnSuspensionIsNotStored checks that the next leader then doesn't take the runs for over; it passes before and after.

Not changed: if no batch is in flight when the store fails, the mark is taken in one, and the leases aren't renewed until the store is back.

--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -104,6 +104,7 @@
 			remainingWorkers = append(remainingWorkers, w)
 		}
 		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
+		w.suspensionTaken = w.suspensionTaken || w.suspended
 		add(workerKey(w.ID), job.WorkerRecord{
 			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(),
 		})
@@ -170,7 +171,7 @@
 		}
 	}
 	for _, w := range s.inFlightWorkers {
-		w.recordStored = !w.inFlightSuspended && !w.suspended
+		w.recordStored, w.suspensionTaken = !w.inFlightSuspended && !w.suspended, w.inFlightSuspended
 		w.storedResult = min(w.inFlightResult, w.handledResult)
 		if w.storedResult > w.acknowledgedResult {
 			w.nextPollAt = now
@@ -233,7 +234,7 @@
 		return
 	}
 	w := &worker{
-		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended,
+		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended, suspensionTaken: record.Suspended,
 		unlistedAt: now, bestEffortPace: fullPace,
 	}
 	w.loadUnstoredResults(record.Unstored)
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -42,6 +42,7 @@
 	// suspendAfter.
 	suspended         bool
 	inFlightSuspended bool
+	suspensionTaken   bool // the stored record, or one of a batch that was taken since, is suspended
 	dirty             bool
 	stale             bool // its state may have changed: it gets no new task before its next report
 	resultsIncomplete bool // its last report listed only the oldest results
@@ -84,7 +85,8 @@
 	// suspendAfter is the number of consecutive failed polls (1.5 s and more) after
 	// which a worker is recorded as suspended. No leader renews a lease on a
 	// suspended worker, so the next leader knows when its runs are over. When the
-	// worker is reached again, a new record is stored before its leases are renewed.
+	// worker is reached again, a new record is stored before its leases are renewed,
+	// unless no batch has taken the suspended one.
 	// A worker that was not read is suspended only when the leases of former leaders,
 	// who may renew them, last no longer than one that is granted now.
 	suspendAfter = 3
@@ -364,7 +366,11 @@
 	w.failedPolls, w.absent, w.lastReply, w.answeredPollSentAt = 0, false, now, sentAt
 	if w.suspended {
 		w.suspended = false
-		s.markWorkerDirty(w) // its leases are renewed once this record is stored
+		if w.suspensionTaken {
+			s.markWorkerDirty(w) // its leases are renewed once this record is stored
+		} else {
+			w.recordStored = true
+		}
 	}
 	w.acknowledgedResult = max(w.acknowledgedResult, w.inFlightAck)
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
