Take a smaller incarnation in the list for a restart too

Callers would see two runs of a task at a time (TWICE), found by reading each comparison of incarnations: a worker restarts under its identity, its wall clock was set back before, it accepts starts and is cut off before its first report.

Cause: a lease that the former incarnation's clock granted can last longer, so lastLeaseEnd extends it while the list shows another incarnation than the last report. It compared with >, but the incarnation is the Unix time of the worker's start, which goes back with a step of its clock.

Evidence: TestLeaseOfWorkerWithSmallerIncarnationEndsInTime, on the code before (the case of a larger incarnation passes):

Now any difference counts. A list that is older than the last report then lengthens the wait for a lost worker, by less than the longest lease of a worker, until the list is read again. All other comparisons of a worker's incarnation in internal/shard, internal/entry and platform test for equality; internal/membership orders the incarnations of the cell's own nodes, which is not changed here.

--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -70,3 +70,31 @@
 		})
 	}
 }
+
+// Guards against a task that starts elsewhere while its run goes on: the worker had restarted with a
+// smaller incarnation, as its wall clock was set back, and its lease was not taken for one
+// that the former incarnation's clock granted (TWICE).
+func TestLeaseOfWorkerWithSmallerIncarnationEndsInTime(t *testing.T) {
+	for name, change := range map[string]int64{"larger incarnation": 0, "smaller incarnation": -200} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 47, 2, workerSize)
+			for i, worker := range sim.workers {
+				worker.incarnation += 1000 + int64(i)
+			}
+			sim.advance(10*time.Second + 50*time.Millisecond) // the list is read next in 350 ms
+			for _, worker := range sim.workers {
+				worker.crash()
+				worker.restart()
+				worker.incarnation += change
+			}
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(2, 1000, 15*time.Second)}}, 15*time.Second)
+			for sim.startCount < 2 {
+				sim.advance(tickLength)
+			}
+			for _, worker := range sim.workers {
+				worker.unreachable = len(worker.runs) > 0
+			}
+			sim.requireAllEnded(time.Minute)
+		})
+	}
+}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -215,7 +215,9 @@
 // lastLeaseEnd returns the time after which no lease is left on the worker.
 func (s *Shard) lastLeaseEnd(w *worker) time.Time {
 	end := w.leaseEnd
-	if w.Incarnation > w.observedIncarnation { // it may have restarted before the lease was granted
+	// It may have restarted before the lease was granted. The incarnation is a wall clock's
+	// time, which can be set back.
+	if w.Incarnation != w.observedIncarnation {
 		end = end.Add(s.restartedLeaseExtension())
 	}
 	return maxTime(end, w.formerClockEnd)
