Don't take halted best-effort tasks for stalled

Callers saw best-effort tasks stopped and started again, and a sound worker without new work for 5 to 20 s, serving tasks included, seconds after the serving tasks on it had exceeded their target.

Cause: the leader halts best-effort tasks beside a serving task that is over its target. A finite task that made no progress for 3 s counted as stalled, whether or not the leader had halted it.

Evidence: TestHaltedBestEffortTasksAreNotStalled, on the code before, with one leader and with a change of leader:

--- FAIL: TestHaltedBestEffortTasksAreNotStalled/one_leader Should be zero, but was 3 (run-stalled) --- FAIL: TestHaltedBestEffortTasksAreNotStalled/leader_replaced the same

Now the time for which such a task is halted, or its pace isn't known, doesn't count. TestStalledBestEffortTasksAreFound shows that tasks without progress at full or at half speed are still found; it passes before and after.

--- a/internal/shard/pace.go
+++ b/internal/shard/pace.go
@@ -23,6 +23,10 @@
 // set it, or the last Pace command failed.
 const paceUnknown = -1
 
+// mayBeHalted reports whether the run makes no progress because a leader halted it, or may
+// have.
+func (r *run) mayBeHalted() bool { return r.task.step.spec.BestEffort && r.pace <= 0 }
+
 // adjustPace slows the best-effort tasks on a worker whose serving tasks exceed their
 // tail latency target, and speeds them up again once there is slack. The target may
 // be missed for a few seconds only, so each report halves the speed, or halts the
--- a/internal/shard/pace_test.go
+++ b/internal/shard/pace_test.go
@@ -50,3 +50,63 @@
 	sim.advanceUntilEnded(id(1), 30*time.Second)
 	require.Empty(t, sim.violations)
 }
+
+// Guards against best-effort tasks that are stopped as stalled, and a worker that gets no more
+// tasks, because the leader itself has halted them.
+func TestHaltedBestEffortTasksAreNotStalled(t *testing.T) {
+	for name, changeLeader := range map[string]bool{"one leader": false, "leader replaced": true} {
+		t.Run(name, func(t *testing.T) {
+			sim, events := newPacedSimulation(t)
+			sim.workers[0].addedTailLatency = 150 * time.Millisecond // its own load is over the target
+			sim.advance(3 * time.Second)
+			for _, r := range sim.workers[0].runs {
+				require.Equal(t, r.bestEffort, r.pace == 0)
+			}
+			if changeLeader {
+				sim.leader.dead = true
+				sim.replaceLeader()
+			}
+			sim.advance(5 * time.Second)
+			sim.workers[0].addedTailLatency = 0
+			sim.advanceUntilEnded(id(1), 30*time.Second)
+			require.Zero(t, events["run-stalled"])
+			require.Zero(t, events["worker-shunned"])
+			require.Equal(t, 4, sim.startCount)
+			require.Empty(t, sim.violations)
+		})
+	}
+}
+
+// Best-effort tasks that make no progress although they aren't halted must still be found.
+func TestStalledBestEffortTasksAreFound(t *testing.T) {
+	for name, addedTailLatency := range map[string]time.Duration{"full speed": 0, "paced down": 60 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			sim, events := newPacedSimulation(t)
+			sim.workers[0].addedTailLatency = addedTailLatency
+			sim.advance(2 * time.Second)
+			sim.workers[0].stallsTasks = true
+			sim.advance(15 * time.Second)
+			require.Positive(t, events["run-stalled"])
+			require.Empty(t, sim.violations)
+		})
+	}
+}
+
+// newPacedSimulation returns a simulation of one worker, with a serving task and three best-effort
+// tasks at work, and the counts of the logged events by name.
+func newPacedSimulation(t *testing.T) (*simulation, map[string]int) {
+	sim := newSimulation(t, 79, 1, workerSize)
+	events := map[string]int{}
+	sim.onLog = func(event string, _ []any) { events[event]++ }
+	sim.advance(time.Second)
+	serving := tasks(1, 4000, time.Second)
+	serving.LongRunning, serving.TailLatencyTarget = true, 200*time.Millisecond
+	sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{serving}}, time.Hour)
+	sim.advance(time.Second)
+	bestEffort := tasks(3, 2000, 8*time.Second)
+	bestEffort.BestEffort = true
+	sim.submit(id(1), batchTerms, job.Spec{Steps: []job.Step{bestEffort}}, 8*time.Second)
+	sim.advance(time.Second)
+	require.Len(t, sim.workers[0].runs, 4)
+	return sim, events
+}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -462,6 +462,9 @@
 	}
 	s.updateSurvival(now, r)
 	r.usage = status.Usage
+	if r.mayBeHalted() {
+		r.progressedAt = now
+	}
 	if status.Percent > r.percent {
 		r.percent, r.progressedAt = status.Percent, now
 		r.updateSlowness(now)
