--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -64,3 +64,64 @@
 		}
 	}
 }
+
+// Guards against a gang that starts anew while an order for its former attempt is still on the way
+// to a worker that has restarted: the member was being stopped, but its order had never
+// been answered (TWICE).
+func TestUnansweredOrderOfStoppedGangOutlivesRestart(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"before the stop is confirmed": 0, "after the stop is confirmed": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 77, 2, workerSize)
+			sim.advance(time.Second)
+			var inDoubt string
+			sim.onLog = func(event string, keyvals []any) {
+				if event == "run-in-doubt" && inDoubt == "" {
+					inDoubt = keyvals[5].(string)
+				}
+			}
+			sim.lateStartShare = 1
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{gang(2, 8, 20*time.Second)}}, 20*time.Second)
+			for inDoubt == "" && sim.now < 10*time.Second {
+				sim.advance(tickLength)
+			}
+			require.NotEmpty(t, inDoubt)
+			sim.lateStartShare = 0
+			sim.advance(10*time.Millisecond + delay)
+			for _, worker := range sim.workers {
+				if worker.id != inDoubt {
+					worker.crash()
+					worker.restart()
+				}
+			}
+			sim.requireAllEnded(time.Minute)
+		})
+	}
+}
+
+// Guards against a task that starts elsewhere while its run goes on: the worker had restarted with a
+// smaller incarnation, as its wall clock was set back, and its lease was not taken for one
+// that the former incarnation's clock granted (TWICE).
+func TestLeaseOfWorkerWithSmallerIncarnationEndsInTime(t *testing.T) {
+	for name, change := range map[string]int64{"larger incarnation": 0, "smaller incarnation": -200} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 47, 2, workerSize)
+			for i, worker := range sim.workers {
+				worker.incarnation += 1000 + int64(i)
+			}
+			sim.advance(10*time.Second + 50*time.Millisecond) // the list is read next in 350 ms
+			for _, worker := range sim.workers {
+				worker.crash()
+				worker.restart()
+				worker.incarnation += change
+			}
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(2, 1000, 15*time.Second)}}, 15*time.Second)
+			for sim.startCount < 2 {
+				sim.advance(tickLength)
+			}
+			for _, worker := range sim.workers {
+				worker.unreachable = len(worker.runs) > 0
+			}
+			sim.requireAllEnded(time.Minute)
+		})
+	}
+}
