Don't put the mark of a suspended worker into a batch in an outage

Evidence: a third case of TestWorkerIsNotSuspendedByMarkThatNoBatchHas, on the code before:

--- FAIL: .../store_down,_nothing_to_store expected: 1 actual : 2 (starts; the runs lapsed and started again)

Now the record is written only if the leadership was confirmed in the last 1.5 s, the least time that the three failed polls take; else it is written after a later failed poll. Until then the leader grants the worker no lease either, so the mark needs no record to be safe: without it the next leader only waits longer. TestSuspensionIsStoredOnceStoreIsBack checks that the record follows; it passes before and after, and fails if the mark is never written.

--- a/internal/shard/suspension_test.go
+++ b/internal/shard/suspension_test.go
@@ -10,9 +10,15 @@
 )
 
 // Guards against runs that lapse on a worker that is reached again in time: while the store is
-// down, the worker was only marked as suspended, and no batch with the mark was taken.
+// down, the worker was only marked as suspended, and no batch with the mark was taken, or
+// one was taken that the store couldn't take.
 func TestWorkerIsNotSuspendedByMarkThatNoBatchHas(t *testing.T) {
-	for name, storeDown := range map[string]bool{"store up": false, "store down": true} {
+	for name, c := range map[string]struct {
+		storeDown     bool
+		batchInFlight bool // before the worker is cut off
+	}{
+		"store up": {false, true}, "store down, batch in flight": {true, true}, "store down, nothing to store": {true, false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulation(t, 78, 2, workerSize)
 			sim.advance(time.Second)
@@ -23,16 +29,20 @@
 			if len(worker.runs) == 0 {
 				worker = sim.workers[1]
 			}
-			sim.storeDown = storeDown
-			sim.submit(id(1), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, time.Second)}}, time.Second)
-			sim.advance(200 * time.Millisecond) // its batch is in flight
+			starts := 1
+			sim.storeDown = c.storeDown
+			if c.batchInFlight {
+				sim.submit(id(1), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, time.Second)}}, time.Second)
+				starts++
+			}
+			sim.advance(200 * time.Millisecond)
 			worker.unreachable = true
 			sim.advance(3500 * time.Millisecond) // three polls fail
 			worker.unreachable = false
 			sim.advance(5300 * time.Millisecond) // longer than the rest of the lease
 			sim.storeDown = false
 			sim.requireAllEnded(time.Minute)
-			require.Equal(t, 2, sim.startCount)
+			require.Equal(t, starts, sim.startCount)
 		})
 	}
 }
@@ -70,3 +80,27 @@
 		})
 	}
 }
+
+// A worker that is lost while the store is down must be recorded as suspended once the store is
+// back: the next leader then waits only for its last lease.
+func TestSuspensionIsStoredOnceStoreIsBack(t *testing.T) {
+	sim := newSimulation(t, 80, 2, workerSize)
+	sim.crashesUnknown = true
+	sim.advance(time.Second)
+	sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1000, 20*time.Second)}}, 20*time.Second)
+	sim.advance(time.Second)
+	sim.storeDown = true
+	sim.advance(200 * time.Millisecond)
+	for _, worker := range sim.workers {
+		worker.unreachable = len(worker.runs) > 0
+	}
+	sim.advance(4 * time.Second)
+	require.Equal(t, 1, sim.startCount)
+	sim.storeDown = false
+	sim.advance(1200 * time.Millisecond)
+	sim.leader.dead = true
+	sim.replaceLeader()
+	sim.advance(7 * time.Second)
+	require.Equal(t, 2, sim.startCount)
+	require.Empty(t, sim.violations)
+}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -90,6 +90,10 @@
 	// A worker that was not read is suspended only when the leases of former leaders,
 	// who may renew them, last no longer than one that is granted now.
 	suspendAfter = 3
+	// maxSuspensionProofAge is the age of the confirmation from which a suspended worker
+	// isn't recorded: a record that the store doesn't take can't be withdrawn when the
+	// worker is reached again. It is the least time of suspendAfter failed polls.
+	maxSuspensionProofAge = 1500 * time.Millisecond
 	// unreachableAfter is the number of consecutive failed polls after which a worker
 	// gets no new tasks.
 	unreachableAfter = 1
@@ -343,6 +347,8 @@
 	s.sendPolledTrials(now, w)
 	if w.failedPolls >= suspendAfter && w.recordStored && (w.listsRead || !s.formerLeaseEnd(w).After(now.Add(s.leaseLength()))) {
 		w.recordStored, w.suspended = false, true
+	}
+	if w.suspended && !w.suspensionTaken && now.Sub(s.confirmedAt) < maxSuspensionProofAge {
 		s.markWorkerDirty(w)
 	}
 	if w.failedPolls == 1 {
