Don't send a start order again to a suspended worker

What callers may see: two runs of a task at a time after a change of leader (by reading). A worker that answers no poll is recorded as suspended, which tells the next leader that no lease there is renewed any more. But a start order without an answer was sent again for up to 0.75 s, and extended the lease, also after the record was stored.

Change: a run on a worker without a valid record is in doubt at once, and is stopped. The stop makes the worker refuse the order if it arrives late.

--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -127,7 +127,7 @@
 		// was stopped.
 		r.phase = phaseUncertain
 		s.markUncertain(now, r, string(result))
-	case r.startAttempts < maxStartAttempts && s.authority:
+	case r.startAttempts < maxStartAttempts && s.authority && r.worker.recordStored:
 		s.sendStart(now, r)
 	default:
 		s.markUncertain(now, r, cause)
