--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -19,8 +19,9 @@
 	"yuccalanding.example/yuccalanding/platform"
 )
 
-// applyLeadershipRecord applies a record of the leadership topic. The caller
-// holds p.mu.
+// applyLeadershipRecord applies a record of the leadership topic. One that can't be
+// read still replaces the leader before it, by a leader of which only the epoch is
+// known. The caller holds p.mu.
 func (p *Process) applyLeadershipRecord(record platform.Record) {
 	if service, found := strings.CutPrefix(record.Key, shardCountKey); found {
 		p.applyShardCount(service, record)
@@ -33,9 +34,11 @@
 	var decoded leaderRecord
 	if err := cbor.Unmarshal(record.Value, &decoded); err != nil {
 		p.log("record-unreadable", "key", record.Key, "cause", err)
-		return
+		decoded = leaderRecord{}
 	}
-	p.updateLeader(record.Key, election.Leader{Epoch: record.Offset + 1, Node: decoded.Node, Boot: decoded.Boot, Address: decoded.Address, Released: decoded.Released}, "store")
+	p.updateLeader(record.Key, election.Leader{
+		Epoch: record.Offset + 1, Node: decoded.Node, Boot: decoded.Boot, Address: decoded.Address, Released: decoded.Released, ReleasedClaim: decoded.ReleasedClaim,
+	}, "store")
 }
 
 // updateLeader records a shard's leader as reported by the store or another
@@ -183,7 +186,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	answer, err := callPeer[heartbeatAnswer](ctx, p.peerClient, leader.Address, pathHeartbeat, heartbeatRequest{
-		Shard: key, Node: p.settings.Node, Address: p.address, NearStore: p.nearStore() && p.settings.Cores >= smallVMCores,
+		Shard: key, Leader: leader.Node, Node: p.settings.Node, Address: p.address, NearStore: p.nearStore() && p.settings.Cores >= smallVMCores,
 	})
 	return heartbeatResult{answer, err, sent}
 }
@@ -212,8 +215,8 @@
 		}
 	case errors.Is(result.err, errNotLeader):
 		// A new leader refuses heartbeats until it learns that its claim was
-		// stored, so the shard counts as vacant only after claimTimeout.
-		if v.vacantSince.IsZero() && now.Sub(v.learnedAt) >= claimTimeout {
+		// stored. Only a heartbeat that was sent later shows that it never leads.
+		if v.vacantSince.IsZero() && result.sent.Sub(v.learnedAt) >= vacantAfter {
 			v.vacantSince = now
 		}
 	case hadNoEffect(result.err) && !isTimeout(result.err):
@@ -393,7 +396,9 @@
 
 // claim appends a leadership record that names this process. The append fails
 // unless the topic still ends at expectedEnd. If it succeeds, this process
-// starts to lead the shard. claim reports whether the record is stored.
+// starts to lead the shard, unless it has learned of a newer claim meanwhile, or
+// the answer is so late that others may take the shard for vacant. claim reports
+// whether the record is stored.
 func (p *Process) claim(ctx context.Context, ref shardRef, former election.Leader, cause election.Cause, silence time.Duration, expectedEnd int64) bool {
 	key := ref.key()
 	sent := p.sinceBoot()
@@ -407,7 +412,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leadersEnd = max(p.leadersEnd, end)
+	if p.leaders[key].Epoch > offset+1 {
+		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "another node has a newer claim")
+		return true
+	}
 	p.leaders[key] = election.Leader{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address}
+	if p.sinceBoot()-sent >= claimTimeout { // the process was paused
+		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "the answer to the claim was late")
+		p.notifyLeadersChanged()
+		return true
+	}
 	l := newShardLeader(ctx, p, ref, offset+1, former, cause.FormerLeaderActsFor())
 	l.confirm(sent)
 	p.ledShards[key] = l
@@ -478,20 +492,24 @@
 
 // release releases leadership of a shard. It retries, because no node can claim
 // until the store has the release. The leader goes on until another node
-// claims, so no work waits meanwhile.
+// claims, so no work waits meanwhile. Another node may claim before the answer
+// arrives, so leadership counts as released unless no append can be carried out.
 func (p *Process) release(ctx context.Context, l *shardLeader) {
+	mayBeStored := false
 	for ctx.Err() == nil && l.ctx.Err() == nil {
 		p.mu.Lock()
 		expectedEnd := p.leadersEnd
 		p.mu.Unlock()
-		record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true}
+		record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true, ReleasedClaim: l.epoch}
+		l.released.Store(true)
 		offset, _, err := p.appendLeaderRecord(ctx, l.key, record, expectedEnd)
 		if err == nil {
 			l.releasedEpoch.Store(offset + 1)
-			l.released.Store(true)
 			p.log("right-released", "service", l.key, "epoch", l.epoch, "offset", offset)
 			return
 		}
+		mayBeStored = mayBeStored || !platform.HadNoEffect(err)
+		l.released.Store(mayBeStored)
 		p.log("release-failed", "service", l.key, "cause", err)
 		l.pause(appendRetryPause)
 	}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -35,7 +35,8 @@
 	storedResult        int64 // the effects of the results up to this one are stored
 	inFlightResult      int64 // as storedResult, once the batch in flight is stored
 	unstoredResults     []unstoredResult
-	acknowledgedResult  int64 // of the last result that was acknowledged to the worker
+	acknowledgedResult  int64 // of the last result whose acknowledgement the worker has answered
+	inFlightAck         int64 // the acknowledgement in the poll in flight
 	recordStored        bool  // its record is stored and not suspended, so it may get tasks
 	// suspended means that the worker is recorded as suspended or will be, see
 	// suspendAfter.
@@ -45,14 +46,16 @@
 	stale             bool // its state may have changed: it gets no new task before its next report
 	resultsIncomplete bool // its last report listed only the oldest results
 
-	clock              time.Duration // reading of the worker's clock at clockReadAt
-	clockReadAt        time.Time
-	previousClock      time.Duration // the reading before clock
-	firstClock         time.Duration // the first reading of this incarnation
-	leaseEnd           time.Time     // no lease that was granted by its present clock lasts longer
-	formerClockEnd     time.Time     // no lease that was granted by a former incarnation's clock lasts longer
-	leaseEndReported   bool          // the former leader reported reportedLeaseEnd
-	reportedLeaseEnd   time.Time
+	clock            time.Duration // reading of the worker's clock at clockReadAt
+	clockReadAt      time.Time
+	previousClock    time.Duration // the reading before clock
+	firstClock       time.Duration // the first reading of this incarnation
+	leaseEnd         time.Time     // no lease that was granted by its present clock lasts longer
+	formerClockEnd   time.Time     // no lease that was granted by a former incarnation's clock lasts longer
+	leaseEndReported bool          // the former leader reported reportedLeaseEnd
+	reportedLeaseEnd time.Time
+	// unansweredStarts are the recent start orders without an answer, see lateorders.go.
+	unansweredStarts   []unansweredStart
 	pollInFlight       bool
 	nextPollAt         time.Time
 	failedPolls        int           // consecutive polls without an answer
@@ -140,7 +143,7 @@
 func (s *Shard) forgetWorkers(now time.Time) {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && now.After(s.lastLeaseEnd(w)) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) && !w.mayRepeatResults(now) {
 			delete(s.workers, w.ID)
 			delete(s.workersToRead, w.ID)
 			s.deleteWorkerRecord(w)
@@ -152,6 +155,12 @@
 	s.sortedWorkers = kept
 }
 
+// mayRepeatResults reports whether a worker that comes back would list results that were
+// handled before: it hasn't answered their acknowledgement, and may be only cut off.
+func (w *worker) mayRepeatResults(now time.Time) bool {
+	return w.listsRead && w.acknowledgedResult < w.handledResult && (w.listed || now.Sub(w.unlistedAt) <= forgetResultsAfter)
+}
+
 // placeable reports whether the worker is listed and not draining.
 func (w *worker) placeable() bool { return w.listed && !w.Draining }
 
@@ -212,6 +221,13 @@
 	return maxTime(end, w.formerClockEnd)
 }
 
+// leasesOver reports whether no lease is left on the worker. Without a confirmation from after
+// the end of the leases that this leader knows of, a successor may have renewed them.
+func (s *Shard) leasesOver(now time.Time, w *worker) bool {
+	end := s.lastLeaseEnd(w)
+	return !now.Before(end) && !s.confirmedAt.Before(end)
+}
+
 // sendDuePolls sends the polls that are due.
 func (s *Shard) sendDuePolls(now time.Time) {
 	for _, w := range s.sortedWorkers {
@@ -258,8 +274,7 @@
 }
 
 func (s *Shard) sendPoll(w *worker, poll Poll) {
-	w.pollInFlight, w.polledLease = true, poll.LeaseUntil
-	w.acknowledgedResult = max(w.acknowledgedResult, poll.AckThrough)
+	w.pollInFlight, w.polledLease, w.inFlightAck = true, poll.LeaseUntil, poll.AckThrough
 	s.commands.Polls = append(s.commands.Polls, poll)
 }
 
@@ -353,6 +368,7 @@
 		w.suspended = false
 		s.markWorkerDirty(w) // its leases are renewed once this record is stored
 	}
+	w.acknowledgedResult = max(w.acknowledgedResult, w.inFlightAck)
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
 	if w.polledLease > 0 && report.Incarnation == w.observedIncarnation {
 		w.leaseHeldUntil = maxTime(w.leaseHeldUntil, w.earliestLeaseEnd(w.polledLease))
@@ -503,9 +519,9 @@
 func (s *Shard) mayHaveUnknownRuns(now time.Time, w *worker) bool {
 	switch {
 	case !w.listsRead:
-		return now.Before(s.lastLeaseEnd(w))
+		return !s.leasesOver(now, w)
 	case w.resultsIncomplete:
-		return w.failedPolls == 0 || now.Before(s.lastLeaseEnd(w))
+		return w.failedPolls == 0 || !s.leasesOver(now, w)
 	}
 	return false
 }
