--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -38,6 +38,7 @@
 		{733, "count-begun", Info, "A node started to count the workers of a new service; the other nodes wait for the result.", noAction, false},
 		{734, "count-left", Info, "This node does not count the workers of a new service, because another node started first or the store did not answer.", noAction, false},
 		{732, "partition-changed", Warn, "One of the two partitions for a shard's records did not answer in time; records are now written to the other one.", noAction, false},
+		{736, "copy-superseded", Info, "The store refused a copy of a batch because it had carried out a newer copy of the same leader.", noAction, false},
 		{728, "authority", Warn, "The holder lost or regained the proof that it holds the right; without it no task starts.", noAction, false},
 
 		{740, "worker-listed", Info, "A worker joined the service.", noAction, false},
@@ -50,7 +51,7 @@
 		{747, "worker-read", Info, "The holder read the worker's lists of runs for the first time.", noAction, false},
 		{748, "worker-entry-bad", Warn, "An entry of the list of workers is invalid and was skipped.", "Correct the entry.", false},
 		{749, "worker-shunned", Warn, "Tasks of several jobs failed or stalled on the worker; it gets no new task for a while.", "Inspect the VM if it repeats.", false},
-		{751, "worker-crashed", Warn, "A worker crashed while runs on it were at their start; the next run of each of their tasks is the only one at its start on its worker.", "Inspect the VM if it repeats.", false},
+		{751, "start-lost", Warn, "A worker was lost while a run on it was at its start; the next run of its task is the only one at its start on its worker. The field crashed says whether the worker is known to have crashed under the run.", "Inspect the VM if it repeats.", false},
 
 		{760, "accepted", Info, "A job was stored and its caller was answered.", noAction, false},
 		{761, "refused", Info, "A job was refused; the fields give the reason and the time after which to retry.", noAction, false},
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -18,6 +18,8 @@
 	steppedDown           bool // dead, but its process is up and answers the next leader
 	frozen                bool
 	storeUnreachable      bool
+	cutOffFromPeers       bool // the next leader doesn't reach its process
+	released              bool // it acts only for a short time without a confirmation
 	leadershipConfirmedAt time.Duration
 	appendInFlight        bool
 	delayedMessages       []message
@@ -40,7 +42,11 @@
 		inst.leadershipConfirmedAt = sim.now
 	}
 	inst.shard.SetConfirmed(sim.startTime.Add(inst.leadershipConfirmedAt))
-	inst.shard.SetAuthority(sim.now-inst.leadershipConfirmedAt < 10*time.Second)
+	maxConfirmationAge := 10 * time.Second
+	if inst.released {
+		maxConfirmationAge = time.Second
+	}
+	inst.shard.SetAuthority(sim.now-inst.leadershipConfirmedAt < maxConfirmationAge)
 	inst.shard.Tick(sim.time())
 	commands := inst.shard.TakeCommands()
 	for _, start := range commands.Starts {
@@ -183,16 +189,20 @@
 	sim.pollCount++
 	sentAt := sim.time()
 	lost := sim.random.Float64() < sim.lostAnswerShare
-	fail := func(delay time.Duration, absent bool) {
-		sim.schedule(delay, inst, func(now time.Time) { inst.shard.PollFailed(now, poll.ID, absent, "timeout") })
+	fail := func(delay time.Duration, failure shard.PollFailure) {
+		sim.schedule(delay, inst, func(now time.Time) { inst.shard.PollFailed(now, poll.ID, failure, "timeout") })
 	}
 	sim.schedule(sim.latency(), nil, func(time.Time) {
-		if worker.down && sim.refuses {
-			fail(sim.latency(), true)
+		switch {
+		case worker.replaced:
+			fail(sim.latency(), shard.WorkerReplaced)
+			return
+		case worker.down && sim.refuses, worker.unreachable && worker.refuses:
+			fail(sim.latency(), shard.ConnectionRefused)
 			return
 		}
 		if !worker.reachableFrom(inst) {
-			fail(poll.Wait+700*time.Millisecond, false) // the poll times out
+			fail(poll.Wait+700*time.Millisecond, shard.NoAnswer) // the poll times out
 			return
 		}
 		if inst.epoch < worker.fencingToken {
@@ -212,7 +222,7 @@
 			}
 			answered = true
 			if lost || worker.incarnation != incarnation || !worker.reachableFrom(inst) {
-				fail(500*time.Millisecond, false) // the poll times out
+				fail(500*time.Millisecond, shard.NoAnswer) // the poll times out
 				return
 			}
 			report := worker.report()
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -58,11 +58,17 @@
 	// forgetWorkerAfter is how long the state of an unlisted worker without runs is
 	// kept: twice the 2 s after which the platform counts a worker as gone.
 	forgetWorkerAfter = 4 * time.Second
+	// forgetResultsAfter is how long an unlisted worker is kept whose handled results may
+	// not be acknowledged.
+	forgetResultsAfter = time.Minute
 	// retentionMargin is how long final states are kept beyond
 	// Options.FinalStateRetention.
 	retentionMargin = 30 * time.Second
 )
 
+// UnknownEpoch is an Options.ReplacedEpoch that no record matches.
+const UnknownEpoch = -1
+
 // Options are the settings of a shard.
 type Options struct {
 	// Service is the name of the service in the log.
@@ -73,10 +79,14 @@
 	Lease time.Duration
 	// MaxWorkerLease is the longest lease that a worker allows.
 	MaxWorkerLease time.Duration
-	// OrphanTimeout is the time from Load after which no run of a former leader
-	// can be left on a worker that could not be reached.
+	// ReplacedEpoch is the epoch with which the leader that this one replaced claimed the
+	// shard: 0 if there was none, and UnknownEpoch if it isn't known.
+	ReplacedEpoch int64
+	// OrphanTimeout is the time from Load after which no run of the replaced leader can be
+	// left on a worker that could not be reached.
 	OrphanTimeout time.Duration
-	// MaxOrphanTimeout is the same if nothing is known of the former leaders.
+	// MaxOrphanTimeout is the same for any former leader. Load sets OrphanTimeout to it
+	// unless a record shows that the leaders before the replaced one are over.
 	MaxOrphanTimeout time.Duration
 	// FinalStateRetention is how long callers can query the final state of a job.
 	FinalStateRetention time.Duration
@@ -109,6 +119,10 @@
 	// lists of runs must be read before tasks of stored jobs may start.
 	workersToRead map[string]bool
 	recovered     bool // all runs of former leaders are known or over
+	// formerLeadersOver means that no former leader acts any more or has leases left, and
+	// formerLeadersUnrecorded that no batch contains the record of it yet.
+	formerLeadersOver       bool
+	formerLeadersUnrecorded bool
 
 	dirtyJobs        []*jobState
 	dirtyWorkers     []*worker
@@ -205,6 +219,8 @@
 	crashes       int       // workers that crashed under a run whose start was confirmed
 	trialCrashes  int       // workers that crashed under a trial
 	crashedRun    int64     // number of the last run under which a crash was counted
+	lostTrials    int       // trials whose worker was lost, with or without a crash
+	lostTrial     int64     // run number of the last one
 }
 
 // phase is the stage of a run between its start order and its end.
@@ -237,11 +253,14 @@
 	stopRequested   bool
 	usage           float64 // tail latency or CPU use, see RunStatus.Usage
 	pace            int     // speed in percent that was ordered last, or paceUnknown
-	survivedStart   bool    // it was reported startupPeriod after its start
+	survivedStart   bool    // it was reported startupPeriod after its start, or adopted
 	trial           bool    // of a suspected task
 	unsent          bool    // a trial whose start order has not been sent
 	loaded          bool    // a trial that a former leader stored and no report has shown
-	crashRecorded   bool    // the crash of its worker was counted
+	lossRecorded    bool    // recordLoss has handled the loss of its worker
+	// leaseHeldUntil is the earliest end of the lease of its first start order, if the
+	// worker got that.
+	leaseHeldUntil time.Time
 }
 
 // New returns an empty shard. Call Load before any other method.
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -35,7 +35,8 @@
 	storedResult        int64 // the effects of the results up to this one are stored
 	inFlightResult      int64 // as storedResult, once the batch in flight is stored
 	unstoredResults     []unstoredResult
-	acknowledgedResult  int64 // of the last result that was acknowledged to the worker
+	acknowledgedResult  int64 // of the last result whose acknowledgement the worker has answered
+	inFlightAck         int64 // the acknowledgement in the poll in flight
 	recordStored        bool  // its record is stored and not suspended, so it may get tasks
 	// suspended means that the worker is recorded as suspended or will be, see
 	// suspendAfter.
@@ -55,8 +56,10 @@
 	reportedLeaseEnd   time.Time
 	pollInFlight       bool
 	nextPollAt         time.Time
-	failedPolls        int  // consecutive polls without an answer
-	absent             bool // nothing or another worker was at its address at the last poll
+	failedPolls        int           // consecutive polls without an answer
+	absent             bool          // the last poll was refused, or answered by another worker
+	polledLease        time.Duration // of the poll in flight: Poll.LeaseUntil
+	leaseHeldUntil     time.Time     // the last lease that is known to be granted doesn't end before
 	hold               trialHold
 	lastReply          time.Time
 	answeredPollSentAt time.Time     // when the last answered poll was sent
@@ -138,7 +141,7 @@
 func (s *Shard) forgetWorkers(now time.Time) {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && now.After(s.lastLeaseEnd(w)) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) && !w.mayRepeatResults(now) {
 			delete(s.workers, w.ID)
 			delete(s.workersToRead, w.ID)
 			s.deleteWorkerRecord(w)
@@ -150,6 +153,12 @@
 	s.sortedWorkers = kept
 }
 
+// mayRepeatResults reports whether a worker that comes back would list results that were
+// handled before: it hasn't answered their acknowledgement, and may be only cut off.
+func (w *worker) mayRepeatResults(now time.Time) bool {
+	return w.listsRead && w.acknowledgedResult < w.handledResult && (w.listed || now.Sub(w.unlistedAt) <= forgetResultsAfter)
+}
+
 // placeable reports whether the worker is listed and not draining.
 func (w *worker) placeable() bool { return w.listed && !w.Draining }
 
@@ -210,6 +219,13 @@
 	return maxTime(end, w.formerClockEnd)
 }
 
+// leasesOver reports whether no lease is left on the worker. Without a confirmation from after
+// the end of the leases that this leader knows of, a successor may have renewed them.
+func (s *Shard) leasesOver(now time.Time, w *worker) bool {
+	end := s.lastLeaseEnd(w)
+	return !now.Before(end) && !s.confirmedAt.Before(end)
+}
+
 // sendDuePolls sends the polls that are due.
 func (s *Shard) sendDuePolls(now time.Time) {
 	for _, w := range s.sortedWorkers {
@@ -256,8 +272,7 @@
 }
 
 func (s *Shard) sendPoll(w *worker, poll Poll) {
-	w.pollInFlight = true
-	w.acknowledgedResult = max(w.acknowledgedResult, poll.AckThrough)
+	w.pollInFlight, w.polledLease, w.inFlightAck = true, poll.LeaseUntil, poll.AckThrough
 	s.commands.Polls = append(s.commands.Polls, poll)
 }
 
@@ -303,16 +318,18 @@
 )
 
 // PollFailed handles a Poll of the worker with this ID that had no answer or was
-// refused. The worker is absent if nothing listens at its address, or another worker.
-// The cause is only logged.
-func (s *Shard) PollFailed(now time.Time, id string, absent bool, cause string) {
+// refused. The cause is only logged.
+func (s *Shard) PollFailed(now time.Time, id string, failure PollFailure, cause string) {
 	w := s.workers[id]
 	if w == nil {
 		return
 	}
 	w.pollInFlight = false
 	w.failedPolls++
-	w.absent = absent
+	w.absent = failure != NoAnswer
+	if failure == WorkerReplaced && !w.Draining {
+		s.recordLoss(now, w, now, Report{})
+	}
 	w.stale = true
 	w.nextPollAt = now
 	if w.failedPolls > 1 {
@@ -349,7 +366,11 @@
 		w.suspended = false
 		s.markWorkerDirty(w) // its leases are renewed once this record is stored
 	}
+	w.acknowledgedResult = max(w.acknowledgedResult, w.inFlightAck)
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
+	if w.polledLease > 0 && report.Incarnation == w.observedIncarnation {
+		w.leaseHeldUntil = maxTime(w.leaseHeldUntil, w.earliestLeaseEnd(w.polledLease))
+	}
 	w.nextPollAt = now
 	firstAnswer, handledBefore := !w.listsRead, w.handledResult
 	if report.Incarnation != w.observedIncarnation {
@@ -457,7 +478,11 @@
 		w.nextPollAt = now.Add(pollRetryDelay)
 		return
 	}
-	r := &run{task: t, number: status.Run, worker: w, phase: phaseRunning, orderedAt: now, startedAt: now, progressedAt: now, pace: paceUnknown}
+	// When the run started isn't known. Most are beyond their start, and a run that isn't
+	// known to be at it must not make its task suspected.
+	r := &run{
+		task: t, number: status.Run, worker: w, phase: phaseRunning, orderedAt: now, startedAt: now, progressedAt: now, pace: paceUnknown, survivedStart: true,
+	}
 	s.attachRun(r)
 	t.lastRunNumber = max(t.lastRunNumber, status.Run)
 	s.markJobStarted(t.step.occurrence.job)
@@ -492,9 +517,9 @@
 func (s *Shard) mayHaveUnknownRuns(now time.Time, w *worker) bool {
 	switch {
 	case !w.listsRead:
-		return now.Before(s.lastLeaseEnd(w))
+		return !s.leasesOver(now, w)
 	case w.resultsIncomplete:
-		return w.failedPolls == 0 || now.Before(s.lastLeaseEnd(w))
+		return w.failedPolls == 0 || !s.leasesOver(now, w)
 	}
 	return false
 }
