--- a/internal/entry/lostworker_test.go
+++ b/internal/entry/lostworker_test.go
@@ -17,14 +17,14 @@
 // lists show later that the runs lapsed.
 func TestJobSurvivesCutOffWorkers(t *testing.T) {
 	t.Parallel()
-	for name, longRunning := range map[string]bool{"standing task": true, "finite task": false} {
+	for name, text := range map[string]string{"standing task": standin.Standing, "finite task": "60000"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := newCellWithCores(t, 2, 1)
 			c.configure(1)
-			step := job.Step{Count: 1, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Minute, LongRunning: longRunning}
+			step := job.Step{Count: 1, Demand: job.Demand{MilliCPU: 1000, MemoryMB: 10}, Estimate: time.Minute, LongRunning: text == standin.Standing}
 			const path = "/batch/0000000000000001"
-			c.submit(c.nodes[0], path, standin.Submission(job.Spec{Text: "60000", Steps: []job.Step{step}}))
+			c.submit(c.nodes[0], path, standin.Submission(job.Spec{Text: text, Steps: []job.Step{step}}))
 			const cuts = 2
 			for i := range cuts {
 				require.Eventually(t, func() bool { return len(c.site.Runs()) == i+1 }, 10*time.Second, 5*time.Millisecond, "run %d doesn't start", i+1)
