Play partitions and standing tasks in the soak

The soak cut processes from the store only, cut workers from all processes at once, and no longer than about 3 s. So no entry of a live worker expired, two processes never acted at a time, and no task lasted.

Each process now has a proxy on each of its ways to the store, the workers and, in runs that isolate a leader, the other processes; it learns the proxies' addresses from the store and from the other processes. Beside the faults that it had, a run has one partition of 4.6 to 10 s: a worker cut off while its entry expires; two workers of a standing task cut off right after its start; a process cut off from half of the workers; a leader cut off from the store, the others and half of the workers, which the others reach; the same with the successor killed right after its claim. The regression seeds have none and keep their faults. An eighth of the jobs has standing tasks, which have to run at the end, until they are cancelled.

Checks added: no start after an acknowledged end (TWICE), no job shown as failed or cancelled, standing tasks run, cancelled ones end. All violations of a run are reported at once. "Completed twice" is as strict as before; its message says whether an earlier end was acknowledged within the lease.

--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,115 @@
+package soak_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/platform/standin"
+)
+
+// check compares the responses to callers with the runs that the workers recorded. It
+// reports all violations of a run at once.
+func (r *run) check() {
+	client := &http.Client{Timeout: 3 * time.Second}
+	violations, accepted := r.checkJobs(client)
+	violations = append(violations, r.checkRuns()...)
+	violations = append(violations, r.checkCancelling(client)...)
+	r.t.Logf("%d jobs, %d accepted, %d runs", len(r.jobs), accepted, len(r.site.Runs()))
+	require.Empty(r.t, violations, strings.Join(violations, "\n"))
+	require.Greater(r.t, accepted, minAccepted)
+}
+
+// checkJobs waits until the accepted jobs have completed, and the tasks of standing ones
+// run. It returns the violations and the number of accepted jobs.
+func (r *run) checkJobs(client *http.Client) (violations []string, accepted int) {
+	deadline := time.Now().Add(recoveryTimeout)
+	for path, result := range r.jobs {
+		if len(result.gone) > 0 {
+			violations = append(violations, path+" was accepted, but answered with 410")
+		}
+		if !result.accepted {
+			continue
+		}
+		accepted++
+		if violation := r.awaitJob(client, path, result, deadline); violation != "" {
+			violations = append(violations, violation)
+		}
+	}
+	return violations, accepted
+}
+
+func (r *run) awaitJob(client *http.Client, path string, result *outcome, deadline time.Time) (violation string) {
+	for {
+		status, body := r.call(client, r.processes[0], http.MethodGet, path, "")
+		switch {
+		case status == http.StatusGone:
+			return path + " was accepted, but is lost"
+		case strings.Contains(body, string(job.Failed)):
+			return path + " is shown as failed, but no run has ended so"
+		case strings.Contains(body, string(job.Cancelled)):
+			return path + " is shown as cancelled, but nobody has cancelled it"
+		case strings.Contains(body, string(job.Completed)), result.standing > 0 && r.running(path) == result.standing:
+			return ""
+		case time.Now().After(deadline):
+			return fmt.Sprintf("%s did not complete in time: %d %s, %d of its runs go on", path, status, body, r.running(path))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// checkRuns returns the violations that the runs show.
+func (r *run) checkRuns() (violations []string) {
+	byTask := map[string][]standin.Run{}
+	startedJobs := map[string]bool{}
+	for _, run := range r.site.Runs() {
+		if run.EndedAt.IsZero() {
+			run.EndedAt = time.Now()
+		}
+		startedJobs[run.Task[:16]] = true // a task's name starts with the 16 characters of its job's id
+		completedBefore, acknowledgedBefore := false, false
+		for _, other := range byTask[run.Task] {
+			runs := fmt.Sprintf("run %d on %s, run %d on %s", other.Number, other.Worker, run.Number, run.Worker)
+			if run.StartedAt.Before(other.EndedAt) && other.StartedAt.Before(run.EndedAt) {
+				violations = append(violations, run.Task+" ran twice at the same time: "+runs)
+			}
+			acknowledged := other.Result == "done" && !other.AcknowledgedAt.IsZero()
+			if acknowledged {
+				violations = append(violations, run.Task+" started again after an acknowledged end: "+runs)
+			}
+			completedBefore, acknowledgedBefore = completedBefore || other.Result == "done", acknowledgedBefore || acknowledged
+		}
+		if completedBefore && run.Result == "done" {
+			violations = append(violations, fmt.Sprintf("%s completed twice, an earlier end acknowledged within the lease: %t", run.Task, acknowledgedBefore))
+		}
+		byTask[run.Task] = append(byTask[run.Task], run)
+	}
+	for path, result := range r.jobs {
+		if !result.accepted && result.unknown == 0 && startedJobs[path[len(path)-16:]] {
+			violations = append(violations, fmt.Sprintf("%s ran, but was refused %d times", path, result.refused))
+		}
+	}
+	return violations
+}
+
+// checkCancelling cancels the standing jobs. It returns a violation for each that isn't
+// cancelled, or of which a run goes on.
+func (r *run) checkCancelling(client *http.Client) (violations []string) {
+	for path, result := range r.jobs {
+		if result.standing == 0 || !result.accepted {
+			continue
+		}
+		status, _ := r.call(client, r.processes[0], http.MethodDelete, path, "")
+		for began := time.Now(); r.running(path) > 0 && time.Since(began) < cancelTimeout; {
+			time.Sleep(20 * time.Millisecond)
+		}
+		if runs := r.running(path); status != http.StatusOK || runs > 0 {
+			violations = append(violations, fmt.Sprintf("%s was cancelled: status %d, %d of its runs go on", path, status, runs))
+		}
+	}
+	return violations
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,6 @@
 // Package soak tests entry processes on one machine under faults that are
-// injected from outside: signals, and loopback proxies in front of the stand-ins
-// for the store and the workers.
+// injected from outside: signals, and loopback proxies on each process's ways to the
+// store, the workers and the other processes.
 //
 // # Usage
 //
@@ -42,20 +42,26 @@
 type Proxy struct {
 	listener net.Listener
 	target   string
+	rewrite  func(content []byte, isResponse bool) []byte // nil for none
 	mu       sync.Mutex
 	mode     Mode
+	cut      bool
 	// tracked holds both sides of each open connection, except those that were
 	// open when the mode Blackhole ended.
 	tracked map[net.Conn]bool
 }
 
 // NewProxy starts a proxy on a free loopback port. It runs until Close.
-func NewProxy(target string) (*Proxy, error) {
+func NewProxy(target string) (*Proxy, error) { return NewRewritingProxy(target, nil) }
+
+// NewRewritingProxy starts a proxy that forwards what rewrite returns for each chunk of
+// data.
+func NewRewritingProxy(target string, rewrite func(content []byte, isResponse bool) []byte) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
-	p := &Proxy{listener: listener, target: target, tracked: map[net.Conn]bool{}}
+	p := &Proxy{listener: listener, target: target, rewrite: rewrite, tracked: map[net.Conn]bool{}}
 	go p.accept() // ends with the listener
 	return p, nil
 }
@@ -66,16 +72,23 @@
 // SetMode changes the mode of new and open connections. Connections that are
 // open when the mode Blackhole ends keep losing their data; only new ones
 // work.
-func (p *Proxy) SetMode(mode Mode) {
+func (p *Proxy) SetMode(mode Mode) { p.change(func() { p.mode = mode }) }
+
+// SetCut puts the proxy into the mode Blackhole until it is called with false; the mode
+// that SetMode has set applies again after that.
+func (p *Proxy) SetCut(cut bool) { p.change(func() { p.cut = cut }) }
+
+func (p *Proxy) change(set func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.mode == Blackhole && mode != Blackhole {
+	before := p.currentMode()
+	set()
+	if before == Blackhole && p.currentMode() != Blackhole {
 		for conn := range p.tracked {
 			delete(p.tracked, conn) // its data is dropped, and Reset and Close leave it open
 		}
 	}
-	p.mode = mode
-	if mode == Reset {
+	if p.currentMode() == Reset {
 		for conn := range p.tracked {
 			_ = conn.Close()
 			delete(p.tracked, conn)
@@ -83,6 +96,14 @@
 	}
 }
 
+// currentMode returns the mode that applies. The caller holds p.mu.
+func (p *Proxy) currentMode() Mode {
+	if p.cut {
+		return Blackhole
+	}
+	return p.mode
+}
+
 // Close stops the proxy and closes all tracked connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -100,7 +121,7 @@
 			return
 		}
 		p.mu.Lock()
-		mode := p.mode
+		mode := p.currentMode()
 		p.mu.Unlock()
 		if mode == Reset {
 			_ = client.Close()
@@ -126,7 +147,11 @@
 	for {
 		count, err := from.Read(buffer)
 		if count > 0 && p.forwards(to, isResponse) {
-			if _, err := to.Write(buffer[:count]); err != nil {
+			content := buffer[:count]
+			if p.rewrite != nil {
+				content = p.rewrite(content, isResponse)
+			}
+			if _, err := to.Write(content); err != nil {
 				return
 			}
 		}
@@ -140,7 +165,7 @@
 // rather than dropped. In the mode Delay it sleeps first.
 func (p *Proxy) forwards(to net.Conn, isResponse bool) bool {
 	p.mu.Lock()
-	mode, isTracked := p.mode, p.tracked[to]
+	mode, isTracked := p.currentMode(), p.tracked[to]
 	p.mu.Unlock()
 	switch {
 	case !isTracked || mode == Blackhole || mode == DropResponses && isResponse:
@@ -159,7 +184,7 @@
 	isTracked := p.tracked[to] || p.tracked[from]
 	delete(p.tracked, to)
 	delete(p.tracked, from)
-	blackhole := p.mode == Blackhole
+	blackhole := p.currentMode() == Blackhole
 	p.mu.Unlock()
 	if isTracked && !blackhole {
 		_ = to.Close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,12 +40,17 @@
 	// minAccepted is the number of accepted jobs that a run must exceed for its
 	// checks to be meaningful.
 	minAccepted = 20
+	// standingJobInterval is the number of a caller's jobs of which one has standing
+	// tasks.
+	standingJobInterval = 8
 	// acceptTimeout limits how long after the last fault it takes until more than
 	// minAccepted jobs are accepted: a caller's timeout of 3 s on a paused
 	// process, and a change of leader.
 	acceptTimeout = 10 * time.Second
 )
 
+var services = []string{"ledger", "review"}
+
 // regressionSeeds maps seeds that once failed to the cause of the failure. TestSoak
 // always includes them.
 var regressionSeeds = map[uint64]string{
@@ -64,7 +69,7 @@
 	mu         sync.Mutex
 	command    *exec.Cmd
 	logs       bytes.Buffer
-	storeProxy *soak.Proxy
+	storeProxy *soak.Proxy // also in run.network
 }
 
 func (p *process) Write(content []byte) (int, error) {
@@ -89,13 +94,14 @@
 }
 
 type run struct {
-	t             *testing.T
-	random        *rand.Rand
-	site          *standin.Site
-	processes     []*process
-	workerProxies []*soak.Proxy
-	mu            sync.Mutex
-	jobs          map[string]*outcome
+	t         *testing.T
+	random    *rand.Rand
+	site      *standin.Site
+	processes []*process
+	workers   []*standin.Worker
+	network   *network
+	mu        sync.Mutex
+	jobs      map[string]*outcome
 }
 
 // outcome records the responses to callers about a job.
@@ -107,6 +113,9 @@
 	unknown int
 	// gone holds the job's path for each 410 after it was accepted.
 	gone []string
+	// standing is the number of its tasks if they run until the job is cancelled;
+	// otherwise 0.
+	standing int
 }
 
 func manifestText() string {
@@ -118,40 +127,37 @@
 	return standin.Manifest(1, []manifest.Queue{
 		{Host: "soak.example", PathPrefix: "/quick/", Service: "ledger", Terms: quick},
 		{Host: "soak.example", PathPrefix: "/batch/", Service: "review", Terms: batch},
-	}, []string{"ledger", "review"}, 65536)
+	}, services, 65536)
 }
 
-func newRun(t *testing.T, binary string, seed uint64) *run {
+func newRun(t *testing.T, binary string, seed uint64, peerProxies bool) *run {
 	r := &run{t: t, random: rand.New(rand.NewPCG(seed, 2)), site: standin.New(), jobs: map[string]*outcome{}}
 	t.Cleanup(r.site.Close)
-	storeAddress, err := r.site.Serve(r.site.Store)
-	require.NoError(t, err)
 	adviserAddress, err := r.site.Serve(http.HandlerFunc(standin.Adviser))
 	require.NoError(t, err)
+	var workerAddresses []string
 	for i := range 3 {
-		for _, service := range []string{"ledger", "review"} {
-			_, err := r.site.AddWorkerWithProxy(fmt.Sprintf("i-%s-%d", service, i), service, 16000, 32000, 0, func(address string) (string, error) {
-				proxy, err := soak.NewProxy(address)
-				if err != nil {
-					return "", err
-				}
-				t.Cleanup(proxy.Close)
-				r.workerProxies = append(r.workerProxies, proxy)
-				return proxy.Address(), nil
+		for _, service := range services {
+			worker, err := r.site.AddWorkerWithProxy(fmt.Sprintf("i-%s-%d", service, i), service, 16000, 32000, 0, func(address string) (string, error) {
+				workerAddresses = append(workerAddresses, address)
+				return address, nil
 			})
 			require.NoError(t, err)
+			r.workers = append(r.workers, worker)
 		}
 	}
+	var ips []netip.Addr
+	for range nodes {
+		ips = append(ips, loopback.New())
+	}
+	r.network = newNetwork(t, r.site, ips, workerAddresses, peerProxies)
 	r.site.Configure(manifestText())
 	for i := range nodes {
-		proxy, err := soak.NewProxy(storeAddress)
-		require.NoError(t, err)
-		t.Cleanup(proxy.Close)
-		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: loopback.New().String(), storeProxy: proxy}
+		ip, proxy := ips[i], r.network.store[i]
+		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: ip.String(), storeProxy: proxy}
 		p.settings = filepath.Join(t.TempDir(), "node.json")
-		ip := netip.MustParseAddr(p.ip)
 		content := standin.SettingsFile(platform.Settings{
-			Node: fmt.Sprintf("entry-%d", i), IP: ip, Zone: "z", Region: "r", FirstPeerPort: 7380, LastPeerPort: 7395, Cores: 1,
+			Node: fmt.Sprintf("entry-%d", i), IP: ip, Zone: "z", Region: "r", FirstPeerPort: peerPort, LastPeerPort: 7395, Cores: 1,
 			CallerAddress: netip.AddrPortFrom(ip, 8149), ReadyAddress: netip.AddrPortFrom(ip, 8141), AdviserAddress: netip.MustParseAddrPort(adviserAddress),
 			Store: platform.StoreSettings{Address: netip.MustParseAddrPort(proxy.Address())},
 			Bounds: platform.Bounds{
@@ -180,7 +186,7 @@
 	restartDelay := time.Duration(r.random.IntN(1500)) * time.Millisecond
 	modes := []soak.Mode{soak.Delay, soak.Blackhole, soak.DropResponses, soak.Reset}
 	mode := modes[r.random.IntN(len(modes))]
-	worker := r.workerProxies[r.random.IntN(len(r.workerProxies))]
+	worker := r.random.IntN(len(r.workers))
 	restart := func(signal syscall.Signal) func() {
 		p.stop(signal)
 		return func() { time.Sleep(restartDelay); p.start() }
@@ -197,10 +203,10 @@
 		p.storeProxy.SetMode(mode)
 		return fmt.Sprintf("store of entry-%d in mode %d", p.number, mode), func() { p.storeProxy.SetMode(soak.Forward) }
 	case 5:
-		worker.SetMode(mode)
-		return fmt.Sprintf("worker in mode %d", mode), func() { worker.SetMode(soak.Forward) }
+		r.network.setWorkerMode(worker, mode)
+		return fmt.Sprintf("worker %d in mode %d", worker, mode), func() { r.network.setWorkerMode(worker, soak.Forward) }
 	case 6:
-		topic := "keyed.jobs-" + []string{"ledger", "review"}[r.random.IntN(2)]
+		topic := "keyed.jobs-" + services[r.random.IntN(2)]
 		partition := r.random.IntN(2)
 		r.site.Store.SetUnresponsive(topic, partition, true)
 		return fmt.Sprintf("partition %d of %s unresponsive", partition, topic), func() { r.site.Store.SetUnresponsive(topic, partition, false) }
@@ -256,6 +262,10 @@
 		last.Count, last.After, last.Gang = 2, []int{0}, random.IntN(2) == 0
 		body := standin.Submission(job.Spec{Text: strconv.Itoa(runMS), Steps: []job.Step{step, last}})
 		result := &outcome{}
+		if i%standingJobInterval == 0 {
+			result.standing = step.Count
+			body = standingJob(step.Count)
+		}
 		r.mu.Lock()
 		r.jobs[path] = result
 		r.mu.Unlock()
@@ -282,7 +292,8 @@
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
-	r := newRun(t, binary, seed)
+	partition := newPartition(seed)
+	r := newRun(t, binary, seed, partition.isolates())
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
 	var callersDone sync.WaitGroup
@@ -290,12 +301,22 @@
 		callersDone.Go(func() { r.submitJobs(number, seed, stop) })
 	}
 	var endFaults []func()
-	for started, i := time.Now(), 0; time.Since(started) < faultDuration; i++ {
+	var partitionEnded <-chan struct{}
+	started := time.Now()
+	for i := 0; time.Since(started) < faultDuration; i++ {
+		if partitionEnded == nil && partition.kind != unpartitioned && time.Since(started) > partitionStart {
+			for _, end := range endFaults {
+				end()
+			}
+			endFaults = nil
+			t.Logf("%.1fs: %s", time.Since(started).Seconds(), partition)
+			partitionEnded = partition.begin(r)
+		}
 		name, end := r.fault(i)
 		t.Logf("%.1fs: %s", time.Since(started).Seconds(), name)
 		endFaults = append(endFaults, end)
 		time.Sleep(time.Duration(300+r.random.IntN(1500)) * time.Millisecond)
-		if len(endFaults) == 2 || r.random.IntN(2) == 0 { // at most two faults overlap
+		if len(endFaults) == 2 || r.random.IntN(2) == 0 { // at most two faults overlap, beside the partition
 			endFaults[0]()
 			endFaults = endFaults[1:]
 		}
@@ -304,6 +325,10 @@
 		end()
 	}
 	r.site.Store.DropResponses(0)
+	if partitionEnded != nil {
+		<-partitionEnded
+	}
+	t.Logf("%.1fs: the faults are over", time.Since(started).Seconds())
 	// Callers may have waited for paused processes during most of the fault
 	// duration. They keep submitting jobs until stop is closed, so wait until
 	// enough are accepted.
@@ -326,57 +351,6 @@
 	return count
 }
 
-// check compares the responses to callers with the runs that the workers recorded.
-func (r *run) check() {
-	t := r.t
-	client := &http.Client{Timeout: 3 * time.Second}
-	startedJobs := map[string]bool{}
-	accepted := 0
-	deadline := time.Now().Add(recoveryTimeout)
-	for path, result := range r.jobs {
-		require.Empty(t, result.gone, "an accepted job was answered with 410")
-		if !result.accepted {
-			continue
-		}
-		accepted++
-		for {
-			status, body := r.call(client, r.processes[0], http.MethodGet, path, "")
-			require.NotEqual(t, http.StatusGone, status, "%s was accepted, but is lost", path)
-			if strings.Contains(body, string(job.Completed)) {
-				break
-			}
-			require.True(t, time.Now().Before(deadline), "%s did not complete in time: %d %s", path, status, body)
-			time.Sleep(100 * time.Millisecond)
-		}
-	}
-	require.Greater(t, accepted, minAccepted)
-	type workerRun struct{ standin.Run }
-	byTask := map[string][]workerRun{}
-	completed := map[string]time.Time{}
-	for _, taskRun := range r.site.Runs() {
-		if taskRun.EndedAt.IsZero() {
-			taskRun.EndedAt = time.Now()
-		}
-		startedJobs[taskRun.Task[:16]] = true // a task's name starts with the 16 characters of its job's id
-		for _, other := range byTask[taskRun.Task] {
-			disjoint := !taskRun.StartedAt.Before(other.EndedAt) || !other.StartedAt.Before(taskRun.EndedAt)
-			require.True(t, disjoint, "%s ran twice at the same time: run %d on %s, run %d on %s", taskRun.Task, taskRun.Number, taskRun.Worker, other.Number, other.Worker)
-		}
-		byTask[taskRun.Task] = append(byTask[taskRun.Task], workerRun{taskRun})
-		if taskRun.Result == "done" {
-			_, repeated := completed[taskRun.Task]
-			require.False(t, repeated, "%s completed twice", taskRun.Task)
-			completed[taskRun.Task] = taskRun.EndedAt
-		}
-	}
-	for path, result := range r.jobs {
-		if !result.accepted && result.unknown == 0 {
-			require.False(t, startedJobs[path[len(path)-16:]], "%s ran, but was refused %d times", path, result.refused)
-		}
-	}
-	t.Logf("%d jobs, %d accepted, %d runs", len(r.jobs), accepted, len(r.site.Runs()))
-}
-
 // Guards against jobs and tasks that are lost, run twice or run after a refusal
 // while processes are killed, stopped, paused and cut off from the store and the
 // workers.
