Test that successors wait for earlier leaders after a release or a failure

Here the successor is stopped as planned, or its control loop fails, and a third node claims the released or vacant leadership.

--- a/internal/entry/partition_test.go
+++ b/internal/entry/partition_test.go
@@ -59,36 +59,82 @@
 	c.requireNoRepeatedRuns()
 }
 
-// Guards against a new leader that takes the leases of the leader before the last one for
-// over, because it replaces the previous boot of its own process: that one was killed
-// right after its claim.
-func TestRestartedSuccessorWaitsForLeasesOfEarlierLeaders(t *testing.T) {
-	t.Parallel()
-	c := newCellWithCores(t, 2, 1)
+// twoSuccessors is a cell with a former leader that is cut off from the store and the
+// other nodes, but renews the leases of its three runs. Its successor reaches only a spare
+// worker.
+type twoSuccessors struct {
+	*cell
+	runs           []standin.Run
+	spare          *standin.Worker
+	successor      *node
+	successorEpoch int
+}
+
+func newTwoSuccessors(t *testing.T, nodes int) *twoSuccessors {
+	c := &twoSuccessors{cell: newCellWithCores(t, nodes, 1)}
 	c.configure(1)
-	runs := c.submitTasks("00000000000000aa", 3, 9000, time.Minute)
-	time.Sleep(2 * time.Second) // until the store has answered the other node's polls for long enough
+	c.runs = c.submitTasks("00000000000000aa", 3, 9000, time.Minute)
+	time.Sleep(2 * time.Second) // until the store has answered the other nodes' polls for long enough
 	former, formerEpoch := c.leadership("review")
-	successor := c.otherThan(former)
 	for _, worker := range c.workers["review"] {
 		worker.SetReachable(func(fencingToken int64) bool { return fencingToken <= int64(formerEpoch) })
 	}
-	spare := c.addWorker("i-spare", "review", 64000)
-	spare.SetReachable(func(fencingToken int64) bool { return fencingToken > int64(formerEpoch) })
+	c.spare = c.addWorker("i-spare", "review", 64000)
+	c.spare.SetReachable(func(fencingToken int64) bool { return fencingToken > int64(formerEpoch) })
 	c.isolate(former)
-	killedEpoch := 0
-	require.Eventually(t, func() bool {
-		leader, epoch := c.newestClaim("review")
-		killedEpoch = epoch
-		return leader == successor
-	}, 5*time.Second, time.Millisecond)
-	spare.SetReachable(func(fencingToken int64) bool { return fencingToken > int64(killedEpoch) })
-	c.isolate(successor)
-	successor.cancel()
-	restarted := c.start(slices.Index(c.nodes, successor))
-	for _, run := range runs {
+	c.successor, c.successorEpoch = c.awaitClaim(formerEpoch)
+	return c
+}
+
+// awaitClaim waits for a claim with an epoch above the given one.
+func (c *cell) awaitClaim(after int) (leader *node, epoch int) {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		leader, epoch = c.newestClaim("review")
+		return epoch > after
+	}, 5*time.Second, time.Millisecond, "nobody claims the shard")
+	return leader, epoch
+}
+
+// requireLeasesRespected waits until the former leader's runs have ended, and checks that
+// no other leader started their tasks before.
+func (c *twoSuccessors) requireLeasesRespected() {
+	c.t.Helper()
+	for _, run := range c.runs {
 		c.requireEnded(run, 20*time.Second)
 	}
-	require.Same(t, restarted, c.leader("review"))
 	c.requireNoRepeatedRuns()
 }
+
+// Guards against a new leader that takes the leases of the leader before the last one for
+// over, because it replaces the previous boot of its own process: that one was killed
+// right after its claim.
+func TestRestartedSuccessorWaitsForLeasesOfEarlierLeaders(t *testing.T) {
+	t.Parallel()
+	c := newTwoSuccessors(t, 2)
+	c.spare.SetReachable(func(fencingToken int64) bool { return fencingToken > int64(c.successorEpoch) })
+	c.isolate(c.successor)
+	c.successor.cancel()
+	restarted := c.start(slices.Index(c.nodes, c.successor))
+	c.requireLeasesRespected()
+	require.Same(t, restarted, c.leader("review"))
+}
+
+// Guards against a new leader that takes the leases of the leader before the last one for
+// over, because the last one gave up its leadership.
+func TestSecondSuccessorWaitsForLeasesOfEarlierLeaders(t *testing.T) {
+	t.Parallel()
+	for name, giveUp := range map[string]func(successor *node){
+		"released": func(successor *node) { successor.cancel() },
+		"failed":   func(successor *node) { successor.process.PanicInControlLoop("review/0") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newTwoSuccessors(t, 3)
+			giveUp(c.successor)
+			next, _ := c.awaitClaim(c.successorEpoch)
+			require.NotSame(t, c.successor, next)
+			c.requireLeasesRespected()
+		})
+	}
+}
