Test that a late append doesn't replace its own leader

What callers see: the shard changes its leader, to the same process, right after an outage of the store.

A batch that isn't answered is sent again with a higher producer epoch, while the earlier attempt is still waiting. The store may carry out the later attempt first. It then refuses the earlier one, and handleAppendResult takes that for a newer leader; nothing stops it if the answer to the later attempt is lost or comes later.

It fails on the present code:

06:43:01.843 right-claimed service=ledger/0 epoch=6 cause=never-held 06:43:02.497 right-lost epoch=6 "the store refused an append of an older epoch" 06:43:02.551 right-claimed epoch=7 cause=own-former-boot former=entry-0

--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -19,7 +19,8 @@
 type storeProxy struct {
 	store                    http.Handler
 	unavailable, silent, cut atomic.Bool
-	appendDelay              atomic.Int64 // before each append of a shard's records, in ns
+	appendDelay              atomic.Int64                    // before each append of a shard's records, in ns
+	heldAppends              atomic.Pointer[chan heldAppend] // takes the appends of heldJob
 	link                     slowLink
 }
 
@@ -32,6 +33,9 @@
 		<-r.Context().Done()
 		return
 	}
+	if p.holdAppend(w, r) {
+		return
+	}
 	w = cutWriter{w, &p.cut}
 	if p.unavailable.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
