--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -47,6 +47,7 @@
 func (r *run) awaitJob(client *http.Client, path string, result *outcome, deadline time.Time) (violation string) {
 	for {
 		status, body := r.call(client, r.processes[0], http.MethodGet, path, "")
+		result.noteState(body)
 		switch {
 		case status == http.StatusGone:
 			return path + " was accepted, but is lost"
@@ -64,11 +65,15 @@
 }
 
 // repeatedRuns returns the violations of the rule that a task runs once: no two runs at the
-// same time, and none after an end as done that was acknowledged, then or later. An end
-// whose worker's lease lapsed before the acknowledgement doesn't count.
-func repeatedRuns(runs []standin.Run) (violations []string) {
+// same time, and none after an end as done that was acknowledged, then or later, or more than
+// a second after a caller was told that the job had completed. An end whose worker's lease
+// lapsed before the acknowledgement doesn't count. The times of completion are by job.
+func repeatedRuns(runs []standin.Run, completedAt map[string]time.Time) (violations []string) {
 	byTask := map[string][]standin.Run{}
 	for _, run := range runs {
+		if at, completed := completedAt[run.Task[:16]]; completed && run.StartedAt.After(at.Add(time.Second)) {
+			violations = append(violations, fmt.Sprintf("%s run %d started %s after its job was shown as completed", run.Task, run.Number, run.StartedAt.Sub(at)))
+		}
 		for _, other := range byTask[run.Task] {
 			pair := fmt.Sprintf("run %d on %s, run %d on %s", other.Number, other.Worker, run.Number, run.Worker)
 			if run.StartedAt.Before(other.EndedAt) && other.StartedAt.Before(run.EndedAt) {
@@ -93,7 +98,13 @@
 		}
 		startedJobs[runs[i].Task[:16]] = true // a task's name starts with the 16 characters of its job's id
 	}
-	violations := repeatedRuns(runs)
+	completedAt := map[string]time.Time{}
+	for path, result := range r.jobs {
+		if !result.completedAt.IsZero() {
+			completedAt[path[len(path)-16:]] = result.completedAt
+		}
+	}
+	violations := repeatedRuns(runs, completedAt)
 	for path, result := range r.jobs {
 		if !result.accepted && result.unknown == 0 && startedJobs[path[len(path)-16:]] {
 			violations = append(violations, fmt.Sprintf("%s ran, but was refused %d times", path, result.refused))
@@ -128,22 +139,29 @@
 	first := standin.Run{Task: "0000000000000001.0.0.0", Number: 1, Worker: "i-1", StartedAt: at(1), EndedAt: at(5), Result: "done"}
 	second := standin.Run{Task: first.Task, Number: 2, Worker: "i-2", StartedAt: at(6), EndedAt: at(9), Result: "done"}
 	for name, c := range map[string]struct {
-		change   func(first, second *standin.Run)
-		violated bool
+		change      func(first, second *standin.Run)
+		completedAt int // when the job was shown as completed; 0 if it wasn't
+		violated    bool
 	}{
-		"the first end was not acknowledged within the lease": {func(*standin.Run, *standin.Run) {}, false},
-		"the first end was acknowledged before":               {func(first, _ *standin.Run) { first.AcknowledgedAt = at(5) }, true},
-		"the first end was acknowledged later":                {func(first, _ *standin.Run) { first.AcknowledgedAt = at(8) }, true},
-		"the first run had lapsed":                            {func(first, _ *standin.Run) { first.Result, first.AcknowledgedAt = "lapsed", at(8) }, false},
-		"at the same time":                                    {func(_, second *standin.Run) { second.StartedAt = at(4) }, true},
-		"the second run ended first":                          {func(_, second *standin.Run) { second.StartedAt, second.EndedAt = at(2), at(3) }, true},
-		"another task":                                        {func(_, second *standin.Run) { second.Task, second.StartedAt = "0000000000000001.0.0.1", at(4) }, false},
+		"the first end was not acknowledged within the lease":  {func(*standin.Run, *standin.Run) {}, 0, false},
+		"the first end was acknowledged before":                {func(first, _ *standin.Run) { first.AcknowledgedAt = at(5) }, 0, true},
+		"the first end was acknowledged later":                 {func(first, _ *standin.Run) { first.AcknowledgedAt = at(8) }, 0, true},
+		"the first run had lapsed":                             {func(first, _ *standin.Run) { first.Result, first.AcknowledgedAt = "lapsed", at(8) }, 0, false},
+		"at the same time":                                     {func(_, second *standin.Run) { second.StartedAt = at(4) }, 0, true},
+		"the second run ended first":                           {func(_, second *standin.Run) { second.StartedAt, second.EndedAt = at(2), at(3) }, 0, true},
+		"another task":                                         {func(_, second *standin.Run) { second.Task, second.StartedAt = "0000000000000001.0.0.1", at(4) }, 0, false},
+		"within a second after the job was shown as completed": {func(*standin.Run, *standin.Run) {}, 5, false},
+		"later than a second after that":                       {func(*standin.Run, *standin.Run) {}, 4, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			earlier, later := first, second
 			c.change(&earlier, &later)
-			require.Equal(t, c.violated, len(repeatedRuns([]standin.Run{earlier, later})) > 0)
+			completedAt := map[string]time.Time{}
+			if c.completedAt > 0 {
+				completedAt[first.Task[:16]] = at(c.completedAt)
+			}
+			require.Equal(t, c.violated, len(repeatedRuns([]standin.Run{earlier, later}, completedAt)) > 0)
 		})
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -113,6 +113,8 @@
 	unknown int
 	// gone holds the job's path for each 410 after it was accepted.
 	gone []string
+	// completedAt is when a caller was first told that it has completed; zero if none was.
+	completedAt time.Time
 	// standing is the number of its tasks if they run until the job is cancelled;
 	// otherwise 0.
 	standing int
@@ -247,7 +249,13 @@
 // closed.
 func (r *run) submitJobs(callerNumber int, seed uint64, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, uint64(10+callerNumber)))
+	queries := rand.New(rand.NewPCG(seed, uint64(100+callerNumber)))
 	client := &http.Client{Timeout: 3 * time.Second}
+	type acceptedJob struct {
+		path   string
+		result *outcome
+	}
+	var accepted []acceptedJob
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
@@ -284,10 +292,23 @@
 			}
 		}
 		if result.accepted {
+			accepted = append(accepted, acceptedJob{path, result})
 			if status, _ := r.call(client, r.processes[random.IntN(len(r.processes))], http.MethodGet, path, ""); status == http.StatusGone {
 				result.gone = append(result.gone, path)
 			}
 		}
+		if len(accepted) > 0 {
+			earlier := accepted[queries.IntN(len(accepted))]
+			_, body := r.call(client, r.processes[queries.IntN(len(r.processes))], http.MethodGet, earlier.path, "")
+			earlier.result.noteState(body)
+		}
+	}
+}
+
+// noteState notes when a caller is first told that the job has completed.
+func (o *outcome) noteState(body string) {
+	if o.completedAt.IsZero() && strings.Contains(body, string(job.Completed)) {
+		o.completedAt = time.Now()
 	}
 }
 
