Send no further copy of a batch once one was refused as fenced

A former leader could go on appending to a slow store for as long as it held its authority: since it takes a refusal for its successor's only if the refused copy is its newest, and if answers take longer than the time after which the next copy is sent (0.6 s), the newest copy is never the one that was refused.

Change: after a refusal no further copy is sent before all in flight are answered or timed out.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -204,6 +204,11 @@
 					answer.succeeded()
 					return true
 				}
+				if platform.Fenced(answer.err) {
+					// Only a refusal of the newest copy shows another leader, so no
+					// further one is sent before it is answered.
+					calledOther, roundEnd = true, nil
+				}
 			}
 			switch {
 			case !ended && !calledOther:
--- a/internal/entry/append_test.go
+++ b/internal/entry/append_test.go
@@ -26,12 +26,16 @@
 func TestOnlyAnotherLeaderFencesABatch(t *testing.T) {
 	for name, c := range map[string]struct {
 		successor bool
+		delay     time.Duration // of each answer
 		lost      bool
 	}{
-		"the second copy arrives first": {false, false},
-		"another leader fences both":    {true, true},
+		"the second copy arrives first":                         {false, 0, false},
+		"another leader fences both":                            {true, 0, true},
+		"another leader fences all, and refusals arrive late":   {true, 800 * time.Millisecond, true},
+		"another leader fences all, and refusals take a second": {true, 1500 * time.Millisecond, true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			site := standin.New()
 			defer site.Close()
 			var copies atomic.Int64
@@ -51,6 +55,7 @@
 					close(secondDone)
 					time.Sleep(minSecondDelay) // the refusal of the first copy overtakes this answer
 				}
+				time.Sleep(c.delay)
 				w.WriteHeader(answer.Code)
 				_, _ = w.Write(answer.Body.Bytes())
 			}))
@@ -70,7 +75,13 @@
 				fence.URL.RawQuery = query.Encode()
 				site.Store.ServeHTTP(httptest.NewRecorder(), fence)
 			}
-			l.appendRecords([]shard.Record{{Key: "a", Value: []byte{1}}})
+			appended := make(chan struct{})
+			go func() { l.appendRecords([]shard.Record{{Key: "a", Value: []byte{1}}}); close(appended) }()
+			select {
+			case <-appended:
+			case <-time.After(5 * time.Second):
+				l.cancel()
+			}
 			require.Equal(t, c.lost, l.lost.Load())
 			require.GreaterOrEqual(t, copies.Load(), int64(2))
 		})
