Use a restarted worker only with its own entry

A task could start on a worker that was too small for it, or lacked its label (LIMIT, ROUTE), after the worker had restarted as another kind while the list of workers couldn't be read.

Cause: the report shows the new incarnation, but capacity and labels are those of the former one's entry. No change in the list was taken for the same kind of worker.

Change: a worker gets tasks only if the list has the incarnation that it reported.

Cost: a worker that restarts while the list can't be read gets no tasks until it can.

--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -125,3 +125,23 @@
 		})
 	}
 }
+
+// Guards against tasks that start on a restarted worker by the capacity of its former incarnation: a
+// new one may be of another kind, and the list of workers can't be read (LIMIT).
+func TestRestartedWorkerIsUsedByItsOwnEntry(t *testing.T) {
+	sim := newSimulation(t, 78, 1, workerSize)
+	sim.advance(time.Second)
+	sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{tasks(2, 12000, 20*time.Second)}}, 20*time.Second)
+	sim.advance(2 * time.Second)
+	require.Equal(t, 1, sim.startCount)
+	sim.storeDown = true
+	worker := sim.workers[0]
+	worker.crash()
+	worker.restart()
+	worker.capacity = job.Demand{MilliCPU: 8000, MemoryMB: 16000}
+	sim.advance(3 * time.Second)
+	require.Empty(t, sim.violations)
+	sim.storeDown = false
+	worker.capacity = workerSize
+	sim.requireAllEnded(2 * time.Minute)
+}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -170,9 +170,10 @@
 // placeable reports whether the worker is listed and not draining.
 func (w *worker) placeable() bool { return w.listed && !w.Draining }
 
-// usable reports whether new tasks can be placed on the worker now.
+// usable reports whether new tasks can be placed on the worker now. A restarted worker may have
+// another capacity and other labels than the entry of its former incarnation says.
 func (w *worker) usable() bool {
-	return w.placeable() && w.listsRead && w.recordStored && !w.stale && w.failedPolls < unreachableAfter
+	return w.placeable() && w.listsRead && w.recordStored && !w.stale && w.failedPolls < unreachableAfter && w.Incarnation == w.observedIncarnation
 }
 
 func (w *worker) free() job.Demand { return w.Capacity.Minus(w.used) }
