Poll recorded addresses only for workers that the list lacks

Change: the polls wait for the first list of workers, and go to the recorded address only of those that it lacks. TestRunsOfUnlistedWorkerOutliveTheirLeader and all tests of internal/shard: ok.

--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -252,10 +252,7 @@
 		w.leaseEnd = now.Add(min(s.options.OrphanTimeout, s.leaseLength()))
 	}
 	w.Incarnation, w.Address = record.Incarnation, record.Address
-	// An entry may expire while its worker works on.
-	if w.nextPollAt = now; !w.Address.IsValid() {
-		w.nextPollAt = now.Add(s.options.OrphanTimeout) // until the worker is listed
-	}
+	w.nextPollAt = now.Add(s.options.OrphanTimeout) // until the list is read, see pollRecordedWorkers
 	s.workers[id] = w
 	s.workersToRead[id] = true
 	s.sortWorkers()
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -119,6 +119,7 @@
 	// lists of runs must be read before tasks of stored jobs may start.
 	workersToRead map[string]bool
 	recovered     bool // all runs of former leaders are known or over
+	listRead      bool // SetWorkers was called
 	// formerLeadersOver means that no former leader acts any more or has leases left, and
 	// formerLeadersUnrecorded that no batch contains the record of it yet.
 	formerLeadersOver       bool
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -142,6 +142,21 @@
 			s.options.Log("worker-unlisted", "worker", w.ID, "runs", len(w.runs), "lease-left", w.leaseEnd.Sub(now))
 		}
 	}
+	if !s.listRead {
+		s.listRead = true
+		s.pollRecordedWorkers(now)
+	}
+}
+
+// pollRecordedWorkers polls the workers that a former leader recorded, once the list is read.
+// Those that it lacks are polled at their recorded addresses: an entry may have expired while
+// its worker works on.
+func (s *Shard) pollRecordedWorkers(now time.Time) {
+	for id := range s.workersToRead {
+		if w := s.workers[id]; w.Address.IsValid() {
+			w.nextPollAt = now
+		}
+	}
 }
 
 // forgetWorkers removes the state and the record of unlisted workers on which nothing
