--- a/internal/shard/lateorders.go
+++ b/internal/shard/lateorders.go
@@ -58,9 +58,15 @@
 	}
 }
 
-// removeStoppedStart removes an unanswered order that the worker now rejects.
-func (s *Shard) removeStoppedStart(worker string, key RunKey) {
-	if w := s.workers[worker]; w != nil {
-		w.unansweredStarts = slices.DeleteFunc(w.unansweredStarts, func(u unansweredStart) bool { return u.stopping && u.key == key })
+// recordStoppedStart records that the worker rejects an unanswered order until it restarts again.
+func (s *Shard) recordStoppedStart(worker string, key RunKey) {
+	w := s.workers[worker]
+	if w == nil {
+		return
+	}
+	for i := range w.unansweredStarts {
+		if w.unansweredStarts[i].key == key {
+			w.unansweredStarts[i].stopping = false
+		}
 	}
 }
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -130,7 +130,7 @@
 		// was stopped.
 		r.phase = phaseUncertain
 		s.markUncertain(now, r, string(result))
-	case r.startAttempts < maxStartAttempts && s.authority:
+	case r.startAttempts < maxStartAttempts && s.authority && r.worker.recordStored:
 		s.sendStart(now, r)
 	default:
 		s.markUncertain(now, r, cause)
@@ -210,7 +210,7 @@
 // stop is sent again later.
 func (s *Shard) StopAnswered(now time.Time, worker string, key RunKey, done bool) {
 	if done {
-		s.removeStoppedStart(worker, key)
+		s.recordStoppedStart(worker, key)
 	}
 	r := s.findRun(worker, key)
 	if r == nil {
@@ -355,13 +355,17 @@
 }
 
 // taskFailed counts a failed run of a task, or of its gang, and fails the job if this
-// was the last allowed attempt.
+// was the last allowed attempt. A run of a task that another run has completed counts
+// only for the health of its worker.
 func (s *Shard) taskFailed(now time.Time, w *worker, t *task, runNumber int64) {
 	st := t.step
 	j := st.occurrence.job
 	wasExcluded := w.health.excluded(now)
 	w.health.recordFailure(now, j.id)
 	s.logQuarantine(now, w, wasExcluded, "failures")
+	if t.done {
+		return
+	}
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(taskRetryDelay)
 	failures := &t.failures
