--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -111,8 +111,9 @@
 			remainingWorkers = append(remainingWorkers, w)
 		}
 		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
+		w.suspensionTaken = w.suspensionTaken || w.suspended
 		add(workerKey(w.ID), job.WorkerRecord{
-			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(),
+			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(), Address: w.Address,
 		})
 		s.inFlightWorkers = append(s.inFlightWorkers, w)
 	}
@@ -177,7 +178,7 @@
 		}
 	}
 	for _, w := range s.inFlightWorkers {
-		w.recordStored = !w.inFlightSuspended && !w.suspended
+		w.recordStored, w.suspensionTaken = !w.inFlightSuspended && !w.suspended, w.inFlightSuspended
 		w.storedResult = min(w.inFlightResult, w.handledResult)
 		if w.storedResult > w.acknowledgedResult {
 			w.nextPollAt = now
@@ -241,7 +242,7 @@
 		return
 	}
 	w := &worker{
-		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended,
+		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended, suspensionTaken: record.Suspended,
 		unlistedAt: now, bestEffortPace: fullPace,
 	}
 	w.loadUnstoredResults(record.Unstored)
@@ -250,8 +251,11 @@
 	if record.Suspended { // no lease was renewed since this record was stored
 		w.leaseEnd = now.Add(min(s.options.OrphanTimeout, s.leaseLength()))
 	}
-	w.nextPollAt = now.Add(s.options.OrphanTimeout) // until the worker is listed, its address is unknown
-	w.Incarnation = record.Incarnation
+	w.Incarnation, w.Address = record.Incarnation, record.Address
+	// An entry may expire while its worker works on.
+	if w.nextPollAt = now; !w.Address.IsValid() {
+		w.nextPollAt = now.Add(s.options.OrphanTimeout) // until the worker is listed
+	}
 	s.workers[id] = w
 	s.workersToRead[id] = true
 	s.sortWorkers()
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -103,6 +103,9 @@
 // StartAnswered handles the answer to a Start. The cause of a result other than
 // StartAccepted is only logged.
 func (s *Shard) StartAnswered(now time.Time, worker string, key RunKey, result StartResult, cause string) {
+	if result == StartUnknown {
+		s.recordUnansweredStart(now, worker, key)
+	}
 	r := s.findRun(worker, key)
 	if r == nil || r.phase == phaseRunning {
 		return
@@ -127,7 +130,7 @@
 		// was stopped.
 		r.phase = phaseUncertain
 		s.markUncertain(now, r, string(result))
-	case r.startAttempts < maxStartAttempts && s.authority:
+	case r.startAttempts < maxStartAttempts && s.authority && r.worker.recordStored:
 		s.sendStart(now, r)
 	default:
 		s.markUncertain(now, r, cause)
@@ -206,6 +209,9 @@
 // StopAnswered handles the answer to a Stop. If the call failed, done is false and the
 // stop is sent again later.
 func (s *Shard) StopAnswered(now time.Time, worker string, key RunKey, done bool) {
+	if done {
+		s.recordStoppedStart(worker, key)
+	}
 	r := s.findRun(worker, key)
 	if r == nil {
 		return
@@ -221,6 +227,7 @@
 // resendStops resends the stop orders that the worker has not confirmed.
 func (s *Shard) resendStops(now time.Time) {
 	for _, w := range s.sortedWorkers {
+		s.stopLateStarts(now, w)
 		for _, r := range w.runs {
 			stopUnconfirmed := (r.phase == phaseStopping || r.phase == phaseUncertain) && r.stopConfirmedAt.IsZero()
 			if stopUnconfirmed && now.Sub(r.stopSentAt) > stopRetryDelay && s.authority {
@@ -348,13 +355,17 @@
 }
 
 // taskFailed counts a failed run of a task, or of its gang, and fails the job if this
-// was the last allowed attempt.
+// was the last allowed attempt. A run of a task that another run has completed counts
+// only for the health of its worker.
 func (s *Shard) taskFailed(now time.Time, w *worker, t *task, runNumber int64) {
 	st := t.step
 	j := st.occurrence.job
 	wasExcluded := w.health.excluded(now)
 	w.health.recordFailure(now, j.id)
 	s.logQuarantine(now, w, wasExcluded, "failures")
+	if t.done {
+		return
+	}
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(taskRetryDelay)
 	failures := &t.failures
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -42,18 +42,21 @@
 	// suspendAfter.
 	suspended         bool
 	inFlightSuspended bool
+	suspensionTaken   bool // the stored record, or one of a batch that was taken since, is suspended
 	dirty             bool
 	stale             bool // its state may have changed: it gets no new task before its next report
 	resultsIncomplete bool // its last report listed only the oldest results
 
-	clock              time.Duration // reading of the worker's clock at clockReadAt
-	clockReadAt        time.Time
-	previousClock      time.Duration // the reading before clock
-	firstClock         time.Duration // the first reading of this incarnation
-	leaseEnd           time.Time     // no lease that was granted by its present clock lasts longer
-	formerClockEnd     time.Time     // no lease that was granted by a former incarnation's clock lasts longer
-	leaseEndReported   bool          // the former leader reported reportedLeaseEnd
-	reportedLeaseEnd   time.Time
+	clock            time.Duration // reading of the worker's clock at clockReadAt
+	clockReadAt      time.Time
+	previousClock    time.Duration // the reading before clock
+	firstClock       time.Duration // the first reading of this incarnation
+	leaseEnd         time.Time     // no lease that was granted by its present clock lasts longer
+	formerClockEnd   time.Time     // no lease that was granted by a former incarnation's clock lasts longer
+	leaseEndReported bool          // the former leader reported reportedLeaseEnd
+	reportedLeaseEnd time.Time
+	// unansweredStarts are the recent start orders without an answer, see lateorders.go.
+	unansweredStarts   []unansweredStart
 	pollInFlight       bool
 	nextPollAt         time.Time
 	failedPolls        int           // consecutive polls without an answer
@@ -84,10 +87,15 @@
 	// suspendAfter is the number of consecutive failed polls (1.5 s and more) after
 	// which a worker is recorded as suspended. No leader renews a lease on a
 	// suspended worker, so the next leader knows when its runs are over. When the
-	// worker is reached again, a new record is stored before its leases are renewed.
+	// worker is reached again, a new record is stored before its leases are renewed,
+	// unless no batch has taken the suspended one.
 	// A worker that was not read is suspended only when the leases of former leaders,
 	// who may renew them, last no longer than one that is granted now.
 	suspendAfter = 3
+	// maxSuspensionProofAge is the age of the confirmation from which a suspended worker
+	// isn't recorded: a record that the store doesn't take can't be withdrawn when the
+	// worker is reached again. It is the least time of suspendAfter failed polls.
+	maxSuspensionProofAge = 1500 * time.Millisecond
 	// unreachableAfter is the number of consecutive failed polls after which a worker
 	// gets no new tasks.
 	unreachableAfter = 1
@@ -213,7 +221,9 @@
 // lastLeaseEnd returns the time after which no lease is left on the worker.
 func (s *Shard) lastLeaseEnd(w *worker) time.Time {
 	end := w.leaseEnd
-	if w.Incarnation > w.observedIncarnation { // it may have restarted before the lease was granted
+	// It may have restarted before the lease was granted. The incarnation is a wall clock's
+	// time, which can be set back.
+	if w.Incarnation != w.observedIncarnation {
 		end = end.Add(s.restartedLeaseExtension())
 	}
 	return maxTime(end, w.formerClockEnd)
@@ -339,6 +349,8 @@
 	s.sendPolledTrials(now, w)
 	if w.failedPolls >= suspendAfter && w.recordStored && (w.listsRead || !s.formerLeaseEnd(w).After(now.Add(s.leaseLength()))) {
 		w.recordStored, w.suspended = false, true
+	}
+	if w.suspended && !w.suspensionTaken && now.Sub(s.confirmedAt) < maxSuspensionProofAge {
 		s.markWorkerDirty(w)
 	}
 	if w.failedPolls == 1 {
@@ -364,7 +376,11 @@
 	w.failedPolls, w.absent, w.lastReply, w.answeredPollSentAt = 0, false, now, sentAt
 	if w.suspended {
 		w.suspended = false
-		s.markWorkerDirty(w) // its leases are renewed once this record is stored
+		if w.suspensionTaken {
+			s.markWorkerDirty(w) // its leases are renewed once this record is stored
+		} else {
+			w.recordStored = true
+		}
 	}
 	w.acknowledgedResult = max(w.acknowledgedResult, w.inFlightAck)
 	w.previousClock, w.clock, w.clockReadAt = w.clock, report.Clock, now
@@ -454,6 +470,9 @@
 	}
 	s.updateSurvival(now, r)
 	r.usage = status.Usage
+	if r.mayBeHalted() {
+		r.progressedAt = now
+	}
 	if status.Percent > r.percent {
 		r.percent, r.progressedAt = status.Percent, now
 		r.updateSlowness(now)
