--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -51,14 +51,19 @@
 
 var services = []string{"ledger", "review"}
 
-// regressionSeeds maps seeds that once failed to the cause of the failure. TestSoak
-// always includes them.
+// regressionSeeds maps seeds that once failed to the cause of the failure. They failed
+// without a partition, and have none. TestSoak always includes them and partitionSeeds.
 var regressionSeeds = map[uint64]string{
 	20: "a former leader, whose last confirmation of its leadership was up to 1 s old, answered 410 for a job that the next leader had accepted",
 	28: "same as 20",
 	16: "two of three processes were paused, callers waited for them, and only 11 jobs were accepted; callers must submit jobs until enough are accepted",
 }
 
+// partitionSeeds maps seeds that once failed, with their partition, to the cause of the failure.
+var partitionSeeds = map[uint64]string{
+	7: "a former leader took leases for over that its successor renewed, and a restarted successor those of the leader before the last one",
+}
+
 // process is one entry process. Its Write method collects the process's output.
 type process struct {
 	t          *testing.T
@@ -393,9 +398,11 @@
 			seeds = append(seeds, seed+1)
 		}
 	}
-	for seed := range regressionSeeds {
-		if !slices.Contains(seeds, seed) {
-			seeds = append(seeds, seed)
+	for _, always := range []map[uint64]string{regressionSeeds, partitionSeeds} {
+		for seed := range always {
+			if !slices.Contains(seeds, seed) {
+				seeds = append(seeds, seed)
+			}
 		}
 	}
 	for _, seed := range seeds {
