Poll recorded workers although the list can't be read

Standing tasks lapsed and were started again after a change of leader during an outage of the store, although the new leader reached their workers: since it polled recorded addresses only after the first list of workers, and that is read from the store (found by the review).

Change: a recorded worker is polled 1 s after the state is loaded, if the list hasn't been read by then.

Evidence: TestRunsOutliveAnUnreadListAfterChangeOfLeader failed before ("expected: 6, actual: 12" starts). go test ./internal/shard: ok.

--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -252,7 +252,10 @@
 		w.leaseEnd = now.Add(min(s.options.OrphanTimeout, s.leaseLength()))
 	}
 	w.Incarnation, w.Address = record.Incarnation, record.Address
-	w.nextPollAt = now.Add(s.options.OrphanTimeout) // until the list is read, see pollRecordedWorkers
+	// The list tells newer addresses, see pollRecordedWorkers, but may be unreadable.
+	if w.nextPollAt = now.Add(recordedAddressDelay); !w.Address.IsValid() {
+		w.nextPollAt = now.Add(s.options.OrphanTimeout)
+	}
 	s.workers[id] = w
 	s.workersToRead[id] = true
 	s.sortWorkers()
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -61,6 +61,9 @@
 	// forgetResultsAfter is how long an unlisted worker is kept whose handled results may
 	// not be acknowledged.
 	forgetResultsAfter = time.Minute
+	// recordedAddressDelay is the time after Load at which recorded workers are polled
+	// although the list of workers hasn't been read.
+	recordedAddressDelay = time.Second
 	// retentionMargin is how long final states are kept beyond
 	// Options.FinalStateRetention.
 	retentionMargin = 30 * time.Second
--- a/internal/shard/workers_test.go
+++ b/internal/shard/workers_test.go
@@ -227,6 +227,26 @@
 	require.Empty(t, sim.violations)
 }
 
+// Guards against standing tasks that lapse after a change of leader because the list of workers can't
+// be read, although the workers can be reached.
+func TestRunsOutliveAnUnreadListAfterChangeOfLeader(t *testing.T) {
+	sim := newSimulation(t, 35, 4, workerSize)
+	sim.advance(time.Second)
+	standing := tasks(6, 3000, time.Minute)
+	standing.LongRunning = true
+	sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{standing}}, time.Hour)
+	sim.advance(1250 * time.Millisecond)
+	require.Equal(t, 6, sim.startCount)
+	sim.leader.dead = true
+	sim.replaceLeader()
+	sim.storeDown = true // the new leader has loaded the state, but not the list
+	sim.advance(8 * time.Second)
+	sim.storeDown = false
+	sim.advance(20 * time.Second)
+	require.Equal(t, 6, sim.startCount, "no task started again")
+	require.Empty(t, sim.violations)
+}
+
 // After a change of leader stored jobs wait until every worker is read that may run
 // their tasks. A step that only became ready under the new leader can't run anywhere, so
 // it must start at once, also if a worker doesn't answer (site rlts-voucher-large, run
