--- /dev/null
+++ b/internal/shard/leases.go
@@ -0,0 +1,49 @@
+package shard
+
+import "time"
+
+// leaseUntil returns the end, on the worker's clock, of a lease that is granted now. It
+// assumes the slowest clock, so that no lease lasts longer than leaseLength.
+func (w *worker) leaseUntil(now time.Time, lease time.Duration) time.Duration {
+	return w.clock + time.Duration(float64(now.Sub(w.clockReadAt))*slowestClockRate) + lease
+}
+
+// leaseLength returns the longest time that a lease granted now can last.
+func (s *Shard) leaseLength() time.Duration {
+	return time.Duration(float64(s.options.Lease)*LeaseDriftFactor) + orderTransitTime
+}
+
+// extendLease records that a lease is granted to the worker now. It returns the end of
+// the lease on the worker's clock.
+func (s *Shard) extendLease(now time.Time, w *worker) time.Duration {
+	end := now.Add(s.leaseLength())
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+	return w.leaseUntil(now, s.options.Lease)
+}
+
+// restartedLeaseExtension returns how much longer than leaseLength a lease can last that was
+// granted by the clock of a former incarnation. The clock of the new one shows less, so it
+// grants the longest lease that it allows.
+func (s *Shard) restartedLeaseExtension() time.Duration {
+	return time.Duration(float64(max(0, s.options.MaxWorkerLease-s.options.Lease)) * LeaseDriftFactor)
+}
+
+// lastLeaseEnd returns the time after which no lease is left on the worker.
+func (s *Shard) lastLeaseEnd(w *worker) time.Time {
+	end := w.leaseEnd
+	// It may have restarted before the lease was granted. The incarnation is a wall clock's
+	// time, which can be set back.
+	if w.Incarnation != w.observedIncarnation {
+		end = end.Add(s.restartedLeaseExtension())
+	}
+	return maxTime(end, w.formerClockEnd)
+}
+
+// leasesOver reports whether no lease is left on the worker. Without a confirmation from after
+// the end of the leases that this leader knows of, a successor may have renewed them.
+func (s *Shard) leasesOver(now time.Time, w *worker) bool {
+	end := s.lastLeaseEnd(w)
+	return !now.Before(end) && !s.confirmedAt.Before(end)
+}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -104,84 +104,6 @@
 	maxClockAge = 30 * time.Second
 )
 
-// SetWorkers replaces the list of the service's workers.
-func (s *Shard) SetWorkers(now time.Time, list []WorkerInfo) {
-	listed := make(map[string]bool, len(list))
-	for _, info := range list {
-		listed[info.ID] = true
-		s.addSeenCapacity(info.Capacity)
-		w := s.workers[info.ID]
-		if w == nil {
-			w = &worker{WorkerInfo: info, observedIncarnation: info.Incarnation, listed: true, bestEffortPace: fullPace}
-			w.updateLeavesAt(now)
-			s.workers[info.ID] = w
-			s.sortWorkers()
-			w.leaseEnd = s.loadedAt.Add(s.options.OrphanTimeout)
-			s.recordIfPlaceable(w)
-			s.options.Log("worker-listed", "worker", info.ID, "address", info.Address, "capacity", info.Capacity, "draining", info.Draining)
-			s.placementChanged = true
-			continue
-		}
-		if info.Draining && !w.Draining {
-			s.options.Log("worker-draining", "worker", info.ID, "remaining", info.Remaining, "runs", len(w.runs))
-		}
-		if !w.listed || w.Draining != info.Draining || w.Capacity != info.Capacity {
-			s.placementChanged = true
-		}
-		if w.Address != info.Address || w.Incarnation != info.Incarnation {
-			w.stale = true
-			w.nextPollAt = now
-		}
-		w.WorkerInfo, w.listed = info, true
-		w.updateLeavesAt(now)
-		s.recordIfPlaceable(w)
-	}
-	for _, w := range s.sortedWorkers {
-		if w.listed && !listed[w.ID] {
-			w.listed, w.unlistedAt = false, now
-			s.options.Log("worker-unlisted", "worker", w.ID, "runs", len(w.runs), "lease-left", w.leaseEnd.Sub(now))
-		}
-	}
-	if !s.listRead {
-		s.listRead = true
-		s.pollRecordedWorkers(now)
-	}
-}
-
-// pollRecordedWorkers polls the workers that a former leader recorded, once the list is read.
-// Those that it lacks are polled at their recorded addresses: an entry may have expired while
-// its worker works on.
-func (s *Shard) pollRecordedWorkers(now time.Time) {
-	for id := range s.workersToRead {
-		if w := s.workers[id]; w.Address.IsValid() {
-			w.nextPollAt = now
-		}
-	}
-}
-
-// forgetWorkers removes the state and the record of unlisted workers on which nothing
-// can run any more.
-func (s *Shard) forgetWorkers(now time.Time) {
-	kept := s.sortedWorkers[:0]
-	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) && !w.mayRepeatResults(now) {
-			delete(s.workers, w.ID)
-			delete(s.workersToRead, w.ID)
-			s.deleteWorkerRecord(w)
-			s.options.Log("worker-forgotten", "worker", w.ID)
-			continue
-		}
-		kept = append(kept, w)
-	}
-	s.sortedWorkers = kept
-}
-
-// mayRepeatResults reports whether a worker that comes back would list results that were
-// handled before: it hasn't answered their acknowledgement, and may be only cut off.
-func (w *worker) mayRepeatResults(now time.Time) bool {
-	return w.listsRead && w.acknowledgedResult < w.handledResult && (w.listed || now.Sub(w.unlistedAt) <= forgetResultsAfter)
-}
-
 // placeable reports whether the worker is listed and not draining.
 func (w *worker) placeable() bool { return w.listed && !w.Draining }
 
@@ -206,52 +128,6 @@
 
 func (w *worker) target() Target { return Target{ID: w.ID, Address: w.Address} }
 
-// leaseUntil returns the end, on the worker's clock, of a lease that is granted now. It
-// assumes the slowest clock, so that no lease lasts longer than leaseLength.
-func (w *worker) leaseUntil(now time.Time, lease time.Duration) time.Duration {
-	return w.clock + time.Duration(float64(now.Sub(w.clockReadAt))*slowestClockRate) + lease
-}
-
-// leaseLength returns the longest time that a lease granted now can last.
-func (s *Shard) leaseLength() time.Duration {
-	return time.Duration(float64(s.options.Lease)*LeaseDriftFactor) + orderTransitTime
-}
-
-// extendLease records that a lease is granted to the worker now. It returns the end of
-// the lease on the worker's clock.
-func (s *Shard) extendLease(now time.Time, w *worker) time.Duration {
-	end := now.Add(s.leaseLength())
-	if end.After(w.leaseEnd) {
-		w.leaseEnd = end
-	}
-	return w.leaseUntil(now, s.options.Lease)
-}
-
-// restartedLeaseExtension returns how much longer than leaseLength a lease can last that was
-// granted by the clock of a former incarnation. The clock of the new one shows less, so it
-// grants the longest lease that it allows.
-func (s *Shard) restartedLeaseExtension() time.Duration {
-	return time.Duration(float64(max(0, s.options.MaxWorkerLease-s.options.Lease)) * LeaseDriftFactor)
-}
-
-// lastLeaseEnd returns the time after which no lease is left on the worker.
-func (s *Shard) lastLeaseEnd(w *worker) time.Time {
-	end := w.leaseEnd
-	// It may have restarted before the lease was granted. The incarnation is a wall clock's
-	// time, which can be set back.
-	if w.Incarnation != w.observedIncarnation {
-		end = end.Add(s.restartedLeaseExtension())
-	}
-	return maxTime(end, w.formerClockEnd)
-}
-
-// leasesOver reports whether no lease is left on the worker. Without a confirmation from after
-// the end of the leases that this leader knows of, a successor may have renewed them.
-func (s *Shard) leasesOver(now time.Time, w *worker) bool {
-	end := s.lastLeaseEnd(w)
-	return !now.Before(end) && !s.confirmedAt.Before(end)
-}
-
 // sendDuePolls sends the polls that are due.
 func (s *Shard) sendDuePolls(now time.Time) {
 	for _, w := range s.sortedWorkers {
