Let a successor fence in the test of refused copies

The test built the store's call by hand, with names that belong to platform/. A second leader fences both partitions now.

--- a/internal/entry/append_test.go
+++ b/internal/entry/append_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -38,6 +37,8 @@
 			t.Parallel()
 			site := standin.New()
 			defer site.Close()
+			direct, err := site.Serve(site.Store)
+			require.NoError(t, err)
 			var copies atomic.Int64
 			secondDone := make(chan struct{})
 			address, err := site.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -65,15 +66,11 @@
 			l := newShardLeader(t.Context(), p, shardRef{"ledger", 0, 1}, 7, election.Leader{}, 0)
 			l.shard.Load(time.Now(), nil)
 			if c.successor {
-				fence := httptest.NewRequest(http.MethodPost, "/yuccalanding/log-append", nil)
-				query := fence.URL.Query()
-				query.Set("topic", l.partition(0).Topic)
-				query.Set("part", "0")
-				query.Set("producer", l.key)
-				query.Set("epoch", strconv.FormatInt(ledger.New(8).Epoch(0), 10))
-				query.Set("seq-no", "0")
-				fence.URL.RawQuery = query.Encode()
-				site.Store.ServeHTTP(httptest.NewRecorder(), fence)
+				settings.Store.Address = netip.MustParseAddrPort(direct)
+				successor := newShardLeader(t.Context(), New(settings, event.New(t.Context(), event.Options{Out: io.Discard, Node: "entry-2"})), l.shardRef, l.epoch+1, election.Leader{}, 0)
+				for p := range ledger.Partitions {
+					require.NoError(t, successor.fence(t.Context(), p, successor.ledger.Epoch(p)))
+				}
 			}
 			appended := make(chan struct{})
 			go func() { l.appendRecords([]shard.Record{{Key: "a", Value: []byte{1}}}); close(appended) }()
