Don't let trials of standing tasks wait for those of other tasks

A standing task could be without a run for 10 s after its worker was cut off (LOST: 6 s and 3 s), although there was room: other tasks that had started on the lost workers had to have their trials first, on half of the usable workers at a time.

Change: a trial of a long-running task may hold a worker whatever the number that others hold.

Cost, by reading: trials of standing tasks may hold all usable workers for up to 2 s.

--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -172,6 +172,11 @@
 	return max(1, usable/workersPerTrial) - held
 }
 
+// mayBeginTrial reports whether a worker may be held for a trial of the step. The trials of
+// long-running tasks don't wait for those of others: a loss may make many tasks suspected, and
+// callers count a long-running task without a run as lost after some seconds.
+func (p *pass) mayBeginTrial(st *step) bool { return st.spec.LongRunning || p.trialsLeft() > 0 }
+
 // placeTrial starts the trial of a suspected task on a worker without runs at their start,
 // or holds a worker until it has none. It reports whether the task fits on a candidate.
 func (p *pass) placeTrial(st *step, t *task, valid []candidate) bool {
@@ -182,7 +187,7 @@
 	}
 	quiet := emptiestFirst(filter(free, func(c candidate) bool { return c.worker.quiet() }))
 	held := p.holdsWorkers(t)
-	if !held && p.trialsLeft() <= 0 {
+	if !held && !p.mayBeginTrial(st) {
 		return true
 	}
 	if c := bestCandidate(p.now, quiet, t); c != nil {
@@ -201,7 +206,7 @@
 // others until they have none, and returns nil.
 func (p *pass) gangTrialCandidates(st *step, valid []candidate, count int) []candidate {
 	first := st.tasks[0]
-	if !p.holdsWorkers(first) && p.trialsLeft() <= 0 {
+	if !p.holdsWorkers(first) && !p.mayBeginTrial(st) {
 		return nil
 	}
 	quiet := emptiestFirst(filter(valid, func(c candidate) bool { return c.worker.quiet() }))
--- a/internal/shard/trial_test.go
+++ b/internal/shard/trial_test.go
@@ -70,3 +70,43 @@
 		})
 	}
 }
+
+// Guards against a standing task without a run for 10 s because its trial waits behind those of other
+// tasks that started on the same lost workers (LOST).
+func TestStandingTaskDoesNotWaitBehindOtherTrials(t *testing.T) {
+	for name, c := range map[string]struct{ workers, others int }{
+		"three workers": {3, 6}, "six workers": {6, 24}, "twelve workers": {12, 24},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 55, c.workers, job.Demand{MilliCPU: 64000, MemoryMB: 128000})
+			sim.advance(time.Second)
+			standing := tasks(1, 1000, time.Second)
+			standing.LongRunning = true
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{standing}}, time.Hour)
+			sim.submit(id(1), urgentTerms, job.Spec{Steps: []job.Step{tasks(c.others, 1000, 3*time.Second)}}, 3*time.Second)
+			var cutAt, restartedAt time.Duration
+			sim.onStart = func(start shard.Start) {
+				switch {
+				case start.Task[:16] != id(0):
+				case cutAt == 0:
+					cutAt = sim.now + 60*time.Millisecond
+					sim.schedule(60*time.Millisecond, nil, func(time.Time) {
+						for _, m := range sim.workers[:c.workers/3] {
+							sim.cutWorker(m, true)
+						}
+						if m := sim.worker(start.ID); !m.unreachable {
+							sim.cutWorker(m, true)
+						}
+					})
+				case restartedAt == 0:
+					restartedAt = sim.now
+				}
+			}
+			sim.advance(time.Minute)
+			require.Empty(t, sim.violations)
+			require.Positive(t, restartedAt)
+			// The rule allows 6 s and 3 s more; the lease of the simulation is 1 s longer.
+			require.Less(t, restartedAt-cutAt, 9*time.Second)
+		})
+	}
+}
