--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -267,3 +267,98 @@
 	}
 	return r, held, "no start was over the capacity of its worker"
 }
+
+// playShards: some workers of a kind that jobs require are lost for good, one after the
+// other, while another one of the kind is up and idle.
+func playShards(folder string, trouble bool) (*rig, outcome, string) {
+	const (
+		workerCount = 140
+		labelled    = 8
+		rareLabel   = "b"
+		jobs        = 12
+		// finishBound is finish_s and the 3 s of the rule.
+		finishBound = 17 * time.Second
+		// leaseOver is longer than a lease lasts.
+		leaseOver = 8 * time.Second
+	)
+	r, err := newRig(folder, workerCount, small, 3)
+	if err != nil {
+		return r, couldNot, err.Error()
+	}
+	r.mu.Lock()
+	rare := small
+	rare.label = rareLabel
+	for i := range labelled {
+		w := r.workers[i*workerCount/labelled]
+		w.kind = rare
+		w.beat()
+	}
+	r.mu.Unlock()
+	if err := r.startNodes(); err != nil {
+		return r, couldNot, err.Error()
+	}
+	body := jobBody("work=300", step{"count": 1, "cpu": 1000, "mem-mb": 100, "estimate-ms": 300, "requires": rareLabel})
+	// The worker that runs the first job is never crashed, so there is always one for the others.
+	spared, lost := "", 0
+	for round := 0; round < labelled-1; round++ {
+		handedInAt := time.Now()
+		var ids []string
+		for i := range jobs {
+			id := fmt.Sprintf("%08x%08x", uint32(1+round*jobs+i)*2654435761, round)
+			if err := r.submit(id, body); err != nil {
+				return r, couldNot, err.Error()
+			}
+			ids = append(ids, id)
+		}
+		var next *worker
+		for _, id := range ids {
+			state := r.awaitEnd(id, time.Until(handedInAt.Add(finishBound)))
+			runs := r.runsOf(id)
+			if state != "completed" && len(runs) == 0 {
+				text := fmt.Sprintf("%s has no run %s after it was accepted and is %s, while worker %s is idle and has room for 16 such tasks; %d of %d workers are lost", id, finishBound, state, spared, lost, workerCount)
+				if r.idle(spared) {
+					return r, broken, "LOST: " + text
+				}
+				return r, couldNot, text
+			}
+			if len(runs) == 0 {
+				continue
+			}
+			if spared == "" {
+				spared = runs[0].worker
+			}
+			if runs[0].worker != spared {
+				next = r.workerOf(runs[0].worker)
+			}
+		}
+		if !trouble && round == 1 {
+			break
+		}
+		if trouble && next != nil {
+			r.mu.Lock()
+			next.crash()
+			r.mu.Unlock()
+			lost++
+			time.Sleep(leaseOver)
+		}
+	}
+	return r, held, fmt.Sprintf("all jobs ran, with %d of %d workers lost", lost, workerCount)
+}
+
+// workerOf returns the worker with this id.
+func (r *rig) workerOf(id string) *worker {
+	for _, w := range r.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// idle reports whether a worker is up and runs nothing.
+func (r *rig) idle(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.workerOf(id)
+	return w != nil && w.alive && len(w.runs) == 0
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -35,6 +35,7 @@
 	"lasting":    playLasting,
 	"checkpoint": playCheckpoint,
 	"reborn":     playReborn,
+	"shards":     playShards,
 }
 
 func main() {
