--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # Run the build of the deploy file and review/build-2.sh first. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin-2 ] && [ -x target/yuccalanding-entry ] || exit 2
-exec target/review-standin-2 gangfail review/7
+exec target/review-standin-2 cancel review/7
