--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -53,17 +55,21 @@
 		}
 		done <- ended{result, found}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	select {
 	case e := <-done:
 		fmt.Println(found(e.result, e.found))
 		os.Exit(int(e.result))
 	case <-time.After(timeLimit):
-		for _, n := range allNodes {
-			n.kill()
-		}
 		fmt.Println("the case took too long")
-		os.Exit(int(couldNot))
+	case <-signals:
+		fmt.Println("the case was ended from outside")
+	}
+	for _, n := range allNodes {
+		n.kill()
 	}
+	os.Exit(int(couldNot))
 }
 
 func found(result outcome, text string) string {
