--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -38,6 +38,18 @@
 	// ReleasedClaim is the epoch of the claim that was released; 0 if leadership isn't
 	// released, or the record doesn't say.
 	ReleasedClaim int64
+	// Predecessors are the claims of the leaders before this one, the oldest first and
+	// without gaps. Older ones may be missing.
+	Predecessors []Claim
+}
+
+// Claim is a claim of the leadership of a shard.
+type Claim struct {
+	// Epoch is the epoch of the leader; 0 stands for a shard that never had one.
+	Epoch   int64          `cbor:"1,keyasint"`
+	Node    string         `cbor:"2,keyasint"`
+	Boot    int64          `cbor:"3,keyasint"`
+	Address netip.AddrPort `cbor:"4,keyasint"`
 }
 
 const (
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -38,6 +38,7 @@
 	}
 	p.updateLeader(record.Key, election.Leader{
 		Epoch: record.Offset + 1, Node: decoded.Node, Boot: decoded.Boot, Address: decoded.Address, Released: decoded.Released, ReleasedClaim: decoded.ReleasedClaim,
+		Predecessors: decoded.Predecessors,
 	}, "store")
 }
 
@@ -402,7 +403,9 @@
 func (p *Process) claim(ctx context.Context, ref shardRef, former election.Leader, cause election.Cause, silence time.Duration, expectedEnd int64) bool {
 	key := ref.key()
 	sent := p.sinceBoot()
-	offset, end, err := p.appendLeaderRecord(ctx, key, leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address}, expectedEnd)
+	predecessors := formerClaims(former)
+	record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Predecessors: predecessors}
+	offset, end, err := p.appendLeaderRecord(ctx, key, record, expectedEnd)
 	if err != nil {
 		p.log("claim-failed", "service", key, "at", expectedEnd, "cause", cause, "error", err)
 		return false
@@ -416,7 +419,7 @@
 		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "another node has a newer claim")
 		return true
 	}
-	p.leaders[key] = election.Leader{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address}
+	p.leaders[key] = election.Leader{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address, Predecessors: predecessors}
 	if p.sinceBoot()-sent >= claimTimeout { // the process was paused
 		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "the answer to the claim was late")
 		p.notifyLeadersChanged()
@@ -500,7 +503,9 @@
 		p.mu.Lock()
 		expectedEnd := p.leadersEnd
 		p.mu.Unlock()
-		record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true, ReleasedClaim: l.epoch}
+		record := leaderRecord{
+			Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true, ReleasedClaim: l.epoch, Predecessors: l.predecessors,
+		}
 		l.released.Store(true)
 		offset, _, err := p.appendLeaderRecord(ctx, l.key, record, expectedEnd)
 		if err == nil {
--- a/internal/entry/leaseends.go
+++ b/internal/entry/leaseends.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/election"
+	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
 const (
@@ -15,8 +16,8 @@
 	leaseEndsTimeout  = 400 * time.Millisecond
 )
 
-// leaseEndsRequest asks the former leader of a shard to step down and to report when
-// its leases end. Former is the leadership record that the new leader replaced.
+// leaseEndsRequest asks a former leader of a shard to step down and to report when its
+// leases end. Former is its claim, or the leadership record that the new leader replaced.
 type leaseEndsRequest struct {
 	Former peerLeader `cbor:"1,keyasint"`
 	New    peerLeader `cbor:"2,keyasint"`
@@ -29,6 +30,10 @@
 	// Remaining is for how long leases of the former leader, or of leaders before
 	// it, may last, by worker ID.
 	Remaining map[string]time.Duration `cbor:"2,keyasint,omitempty"`
+	// Ended means that Former grants no more leases, and EndedFor for how long it has
+	// granted none at least.
+	Ended    bool          `cbor:"3,keyasint,omitempty"`
+	EndedFor time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // endedLeadership is what a process keeps of its last leadership of a shard.
@@ -41,9 +46,16 @@
 // an order that it still sends afterwards was decided, and its lease recorded, before.
 func (p *Process) handleLeaseEnds(ctx context.Context, request leaseEndsRequest) (any, error) {
 	former := request.Former
-	if former.Node != p.settings.Node || former.Boot != p.boot || request.New.Epoch <= former.Epoch {
+	if former.Node != p.settings.Node || request.New.Epoch <= former.Epoch {
 		return leaseEndsAnswer{}, nil
 	}
+	if former.Boot != p.boot {
+		// A node runs one process at a time, so the other one ended before this one started.
+		if former.Address != p.address {
+			return leaseEndsAnswer{}, nil
+		}
+		return leaseEndsAnswer{Ended: true, EndedFor: time.Since(p.startedAt)}, nil
+	}
 	p.mu.Lock()
 	l, ended := p.ledShards[former.Shard], p.endedLeaderships[former.Shard]
 	p.updateLeader(former.Shard, request.New.leader(), "node")
@@ -57,10 +69,13 @@
 			return nil, ctx.Err()
 		}
 	}
-	if ended.leaseEnds == nil || former.Epoch != ended.epoch && former.Epoch != ended.releasedEpoch {
+	if former.Epoch != ended.epoch && former.Epoch != ended.releasedEpoch {
 		return leaseEndsAnswer{}, nil
 	}
-	answer := leaseEndsAnswer{Known: true, Remaining: make(map[string]time.Duration, len(ended.leaseEnds))}
+	if ended.leaseEnds == nil {
+		return leaseEndsAnswer{Ended: true}, nil
+	}
+	answer := leaseEndsAnswer{Known: true, Ended: true, Remaining: make(map[string]time.Duration, len(ended.leaseEnds))}
 	now := time.Now()
 	for id, end := range ended.leaseEnds {
 		answer.Remaining[id] = max(0, end.Sub(now))
@@ -79,12 +94,37 @@
 	return epoch == l.epoch || epoch == l.releasedEpoch.Load()
 }
 
-// askFormerLeader asks the former leader when its leases end, until it answers or they
-// have ended anyway. Without an answer nothing is known of the former leader and of those
-// before it: another process at its address doesn't know what they granted.
-func (l *shardLeader) askFormerLeader() {
-	p, former := l.process, l.former
-	if former.Epoch == 0 || !former.Address.IsValid() || former.Node == p.settings.Node && former.Boot != p.boot {
+// askFormerLeaders asks the leaders before this one when their leases end, each until it
+// answers or its leases have ended anyway.
+func (l *shardLeader) askFormerLeaders() {
+	asked := make(chan struct{}, len(l.predecessors))
+	for i, claim := range l.predecessors {
+		former := election.Leader{Epoch: claim.Epoch, Node: claim.Node, Boot: claim.Boot, Address: claim.Address}
+		replaced := i == len(l.predecessors)-1
+		if replaced {
+			former = l.former
+		}
+		go func() {
+			defer func() { asked <- struct{}{} }()
+			l.guard("former leader", func() { l.askFormerLeader(claim.Epoch, former, replaced) })
+		}()
+	}
+	for range l.predecessors {
+		<-asked
+	}
+}
+
+// askFormerLeader asks one former leader. The leases that it reports include those of the
+// leaders before it, but only the replaced one knows them all. A process that was started
+// later on its VM shows that it has ended.
+func (l *shardLeader) askFormerLeader(epoch int64, former election.Leader, replaced bool) {
+	p := l.process
+	if former.Epoch == 0 || !former.Address.IsValid() {
+		return
+	}
+	if former.Node == p.settings.Node && former.Boot != p.boot {
+		endedAt := p.startedAt
+		l.enqueue(func(time.Time) { l.shard.FormerLeaderEnded(epoch, endedAt) })
 		return
 	}
 	request := leaseEndsRequest{
@@ -100,8 +140,17 @@
 		}
 		received := time.Now()
 		l.enqueue(func(time.Time) {
-			lowered := l.shard.LimitLeases(received, answer.Remaining)
-			p.log("former-leases", "service", l.key, "epoch", l.epoch, "from", former.Node, "known", answer.Known, "workers", len(answer.Remaining), "lowered", lowered, "after", received.Sub(began))
+			lowered := 0
+			if answer.Ended {
+				// The clocks of two VMs may differ as much as that of a worker.
+				endedFor := time.Duration(float64(answer.EndedFor) / shard.LeaseDriftFactor)
+				lowered = l.shard.FormerLeaderEnded(epoch, received.Add(-endedFor))
+			}
+			if replaced {
+				lowered += l.shard.LimitLeases(received, answer.Remaining)
+			}
+			p.log("former-leases", "service", l.key, "epoch", l.epoch, "from", former.Node, "former-epoch", epoch, "known", answer.Known, "ended", answer.Ended,
+				"ended-for", answer.EndedFor, "workers", len(answer.Remaining), "lowered", lowered, "after", received.Sub(began))
 		})
 		return
 	}
--- a/internal/entry/leaseends_test.go
+++ b/internal/entry/leaseends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -25,28 +26,36 @@
 		epoch   int64 // in the record that the new leader replaced
 		boot    int64 // difference to the boot of the called process
 		node    string
+		port    uint16
 		claimed int64 // epoch of the new leader
 		known   bool
+		over    bool // the former leader is reported as ended
 	}{
-		"its claim":                      {ended, 7, 0, "entry-1", 12, true},
-		"its release":                    {ended, 9, 0, "entry-1", 12, true},
-		"another process at its address": {ended, 7, 1, "entry-1", 12, false},
-		"another node at its address":    {ended, 7, 0, "entry-2", 12, false},
-		"a later leadership":             {ended, 11, 0, "entry-1", 12, false},
-		"it had not loaded the state":    {notLoaded, 7, 0, "entry-1", 12, false},
-		"it never led the shard":         {endedLeadership{}, 7, 0, "entry-1", 12, false},
-		"the caller's claim is older":    {ended, 7, 0, "entry-1", 6, false},
+		"its claim":                            {ended, 7, 0, "entry-1", 1, 12, true, true},
+		"its release":                          {ended, 9, 0, "entry-1", 1, 12, true, true},
+		"another process at its address":       {ended, 7, 1, "entry-1", 1, 12, false, true},
+		"another process at another address":   {ended, 7, 1, "entry-1", 2, 12, false, false},
+		"another node at its address":          {ended, 7, 0, "entry-2", 1, 12, false, false},
+		"a process of another node":            {ended, 7, 1, "entry-2", 1, 12, false, false},
+		"a later leadership":                   {ended, 11, 0, "entry-1", 1, 12, false, false},
+		"it had not loaded the state":          {notLoaded, 7, 0, "entry-1", 1, 12, false, true},
+		"it never led the shard":               {endedLeadership{}, 7, 0, "entry-1", 1, 12, false, false},
+		"the caller's claim is older":          {ended, 7, 0, "entry-1", 1, 6, false, false},
+		"another process, an older new leader": {ended, 7, 1, "entry-1", 1, 6, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := New(platform.Settings{Node: "entry-1"}, event.New(t.Context(), event.Options{Out: io.Discard, Node: "entry-1"}))
+			address := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port) }
+			p.address = address(1)
 			p.endedLeaderships["ledger/0"] = c.ended
 			result, err := p.handleLeaseEnds(t.Context(), leaseEndsRequest{
-				Former: newPeerLeader("ledger/0", election.Leader{Epoch: c.epoch, Node: c.node, Boot: p.boot + c.boot}),
+				Former: newPeerLeader("ledger/0", election.Leader{Epoch: c.epoch, Node: c.node, Boot: p.boot + c.boot, Address: address(c.port)}),
 				New:    newPeerLeader("ledger/0", election.Leader{Epoch: c.claimed, Node: "entry-3", Boot: 1}),
 			})
 			require.NoError(t, err)
 			answer := result.(leaseEndsAnswer)
 			require.Equal(t, c.known, answer.Known)
+			require.Equal(t, c.over, answer.Ended)
 			if !c.known {
 				require.Empty(t, answer.Remaining)
 				return
@@ -113,7 +122,8 @@
 			worker, err := job.Encode(job.WorkerRecord{Incarnation: 1})
 			require.NoError(t, err)
 			records := []shard.Record{{Key: "wi-1", Value: worker}}
-			last := newShardLeader(t.Context(), p, ref, lastEpoch, election.Leader{}, 0)
+			silent := election.Leader{Epoch: lastEpoch - 2, Node: "entry-3"}
+			last := newShardLeader(t.Context(), p, ref, lastEpoch, silent, election.Silent.FormerLeaderActsFor())
 			last.shard.Load(now, nil)
 			last.shard.Tick(now.Add(c.ledFor))
 			records = append(records, last.shard.TakeBatch(now.Add(c.ledFor))...)
--- a/internal/entry/peerstate.go
+++ b/internal/entry/peerstate.go
@@ -32,14 +32,16 @@
 	Released bool           `cbor:"6,keyasint,omitempty"`
 	// ReleasedClaim is the epoch of the claim that was released.
 	ReleasedClaim int64 `cbor:"7,keyasint,omitempty"`
+	// Predecessors are the claims of the leaders before this one.
+	Predecessors []election.Claim `cbor:"8,keyasint,omitempty"`
 }
 
 func newPeerLeader(key string, leader election.Leader) peerLeader {
-	return peerLeader{key, leader.Epoch, leader.Node, leader.Boot, leader.Address, leader.Released, leader.ReleasedClaim}
+	return peerLeader{key, leader.Epoch, leader.Node, leader.Boot, leader.Address, leader.Released, leader.ReleasedClaim, leader.Predecessors}
 }
 
 func (l peerLeader) leader() election.Leader {
-	return election.Leader{Epoch: l.Epoch, Node: l.Node, Boot: l.Boot, Address: l.Address, Released: l.Released, ReleasedClaim: l.ReleasedClaim}
+	return election.Leader{Epoch: l.Epoch, Node: l.Node, Boot: l.Boot, Address: l.Address, Released: l.Released, ReleasedClaim: l.ReleasedClaim, Predecessors: l.Predecessors}
 }
 
 type peerStateAnswer struct {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -113,6 +113,8 @@
 	Released bool           `cbor:"4,keyasint,omitempty"`
 	// ReleasedClaim is the epoch of the claim that was released.
 	ReleasedClaim int64 `cbor:"5,keyasint,omitempty"`
+	// Predecessors are the claims of the leaders before the one of the claim.
+	Predecessors []election.Claim `cbor:"6,keyasint,omitempty"`
 }
 
 // Process is the process of one entry VM.
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,8 +64,9 @@
 	released atomic.Bool // leadership is or may be released; another node may claim it
 	// releasedEpoch is the epoch of the record of the release; 0 if it isn't known.
 	releasedEpoch    atomic.Int64
-	former           election.Leader // the leader that this one replaced
-	maxOrphanTimeout time.Duration   // see shard.Options
+	former           election.Leader  // the leader that this one replaced
+	predecessors     []election.Claim // see formerClaims
+	maxOrphanTimeout time.Duration    // the longest time for which leases of former leaders may be left
 	// leaseEnds are the ends of the leases when the control loop had ended; nil if the
 	// state was not loaded, or the loop failed. It may be read once ended is closed.
 	leaseEnds map[string]time.Time
@@ -106,7 +108,7 @@
 func newShardLeader(ctx context.Context, p *Process, ref shardRef, epoch int64, former election.Leader, formerLeaderActsFor time.Duration) *shardLeader {
 	key := ref.key()
 	l := &shardLeader{
-		process: p, shardRef: ref, key: key, epoch: epoch, former: former, ledger: ledger.New(epoch),
+		process: p, shardRef: ref, key: key, epoch: epoch, former: former, predecessors: formerClaims(former), ledger: ledger.New(epoch),
 		inputs: make(chan func(time.Time), inputQueueLength), ended: make(chan struct{}),
 		confirmNow: make(chan struct{}, 1), waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
 	}
@@ -116,9 +118,13 @@
 	lease := min(bounds.MaxLease, maxLease)
 	longestLease := time.Duration(float64(lease)*shard.LeaseDriftFactor) + leaseMargin
 	l.maxOrphanTimeout = election.MaxConfirmationAge + longestLease
+	epochs := make([]int64, len(l.predecessors))
+	for i, claim := range l.predecessors {
+		epochs[i] = claim.Epoch
+	}
 	l.shard = shard.New(shard.Options{
 		Service: key, Epoch: epoch, Lease: lease, MaxWorkerLease: bounds.MaxLease,
-		ReplacedEpoch: replacedEpoch(former), OrphanTimeout: formerLeaderActsFor + longestLease, MaxOrphanTimeout: l.maxOrphanTimeout,
+		FormerEpochs: epochs, ReplacedActsFor: formerLeaderActsFor, FormerActsFor: election.MaxConfirmationAge, FormerLease: longestLease,
 		FinalStateRetention: bounds.StateRetention,
 		Log:                 func(event string, keyvals ...any) { p.log(event, append(keyvals, "epoch", epoch)...) },
 	})
@@ -137,6 +143,20 @@
 	return former.ReleasedClaim
 }
 
+// maxFormerClaims bounds the claims that a leadership record names.
+const maxFormerClaims = 4
+
+// formerClaims returns the claims of the leaders before the next one, the oldest first.
+func formerClaims(former election.Leader) []election.Claim {
+	epoch := replacedEpoch(former)
+	last := election.Claim{Epoch: epoch, Node: former.Node, Boot: former.Boot, Address: former.Address}
+	if epoch == shard.UnknownEpoch {
+		return []election.Claim{last}
+	}
+	claims := append(slices.Clone(former.Predecessors), last)
+	return claims[max(0, len(claims)-maxFormerClaims):]
+}
+
 // confirm records that this process was still the leader when a call that the
 // store accepted was sent. The time is a reading of Process.sinceBoot.
 func (l *shardLeader) confirm(sent time.Duration) { l.confirmed.Store(int64(sent)) }
@@ -180,7 +200,7 @@
 	loopsEnded := make(chan struct{}, 3)
 	go func() { l.guard("workers", l.followWorkers); loopsEnded <- struct{}{} }()
 	go func() { l.guard("confirmation", l.renewConfirmation); loopsEnded <- struct{}{} }()
-	go func() { l.guard("former leader", l.askFormerLeader); loopsEnded <- struct{}{} }()
+	go func() { l.guard("former leader", l.askFormerLeaders); loopsEnded <- struct{}{} }()
 	l.guard("control", func() {
 		l.shard.Load(time.Now(), records)
 		l.process.log("state-loaded", "service", l.key, "epoch", l.epoch, "records", len(records))
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -32,7 +32,7 @@
 		{731, "right-left", Warn, "The process stopped while it held a right that no node had claimed; another node claims it after a timeout.", noAction, false},
 		{726, "state-loaded", Info, "A new holder read the state of the service from the store.", noAction, false},
 		{727, "settled", Info, "A new holder has learned what every worker runs and starts stored tasks again; unread is the number of workers whose leases ended before it read them.", noAction, false},
-		{735, "former-leases", Info, "A new holder asked the previous one when its leases end; known says whether it could tell, and lowered how many workers need a shorter wait.", noAction, false},
+		{735, "former-leases", Info, "A new holder asked one before it when its leases end; known says whether it could tell, ended whether it grants no more leases, and lowered how many workers need a shorter wait.", noAction, false},
 		{729, "shards-counted", Info, "The number of shards of a service was read from the store.", noAction, false},
 		{730, "shards-offered", Info, "This process proposed the number of shards of a service; the first proposal in the store is used.", noAction, false},
 		{733, "count-begun", Info, "A node started to count the workers of a new service; the other nodes wait for the result.", noAction, false},
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -285,7 +285,7 @@
 }
 
 // FormerLeadersRecord records that no leader of an epoch before OverBefore, which is that of
-// its writer, acts any more or has leases left on a worker.
+// its writer, acts any more. Leases that they granted may be left.
 type FormerLeadersRecord struct {
 	OverBefore int64 `cbor:"1,keyasint"`
 }
--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -1,18 +1,26 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"yuccalanding.example/yuccalanding/internal/job"
 )
 
-// How the replaced leader ended bounds only its own leases. A leader before it that is cut
-// off from the store may act, and renew leases, until its last confirmation is too old. So
-// each leader records when the time is over for which its predecessors may do so, and the
-// next leader relies on OrphanTimeout only with the record of the leader that it replaced.
+// How the replaced leader ended says nothing of the leaders before it. One that is cut off
+// from the store may act, and renew leases, until its last confirmation is too old. So each
+// leader records when no leader before it acts any more. The next one has to consider only
+// the writer of that record and the leaders after it, each of which may be shown to have
+// ended.
 
-// loadFormerLeaders sets OrphanTimeout to MaxOrphanTimeout unless the replaced leader recorded
-// that the leaders before it are over.
+// formerLeader is a leader before this one.
+type formerLeader struct {
+	epoch     int64
+	actsUntil time.Time // it grants no lease later
+}
+
+// loadFormerLeaders determines the leaders that may still act. If the record names none of
+// FormerEpochs, leaders that aren't known may act too.
 func (s *Shard) loadFormerLeaders(records []Record) {
 	stored, readable := job.FormerLeadersRecord{}, true
 	for _, record := range records {
@@ -24,16 +32,59 @@
 			readable = false
 		}
 	}
-	if !readable || stored.OverBefore != s.options.ReplacedEpoch {
-		s.options.OrphanTimeout = s.options.MaxOrphanTimeout
+	first := slices.Index(s.options.FormerEpochs, stored.OverBefore)
+	if !readable || first < 0 {
+		s.formerLeaders = []formerLeader{{UnknownEpoch, s.loadedAt.Add(s.options.FormerActsFor)}}
+		return
+	}
+	for _, epoch := range s.options.FormerEpochs[first:] {
+		if epoch != 0 {
+			s.formerLeaders = append(s.formerLeaders, formerLeader{epoch, s.loadedAt.Add(s.options.FormerActsFor)})
+		}
 	}
+	if last := len(s.formerLeaders) - 1; last >= 0 {
+		s.formerLeaders[last].actsUntil = s.loadedAt.Add(s.options.ReplacedActsFor)
+	}
+}
+
+// FormerLeaderEnded applies the proof that the leader of an epoch granted no lease after
+// endedAt. It returns the number of unread workers whose lease bound it lowered.
+func (s *Shard) FormerLeaderEnded(epoch int64, endedAt time.Time) int {
+	for i := range s.formerLeaders {
+		if f := &s.formerLeaders[i]; f.epoch == epoch && endedAt.Before(f.actsUntil) {
+			f.actsUntil = endedAt
+		}
+	}
+	lowered, end := 0, s.formerLeasesEnd()
+	for _, w := range s.sortedWorkers {
+		if !w.listsRead && end.Before(w.leaseEnd) {
+			w.leaseEnd = end
+			lowered++
+		}
+	}
+	return lowered
+}
+
+// formerLeadersActUntil returns the time after which no former leader grants a lease.
+func (s *Shard) formerLeadersActUntil() time.Time {
+	until := s.loadedAt
+	for _, f := range s.formerLeaders {
+		until = maxTime(until, f.actsUntil)
+	}
+	return until
+}
+
+// formerLeasesEnd returns the time after which no lease of a former leader is left on any
+// worker.
+func (s *Shard) formerLeasesEnd() time.Time {
+	return s.formerLeadersActUntil().Add(s.options.FormerLease)
 }
 
 // checkFormerLeadersOver schedules the record that no former leader acts any more once that
-// is certain. Only the time since Load counts: by then both partitions of the store had
-// refused the former leaders, so none of them has a later confirmation.
+// is certain. The times without proof count from Load: by then both partitions of the store
+// had refused the former leaders, so none of them has a later confirmation.
 func (s *Shard) checkFormerLeadersOver(now time.Time) {
-	if s.formerLeadersOver || now.Before(s.loadedAt.Add(s.options.OrphanTimeout)) {
+	if s.formerLeadersOver || now.Before(s.formerLeadersActUntil()) {
 		return
 	}
 	s.formerLeadersOver, s.formerLeadersUnrecorded = true, true
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -11,11 +11,13 @@
 // instance is a process that is or was the leader of the shard. It carries out the
 // commands of its shard in the simulation.
 type instance struct {
-	simulation            *simulation
-	shard                 *shard.Shard
-	epoch                 int64
-	dead                  bool
-	steppedDown           bool // dead, but its process is up and answers the next leader
+	simulation  *simulation
+	shard       *shard.Shard
+	epoch       int64
+	dead        bool
+	steppedDown bool // dead, but its process is up and answers the next leader
+	// restartsAt is when the process of a dead instance is up again; 0 means never.
+	restartsAt            time.Duration
 	frozen                bool
 	storeUnreachable      bool
 	cutOffFromPeers       bool // the next leader doesn't reach its process
--- a/internal/shard/leaderchange_test.go
+++ b/internal/shard/leaderchange_test.go
@@ -14,29 +14,38 @@
 // askInterval is the time after which an instance repeats a call to the former leader.
 const askInterval = 400 * time.Millisecond
 
-// askFormerLeader calls the former leader, which steps down and answers when its leases
-// end, until it has answered or all its leases have ended anyway.
-func (inst *instance) askFormerLeader(former *instance) {
+// askFormerLeader calls a former leader, which steps down and answers when its leases end,
+// until it has answered or all its leases have ended anyway. If it has crashed, its process
+// answers that once it is up again. Only the replaced leader knows all earlier leases.
+func (inst *instance) askFormerLeader(former *instance, replaced bool) {
 	sim := inst.simulation
 	giveUpAt := sim.now + orphanTimeout
 	var ask func(now time.Time)
 	ask = func(now time.Time) {
 		crashed := former.dead && !former.steppedDown
-		if crashed || inst.dead || sim.now > giveUpAt {
+		if crashed && former.restartsAt == 0 || inst.dead || sim.now > giveUpAt {
 			return
 		}
-		if former.frozen || former.cutOffFromPeers || sim.random.IntN(3) == 0 { // the call or its answer is lost
+		if crashed && sim.now < former.restartsAt || former.frozen || former.cutOffFromPeers || sim.random.IntN(3) == 0 { // the call or its answer is lost
 			sim.schedule(askInterval, nil, ask)
 			return
 		}
-		former.stepDown()
+		endedAt := now
+		if crashed {
+			endedAt = sim.startTime.Add(former.restartsAt)
+		} else {
+			former.stepDown()
+		}
 		remaining := map[string]time.Duration{}
 		for id, end := range former.shard.LeaseEnds() {
 			remaining[id] = end.Sub(now) + sim.leaseEndError
 		}
 		sim.schedule(time.Duration(1+sim.random.IntN(400))*time.Millisecond, inst, func(now time.Time) {
 			sim.reportCount++
-			inst.shard.LimitLeases(now, remaining)
+			inst.shard.FormerLeaderEnded(former.epoch, endedAt.Add(sim.leaseEndError))
+			if replaced && !crashed {
+				inst.shard.LimitLeases(now, remaining)
+			}
 		})
 	}
 	sim.schedule(sim.latency(), nil, ask)
@@ -54,9 +63,15 @@
 	}
 	sim.crashesUnknown = sim.random.IntN(2) == 0
 	fault := sim.random.IntN(6)
+	crash := func(inst *instance) {
+		inst.dead = true
+		if sim.random.IntN(3) > 0 {
+			inst.restartsAt = sim.now + upTo(3)
+		}
+	}
 	switch fault {
 	case 0:
-		former.dead = true
+		crash(former)
 	case 1:
 		former.frozen = true
 		sim.schedule(upTo(14), nil, func(time.Time) { former.frozen = false })
@@ -69,7 +84,7 @@
 	sim.advance(upTo(2))
 	sim.replaceLeader()
 	if fault == 5 {
-		sim.leader.dead = true
+		crash(sim.leader)
 		sim.advance(upTo(2))
 		sim.replaceLeader()
 	}
@@ -142,10 +157,12 @@
 func TestReportedLeaseEndsBoundTheWaitForUnreadWorker(t *testing.T) {
 	for name, c := range map[string]struct {
 		reports  bool
+		restarts time.Duration // of its process, after the change of leader; 0 means never
 		min, max time.Duration
 	}{
-		"the former leader reports": {true, 0, 6500 * time.Millisecond}, // the last lease, on a clock that is 2% slow
-		"the former leader is dead": {false, orphanTimeout - time.Second, orphanTimeout + time.Second},
+		"the former leader reports":               {true, 0, 0, 6500 * time.Millisecond}, // the last lease, on a clock that is 2% slow
+		"the former leader is dead":               {false, 0, orphanTimeout - time.Second, orphanTimeout + time.Second},
+		"the former leader's process is up again": {false, 500 * time.Millisecond, orphanTimeoutAfterCrash, orphanTimeoutAfterCrash + 2*time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulation(t, 51, 3, workerSize)
@@ -161,6 +178,9 @@
 				worker.unreachable = len(worker.runs) > 0
 			}
 			former.storeUnreachable, former.dead = true, !c.reports
+			if c.restarts > 0 {
+				former.restartsAt = sim.now + c.restarts
+			}
 			sim.replaceLeader()
 			changed := sim.now
 			for sim.startCount < 2 && sim.now < changed+time.Minute {
--- a/internal/shard/leaseends.go
+++ b/internal/shard/leaseends.go
@@ -19,7 +19,7 @@
 // formerLeaseEnd returns the time after which no lease of any earlier leader is left on a
 // worker that this leader has not read.
 func (s *Shard) formerLeaseEnd(w *worker) time.Time {
-	end := s.loadedAt.Add(s.options.OrphanTimeout)
+	end := s.formerLeasesEnd()
 	if w.leaseEndReported && w.reportedLeaseEnd.Before(end) {
 		return w.reportedLeaseEnd
 	}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -247,14 +247,14 @@
 	}
 	w.loadUnstoredResults(record.Unstored)
 	w.ID = id
-	w.leaseEnd = now.Add(s.options.OrphanTimeout)
-	if record.Suspended { // no lease was renewed since this record was stored
-		w.leaseEnd = now.Add(min(s.options.OrphanTimeout, s.leaseLength()))
+	w.leaseEnd = s.formerLeasesEnd()
+	if end := now.Add(s.leaseLength()); record.Suspended && end.Before(w.leaseEnd) {
+		w.leaseEnd = end // no lease was renewed since this record was stored
 	}
 	w.Incarnation, w.Address = record.Incarnation, record.Address
 	// The list tells newer addresses, see pollRecordedWorkers, but may be unreadable.
 	if w.nextPollAt = now.Add(recordedAddressDelay); !w.Address.IsValid() {
-		w.nextPollAt = now.Add(s.options.OrphanTimeout)
+		w.nextPollAt = s.formerLeasesEnd()
 	}
 	s.workers[id] = w
 	s.workersToRead[id] = true
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -27,7 +27,8 @@
 // The process that runs a shard is its leader. A new leader first polls each worker
 // with its own fencing token. It starts no task of a stored job until it has read all
 // workers that may run something, or every lease that a former leader can have
-// granted has ended. LimitLeases applies the former leader's report of these leases.
+// granted has ended. LimitLeases applies the former leader's report of these leases, and
+// FormerLeaderEnded the proof that a former leader grants no more.
 package shard
 
 import (
@@ -69,7 +70,7 @@
 	retentionMargin = 30 * time.Second
 )
 
-// UnknownEpoch is an Options.ReplacedEpoch that no record matches.
+// UnknownEpoch is an epoch in Options.FormerEpochs that no record matches.
 const UnknownEpoch = -1
 
 // Options are the settings of a shard.
@@ -82,15 +83,15 @@
 	Lease time.Duration
 	// MaxWorkerLease is the longest lease that a worker allows.
 	MaxWorkerLease time.Duration
-	// ReplacedEpoch is the epoch with which the leader that this one replaced claimed the
-	// shard: 0 if there was none, and UnknownEpoch if it isn't known.
-	ReplacedEpoch int64
-	// OrphanTimeout is the time from Load after which no run of the replaced leader can be
-	// left on a worker that could not be reached.
-	OrphanTimeout time.Duration
-	// MaxOrphanTimeout is the same for any former leader. Load sets OrphanTimeout to it
-	// unless a record shows that the leaders before the replaced one are over.
-	MaxOrphanTimeout time.Duration
+	// FormerEpochs are the epochs with which the last leaders before this one claimed the
+	// shard, the oldest first and without gaps. The last one is that of the leader that this
+	// one replaced: 0 if there was none, and UnknownEpoch if it isn't known.
+	FormerEpochs []int64
+	// ReplacedActsFor is the time from Load for which the replaced leader may still grant
+	// leases, and FormerActsFor the same for any leader before it.
+	ReplacedActsFor, FormerActsFor time.Duration
+	// FormerLease is the longest time that a lease of a former leader lasts.
+	FormerLease time.Duration
 	// FinalStateRetention is how long callers can query the final state of a job.
 	FinalStateRetention time.Duration
 	// Log logs an event with alternating keys and values. If it is nil, nothing is
@@ -121,9 +122,10 @@
 	// workersToRead holds the IDs of the workers that a former leader recorded. Their
 	// lists of runs must be read before tasks of stored jobs may start.
 	workersToRead map[string]bool
-	recovered     bool // all runs of former leaders are known or over
-	listRead      bool // SetWorkers was called
-	// formerLeadersOver means that no former leader acts any more or has leases left, and
+	recovered     bool           // all runs of former leaders are known or over
+	listRead      bool           // SetWorkers was called
+	formerLeaders []formerLeader // those that may still act at Load
+	// formerLeadersOver means that no former leader acts any more, and
 	// formerLeadersUnrecorded that no batch contains the record of it yet.
 	formerLeadersOver       bool
 	formerLeadersUnrecorded bool
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -35,8 +35,10 @@
 	// orphanTimeoutAfterRelease covers that lease and the second for which a leader that
 	// released its leadership acts without a confirmation.
 	orphanTimeoutAfterRelease = time.Second + orphanTimeoutAfterCrash
-	gangTimeout               = 3 * time.Second // how long a worker waits for the other members of a gang
-	ticketLifetime            = 2 * time.Second
+	// maxFormers is the number of former leaders that a new leader knows.
+	maxFormers     = 3
+	gangTimeout    = 3 * time.Second // how long a worker waits for the other members of a gang
+	ticketLifetime = 2 * time.Second
 )
 
 // modelJob is the simulation's state of a submitted job.
@@ -113,7 +115,7 @@
 	// Other queues have allowedShare.
 	allowedShares map[string]float64
 	refusedCount  int
-	// formerLeadersReport makes each new leader ask the former one for its lease ends.
+	// formerLeadersReport makes each new leader ask the former ones for their lease ends.
 	formerLeadersReport bool
 	// crashesUnknown means that a new leader doesn't know that the former one has crashed.
 	crashesUnknown bool
@@ -166,9 +168,13 @@
 func (sim *simulation) replaceLeader() {
 	sim.epoch += 1 + int64(sim.random.IntN(5))
 	inst := &instance{simulation: sim, epoch: sim.epoch, leadershipConfirmedAt: sim.now}
-	timeout, replaced := orphanTimeout, int64(0)
-	if sim.leader != nil {
-		replaced = sim.leader.epoch
+	timeout, formers := orphanTimeout, sim.instances[max(0, len(sim.instances)-maxFormers):]
+	var epochs []int64
+	if len(formers) < maxFormers {
+		epochs = append(epochs, 0)
+	}
+	for _, former := range formers {
+		epochs = append(epochs, former.epoch)
 	}
 	switch {
 	case sim.leader == nil:
@@ -178,7 +184,8 @@
 		timeout = orphanTimeoutAfterRelease
 	}
 	inst.shard = shard.New(shard.Options{
-		Service: "ledger", Epoch: inst.epoch, Lease: taskLease, MaxWorkerLease: maxWorkerLease, ReplacedEpoch: replaced, OrphanTimeout: timeout, MaxOrphanTimeout: orphanTimeout, FinalStateRetention: 2 * time.Minute,
+		FormerEpochs: epochs, ReplacedActsFor: timeout - orphanTimeoutAfterCrash, FormerActsFor: orphanTimeout - orphanTimeoutAfterCrash, FormerLease: orphanTimeoutAfterCrash,
+		Service: "ledger", Epoch: inst.epoch, Lease: taskLease, MaxWorkerLease: maxWorkerLease, FinalStateRetention: 2 * time.Minute,
 		Log: func(event string, keyvals ...any) {
 			if os.Getenv("SHARD_LOG") != "" {
 				sim.t.Log(sim.now, inst.epoch, event, keyvals)
@@ -198,8 +205,10 @@
 	}
 	inst.shard.Load(sim.time(), records)
 	inst.shard.SetAdviceSlots(4, 4)
-	if sim.formerLeadersReport && sim.leader != nil {
-		inst.askFormerLeader(sim.leader)
+	if sim.formerLeadersReport {
+		for _, former := range formers {
+			inst.askFormerLeader(former, former == sim.leader)
+		}
 	}
 	sim.leader = inst
 	sim.instances = append(sim.instances, inst)
--- a/internal/shard/workerlist.go
+++ b/internal/shard/workerlist.go
@@ -14,7 +14,7 @@
 			w.updateLeavesAt(now)
 			s.workers[info.ID] = w
 			s.sortWorkers()
-			w.leaseEnd = s.loadedAt.Add(s.options.OrphanTimeout)
+			w.leaseEnd = s.formerLeasesEnd()
 			s.recordIfPlaceable(w)
 			s.options.Log("worker-listed", "worker", info.ID, "address", info.Address, "capacity", info.Capacity, "draining", info.Draining)
 			s.placementChanged = true
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -454,7 +454,7 @@
 	}
 	s.recovered = true
 	s.placementChanged = true
-	s.options.Log("settled", "service", s.options.Service, "after", now.Sub(s.loadedAt), "unread", s.unreadWorkers(), "bound", s.options.OrphanTimeout, "proof-age", now.Sub(s.confirmedAt))
+	s.options.Log("settled", "service", s.options.Service, "after", now.Sub(s.loadedAt), "unread", s.unreadWorkers(), "bound", s.formerLeasesEnd().Sub(s.loadedAt), "proof-age", now.Sub(s.confirmedAt))
 	// A gang that is incomplete after a change of leader is stopped, and starts anew.
 	for _, j := range s.activeJobs {
 		for _, o := range j.occurrences {
