--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -266,6 +266,8 @@
 	TrialWorker string `cbor:"11,keyasint,omitempty"`
 	// LostTrials is the number of trials in a row whose worker was lost.
 	LostTrials int `cbor:"12,keyasint,omitempty"`
+	// FailedRuns are the numbers of the runs that Failures counts, for a gang.
+	FailedRuns []int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // WorkerRecord records that a worker may have tasks, and which of its run results were
--- a/internal/shard/gangresults_test.go
+++ b/internal/shard/gangresults_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"yuccalanding.example/yuccalanding/internal/job"
+	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
 // submitGangAndNextStep submits a job whose second step waits for a gang of two, and returns the
@@ -77,3 +78,53 @@
 	require.Less(t, ended, 4500*time.Millisecond, "the rest of the gang and the second step")
 	require.Empty(t, sim.violations)
 }
+
+// Guards against a job that is shown as failed although its gang has failed in fewer runs than it
+// may: each of several members that fail in one run counted as an attempt (review/10).
+func TestRunOfGangInWhichSeveralMembersFailIsOneAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		failedRuns int // of the gang
+		secondLate bool
+		newLeader  bool // before the second end of the first run is read
+	}{
+		"both ends are read at once":                     {failedRuns: 1},
+		"the next leader reads the second end":           {failedRuns: 1, secondLate: true, newLeader: true},
+		"the second end is read after the next run":      {failedRuns: 2, secondLate: true},
+		"the next leader reads it after the next run":    {failedRuns: 2, secondLate: true, newLeader: true},
+		"both members of two runs fail at the same time": {failedRuns: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 72, 6, workerSize)
+			sim.advance(time.Second)
+			terms := batchTerms
+			terms.MaxAttempts = c.failedRuns + 1
+			const gangTime = 2 * time.Second
+			submitted := sim.submit(id(0), terms, job.Spec{Steps: []job.Step{gang(2, 8, gangTime)}}, gangTime)
+			var late *modelWorker
+			sim.onStart = func(start shard.Start) {
+				submitted.alwaysFails = sim.startCount < 2*c.failedRuns // of the starts to come
+				if c.secondLate && sim.startCount == 2 {
+					late = sim.worker(start.ID)
+					sim.schedule(200*time.Millisecond, nil, func(time.Time) { late.unreachable = true })
+				}
+			}
+			submitted.alwaysFails = true
+			for len(submitted.handledFailedRuns) < c.failedRuns && sim.now < 20*time.Second {
+				sim.advance(tickLength)
+			}
+			require.GreaterOrEqual(t, len(submitted.handledFailedRuns), c.failedRuns)
+			if c.newLeader {
+				sim.leader.dead = true
+				sim.replaceLeader()
+			}
+			if late != nil {
+				late.unreachable = false
+			}
+			sim.advanceUntilEnded(id(0), 40*time.Second)
+			state, _ := sim.leader.shard.State(id(0))
+			require.Equal(t, job.Completed, state)
+			require.Equal(t, 2*(c.failedRuns+1), sim.startCount)
+			require.Empty(t, sim.violations)
+		})
+	}
+}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -151,7 +151,7 @@
 					continue
 				}
 				stored := job.TaskProgress{
-					Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
+					Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done, Failures: t.failures, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
 					Suspected: t.suspected, Crashes: t.crashes, TrialCrashes: t.trialCrashes, LostTrials: t.lostTrials,
 				}
 				if trial != nil {
@@ -291,7 +291,7 @@
 		if t == nil {
 			continue
 		}
-		t.failures, t.checkpoint = stored.Failures, stored.Checkpoint
+		t.failures, t.failedRuns, t.checkpoint = stored.Failures, stored.FailedRuns, stored.Checkpoint
 		t.suspected, t.crashes, t.trialCrashes, t.lostTrials = stored.Suspected, stored.Crashes, stored.TrialCrashes, stored.LostTrials
 		if stored.TrialWorker != "" && !stored.Done {
 			trials = append(trials, storedTrial{t, stored.TrialRun, stored.TrialWorker})
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -355,8 +355,9 @@
 }
 
 // taskFailed counts a failed run of a task, or of its gang, and fails the job if this
-// was the last allowed attempt. A run of a task that another run has completed counts
-// only for the health of its worker.
+// was the last allowed attempt. A run of a gang in which several members fail is one
+// attempt. A run of a task that another run has completed counts only for the health of its
+// worker.
 func (s *Shard) taskFailed(now time.Time, w *worker, t *task, runNumber int64) {
 	st := t.step
 	j := st.occurrence.job
@@ -368,16 +369,22 @@
 	}
 	t.avoidWorker = w.ID
 	t.notBefore = now.Add(taskRetryDelay)
-	failures := &t.failures
+	limit := j.accepted.Terms.MaxAttempts
+	limited := !st.spec.LongRunning && limit > 0
 	if st.spec.Gang {
 		t = st.tasks[0]
-		failures = &t.failures
+		if slices.Contains(t.failedRuns, runNumber) {
+			s.requeue(now, t)
+			return
+		}
+		if limited {
+			t.failedRuns = append(t.failedRuns, runNumber)
+		}
 	}
-	*failures++
+	t.failures++
 	s.markJobDirty(j)
-	limit := j.accepted.Terms.MaxAttempts
-	if !st.spec.LongRunning && limit > 0 && *failures >= limit {
-		s.options.Log("attempts-used-up", "task", t.name(), "run", runNumber, "failures", *failures)
+	if limited && t.failures >= limit {
+		s.options.Log("attempts-used-up", "task", t.name(), "run", runNumber, "failures", t.failures)
 		s.endJob(now, j, job.Failed)
 		return
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -215,6 +215,7 @@
 	index         int
 	done          bool
 	failures      int
+	failedRuns    []int64 // of a gang with a limit of attempts: numbers of the runs in failures
 	checkpoint    string
 	lastRunNumber int64 // highest run number so far
 	runs          []*run
