shard: crashes under one trial of a gang count once over a change of leader

What callers would see: a gang is given up as one that crashes its workers, and its job shown as failed, after one trial in which two of its workers crashed. Cause: a leader counts the crashes under one run of a gang once, by the number of the run that was counted last. That number was not stored, so the next leader counted the crash of another member's worker under the same trial again. Change: the numbers are stored with the counts of crashes and of lost trials. Test: the second case of TestCrashesUnderOneTrialOfGangCountOnce failed before (failed instead of completed, "poison-task crashes 1 trials 2"). Measured: the tests of internal/shard pass.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -268,6 +268,10 @@
 	LostTrials int `cbor:"12,keyasint,omitempty"`
 	// FailedRuns are the numbers of the runs that Failures counts, for a gang.
 	FailedRuns []int64 `cbor:"13,keyasint,omitempty"`
+	// CrashedRun and LostTrial are the numbers of the last runs that Crashes and
+	// TrialCrashes, and LostTrials, count: a gang may lose several workers in one run.
+	CrashedRun int64 `cbor:"14,keyasint,omitempty"`
+	LostTrial  int64 `cbor:"15,keyasint,omitempty"`
 }
 
 // WorkerRecord records that a worker may have tasks, and which of its run results were
--- a/internal/shard/crash_test.go
+++ b/internal/shard/crash_test.go
@@ -245,6 +245,46 @@
 	}
 }
 
+// Guards against a gang that is given up after one trial because two of its workers crashed under
+// it, one of which the next leader counts (as in review/10).
+func TestCrashesUnderOneTrialOfGangCountOnce(t *testing.T) {
+	for name, newLeader := range map[string]bool{"one leader": false, "the next leader reads the second crash": true} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 57, 6, workerSize)
+			sim.advance(time.Second)
+			var trial []*modelWorker
+			sim.onStart = func(start shard.Start) {
+				worker := sim.worker(start.ID)
+				switch {
+				case sim.startCount <= 2: // makes the gang suspected
+					worker.listed = false
+					sim.schedule(100*time.Millisecond, nil, func(time.Time) { worker.unreachable = true })
+				case sim.startCount <= 4:
+					trial = append(trial, worker)
+					sim.schedule(100*time.Millisecond, nil, func(time.Time) { worker.crash() })
+				}
+			}
+			sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{gang(2, 8, 2*time.Second)}}, 2*time.Second)
+			for len(trial) < 2 && sim.now < 20*time.Second {
+				sim.advance(tickLength)
+			}
+			require.Len(t, trial, 2)
+			sim.advance(300 * time.Millisecond)
+			trial[0].restart()
+			sim.advance(2 * time.Second) // until the leader has read and stored its crash
+			if newLeader {
+				sim.leader.dead = true
+				sim.replaceLeader()
+			}
+			trial[1].restart()
+			sim.advanceUntilEnded(id(0), time.Minute)
+			state, _ := sim.leader.shard.State(id(0))
+			require.Equal(t, job.Completed, state)
+			require.Empty(t, sim.violations)
+		})
+	}
+}
+
 // A healthy task must not be failed because workers that started it were cut off or left as
 // planned: no caller caused that, and its job would be lost.
 func TestWorkerLossesDoNotFailHealthyTasks(t *testing.T) {
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -152,7 +152,7 @@
 				}
 				stored := job.TaskProgress{
 					Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done, Failures: t.failures, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
-					Suspected: t.suspected, Crashes: t.crashes, TrialCrashes: t.trialCrashes, LostTrials: t.lostTrials,
+					Suspected: t.suspected, Crashes: t.crashes, TrialCrashes: t.trialCrashes, LostTrials: t.lostTrials, CrashedRun: t.crashedRun, LostTrial: t.lostTrial,
 				}
 				if trial != nil {
 					stored.TrialRun, stored.TrialWorker = trial.number, trial.worker.ID
@@ -293,6 +293,7 @@
 		}
 		t.failures, t.failedRuns, t.checkpoint = stored.Failures, stored.FailedRuns, stored.Checkpoint
 		t.suspected, t.crashes, t.trialCrashes, t.lostTrials = stored.Suspected, stored.Crashes, stored.TrialCrashes, stored.LostTrials
+		t.crashedRun, t.lostTrial = stored.CrashedRun, stored.LostTrial
 		if stored.TrialWorker != "" && !stored.Done {
 			trials = append(trials, storedTrial{t, stored.TrialRun, stored.TrialWorker})
 		}
