--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -49,6 +49,22 @@
 	}
 }
 
+// waiters are the callers that wait for one kind of change of a job to be stored, by job.
+// Their channels are closed then. Only the control loop uses them.
+type waiters map[string][]chan struct{}
+
+func (w waiters) add(id string, stored chan struct{}) { w[id] = append(w[id], stored) }
+
+// wake closes the channels of the callers that wait for these jobs.
+func (w waiters) wake(ids []string) {
+	for _, id := range ids {
+		for _, stored := range w[id] {
+			close(stored)
+		}
+		delete(w, id)
+	}
+}
+
 // submit accepts a job and waits until it is stored. While the store is
 // stalled, unknown jobs are refused. A known job isn't, because its record,
 // sent at an earlier try, may be in flight.
@@ -63,7 +79,7 @@
 		}
 		result := l.shard.Accept(now, request.ID, request.Terms, request.Spec)
 		if result.Outcome == shard.Pending {
-			l.waiters[request.ID] = append(l.waiters[request.ID], stored)
+			l.acceptanceWaiters.add(request.ID, stored)
 		}
 		return &result
 	})
@@ -132,14 +148,14 @@
 	return answer, err
 }
 
-// cancelJob cancels a job and waits until the cancellation is stored.
+// cancelJob cancels a job and waits until its final state is stored.
 func (l *shardLeader) cancelJob(ctx context.Context, request jobRequest) (stateAnswer, error) {
 	id, requestedAt := request.ID, l.process.sinceBoot()
 	stored := make(chan struct{})
 	outcome, err := askControlLoop(ctx, l, errOutcomeUnknown, func(now time.Time) shard.Outcome {
 		outcome := l.shard.Cancel(now, id)
 		if outcome == shard.Pending {
-			l.waiters[id] = append(l.waiters[id], stored)
+			l.endWaiters.add(id, stored)
 		}
 		return outcome
 	})
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -174,3 +174,68 @@
 		})
 	}
 }
+
+// Guards against a cancellation that is acknowledged when only the acceptance of its job is
+// stored: if the leader is killed then, the next one runs the job (review/7).
+func TestCallersWaitForTheirOwnChange(t *testing.T) {
+	const id = "0000000000000001"
+	for name, c := range map[string]struct {
+		acceptanceSent         bool // when the job is cancelled
+		submitNeeds, endsNeeds int  // number of batches that must be stored before an answer
+	}{
+		"the acceptance is being stored": {true, 1, 2},
+		"the acceptance wasn't sent":     {false, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			l := leaderWithoutStore(ctx)
+			l.confirm(l.process.sinceBoot())
+			l.lastAppend = time.Now().Add(time.Hour) // the test takes the batches
+			ended := make(chan struct{})
+			go func() { l.controlLoop(); close(ended) }()
+			defer func() { cancel(); <-ended }()
+			onLoop := func(call func(now time.Time)) {
+				done := make(chan struct{})
+				require.True(t, l.enqueue(func(now time.Time) { call(now); close(done) }))
+				<-done
+			}
+			submitted, ends := make(chan error, 1), make(chan error, 2)
+			go func() {
+				_, err := l.submit(ctx, submitRequest{ID: id, Terms: job.Terms{Queue: "q"}})
+				submitted <- err
+			}()
+			require.Eventually(t, func() bool {
+				known := false
+				onLoop(func(time.Time) { known = l.shard.Knows(id) })
+				return known
+			}, 5*time.Second, time.Millisecond)
+			if c.acceptanceSent {
+				onLoop(func(now time.Time) { require.NotEmpty(t, l.shard.TakeBatch(now)) })
+			}
+			for range 2 {
+				go func() {
+					_, err := l.cancelJob(ctx, jobRequest{ID: id})
+					ends <- err
+				}()
+			}
+			require.Eventually(t, func() bool {
+				waiting := 0
+				onLoop(func(time.Time) { waiting = len(l.endWaiters[id]) })
+				return waiting == 2
+			}, 5*time.Second, time.Millisecond)
+			for stored := 1; stored <= c.endsNeeds; stored++ {
+				require.Empty(t, ends, "after %d batches", stored-1)
+				onLoop(func(now time.Time) {
+					l.shard.TakeBatch(now) // none if one is in flight
+					l.shard.BatchStored(now)
+				})
+				if stored == c.submitNeeds {
+					require.NoError(t, <-submitted)
+				}
+				time.Sleep(2 * tickInterval)
+			}
+			require.NoError(t, <-ends)
+			require.NoError(t, <-ends)
+		})
+	}
+}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -10,14 +10,10 @@
 )
 
 // execute carries out the shard's commands and wakes the callers that wait for
-// a job to be stored.
+// the acceptance or the end of a job to be stored.
 func (l *shardLeader) execute(commands shard.Commands) {
-	for _, id := range commands.StoredJobs {
-		for _, waiter := range l.waiters[id] {
-			close(waiter)
-		}
-		delete(l.waiters, id)
-	}
+	l.acceptanceWaiters.wake(commands.StoredAcceptances)
+	l.endWaiters.wake(commands.StoredEnds)
 	for _, start := range commands.Starts {
 		go l.start(start)
 	}
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -71,10 +71,12 @@
 	// state was not loaded, or the loop failed. It may be read once ended is closed.
 	leaseEnds map[string]time.Time
 
-	appendStarted atomic.Int64               // when the pending append was first sent, in ns since the process started; 0 if none is pending
-	confirmed     atomic.Int64               // when the last call that confirmed leadership was sent, in ns of Process.sinceBoot
-	lastAppend    time.Time                  // when the last append ended
-	waiters       map[string][]chan struct{} // by job; closed when the job's change is stored
+	appendStarted atomic.Int64 // when the pending append was first sent, in ns since the process started; 0 if none is pending
+	confirmed     atomic.Int64 // when the last call that confirmed leadership was sent, in ns of Process.sinceBoot
+	lastAppend    time.Time    // when the last append ended
+	// acceptanceWaiters and endWaiters are the callers that wait until the acceptance of a
+	// job, or its final state, is stored.
+	acceptanceWaiters, endWaiters waiters
 
 	confirmNow chan struct{} // requests a confirmation
 	appendMu   sync.Mutex    // serializes the uses of ledger and recordsStoredAt
@@ -110,7 +112,7 @@
 	l := &shardLeader{
 		process: p, shardRef: ref, key: key, epoch: epoch, former: former, predecessors: formerClaims(former), ledger: ledger.New(epoch),
 		inputs: make(chan func(time.Time), inputQueueLength), ended: make(chan struct{}),
-		confirmNow: make(chan struct{}, 1), waiters: map[string][]chan struct{}{}, members: map[netip.AddrPort]*member{},
+		confirmNow: make(chan struct{}, 1), acceptanceWaiters: waiters{}, endWaiters: waiters{}, members: map[netip.AddrPort]*member{},
 	}
 	l.ledger.Group = shard.RecordGroup
 	l.ctx, l.cancel = context.WithCancel(ctx)
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -68,16 +68,17 @@
 	ExpectedTime time.Duration
 }
 
-// Commands holds what the caller of TakeCommands has to carry out. StoredJobs are the
-// IDs of the jobs whose acceptance or final state has been stored, so that the callers
-// of these jobs can be answered.
+// Commands holds what the caller of TakeCommands has to carry out. StoredAcceptances and
+// StoredEnds are the IDs of the jobs whose acceptance, or final state, has been stored, so
+// that the callers that wait for it can be answered.
 type Commands struct {
-	Starts         []Start
-	Stops          []Stop
-	Paces          []Pace
-	Polls          []Poll
-	AdviceRequests []AdviceRequest
-	StoredJobs     []string
+	Starts            []Start
+	Stops             []Stop
+	Paces             []Pace
+	Polls             []Poll
+	AdviceRequests    []AdviceRequest
+	StoredAcceptances []string
+	StoredEnds        []string
 }
 
 // TakeCommands returns the commands since its last call and clears them.
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"yuccalanding.example/yuccalanding/internal/job"
 	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
@@ -66,14 +65,14 @@
 	for _, request := range commands.AdviceRequests {
 		inst.sendAdviceRequest(request)
 	}
-	for _, id := range commands.StoredJobs {
+	for _, id := range commands.StoredAcceptances {
 		if submitted := sim.jobs[id]; submitted != nil {
 			submitted.accepted = true
-			if submitted.cancelRequestedAt > 0 && submitted.cancelledAt == 0 {
-				if state, _ := inst.shard.State(id); state == job.Cancelled {
-					submitted.cancelledAt = sim.now
-				}
-			}
+		}
+	}
+	for _, id := range commands.StoredEnds {
+		if submitted := sim.jobs[id]; submitted != nil && submitted.cancelRequestedAt > 0 && submitted.cancelledAt == 0 {
+			submitted.cancelledAt = sim.now
 		}
 	}
 	inst.write()
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -14,8 +14,8 @@
 const (
 	// Stored means that the effect is stored; answer at once.
 	Stored Outcome = iota
-	// Pending means that the answer has to wait until Commands.StoredJobs lists the
-	// job.
+	// Pending means that the answer has to wait until the job is listed in
+	// Commands.StoredAcceptances, or for Cancel in Commands.StoredEnds.
 	Pending
 	// Refused means that the job was not accepted and never runs.
 	Refused
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -168,14 +168,14 @@
 func (s *Shard) BatchStored(now time.Time) {
 	s.batchInFlight = false
 	for _, j := range s.inFlightJobs {
-		changed := !j.durable || j.inFlightState.Ended() && j.storedState != j.inFlightState
 		if !j.durable {
 			s.options.Log("accepted", "job", j.id, "queue", j.accepted.Terms.Queue, "after", now.Sub(j.acceptedAt))
+			s.commands.StoredAcceptances = append(s.commands.StoredAcceptances, j.id)
 		}
-		j.durable, j.storedState = true, j.inFlightState
-		if changed {
-			s.commands.StoredJobs = append(s.commands.StoredJobs, j.id)
+		if j.inFlightState.Ended() && j.storedState != j.inFlightState {
+			s.commands.StoredEnds = append(s.commands.StoredEnds, j.id)
 		}
+		j.durable, j.storedState = true, j.inFlightState
 	}
 	for _, w := range s.inFlightWorkers {
 		w.recordStored, w.suspensionTaken = !w.inFlightSuspended && !w.suspended, w.inFlightSuspended
