--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -41,6 +41,9 @@
 	// Predecessors are the claims of the leaders before this one, the oldest first and
 	// without gaps. Older ones may be missing.
 	Predecessors []Claim
+	// NeedsWitnesses means that the leader acts for MaxUnwitnessedAge after its last
+	// confirmation, and longer only with witnesses.
+	NeedsWitnesses bool
 }
 
 // Claim is a claim of the leadership of a shard.
@@ -57,6 +60,13 @@
 	// confirmed its leadership: longer than the store outages that the users
 	// plan for (9 s).
 	MaxConfirmationAge = 10 * time.Second
+	// MaxUnwitnessedAge is the same for a leader without witnesses: workers that
+	// answered it, and so no successor, since MaxWitnessAge. It is the age at which other
+	// nodes replace a leader that alone is cut off from the store.
+	MaxUnwitnessedAge = StaleConfirmationAge
+	// MaxWitnessAge is how long ago a leader must have sent the polls that its witnesses
+	// answered: two polls that wait at a worker (0.7 s each), and their travel.
+	MaxWitnessAge = 2 * time.Second
 	// MaxConfirmationAgeReleased is the same for a leader that has released its
 	// leadership and acts until another node claims it: two confirmations may
 	// fail.
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -107,15 +107,19 @@
 // a leadership that expired meanwhile.
 func TestPausedLeaderSendsNoStart(t *testing.T) {
 	for name, c := range map[string]struct {
-		paused   time.Duration
-		released bool
-		sent     bool
+		paused    time.Duration
+		released  bool
+		witnessed time.Duration // after the confirmation; the zero value stands for no witnesses
+		sent      bool
 	}{
-		"not paused":               {0, false, true},
-		"paused for a short time":  {election.MaxConfirmationAge / 2, false, true},
-		"paused for too long":      {election.MaxConfirmationAge, false, false},
-		"paused after it released": {election.MaxConfirmationAgeReleased, true, false},
-		"released, but not paused": {0, true, true},
+		"not paused":                             {0, false, 0, true},
+		"paused for a short time":                {election.MaxUnwitnessedAge - time.Millisecond, false, 0, true},
+		"paused for longer, without witnesses":   {election.MaxUnwitnessedAge, false, 0, false},
+		"not confirmed for longer, but by them":  {election.MaxConfirmationAge / 2, false, election.MaxConfirmationAge/2 - election.MaxWitnessAge + time.Millisecond, true},
+		"paused since the witnesses were polled": {election.MaxConfirmationAge / 2, false, election.MaxConfirmationAge/2 - election.MaxWitnessAge, false},
+		"not confirmed for too long":             {election.MaxConfirmationAge, false, election.MaxConfirmationAge, false},
+		"paused after it released":               {election.MaxConfirmationAgeReleased, true, 0, false},
+		"released, but not paused":               {0, true, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
@@ -134,6 +138,9 @@
 			l.process.sinceBoot = func() time.Duration { return time.Hour + paused }
 			l.confirm(l.process.sinceBoot())
 			l.released.Store(c.released)
+			if c.witnessed > 0 {
+				l.witnessed.Store(int64(l.process.sinceBoot() + c.witnessed))
+			}
 			paused = c.paused
 			target := shard.Target{ID: "i-1", Address: netip.MustParseAddrPort(address)}
 			l.start(shard.Start{RunKey: shard.RunKey{Task: "0000000000000001.0.0.0", Run: 1}, Target: target, LeaseUntil: time.Minute})
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -84,7 +84,7 @@
 	if !l.hasAuthority() {
 		poll.LeaseUntil = 0
 	}
-	sent := time.Now()
+	sent, sentSinceBoot := time.Now(), l.process.sinceBoot()
 	var report shard.Report
 	err := l.sendOrder(poll.Wait+pollTimeout, func(ctx context.Context) (err error) {
 		report, err = l.process.workers.Poll(ctx, poll, l.epoch)
@@ -95,5 +95,6 @@
 		l.enqueue(func(now time.Time) { l.shard.PollFailed(now, poll.ID, platform.PollFailure(err), err.Error()) })
 		return
 	}
+	report.PolledAt = sentSinceBoot
 	l.enqueue(func(now time.Time) { l.shard.PollAnswered(now, sent, poll.ID, report) })
 }
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -45,6 +45,9 @@
 	// s) and twice the replacement of a leader (1.7 s). Tasks of a dead worker
 	// are started elsewhere only after their lease has ended.
 	maxLease = 5 * time.Second
+	// witnessedLease is the longest lease that a leader grants while the store doesn't
+	// confirm its leadership: two status polls and the replacement of a leader.
+	witnessedLease = 3500 * time.Millisecond
 	// leaseMargin covers the travel time of a former leader's last order.
 	leaseMargin = 500 * time.Millisecond
 )
@@ -73,6 +76,7 @@
 
 	appendStarted atomic.Int64 // when the pending append was first sent, in ns since the process started; 0 if none is pending
 	confirmed     atomic.Int64 // when the last call that confirmed leadership was sent, in ns of Process.sinceBoot
+	witnessed     atomic.Int64 // see shard.WitnessedAt, in ns of Process.sinceBoot
 	lastAppend    time.Time    // when the last append ended
 	// acceptanceWaiters and endWaiters are the callers that wait until the acceptance of a
 	// job, or its final state, is stored.
@@ -127,6 +131,7 @@
 	l.shard = shard.New(shard.Options{
 		Service: key, Epoch: epoch, Lease: lease, MaxWorkerLease: bounds.MaxLease,
 		FormerEpochs: epochs, ReplacedActsFor: formerLeaderActsFor, FormerActsFor: election.MaxConfirmationAge, FormerLease: longestLease,
+		ReplacedNeedsWitnesses: former.NeedsWitnesses, WitnessedLease: min(lease, witnessedLease), MaxUnwitnessedAge: election.MaxUnwitnessedAge, MaxWitnessAge: election.MaxWitnessAge,
 		FinalStateRetention: bounds.StateRetention,
 		Log:                 func(event string, keyvals ...any) { p.log(event, append(keyvals, "epoch", epoch)...) },
 	})
@@ -169,7 +174,13 @@
 }
 
 // hasAuthority reports whether this process can still prove that it is the leader.
-func (l *shardLeader) hasAuthority() bool { return l.confirmationAge() < l.maxConfirmationAge() }
+func (l *shardLeader) hasAuthority() bool {
+	age := l.confirmationAge()
+	if age >= l.maxConfirmationAge() {
+		return false
+	}
+	return age < election.MaxUnwitnessedAge || l.process.sinceBoot()-time.Duration(l.witnessed.Load()) < election.MaxWitnessAge
+}
 
 // maxConfirmationAge is the age of its confirmation up to which the leader
 // acts.
@@ -251,7 +262,10 @@
 func (l *shardLeader) updateAuthority(now time.Time) {
 	age := l.confirmationAge()
 	l.shard.SetConfirmed(now.Add(-age))
-	l.shard.SetAuthority(age < l.maxConfirmationAge())
+	if age >= election.MaxUnwitnessedAge/2 {
+		l.witnessed.Store(int64(l.shard.WitnessedAt()))
+	}
+	l.shard.SetAuthority(l.hasAuthority())
 }
 
 // controlLoop runs the enqueued functions and makes all decisions about the
--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -17,6 +17,22 @@
 type formerLeader struct {
 	epoch     int64
 	actsUntil time.Time // it grants no lease later
+	leasesEnd time.Time // no lease that it granted lasts longer
+}
+
+func (s *Shard) newFormerLeader(epoch int64, actsFor time.Duration) formerLeader {
+	actsUntil := s.loadedAt.Add(actsFor)
+	return formerLeader{epoch, actsUntil, actsUntil.Add(s.options.FormerLease)}
+}
+
+// limit lowers the bounds of the leader.
+func (f *formerLeader) limit(actsUntil, leasesEnd time.Time) {
+	if actsUntil.Before(f.actsUntil) {
+		f.actsUntil = actsUntil
+	}
+	if leasesEnd.Before(f.leasesEnd) {
+		f.leasesEnd = leasesEnd
+	}
 }
 
 // loadFormerLeaders determines the leaders that may still act. If the record names none of
@@ -34,16 +50,16 @@
 	}
 	first := slices.Index(s.options.FormerEpochs, stored.OverBefore)
 	if !readable || first < 0 {
-		s.formerLeaders = []formerLeader{{UnknownEpoch, s.loadedAt.Add(s.options.FormerActsFor)}}
+		s.formerLeaders = []formerLeader{s.newFormerLeader(UnknownEpoch, s.options.FormerActsFor)}
 		return
 	}
 	for _, epoch := range s.options.FormerEpochs[first:] {
 		if epoch != 0 {
-			s.formerLeaders = append(s.formerLeaders, formerLeader{epoch, s.loadedAt.Add(s.options.FormerActsFor)})
+			s.formerLeaders = append(s.formerLeaders, s.newFormerLeader(epoch, s.options.FormerActsFor))
 		}
 	}
 	if last := len(s.formerLeaders) - 1; last >= 0 {
-		s.formerLeaders[last].actsUntil = s.loadedAt.Add(s.options.ReplacedActsFor)
+		s.formerLeaders[last] = s.newFormerLeader(s.formerLeaders[last].epoch, s.options.ReplacedActsFor)
 	}
 }
 
@@ -51,10 +67,16 @@
 // endedAt. It returns the number of unread workers whose lease bound it lowered.
 func (s *Shard) FormerLeaderEnded(epoch int64, endedAt time.Time) int {
 	for i := range s.formerLeaders {
-		if f := &s.formerLeaders[i]; f.epoch == epoch && endedAt.Before(f.actsUntil) {
-			f.actsUntil = endedAt
+		if f := &s.formerLeaders[i]; f.epoch == epoch {
+			f.limit(endedAt, endedAt.Add(s.options.FormerLease))
 		}
 	}
+	return s.lowerUnreadLeaseEnds()
+}
+
+// lowerUnreadLeaseEnds applies lower bounds of former leaders to the workers that this leader
+// has not read. It returns how many it changed.
+func (s *Shard) lowerUnreadLeaseEnds() int {
 	lowered, end := 0, s.formerLeasesEnd()
 	for _, w := range s.sortedWorkers {
 		if !w.listsRead && end.Before(w.leaseEnd) {
@@ -77,7 +99,11 @@
 // formerLeasesEnd returns the time after which no lease of a former leader is left on any
 // worker.
 func (s *Shard) formerLeasesEnd() time.Time {
-	return s.formerLeadersActUntil().Add(s.options.FormerLease)
+	end := s.loadedAt.Add(s.options.FormerLease) // of leaders that are known to be over
+	for _, f := range s.formerLeaders {
+		end = maxTime(end, f.leasesEnd)
+	}
+	return end
 }
 
 // checkFormerLeadersOver schedules the record that no former leader acts any more once that
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -47,7 +47,9 @@
 	if inst.released {
 		maxConfirmationAge = time.Second
 	}
-	inst.shard.SetAuthority(sim.now-inst.leadershipConfirmedAt < maxConfirmationAge)
+	age := sim.now - inst.leadershipConfirmedAt
+	witnessed := age < maxUnwitnessedAge || sim.now-inst.shard.WitnessedAt() < maxWitnessAge
+	inst.shard.SetAuthority(age < maxConfirmationAge && witnessed)
 	inst.shard.Tick(sim.time())
 	commands := inst.shard.TakeCommands()
 	for _, start := range commands.Starts {
@@ -227,6 +229,7 @@
 				return
 			}
 			report := worker.report()
+			report.PolledAt = sentAt.Sub(sim.startTime)
 			sim.schedule(sim.latency(), inst, func(now time.Time) { inst.shard.PollAnswered(now, sentAt, poll.ID, report) })
 		}
 		if poll.Wait == 0 || len(worker.results) > 0 {
--- a/internal/shard/leases.go
+++ b/internal/shard/leases.go
@@ -20,14 +20,17 @@
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
+	if s.needsWitnesses(now) {
+		return w.leaseUntil(now, s.options.WitnessedLease)
+	}
 	return w.leaseUntil(now, s.options.Lease)
 }
 
-// restartedLeaseExtension returns how much longer than leaseLength a lease can last that was
-// granted by the clock of a former incarnation. The clock of the new one shows less, so it
-// grants the longest lease that it allows.
-func (s *Shard) restartedLeaseExtension() time.Duration {
-	return time.Duration(float64(max(0, s.options.MaxWorkerLease-s.options.Lease)) * LeaseDriftFactor)
+// restartedLeaseExtension returns how much longer than expected a lease of this length can
+// last that was granted by the clock of a former incarnation. The clock of the new one shows
+// less, so it grants the longest lease that it allows.
+func (s *Shard) restartedLeaseExtension(lease time.Duration) time.Duration {
+	return time.Duration(float64(max(0, s.options.MaxWorkerLease-lease)) * LeaseDriftFactor)
 }
 
 // lastLeaseEnd returns the time after which no lease is left on the worker.
@@ -36,7 +39,11 @@
 	// It may have restarted before the lease was granted. The incarnation is a wall clock's
 	// time, which can be set back.
 	if w.Incarnation != w.observedIncarnation {
-		end = end.Add(s.restartedLeaseExtension())
+		lease := s.options.Lease
+		if !w.listsRead { // a former leader may have granted it with witnesses
+			lease = min(lease, s.options.WitnessedLease)
+		}
+		end = end.Add(s.restartedLeaseExtension(lease))
 	}
 	return maxTime(end, w.formerClockEnd)
 }
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -81,6 +81,7 @@
 		batch = append(batch, Record{Key: key})
 	}
 	s.deletedKeys = nil
+	s.deletedWorkers, s.inFlightDeletedWorkers = 0, s.deletedWorkers
 	if s.formerLeadersUnrecorded {
 		s.formerLeadersUnrecorded = false
 		add(formerLeadersKey, job.FormerLeadersRecord{OverBefore: s.options.Epoch})
@@ -112,6 +113,7 @@
 		}
 		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
 		w.suspensionTaken = w.suspensionTaken || w.suspended
+		w.recordTaken = true
 		add(workerKey(w.ID), job.WorkerRecord{
 			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(), Address: w.Address,
 		})
@@ -167,6 +169,7 @@
 // BatchStored records that the last batch of TakeBatch is stored.
 func (s *Shard) BatchStored(now time.Time) {
 	s.batchInFlight = false
+	s.inFlightDeletedWorkers = 0
 	for _, j := range s.inFlightJobs {
 		if !j.durable {
 			s.options.Log("accepted", "job", j.id, "queue", j.accepted.Terms.Queue, "after", now.Sub(j.acceptedAt))
@@ -179,6 +182,7 @@
 	}
 	for _, w := range s.inFlightWorkers {
 		w.recordStored, w.suspensionTaken = !w.inFlightSuspended && !w.suspended, w.inFlightSuspended
+		w.recordConfirmed = w.recordTaken
 		w.storedResult = min(w.inFlightResult, w.handledResult)
 		if w.storedResult > w.acknowledgedResult {
 			w.nextPollAt = now
@@ -243,6 +247,7 @@
 	}
 	w := &worker{
 		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended, suspensionTaken: record.Suspended,
+		recordTaken: true, recordConfirmed: true,
 		unlistedAt: now, bestEffortPace: fullPace,
 	}
 	w.loadUnstoredResults(record.Unstored)
@@ -258,6 +263,7 @@
 	}
 	s.workers[id] = w
 	s.workersToRead[id] = true
+	s.recordedWorkers++
 	s.sortWorkers()
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -92,6 +92,12 @@
 	ReplacedActsFor, FormerActsFor time.Duration
 	// FormerLease is the longest time that a lease of a former leader lasts.
 	FormerLease time.Duration
+	// A leader whose confirmation is older than MaxUnwitnessedAge acts only while its
+	// WitnessedAt is less than MaxWitnessAge old, and its leases last WitnessedLease.
+	// ReplacedNeedsWitnesses means that the replaced leader does so too.
+	ReplacedNeedsWitnesses           bool
+	MaxUnwitnessedAge, MaxWitnessAge time.Duration
+	WitnessedLease                   time.Duration
 	// FinalStateRetention is how long callers can query the final state of a job.
 	FinalStateRetention time.Duration
 	// Log logs an event with alternating keys and values. If it is nil, nothing is
@@ -125,22 +131,28 @@
 	recovered     bool           // all runs of former leaders are known or over
 	listRead      bool           // SetWorkers was called
 	formerLeaders []formerLeader // those that may still act at Load
+	// recordedWorkers is the number of workersToRead at Load, and readRecorded how many of
+	// them this leader has read.
+	recordedWorkers, readRecorded int
 	// formerLeadersOver means that no former leader acts any more, and
 	// formerLeadersUnrecorded that no batch contains the record of it yet.
 	formerLeadersOver       bool
 	formerLeadersUnrecorded bool
 
-	dirtyJobs        []*jobState
-	dirtyWorkers     []*worker
-	deletedKeys      []string
-	inFlightJobs     []*jobState
-	inFlightWorkers  []*worker
-	batchInFlight    bool
-	maxBatchBytes    int // the size above which a batch takes no more jobs
-	unrecordedTrials []*run
-	inFlightTrials   []*run // in the batch that is being stored
-	endedTrials      []*run // whose end isn't stored
-	inFlightEnds     []*run // whose end is in the batch that is being stored
+	dirtyJobs    []*jobState
+	dirtyWorkers []*worker
+	deletedKeys  []string
+	// deletedWorkers and inFlightDeletedWorkers are the numbers of workers whose record is
+	// deleted by the next batch, and by the one that is being stored.
+	deletedWorkers, inFlightDeletedWorkers int
+	inFlightJobs                           []*jobState
+	inFlightWorkers                        []*worker
+	batchInFlight                          bool
+	maxBatchBytes                          int // the size above which a batch takes no more jobs
+	unrecordedTrials                       []*run
+	inFlightTrials                         []*run // in the batch that is being stored
+	endedTrials                            []*run // whose end isn't stored
+	inFlightEnds                           []*run // whose end is in the batch that is being stored
 
 	commands         Commands
 	authority        bool      // this process can still prove that it is the leader
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -35,6 +35,9 @@
 	// orphanTimeoutAfterRelease covers that lease and the second for which a leader that
 	// released its leadership acts without a confirmation.
 	orphanTimeoutAfterRelease = time.Second + orphanTimeoutAfterCrash
+	witnessedLease            = 3500 * time.Millisecond
+	maxUnwitnessedAge         = time.Second
+	maxWitnessAge             = 2 * time.Second
 	// maxFormers is the number of former leaders that a new leader knows.
 	maxFormers     = 3
 	gangTimeout    = 3 * time.Second // how long a worker waits for the other members of a gang
@@ -186,6 +189,7 @@
 	}
 	inst.shard = shard.New(shard.Options{
 		FormerEpochs: epochs, ReplacedActsFor: timeout - orphanTimeoutAfterCrash, FormerActsFor: orphanTimeout - orphanTimeoutAfterCrash, FormerLease: orphanTimeoutAfterCrash,
+		ReplacedNeedsWitnesses: true, WitnessedLease: witnessedLease, MaxUnwitnessedAge: maxUnwitnessedAge, MaxWitnessAge: maxWitnessAge,
 		Service: "ledger", Epoch: inst.epoch, Lease: taskLease, MaxWorkerLease: maxWorkerLease, FinalStateRetention: 2 * time.Minute,
 		Log: func(event string, keyvals ...any) {
 			if os.Getenv("SHARD_LOG") != "" {
--- /dev/null
+++ b/internal/shard/witnesses.go
@@ -0,0 +1,85 @@
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A leader that the store doesn't confirm can't know whether the store is down for all, so that
+// running work must live on, or whether it has a successor. The workers tell: they refuse a
+// leader once its successor has read them. So a leader without a recent confirmation acts only
+// while more than the witness share of the workers with a record in the store answer it, and a
+// successor that has read more than that share of them knows that the replaced leader soon acts
+// no more. Any two such sets have a worker in common, also if the records differ by up to a
+// fifth.
+
+const (
+	// The witness share is witnessShareNumerator/witnessShareDenominator.
+	witnessShareNumerator, witnessShareDenominator = 3, 5
+	// witnessPollInterval is the time between two polls of a worker without runs while the
+	// leader needs witnesses.
+	witnessPollInterval = 800 * time.Millisecond
+	// unwitnessed is a reading of Report.PolledAt that is too old for any use.
+	unwitnessed = -time.Hour
+)
+
+// exceedsWitnessShare reports whether count is more than the witness share of the workers.
+func exceedsWitnessShare(count, workers int) bool {
+	return witnessShareDenominator*count > witnessShareNumerator*workers
+}
+
+// WitnessedAt returns the latest reading of the clock of Report.PolledAt since which more than
+// the witness share of the recorded workers have answered a poll, or one that is an hour before
+// the clock's start. A worker that has restarted since the last confirmation doesn't count, as
+// it doesn't know the fencing token of a successor that read it before.
+func (s *Shard) WitnessedAt() time.Duration {
+	recorded := s.deletedWorkers + s.inFlightDeletedWorkers
+	polledAt := make([]time.Duration, 0, len(s.sortedWorkers))
+	for _, w := range s.sortedWorkers {
+		if !w.recordTaken {
+			continue
+		}
+		recorded++
+		if w.recordConfirmed && w.listsRead && w.incarnationChangedAt.Before(s.confirmedAt) {
+			polledAt = append(polledAt, w.polledAt)
+		}
+	}
+	slices.SortFunc(polledAt, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	for i, reading := range polledAt {
+		if exceedsWitnessShare(i+1, recorded) {
+			return reading
+		}
+	}
+	return unwitnessed
+}
+
+// needsWitnesses reports whether this leader needs witnesses to act, or soon will.
+func (s *Shard) needsWitnesses(now time.Time) bool {
+	return s.options.MaxUnwitnessedAge > 0 && now.Sub(s.confirmedAt) >= s.options.MaxUnwitnessedAge*3/4
+}
+
+// witnessPollDue reports whether a worker without runs is due for a poll as a witness.
+func (s *Shard) witnessPollDue(now time.Time, w *worker) bool {
+	return s.needsWitnesses(now) && w.recordTaken && now.Sub(w.answeredPollSentAt) >= witnessPollInterval
+}
+
+// countRecordedRead counts a worker that this leader has read for the first time. Once it has
+// read more than the witness share of the recorded ones, the polls of the replaced leader's
+// witnesses were sent before.
+func (s *Shard) countRecordedRead(now time.Time, w *worker) {
+	if !s.workersToRead[w.ID] {
+		return
+	}
+	before := exceedsWitnessShare(s.readRecorded, s.recordedWorkers)
+	s.readRecorded++
+	last := len(s.formerLeaders) - 1
+	if before || !exceedsWitnessShare(s.readRecorded, s.recordedWorkers) || !s.options.ReplacedNeedsWitnesses || last < 0 || s.formerLeaders[last].epoch == UnknownEpoch {
+		return
+	}
+	actsUntil := now.Add(s.options.MaxWitnessAge)
+	shorter := time.Duration(float64(s.options.Lease-s.options.WitnessedLease) * LeaseDriftFactor)
+	unwitnessedLeasesEnd := s.loadedAt.Add(s.options.MaxUnwitnessedAge + s.options.FormerLease)
+	s.formerLeaders[last].limit(actsUntil, maxTime(actsUntil.Add(s.options.FormerLease-shorter), unwitnessedLeasesEnd))
+	s.lowerUnreadLeaseEnds()
+}
--- /dev/null
+++ b/internal/shard/witnesses_test.go
@@ -0,0 +1,73 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"yuccalanding.example/yuccalanding/internal/job"
+)
+
+// standingTasks submits a job with a task that lasts for each worker, and returns once they run.
+func (sim *simulation) standingTasks(milliCPU int) {
+	sim.t.Helper()
+	standing := tasks(len(sim.workers), milliCPU, 500*time.Millisecond)
+	standing.LongRunning = true
+	sim.submit(id(0), urgentTerms, job.Spec{Steps: []job.Step{standing}}, time.Hour)
+	sim.advance(time.Second)
+	require.Equal(sim.t, len(sim.workers), sim.startCount)
+}
+
+// Guards against tasks that last and wait for 16 s because their worker is silent and their leader was
+// lost for good (review/8 with replace_core), and against two runs of one if that leader still acts.
+func TestLeaderWithoutWitnessesEndsTheWaitForItsLeases(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost     bool // the former leader is lost for good; otherwise it is cut off from the store and from its successor
+		reached  int  // number of the six workers that the new leader reaches
+		restarts int  // so many of these restart after they were read, and only the former leader reaches them then
+		min, max time.Duration
+	}{
+		"the former leader is lost":                     {true, 5, 0, 0, 8 * time.Second},
+		"it reaches the other worker":                   {false, 5, 0, orphanTimeoutAfterCrash, 8 * time.Second},
+		"it reaches the other two workers":              {false, 4, 0, orphanTimeoutAfterCrash, 8 * time.Second},
+		"it reaches three workers":                      {false, 3, 0, orphanTimeout, orphanTimeout + time.Second},
+		"it reaches four, two of which have restarted":  {false, 4, 2, orphanTimeoutAfterCrash, 8 * time.Second},
+		"it is lost, and half of the workers is silent": {true, 3, 0, orphanTimeout, orphanTimeout + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 91, 6, workerSize)
+			sim.formerLeadersReport, sim.crashesUnknown = true, true
+			sim.advance(time.Second)
+			sim.standingTasks(9000)
+			former := sim.leader
+			former.storeUnreachable, former.cutOffFromPeers, former.dead = true, true, c.lost
+			sim.replaceLeader()
+			changed, started := sim.now, sim.startCount
+			for i, worker := range sim.workers {
+				worker.cutOff = map[*instance]bool{sim.leader: i >= c.reached, former: i < c.reached}
+			}
+			sim.advance(500 * time.Millisecond)
+			for _, worker := range sim.workers[:c.restarts] {
+				worker.crash()
+				worker.restart()
+				worker.cutOff = map[*instance]bool{sim.leader: true}
+			}
+			for _, worker := range sim.workers[c.reached:] {
+				if c.lost {
+					worker.crash()
+				}
+			}
+			// The tasks of the other workers fit here.
+			sim.workers[2].capacity.MilliCPU *= 4
+			for sim.startCount == started && sim.now < changed+30*time.Second {
+				sim.advance(tickLength)
+			}
+			restartedAt := sim.now - changed
+			sim.advance(10 * time.Second)
+			require.Empty(t, sim.violations)
+			require.LessOrEqual(t, restartedAt, c.max)
+			require.GreaterOrEqual(t, restartedAt, c.min)
+		})
+	}
+}
--- a/internal/shard/workerrecords.go
+++ b/internal/shard/workerrecords.go
@@ -26,6 +26,10 @@
 }
 
 func (s *Shard) deleteWorkerRecord(w *worker) {
+	if w.recordTaken {
+		w.recordTaken, w.recordConfirmed = false, false
+		s.deletedWorkers++
+	}
 	if w.recordStored || w.suspended {
 		w.recordStored, w.suspended = false, false
 		s.deletedKeys = append(s.deletedKeys, workerKey(w.ID))
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -38,6 +38,11 @@
 	acknowledgedResult  int64 // of the last result whose acknowledgement the worker has answered
 	inFlightAck         int64 // the acknowledgement in the poll in flight
 	recordStored        bool  // its record is stored and not suspended, so it may get tasks
+	// recordTaken means that the store has a record of it or may have, and recordConfirmed
+	// that it has one.
+	recordTaken, recordConfirmed bool
+	polledAt                     time.Duration // Report.PolledAt of its last report
+	incarnationChangedAt         time.Time     // when a report last showed another incarnation
 	// suspended means that the worker is recorded as suspended or will be, see
 	// suspendAfter.
 	suspended         bool
@@ -155,6 +160,8 @@
 				poll.LeaseUntil = s.extendLease(now, w)
 			}
 			s.sendPoll(w, poll)
+		case len(w.runs) == 0 && s.witnessPollDue(now, w):
+			s.sendPoll(w, Poll{Target: w.target(), AckThrough: w.storedResult})
 		case len(w.runs) == 0 && w.storedResult > w.acknowledgedResult && resultsStored:
 			s.sendPoll(w, Poll{Target: w.target(), AckThrough: w.storedResult})
 		case len(w.runs) == 0 && w.placeable() && now.Sub(w.clockReadAt) >= maxClockAge:
@@ -183,6 +190,9 @@
 
 // Report is a worker's answer to a Poll.
 type Report struct {
+	// PolledAt is when the poll was sent, on a clock of the leader that goes on while its VM is
+	// suspended.
+	PolledAt    time.Duration
 	Incarnation int64
 	Clock       time.Duration // reading of the worker's clock
 	Running     []RunStatus
@@ -268,7 +278,7 @@
 		s.placementChanged = true
 	}
 	w.replyInterval = now.Sub(w.lastReply)
-	w.failedPolls, w.absent, w.lastReply, w.answeredPollSentAt = 0, false, now, sentAt
+	w.failedPolls, w.absent, w.lastReply, w.answeredPollSentAt, w.polledAt = 0, false, now, sentAt, report.PolledAt
 	if w.suspended {
 		w.suspended = false
 		if w.suspensionTaken {
@@ -289,7 +299,7 @@
 		if firstAnswer { // a former leader may have granted the last one just now
 			granted = now.Add(s.leaseLength())
 		}
-		w.formerClockEnd = granted.Add(s.restartedLeaseExtension())
+		w.formerClockEnd = granted.Add(s.restartedLeaseExtension(s.options.Lease))
 		s.handleRestart(now, w, report)
 	}
 	if firstAnswer {
@@ -297,6 +307,7 @@
 	}
 	w.listsRead, w.stale = true, false
 	if firstAnswer {
+		s.countRecordedRead(now, w)
 		s.recordIfPlaceable(w)
 		// The worker now refuses the orders of former leaders by their fencing
 		// tokens, so no lease lasts longer than one that is granted now.
