--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -22,6 +22,10 @@
 	// every 110 ms, and within 0.7 s if it is six times slower. Workers report every
 	// 1.5 s.
 	stalledAfter = 3 * time.Second
+	// provenAfter is how long a long-running run must be ready to show that its worker
+	// works. It never ends as done, which shows that for other runs, and may fail at any
+	// time.
+	provenAfter = 5 * time.Second
 	// noStallTimeout is the stall timeout of long-running tasks that are ready. It
 	// is about 146 years, so they never count as stalled.
 	noStallTimeout = 1 << 62 * time.Nanosecond
@@ -56,6 +60,13 @@
 	h.failedJobs = h.failedJobs[:min(len(h.failedJobs), quarantineFailures-1)]
 }
 
+// recordFailure records a failed run of a job in the health of its worker.
+func (s *Shard) recordFailure(now time.Time, w *worker, job string) {
+	wasExcluded := w.health.excluded(now)
+	w.health.recordFailure(now, job)
+	s.logQuarantine(now, w, wasExcluded, "failures")
+}
+
 // logQuarantine logs that a worker is now quarantined, unless it was already
 // excluded.
 func (s *Shard) logQuarantine(now time.Time, w *worker, wasExcluded bool, cause string) {
@@ -64,6 +75,21 @@
 	}
 }
 
+// updateProof records a long-running run that has been ready for provenAfter as a success of
+// its worker.
+func (r *run) updateProof(now time.Time, status *RunStatus) {
+	if !r.task.step.spec.LongRunning || r.provedWorker || status.Percent < 100 {
+		return
+	}
+	if r.readyAt.IsZero() {
+		r.readyAt = now
+	}
+	if now.Sub(r.readyAt) >= provenAfter {
+		r.provedWorker = true
+		r.worker.health.recordSuccess()
+	}
+}
+
 func (h *health) recordSuccess() {
 	h.failedJobs = nil
 	h.quarantineTime = 0
--- a/internal/shard/health_test.go
+++ b/internal/shard/health_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -112,3 +113,40 @@
 	}
 	require.Empty(t, sim.violations)
 }
+
+// Guards against tasks that last and wait although workers are nearly empty, because each failure of
+// such a task counted against its worker, and nothing for it (review/9).
+func TestFailuresOfTasksThatLastDoNotExcludeWorkers(t *testing.T) {
+	for name, failsIn := range map[string]time.Duration{"each fails after 20 s or more": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) { requireTasksThatLastToRun(t, failsIn) })
+	}
+}
+
+// requireTasksThatLastToRun plays tasks that last, and fail after failsIn or up to three times as
+// long. None may be without a run for 9 s.
+func requireTasksThatLastToRun(t *testing.T, failsIn time.Duration) {
+	sim := newSimulation(t, 92, 4, workerSize)
+	sim.advance(time.Second)
+	const jobs, count = 4, 4
+	standing := tasks(count, 1000, 500*time.Millisecond)
+	standing.LongRunning, standing.MaxPerWorker = true, 1
+	for i := range jobs {
+		sim.submit(id(i), batchTerms, job.Spec{Steps: []job.Step{standing}}, time.Hour).standingFailsIn = failsIn
+	}
+	sim.advance(time.Second)
+	lastRun := map[string]time.Duration{}
+	for end := sim.now + 5*time.Minute; sim.now < end; {
+		sim.advance(50 * time.Millisecond)
+		for i := range jobs {
+			for index := range count {
+				name := fmt.Sprintf("%s.0.0.%d", id(i), index)
+				if sim.runs(name) {
+					lastRun[name] = sim.now
+				}
+				require.Less(t, sim.now-lastRun[name], 9*time.Second, "%s has no run at %s", name, sim.now)
+			}
+		}
+	}
+	require.Greater(t, sim.startCount, 4*jobs*count, "the tasks fail")
+	require.Empty(t, sim.violations)
+}
--- a/internal/shard/modelworker_test.go
+++ b/internal/shard/modelworker_test.go
@@ -26,6 +26,7 @@
 	overTargetSince   time.Duration // since when its tail latency has exceeded its target; 0 if it doesn't
 	demand            job.Demand
 	fails             bool
+	failsAt           time.Duration // of a long-running run; 0 means never
 }
 
 // modelWorker simulates a worker that follows the platform contract: it checks fencing
@@ -187,8 +188,13 @@
 	submitted.lastStarts[start.Task] = sim.now
 	sim.startCount++
 	m.extendLease(start.LeaseUntil)
+	failsAt := time.Duration(0)
+	if least := submitted.standingFailsIn; least > 0 && spec.LongRunning {
+		failsAt = sim.now + least + time.Duration(sim.random.Int64N(int64(2*least)))
+	}
 	m.runs = append(m.runs, &modelRun{
-		key: start.RunKey, worker: m, startedAt: sim.now, runTime: submitted.runTimes[stepNumber], longRunning: spec.LongRunning, gang: spec.Gang,
+		failsAt: failsAt,
+		key:     start.RunKey, worker: m, startedAt: sim.now, runTime: submitted.runTimes[stepNumber], longRunning: spec.LongRunning, gang: spec.Gang,
 		demand: spec.Reserved(), fails: m.failsTasks || submitted.alwaysFails, tailLatencyTarget: spec.TailLatencyTarget, bestEffort: spec.BestEffort, pace: 100,
 	})
 	if submitted.poisonTasks[start.Task] {
@@ -283,6 +289,9 @@
 		case r.stopAt > 0 && sim.now >= r.stopAt:
 			m.endRun(r, shard.EndStopped)
 			continue
+		case r.longRunning && r.failsAt > 0 && sim.now >= r.failsAt:
+			m.endRun(r, shard.EndFailed)
+			continue
 		case r.longRunning || m.stallsTasks:
 			continue
 		}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -132,6 +132,9 @@
 		}
 		s.taskDone(now, t)
 	case EndFailed:
+		if r == nil || !r.provedWorker {
+			s.recordFailure(now, w, j.id)
+		}
 		s.taskFailed(now, w, t, result.Run)
 	case EndStopped, EndLeaseExpired, EndGangFailed, EndGangIncomplete:
 		s.markJobDirty(j)
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -356,14 +356,10 @@
 
 // taskFailed counts a failed run of a task, or of its gang, and fails the job if this
 // was the last allowed attempt. A run of a gang in which several members fail is one
-// attempt. A run of a task that another run has completed counts only for the health of its
-// worker.
+// attempt. A run of a task that another run has completed doesn't count.
 func (s *Shard) taskFailed(now time.Time, w *worker, t *task, runNumber int64) {
 	st := t.step
 	j := st.occurrence.job
-	wasExcluded := w.health.excluded(now)
-	w.health.recordFailure(now, j.id)
-	s.logQuarantine(now, w, wasExcluded, "failures")
 	if t.done {
 		return
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -277,6 +277,10 @@
 	unsent          bool    // a trial whose start order has not been sent
 	loaded          bool    // a trial that a former leader stored and no report has shown
 	lossRecorded    bool    // recordLoss has handled the loss of its worker
+	// readyAt is when a report first showed a long-running run at 100 percent, and
+	// provedWorker means that one showed it provenAfter later.
+	readyAt      time.Time
+	provedWorker bool
 	// leaseHeldUntil is the earliest end of the lease of its first start order, if the
 	// worker got that.
 	leaseHeldUntil time.Time
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -51,6 +51,7 @@
 	terms             job.Terms
 	runTimes          []time.Duration // by step
 	alwaysFails       bool
+	standingFailsIn   time.Duration // least time after which a long-running run fails, which may be three times as long; 0 means never
 	cancelledAt       time.Duration // when the cancellation was acknowledged to the caller
 	cancelRequestedAt time.Duration
 	accepted          bool
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -384,6 +384,7 @@
 		r.percent, r.progressedAt = status.Percent, now
 		r.updateSlowness(now)
 	}
+	r.updateProof(now, status)
 	if status.Checkpoint != "" && status.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = status.Checkpoint
 	}
