shard: reported lease ends allow for a restart of the worker

Cause: a leader waits longer for a worker that it hasn't read and that may have restarted, as the new incarnation grants the longest lease to an order with a time of its former clock. Its report to the next leader left that out, by 1 s, and by 2.5 s since leases with witnesses are shorter. Change: both use withRestart. Fields of Shard are in their former order, and the counts of deleted worker records change only with a deletion. Measured: the tests of internal/shard pass.

--- a/internal/shard/leaseends.go
+++ b/internal/shard/leaseends.go
@@ -9,7 +9,7 @@
 	for id, w := range s.workers {
 		end := s.lastLeaseEnd(w)
 		if !w.listsRead {
-			end = s.formerLeaseEnd(w)
+			end = s.withRestart(w, s.formerLeaseEnd(w))
 		}
 		ends[id] = end
 	}
--- a/internal/shard/leases.go
+++ b/internal/shard/leases.go
@@ -35,17 +35,21 @@
 
 // lastLeaseEnd returns the time after which no lease is left on the worker.
 func (s *Shard) lastLeaseEnd(w *worker) time.Time {
-	end := w.leaseEnd
-	// It may have restarted before the lease was granted. The incarnation is a wall clock's
-	// time, which can be set back.
-	if w.Incarnation != w.observedIncarnation {
-		lease := s.options.Lease
-		if !w.listsRead { // a former leader may have granted it with witnesses
-			lease = min(lease, s.options.WitnessedLease)
-		}
-		end = end.Add(s.restartedLeaseExtension(lease))
+	return maxTime(s.withRestart(w, w.leaseEnd), w.formerClockEnd)
+}
+
+// withRestart returns the end of a lease on the worker that was expected to end at the given
+// time. The worker may have restarted before the lease was granted. The incarnation is a wall
+// clock's time, which can be set back.
+func (s *Shard) withRestart(w *worker, end time.Time) time.Time {
+	if w.Incarnation == w.observedIncarnation {
+		return end
+	}
+	lease := s.options.Lease
+	if !w.listsRead { // a former leader may have granted it with witnesses
+		lease = min(lease, s.options.WitnessedLease)
 	}
-	return maxTime(end, w.formerClockEnd)
+	return end.Add(s.restartedLeaseExtension(lease))
 }
 
 // leasesOver reports whether no lease is left on the worker. Without a confirmation from after
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -128,9 +128,10 @@
 	// workersToRead holds the IDs of the workers that a former leader recorded. Their
 	// lists of runs must be read before tasks of stored jobs may start.
 	workersToRead map[string]bool
-	recovered     bool           // all runs of former leaders are known or over
-	listRead      bool           // SetWorkers was called
-	formerLeaders []formerLeader // those that may still act at Load
+	recovered     bool // all runs of former leaders are known or over
+	listRead      bool // SetWorkers was called
+	// formerLeaders are the leaders that may still act at Load.
+	formerLeaders []formerLeader
 	// recordedWorkers is the number of workersToRead at Load, and readRecorded how many of
 	// them this leader has read.
 	recordedWorkers, readRecorded int
@@ -139,20 +140,20 @@
 	formerLeadersOver       bool
 	formerLeadersUnrecorded bool
 
-	dirtyJobs    []*jobState
-	dirtyWorkers []*worker
-	deletedKeys  []string
+	dirtyJobs        []*jobState
+	dirtyWorkers     []*worker
+	deletedKeys      []string
+	inFlightJobs     []*jobState
+	inFlightWorkers  []*worker
+	batchInFlight    bool
+	maxBatchBytes    int // the size above which a batch takes no more jobs
+	unrecordedTrials []*run
+	inFlightTrials   []*run // in the batch that is being stored
+	endedTrials      []*run // whose end isn't stored
+	inFlightEnds     []*run // whose end is in the batch that is being stored
 	// deletedWorkers and inFlightDeletedWorkers are the numbers of workers whose record is
 	// deleted by the next batch, and by the one that is being stored.
 	deletedWorkers, inFlightDeletedWorkers int
-	inFlightJobs                           []*jobState
-	inFlightWorkers                        []*worker
-	batchInFlight                          bool
-	maxBatchBytes                          int // the size above which a batch takes no more jobs
-	unrecordedTrials                       []*run
-	inFlightTrials                         []*run // in the batch that is being stored
-	endedTrials                            []*run // whose end isn't stored
-	inFlightEnds                           []*run // whose end is in the batch that is being stored
 
 	commands         Commands
 	authority        bool      // this process can still prove that it is the leader
--- a/internal/shard/workerrecords.go
+++ b/internal/shard/workerrecords.go
@@ -26,12 +26,9 @@
 }
 
 func (s *Shard) deleteWorkerRecord(w *worker) {
-	if w.recordTaken {
-		w.recordTaken, w.recordConfirmed = false, false
-		s.deletedWorkers++
-	}
 	if w.recordStored || w.suspended {
-		w.recordStored, w.suspended = false, false
+		w.recordStored, w.suspended, w.recordTaken, w.recordConfirmed = false, false, false, false
+		s.deletedWorkers++
 		s.deletedKeys = append(s.deletedKeys, workerKey(w.ID))
 	}
 }
