soak: callers that leave without an answer and cancel their job

Change: each caller submits a standing job now and then, leaves after 5 to 205 ms, and cancels it at another process. If that is answered with 200 the job must be shown as cancelled at the end, and no run of it may go on.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -33,6 +33,11 @@
 		if len(result.gone) > 0 {
 			violations = append(violations, path+" was accepted, but answered with 410")
 		}
+		if result.cancelled {
+			if violation := r.awaitCancelled(client, path, deadline); violation != "" {
+				violations = append(violations, violation)
+			}
+		}
 		if !result.accepted {
 			continue
 		}
@@ -64,6 +69,21 @@
 	}
 }
 
+// awaitCancelled waits until a job whose cancellation was answered with 200 is shown as cancelled
+// and none of its runs goes on.
+func (r *run) awaitCancelled(client *http.Client, path string, deadline time.Time) (violation string) {
+	for {
+		status, body := r.call(client, r.processes[0], http.MethodGet, path, "")
+		if strings.Contains(body, string(job.Cancelled)) && r.running(path) == 0 {
+			return ""
+		}
+		if time.Now().After(deadline) {
+			return fmt.Sprintf("%s was cancelled, but is shown as %d %s, and %d of its runs go on", path, status, body, r.running(path))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // repeatedRuns returns the violations of the rule that a task runs once: no two runs at the
 // same time, and none after an end as done that was acknowledged, then or later, or more than
 // a second after a caller was told that the job had completed. An end whose worker's lease
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,6 +45,10 @@
 	// standingJobInterval is the number of a caller's jobs of which one has standing
 	// tasks.
 	standingJobInterval = 8
+	// abandonedJobInterval is the number of a caller's jobs after which it submits one that
+	// it cancels at once. Their IDs begin at abandonedJobs.
+	abandonedJobInterval = 6
+	abandonedJobs        = 0x1000
 	// acceptTimeout limits how long after the last fault it takes until more than
 	// minAccepted jobs are accepted: a caller's timeout of 3 s on a paused
 	// process, and a change of leader.
@@ -125,6 +129,8 @@
 	// standing is the number of its tasks if they run until the job is cancelled;
 	// otherwise 0.
 	standing int
+	// cancelled means that its cancellation was answered with 200.
+	cancelled bool
 }
 
 func manifestText() string {
@@ -257,6 +263,7 @@
 func (r *run) submitJobs(callerNumber int, seed uint64, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, uint64(10+callerNumber)))
 	queries := rand.New(rand.NewPCG(seed, uint64(100+callerNumber)))
+	cancellations := rand.New(rand.NewPCG(seed, uint64(200+callerNumber)))
 	client := &http.Client{Timeout: 3 * time.Second}
 	type acceptedJob struct {
 		path   string
@@ -304,6 +311,9 @@
 				result.gone = append(result.gone, path)
 			}
 		}
+		if i%abandonedJobInterval == 0 {
+			r.abandonJob(cancellations, fmt.Sprintf("/batch/%08x%08x", abandonedJobs+callerNumber, i))
+		}
 		if len(accepted) > 0 {
 			earlier := accepted[queries.IntN(len(accepted))]
 			_, body := r.call(client, r.processes[queries.IntN(len(r.processes))], http.MethodGet, earlier.path, "")
@@ -312,6 +322,25 @@
 	}
 }
 
+// abandonJob submits a standing job, leaves before it is accepted or soon after, and cancels it
+// at another process.
+func (r *run) abandonJob(random *rand.Rand, path string) {
+	result := &outcome{}
+	r.mu.Lock()
+	r.jobs[path] = result
+	r.mu.Unlock()
+	impatient := &http.Client{Timeout: time.Duration(5+random.IntN(200)) * time.Millisecond}
+	submittedAt := random.IntN(len(r.processes))
+	if status, _ := r.call(impatient, r.processes[submittedAt], http.MethodPost, path, standingJob(1)); status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		result.refused++
+	} else {
+		result.unknown++
+	}
+	client := &http.Client{Timeout: 3 * time.Second}
+	status, _ := r.call(client, r.processes[(submittedAt+1)%len(r.processes)], http.MethodDelete, path, "")
+	result.cancelled = status == http.StatusOK
+}
+
 // noteState notes when a caller is first told that the job has completed.
 func (o *outcome) noteState(body string) {
 	if o.completedAt.IsZero() && strings.Contains(body, string(job.Completed)) {
