--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -60,8 +60,8 @@
 	// confirmed its leadership: longer than the store outages that the users
 	// plan for (9 s).
 	MaxConfirmationAge = 10 * time.Second
-	// MaxUnwitnessedAge is the same for a leader without witnesses: workers that
-	// answered it, and so no successor, since MaxWitnessAge. It is the age at which other
+	// MaxUnwitnessedAge is the same for a leader without witnesses, which are workers that
+	// have answered polls that it sent within MaxWitnessAge. It is the age at which other
 	// nodes replace a leader that alone is cut off from the store.
 	MaxUnwitnessedAge = StaleConfirmationAge
 	// MaxWitnessAge is how long ago a leader must have sent the polls that its witnesses
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -109,17 +109,17 @@
 	for name, c := range map[string]struct {
 		paused    time.Duration
 		released  bool
-		witnessed time.Duration // after the confirmation; the zero value stands for no witnesses
+		witnessed time.Duration // when its witnesses were polled, after the confirmation; 0 stands for no witnesses
 		sent      bool
 	}{
-		"not paused":                             {0, false, 0, true},
-		"paused for a short time":                {election.MaxUnwitnessedAge - time.Millisecond, false, 0, true},
-		"paused for longer, without witnesses":   {election.MaxUnwitnessedAge, false, 0, false},
-		"not confirmed for longer, but by them":  {election.MaxConfirmationAge / 2, false, election.MaxConfirmationAge/2 - election.MaxWitnessAge + time.Millisecond, true},
-		"paused since the witnesses were polled": {election.MaxConfirmationAge / 2, false, election.MaxConfirmationAge/2 - election.MaxWitnessAge, false},
-		"not confirmed for too long":             {election.MaxConfirmationAge, false, election.MaxConfirmationAge, false},
-		"paused after it released":               {election.MaxConfirmationAgeReleased, true, 0, false},
-		"released, but not paused":               {0, true, 0, true},
+		"not paused":                               {0, false, 0, true},
+		"paused for a short time":                  {election.MaxUnwitnessedAge - time.Millisecond, false, 0, true},
+		"paused for longer, without witnesses":     {election.MaxUnwitnessedAge, false, 0, false},
+		"not confirmed for longer, with witnesses": {election.MaxConfirmationAge / 2, false, election.MaxConfirmationAge/2 - election.MaxWitnessAge + time.Millisecond, true},
+		"paused since the witnesses were polled":   {election.MaxConfirmationAge / 2, false, election.MaxConfirmationAge/2 - election.MaxWitnessAge, false},
+		"not confirmed for too long":               {election.MaxConfirmationAge, false, election.MaxConfirmationAge, false},
+		"paused after it released":                 {election.MaxConfirmationAgeReleased, true, 0, false},
+		"released, but not paused":                 {0, true, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
