shard: events that say why a long-running task has no run

Cause: step-waiting explains steps that may start, in a placement pass. Change: long-running-waiting, from 2 s after the loss of a run and each 2 s, names the tasks, the last worker, the cause and the age of the proofs; at most 8 lines per shard and check, one check in 0.5 s. unsettled, from 1 s after the loading and each 2 s, names the unread worker whose leases end last, the evidence and bounds of each former leader, and the recorded workers read and needed. No decision reads the new state.

--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -32,6 +32,7 @@
 		{731, "right-left", Warn, "The process stopped while it held a right that no node had claimed; another node claims it after a timeout.", noAction, false},
 		{726, "state-loaded", Info, "A new holder read the state of the service from the store.", noAction, false},
 		{727, "settled", Info, "A new holder has learned what every worker runs and starts stored tasks again; unread is the number of workers whose leases ended before it read them.", noAction, false},
+		{737, "unsettled", Warn, "A new holder doesn't know yet what every worker runs. The fields name the unread worker whose leases end last, the former holder that bounds them, what is known of each former holder, and how many of the recorded workers were read.", noAction, false},
 		{735, "former-leases", Info, "A new holder asked one before it when its leases end; known says whether it could tell, ended whether it grants no more leases, and lowered how many workers need a shorter wait.", noAction, false},
 		{729, "shards-counted", Info, "The number of shards of a service was read from the store.", noAction, false},
 		{730, "shards-offered", Info, "This process proposed the number of shards of a service; the first proposal in the store is used.", noAction, false},
@@ -65,6 +66,8 @@
 
 		{768, "step-waiting", Info, "A step has waited for more than two seconds; the cause and the counts of workers say why.", noAction, false},
 
+		{772, "long-running-waiting", Warn, "Long-running tasks have had no confirmed run for more than two seconds; cause says why the first of them has none, alike how many wait with it, and waiting how many of the shard wait.", noAction, false},
+
 		{780, "run-ordered", Info, "A worker was told to start a task.", noAction, false},
 		{781, "run-rejected", Info, "The worker refused to start the task; nothing ran.", noAction, false},
 		{782, "run-in-doubt", Warn, "A start command got no answer; the run is stopped before the task starts on another worker.", noAction, false},
--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -71,6 +71,7 @@
 			f.limit(endedAt, endedAt.Add(s.options.FormerLease))
 		}
 	}
+	s.recordFormerEvidence(epoch, evidenceEnded)
 	return s.lowerUnreadLeaseEnds()
 }
 
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -39,6 +39,7 @@
 
 func (s *Shard) detachRun(r *run) {
 	s.endTrial(r)
+	r.task.lastWorker = r.worker.ID
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(o *run) bool { return o == r })
 	r.worker.runs = slices.DeleteFunc(r.worker.runs, func(o *run) bool { return o == r })
 	r.worker.used = r.worker.used.Minus(r.task.step.spec.Reserved())
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -134,6 +134,11 @@
 	lastPass         time.Time
 	evaluations      int // workers that placement passes evaluated for steps
 	runChecks        int // checks of all runs
+	longRunningWaits longRunningWaits
+	// formerEvidence says why the bounds of former leaders were lowered, by epoch, and
+	// unsettledLoggedAt is when that was last logged.
+	formerEvidence    map[int64]string
+	unsettledLoggedAt time.Time
 }
 
 // jobState is the state of one job.
@@ -198,6 +203,7 @@
 	lastRunNumber int64 // highest run number so far
 	runs          []*run
 	avoidWorker   string    // ID of the worker on which a run failed, or was stopped as stalled or slow
+	lastWorker    string    // ID of the worker of the last run that is over; only logged
 	notBefore     time.Time // the earliest time of the next start
 	waitingSince  time.Time // when it was last requeued
 	moveCount     int       // number of moves off slow workers
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -44,6 +44,8 @@
 		s.schedule(now)
 	}
 	s.sendDuePolls(now)
+	s.explainUnsettled(now)
+	s.checkLongRunning(now)
 	if now.Sub(s.lastCleanup) >= cleanupInterval {
 		s.lastCleanup = now
 		s.removeEndedJobs(now)
--- a/internal/shard/witnesses.go
+++ b/internal/shard/witnesses.go
@@ -81,5 +81,6 @@
 	shorter := time.Duration(float64(s.options.Lease-s.options.WitnessedLease) * LeaseDriftFactor)
 	unwitnessedLeasesEnd := s.loadedAt.Add(s.options.MaxUnwitnessedAge + s.options.FormerLease)
 	s.formerLeaders[last].limit(actsUntil, maxTime(actsUntil.Add(s.options.FormerLease-shorter), unwitnessedLeasesEnd))
+	s.recordFormerEvidence(s.formerLeaders[last].epoch, evidenceWorkersRead)
 	s.lowerUnreadLeaseEnds()
 }
