--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -139,10 +139,14 @@
 	p.follow(ctx, "rights", leadershipPartition, new(atomic.Bool), func(records []platform.Record, end int64) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		first := !p.leadersRead
 		p.leadersRead, p.leadersEnd = true, max(p.leadersEnd, end)
 		for _, record := range records {
 			p.applyLeadershipRecord(record)
 		}
+		if first {
+			p.log("rights-read", "rights", len(p.leaders), "end", end, "after", time.Since(p.startedAt))
+		}
 	})
 }
 
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -49,7 +49,7 @@
 		return
 	}
 	p.leaders[key] = leader
-	p.log("right-seen", "service", key, "epoch", leader.Epoch, "holder", leader.Node, "released", leader.Released, "from", from)
+	p.log("right-seen", "service", key, "epoch", leader.Epoch, "holder", leader.Node, "boot", leader.Boot, "released", leader.Released, "from", from)
 	if l := p.ledShards[key]; l != nil && leader.Epoch > l.epoch && !(leader.Node == p.settings.Node && leader.Boot == p.boot) {
 		l.stepDown("another node has a newer claim")
 	}
@@ -411,7 +411,8 @@
 		return false
 	}
 	p.log("right-claimed", "service", key, "epoch", offset+1, "cause", cause, "silence", silence, "near", p.nearStore(),
-		"former", former.Node, "former-epoch", former.Epoch, "former-acts-for", cause.FormerLeaderActsFor())
+		"former", former.Node, "former-boot", former.Boot, "former-epoch", former.Epoch, "former-acts-for", cause.FormerLeaderActsFor(),
+		"former-needs-witnesses", former.NeedsWitnesses, "predecessors", len(predecessors))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.leadersEnd = max(p.leadersEnd, end)
--- a/internal/entry/leaseends.go
+++ b/internal/entry/leaseends.go
@@ -131,11 +131,13 @@
 		Former: newPeerLeader(l.key, former),
 		New:    newPeerLeader(l.key, election.Leader{Epoch: l.epoch, Node: p.settings.Node, Boot: p.boot, Address: p.address}),
 	}
+	var silence formerSilence
 	for began := time.Now(); time.Since(began) < l.maxOrphanTimeout && l.ctx.Err() == nil; l.pause(leaseEndsInterval) {
 		ctx, cancel := context.WithTimeout(l.ctx, leaseEndsTimeout)
 		answer, err := callPeer[leaseEndsAnswer](ctx, p.peerClient, former.Address, pathLeaseEnds, request)
 		cancel()
 		if err != nil {
+			silence.log(l, epoch, former, err)
 			continue
 		}
 		received := time.Now()
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -33,6 +33,8 @@
 		{726, "state-loaded", Info, "A new holder read the state of the service from the store.", noAction, false},
 		{727, "settled", Info, "A new holder has learned what every worker runs and starts stored tasks again; unread is the number of workers whose leases ended before it read them.", noAction, false},
 		{737, "unsettled", Warn, "A new holder doesn't know yet what every worker runs. The fields name the unread worker whose leases end last, the former holder that bounds them, what is known of each former holder, and how many of the recorded workers were read.", noAction, false},
+		{738, "former-silent", Info, "A holder before this one doesn't tell a new holder when its leases end; it is asked again.", noAction, false},
+		{739, "rights-read", Info, "The process read the holders of all rights for the first time since its start.", noAction, false},
 		{735, "former-leases", Info, "A new holder asked one before it when its leases end; known says whether it could tell, ended whether it grants no more leases, and lowered how many workers need a shorter wait.", noAction, false},
 		{729, "shards-counted", Info, "The number of shards of a service was read from the store.", noAction, false},
 		{730, "shards-offered", Info, "This process proposed the number of shards of a service; the first proposal in the store is used.", noAction, false},
