entry: gauges of long-running tasks without a confirmed run

Change: gauges yuccalanding_long_running_waiting and yuccalanding_long_running_longest_wait_seconds for each led shard; they are 0 once the leadership ends.

--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -273,6 +273,8 @@
 func (l *shardLeader) controlLoop() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var gauges longRunningGauges
+	defer gauges.reset(l)
 	for {
 		var began time.Time
 		select {
@@ -299,6 +301,7 @@
 		l.shard.Tick(now)
 		l.execute(l.shard.TakeCommands())
 		l.startAppend(now)
+		gauges.update(l)
 		l.process.metrics.observeRound(time.Since(began))
 	}
 }
