soak: find the leader by the first name in its record

Leadership records name up to four claims before their own since.

The record's own node comes first in it. leader takes the name at the lowest position.

--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -126,12 +126,14 @@
 // leader returns the process that claimed a service's shard last.
 func (r *run) leader(service string) int {
 	record, _ := r.site.Store.Value(leadershipTopic, service+"/0")
+	leader, first := 0, len(record)
 	for _, p := range r.processes {
-		if strings.Contains(record, fmt.Sprintf("entry-%d", p.number)) {
-			return p.number
+		// The record also names the leaders before, after the one that claimed.
+		if at := strings.Index(record, fmt.Sprintf("entry-%d", p.number)); at >= 0 && at < first {
+			leader, first = p.number, at
 		}
 	}
-	return 0 // nobody leads the shard yet
+	return leader // 0 if nobody leads the shard yet
 }
 
 // restartSuccessor kills the process that claims the shard of a leader, right after the
