--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,7 +29,9 @@
 )
 
 const (
-	nodes = 3
+	nodes             = 3
+	workersPerService = 3
+	workerMilliCPU    = 16000
 	// faultDuration is how long faults are injected.
 	faultDuration = 8 * time.Second
 	// recoveryTimeout limits how long jobs take to end after the last fault: a
@@ -145,15 +147,22 @@
 	}, services, 65536)
 }
 
-func newRun(t *testing.T, binary string, seed uint64, peerProxies bool) *run {
+// layout is the size of a run.
+type layout struct {
+	nodes       int
+	workers     int // of each service
+	peerProxies bool
+}
+
+func newRun(t *testing.T, binary string, seed uint64, l layout) *run {
 	r := &run{t: t, random: rand.New(rand.NewPCG(seed, 2)), site: standin.New(), jobs: map[string]*outcome{}}
 	t.Cleanup(r.site.Close)
 	adviserAddress, err := r.site.Serve(http.HandlerFunc(standin.Adviser))
 	require.NoError(t, err)
 	var workerAddresses []string
-	for i := range 3 {
+	for i := range l.workers {
 		for _, service := range services {
-			worker, err := r.site.AddWorkerWithProxy(fmt.Sprintf("i-%s-%d", service, i), service, 16000, 32000, 0, func(address string) (string, error) {
+			worker, err := r.site.AddWorkerWithProxy(fmt.Sprintf("i-%s-%d", service, i), service, workerMilliCPU, 32000, 0, func(address string) (string, error) {
 				workerAddresses = append(workerAddresses, address)
 				return address, nil
 			})
@@ -162,12 +171,12 @@
 		}
 	}
 	var ips []netip.Addr
-	for range nodes {
+	for range l.nodes {
 		ips = append(ips, loopback.New())
 	}
-	r.network = newNetwork(t, r.site, ips, workerAddresses, peerProxies)
+	r.network = newNetwork(t, r.site, ips, workerAddresses, l.peerProxies)
 	r.site.Configure(manifestText())
-	for i := range nodes {
+	for i := range l.nodes {
 		ip, proxy := ips[i], r.network.store[i]
 		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: ip.String(), storeProxy: proxy}
 		p.settings = filepath.Join(t.TempDir(), "node.json")
@@ -350,7 +359,7 @@
 
 func runSeed(t *testing.T, binary string, seed uint64) {
 	partition := newPartition(seed)
-	r := newRun(t, binary, seed, partition.isolates())
+	r := newRun(t, binary, seed, layout{nodes: nodes, workers: workersPerService, peerProxies: partition.isolates()})
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
 	var callersDone sync.WaitGroup
@@ -408,13 +417,19 @@
 	return count
 }
 
+// buildEntry builds the program of the entry processes and returns its path.
+func buildEntry(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "entry")
+	output, err := exec.Command("go", "build", "-o", binary, "yuccalanding.example/yuccalanding/cmd/yuccalanding-entry").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
 // Guards against jobs and tasks that are lost, run twice or run after a refusal
 // while processes are killed, stopped, paused and cut off from the store and the
 // workers.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "entry")
-	output, err := exec.Command("go", "build", "-o", binary, "yuccalanding.example/yuccalanding/cmd/yuccalanding-entry").CombinedOutput()
-	require.NoError(t, err, string(output))
+	binary := buildEntry(t)
 	seeds := []uint64{1}
 	if text := os.Getenv("SOAK_SEED"); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
