soak: leaders that stay away, and standing tasks compared with the rule

The soak started each killed process again within 1.5 s, and gave standing tasks 40 s to come back.

After the faults standing tasks are compared with the rule.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,11 +14,14 @@
 	"yuccalanding.example/yuccalanding/platform/standin"
 )
 
-// check compares the responses to callers with the runs that the workers recorded. It
-// reports all violations of a run at once.
-func (r *run) check() {
+// check compares the responses to callers with the runs that the workers recorded, and the
+// standing tasks with the rule for them after the faults. It reports all violations of a run
+// at once.
+func (r *run) check(faults impairment) {
 	client := &http.Client{Timeout: 3 * time.Second}
 	violations, accepted := r.checkJobs(client)
+	time.Sleep(time.Until(runDueBy(faults.from, []impairment{faults})))
+	violations = append(violations, r.checkStanding(faults)...)
 	violations = append(violations, r.checkRuns()...)
 	violations = append(violations, r.checkCancelling(client)...)
 	r.t.Logf("%d jobs, %d accepted, %d runs", len(r.jobs), accepted, len(r.site.Runs()))
@@ -49,9 +53,21 @@
 	return violations, accepted
 }
 
+// checkStanding returns the violations of the rule for standing tasks.
+func (r *run) checkStanding(faults impairment) []string {
+	standing := map[string]bool{}
+	for path, result := range r.jobs {
+		if result.standing > 0 && result.accepted {
+			standing[path[len(path)-16:]] = true
+		}
+	}
+	runs := slices.DeleteFunc(r.site.Runs(), func(run standin.Run) bool { return !standing[run.Task[:16]] })
+	return missingRuns(runs, []impairment{faults}, time.Now())
+}
+
 func (r *run) awaitJob(client *http.Client, path string, result *outcome, deadline time.Time) (violation string) {
 	for {
-		status, body := r.call(client, r.processes[0], http.MethodGet, path, "")
+		status, body := r.call(client, r.present(), http.MethodGet, path, "")
 		result.noteState(body)
 		switch {
 		case status == http.StatusGone:
@@ -73,7 +89,7 @@
 // and none of its runs goes on.
 func (r *run) awaitCancelled(client *http.Client, path string, deadline time.Time) (violation string) {
 	for {
-		status, body := r.call(client, r.processes[0], http.MethodGet, path, "")
+		status, body := r.call(client, r.present(), http.MethodGet, path, "")
 		if strings.Contains(body, string(job.Cancelled)) && r.running(path) == 0 {
 			return ""
 		}
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -185,7 +185,7 @@
 	r.jobs[path] = result
 	r.mu.Unlock()
 	for began := time.Now(); time.Since(began) < recoveryTimeout; time.Sleep(100 * time.Millisecond) {
-		if status, _ := r.call(client, r.processes[0], http.MethodPost, path, standingJob(1)); status == http.StatusOK {
+		if status, _ := r.call(client, r.present(), http.MethodPost, path, standingJob(1)); status == http.StatusOK {
 			r.mu.Lock()
 			result.accepted = true
 			r.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,6 +83,7 @@
 	command    *exec.Cmd
 	logs       bytes.Buffer
 	storeProxy *soak.Proxy // also in run.network
+	absent     bool        // it stays killed when another fault would start it
 }
 
 func (p *process) Write(content []byte) (int, error) {
@@ -91,7 +92,11 @@
 	return p.logs.Write(content)
 }
 
+// start starts the process unless it is absent.
 func (p *process) start() {
+	if p.absent {
+		return
+	}
 	command := exec.Command(filepath.Join(p.folder, "entry"))
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	command.Stdout, command.Stderr = p, p
@@ -358,7 +363,7 @@
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
-	partition := newPartition(seed)
+	partition, absence := newPartition(seed), newAbsence(seed)
 	r := newRun(t, binary, seed, layout{nodes: nodes, workers: workersPerService, peerProxies: partition.isolates()})
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
@@ -378,6 +383,7 @@
 			t.Logf("%.1fs: %s", time.Since(started).Seconds(), partition)
 			partitionEnded = partition.begin(r)
 		}
+		absence.advance(r, time.Since(started))
 		name, end := r.fault(i)
 		t.Logf("%.1fs: %s", time.Since(started).Seconds(), name)
 		endFaults = append(endFaults, end)
@@ -394,6 +400,8 @@
 	if partitionEnded != nil {
 		<-partitionEnded
 	}
+	absence.end(r)
+	faults := impairment{started, time.Now()}
 	t.Logf("%.1fs: the faults are over", time.Since(started).Seconds())
 	// Callers may have waited for paused processes during most of the fault
 	// duration. They keep submitting jobs until stop is closed, so wait until
@@ -401,7 +409,7 @@
 	require.Eventually(t, func() bool { return r.accepted() > minAccepted }, acceptTimeout, 50*time.Millisecond, "too few jobs were accepted after the faults")
 	close(stop)
 	callersDone.Wait()
-	r.check()
+	r.check(faults)
 }
 
 // accepted returns the number of jobs accepted so far.
