--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,7 +29,9 @@
 )
 
 const (
-	nodes = 3
+	nodes             = 3
+	workersPerService = 3
+	workerMilliCPU    = 16000
 	// faultDuration is how long faults are injected.
 	faultDuration = 8 * time.Second
 	// recoveryTimeout limits how long jobs take to end after the last fault: a
@@ -81,6 +83,7 @@
 	command    *exec.Cmd
 	logs       bytes.Buffer
 	storeProxy *soak.Proxy // also in run.network
+	absent     bool        // it stays killed when another fault would start it
 }
 
 func (p *process) Write(content []byte) (int, error) {
@@ -89,7 +92,11 @@
 	return p.logs.Write(content)
 }
 
+// start starts the process unless it is absent.
 func (p *process) start() {
+	if p.absent {
+		return
+	}
 	command := exec.Command(filepath.Join(p.folder, "entry"))
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	command.Stdout, command.Stderr = p, p
@@ -145,15 +152,22 @@
 	}, services, 65536)
 }
 
-func newRun(t *testing.T, binary string, seed uint64, peerProxies bool) *run {
+// layout is the size of a run.
+type layout struct {
+	nodes       int
+	workers     int // of each service
+	peerProxies bool
+}
+
+func newRun(t *testing.T, binary string, seed uint64, l layout) *run {
 	r := &run{t: t, random: rand.New(rand.NewPCG(seed, 2)), site: standin.New(), jobs: map[string]*outcome{}}
 	t.Cleanup(r.site.Close)
 	adviserAddress, err := r.site.Serve(http.HandlerFunc(standin.Adviser))
 	require.NoError(t, err)
 	var workerAddresses []string
-	for i := range 3 {
+	for i := range l.workers {
 		for _, service := range services {
-			worker, err := r.site.AddWorkerWithProxy(fmt.Sprintf("i-%s-%d", service, i), service, 16000, 32000, 0, func(address string) (string, error) {
+			worker, err := r.site.AddWorkerWithProxy(fmt.Sprintf("i-%s-%d", service, i), service, workerMilliCPU, 32000, 0, func(address string) (string, error) {
 				workerAddresses = append(workerAddresses, address)
 				return address, nil
 			})
@@ -162,12 +176,12 @@
 		}
 	}
 	var ips []netip.Addr
-	for range nodes {
+	for range l.nodes {
 		ips = append(ips, loopback.New())
 	}
-	r.network = newNetwork(t, r.site, ips, workerAddresses, peerProxies)
+	r.network = newNetwork(t, r.site, ips, workerAddresses, l.peerProxies)
 	r.site.Configure(manifestText())
-	for i := range nodes {
+	for i := range l.nodes {
 		ip, proxy := ips[i], r.network.store[i]
 		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: ip.String(), storeProxy: proxy}
 		p.settings = filepath.Join(t.TempDir(), "node.json")
@@ -349,8 +363,8 @@
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
-	partition := newPartition(seed)
-	r := newRun(t, binary, seed, partition.isolates())
+	partition, absence := newPartition(seed), newAbsence(seed)
+	r := newRun(t, binary, seed, layout{nodes: nodes, workers: workersPerService, peerProxies: partition.isolates()})
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
 	var callersDone sync.WaitGroup
@@ -369,6 +383,7 @@
 			t.Logf("%.1fs: %s", time.Since(started).Seconds(), partition)
 			partitionEnded = partition.begin(r)
 		}
+		absence.advance(r, time.Since(started))
 		name, end := r.fault(i)
 		t.Logf("%.1fs: %s", time.Since(started).Seconds(), name)
 		endFaults = append(endFaults, end)
@@ -385,6 +400,8 @@
 	if partitionEnded != nil {
 		<-partitionEnded
 	}
+	absence.end(r)
+	faults := impairment{started, time.Now()}
 	t.Logf("%.1fs: the faults are over", time.Since(started).Seconds())
 	// Callers may have waited for paused processes during most of the fault
 	// duration. They keep submitting jobs until stop is closed, so wait until
@@ -392,7 +409,7 @@
 	require.Eventually(t, func() bool { return r.accepted() > minAccepted }, acceptTimeout, 50*time.Millisecond, "too few jobs were accepted after the faults")
 	close(stop)
 	callersDone.Wait()
-	r.check()
+	r.check(faults)
 }
 
 // accepted returns the number of jobs accepted so far.
@@ -408,13 +425,19 @@
 	return count
 }
 
+// buildEntry builds the program of the entry processes and returns its path.
+func buildEntry(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "entry")
+	output, err := exec.Command("go", "build", "-o", binary, "yuccalanding.example/yuccalanding/cmd/yuccalanding-entry").CombinedOutput()
+	require.NoError(t, err, string(output))
+	return binary
+}
+
 // Guards against jobs and tasks that are lost, run twice or run after a refusal
 // while processes are killed, stopped, paused and cut off from the store and the
 // workers.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "entry")
-	output, err := exec.Command("go", "build", "-o", binary, "yuccalanding.example/yuccalanding/cmd/yuccalanding-entry").CombinedOutput()
-	require.NoError(t, err, string(output))
+	binary := buildEntry(t)
 	seeds := []uint64{1}
 	if text := os.Getenv("SOAK_SEED"); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
