--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -41,9 +41,10 @@
 	// Predecessors are the claims of the leaders before this one, the oldest first and
 	// without gaps. Older ones may be missing.
 	Predecessors []Claim
-	// NeedsWitnesses means that the leader acts for MaxUnwitnessedAge after its last
-	// confirmation, and longer only with witnesses.
-	NeedsWitnesses bool
+	// LimitsLeases means that the leader acts for MaxUnwitnessedAge after its last
+	// confirmation, and longer only with witnesses, and that its leases are limited from the
+	// confirmation, or from the polls that its witnesses answered.
+	LimitsLeases bool
 }
 
 // Claim is a claim of the leadership of a shard.
@@ -53,6 +54,8 @@
 	Node    string         `cbor:"2,keyasint"`
 	Boot    int64          `cbor:"3,keyasint"`
 	Address netip.AddrPort `cbor:"4,keyasint"`
+	// LimitsLeases is that of Leader. It is not set by earlier programs.
+	LimitsLeases bool `cbor:"5,keyasint,omitempty"`
 }
 
 const (
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -38,7 +38,7 @@
 	}
 	p.updateLeader(record.Key, election.Leader{
 		Epoch: record.Offset + 1, Node: decoded.Node, Boot: decoded.Boot, Address: decoded.Address, Released: decoded.Released, ReleasedClaim: decoded.ReleasedClaim,
-		Predecessors: decoded.Predecessors, NeedsWitnesses: decoded.NeedsWitnesses,
+		Predecessors: decoded.Predecessors, LimitsLeases: decoded.LimitsLeases,
 	}, "store")
 }
 
@@ -404,7 +404,7 @@
 	key := ref.key()
 	sent := p.sinceBoot()
 	predecessors := formerClaims(former)
-	record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Predecessors: predecessors, NeedsWitnesses: true}
+	record := leaderRecord{Node: p.settings.Node, Boot: p.boot, Address: p.address, Predecessors: predecessors, LimitsLeases: true}
 	offset, end, err := p.appendLeaderRecord(ctx, key, record, expectedEnd)
 	if err != nil {
 		p.log("claim-failed", "service", key, "at", expectedEnd, "cause", cause, "error", err)
@@ -419,7 +419,7 @@
 		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "another node has a newer claim")
 		return true
 	}
-	p.leaders[key] = election.Leader{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address, Predecessors: predecessors, NeedsWitnesses: true}
+	p.leaders[key] = election.Leader{Epoch: offset + 1, Node: p.settings.Node, Boot: p.boot, Address: p.address, Predecessors: predecessors, LimitsLeases: true}
 	if p.sinceBoot()-sent >= claimTimeout { // the process was paused
 		p.log("right-lost", "service", key, "epoch", offset+1, "cause", "the answer to the claim was late")
 		p.notifyLeadersChanged()
@@ -505,7 +505,7 @@
 		p.mu.Unlock()
 		record := leaderRecord{
 			Node: p.settings.Node, Boot: p.boot, Address: p.address, Released: true, ReleasedClaim: l.epoch, Predecessors: l.predecessors,
-			NeedsWitnesses: true,
+			LimitsLeases: true,
 		}
 		l.released.Store(true)
 		offset, _, err := p.appendLeaderRecord(ctx, l.key, record, expectedEnd)
--- a/internal/entry/peerstate.go
+++ b/internal/entry/peerstate.go
@@ -33,18 +33,18 @@
 	// ReleasedClaim is the epoch of the claim that was released.
 	ReleasedClaim int64 `cbor:"7,keyasint,omitempty"`
 	// Predecessors are the claims of the leaders before this one.
-	Predecessors   []election.Claim `cbor:"8,keyasint,omitempty"`
-	NeedsWitnesses bool             `cbor:"9,keyasint,omitempty"`
+	Predecessors []election.Claim `cbor:"8,keyasint,omitempty"`
+	LimitsLeases bool             `cbor:"10,keyasint,omitempty"`
 }
 
 func newPeerLeader(key string, leader election.Leader) peerLeader {
-	return peerLeader{key, leader.Epoch, leader.Node, leader.Boot, leader.Address, leader.Released, leader.ReleasedClaim, leader.Predecessors, leader.NeedsWitnesses}
+	return peerLeader{key, leader.Epoch, leader.Node, leader.Boot, leader.Address, leader.Released, leader.ReleasedClaim, leader.Predecessors, leader.LimitsLeases}
 }
 
 func (l peerLeader) leader() election.Leader {
 	return election.Leader{
 		Epoch: l.Epoch, Node: l.Node, Boot: l.Boot, Address: l.Address, Released: l.Released, ReleasedClaim: l.ReleasedClaim,
-		Predecessors: l.Predecessors, NeedsWitnesses: l.NeedsWitnesses,
+		Predecessors: l.Predecessors, LimitsLeases: l.LimitsLeases,
 	}
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -115,8 +115,8 @@
 	ReleasedClaim int64 `cbor:"5,keyasint,omitempty"`
 	// Predecessors are the claims of the leaders before the one of the claim.
 	Predecessors []election.Claim `cbor:"6,keyasint,omitempty"`
-	// NeedsWitnesses is not set by programs whose leaders act without witnesses.
-	NeedsWitnesses bool `cbor:"7,keyasint,omitempty"`
+	// LimitsLeases is that of election.Leader. It is not set by earlier programs.
+	LimitsLeases bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Process is the process of one entry VM.
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -41,13 +41,12 @@
 	memberTimeout = 2 * time.Second
 	// adviceTimeout is added to the time that the adviser needs.
 	adviceTimeout = 2 * time.Second
-	// maxLease is the longest lease that a leader grants: one status poll (1.5
-	// s) and twice the replacement of a leader (1.7 s). Tasks of a dead worker
-	// are started elsewhere only after their lease has ended.
-	maxLease = 5 * time.Second
-	// witnessedLease is the longest lease that a leader grants while the store doesn't
-	// confirm its leadership: two status polls and the replacement of a leader.
-	witnessedLease = 3500 * time.Millisecond
+	// maxLease is the longest time from a confirmation to the end of a lease that rests on
+	// it: the age of the confirmation (0.4 s), one status poll (0.8 s) and twice the
+	// replacement of a leader (1.4 s). Tasks of a dead worker are started elsewhere only after
+	// their lease has ended: if its leader is lost too, 4.6 s after the next one has loaded
+	// the state, of the 7 s that the users' platform allows after the last failure.
+	maxLease = 4 * time.Second
 	// leaseMargin covers the travel time of a former leader's last order.
 	leaseMargin = 500 * time.Millisecond
 )
@@ -123,15 +122,15 @@
 	bounds := p.settings.Bounds
 	lease := min(bounds.MaxLease, maxLease)
 	longestLease := time.Duration(float64(lease)*shard.LeaseDriftFactor) + leaseMargin
-	l.maxOrphanTimeout = election.MaxConfirmationAge + longestLease
-	epochs := make([]int64, len(l.predecessors))
+	l.maxOrphanTimeout = election.MaxConfirmationAge + time.Duration(float64(bounds.MaxLease)*shard.LeaseDriftFactor) + leaseMargin
+	formerLeaders := make([]shard.FormerLeader, len(l.predecessors))
 	for i, claim := range l.predecessors {
-		epochs[i] = claim.Epoch
+		formerLeaders[i] = shard.FormerLeader{Epoch: claim.Epoch, LimitsLeases: claim.LimitsLeases}
 	}
 	l.shard = shard.New(shard.Options{
 		Service: key, Epoch: epoch, Lease: lease, MaxWorkerLease: bounds.MaxLease,
-		FormerEpochs: epochs, ReplacedActsFor: formerLeaderActsFor, FormerActsFor: election.MaxConfirmationAge, FormerLease: longestLease,
-		ReplacedNeedsWitnesses: former.NeedsWitnesses, WitnessedLease: min(lease, witnessedLease), MaxUnwitnessedAge: election.MaxUnwitnessedAge, MaxWitnessAge: election.MaxWitnessAge,
+		FormerLeaders: formerLeaders, ReplacedActsFor: formerLeaderActsFor, FormerActsFor: election.MaxConfirmationAge, FormerLease: longestLease,
+		MaxUnwitnessedAge: election.MaxUnwitnessedAge, MaxWitnessAge: election.MaxWitnessAge,
 		FinalStateRetention: bounds.StateRetention,
 		Log:                 func(event string, keyvals ...any) { p.log(event, append(keyvals, "epoch", epoch)...) },
 	})
@@ -156,7 +155,7 @@
 // formerClaims returns the claims of the leaders before the next one, the oldest first.
 func formerClaims(former election.Leader) []election.Claim {
 	epoch := replacedEpoch(former)
-	last := election.Claim{Epoch: epoch, Node: former.Node, Boot: former.Boot, Address: former.Address}
+	last := election.Claim{Epoch: epoch, Node: former.Node, Boot: former.Boot, Address: former.Address, LimitsLeases: former.LimitsLeases}
 	if epoch == shard.UnknownEpoch {
 		return []election.Claim{last}
 	}
@@ -265,6 +264,11 @@
 	if age >= election.MaxUnwitnessedAge/2 {
 		l.witnessed.Store(int64(l.shard.WitnessedAt()))
 	}
+	basisAge := age
+	if age >= election.MaxUnwitnessedAge {
+		basisAge = l.process.sinceBoot() - time.Duration(l.witnessed.Load())
+	}
+	l.shard.SetLeaseBasis(now.Add(-basisAge))
 	l.shard.SetAuthority(l.hasAuthority())
 }
 
--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -11,18 +11,34 @@
 // from the store may act, and renew leases, until its last confirmation is too old. So each
 // leader records when no leader before it acts any more. The next one has to consider only
 // the writer of that record and the leaders after it, each of which may be shown to have
-// ended.
+// ended or to have no witnesses.
 
-// formerLeader is a leader before this one.
+// formerLeader is a leader before this one that may still act at Load.
 type formerLeader struct {
-	epoch     int64
+	FormerLeader
 	actsUntil time.Time // it grants no lease later
 	leasesEnd time.Time // no lease that it granted lasts longer
+	// recorded is the number of workers that it knows to have a record, and read how many
+	// of them this leader has read.
+	recorded, read int
 }
 
-func (s *Shard) newFormerLeader(epoch int64, actsFor time.Duration) formerLeader {
-	actsUntil := s.loadedAt.Add(actsFor)
-	return formerLeader{epoch, actsUntil, actsUntil.Add(s.options.FormerLease)}
+func (s *Shard) newFormerLeader(leader FormerLeader, actsFor time.Duration) formerLeader {
+	f := formerLeader{FormerLeader: leader, actsUntil: s.loadedAt.Add(actsFor)}
+	f.leasesEnd = f.actsUntil.Add(s.formerLease(leader))
+	if leader.LimitsLeases && actsFor <= s.options.MaxUnwitnessedAge {
+		// Its leases rest on confirmations, and both partitions had refused it at Load.
+		f.leasesEnd = s.loadedAt.Add(s.options.FormerLease)
+	}
+	return f
+}
+
+// formerLease returns how long a lease of the leader can last after it was granted.
+func (s *Shard) formerLease(leader FormerLeader) time.Duration {
+	if leader.LimitsLeases {
+		return s.options.FormerLease
+	}
+	return s.options.FormerLease + s.restartedLeaseExtension() // it may have used the longest lease
 }
 
 // limit lowers the bounds of the leader.
@@ -36,7 +52,7 @@
 }
 
 // loadFormerLeaders determines the leaders that may still act. If the record names none of
-// FormerEpochs, leaders that aren't known may act too.
+// Options.FormerLeaders, leaders that aren't known may act too.
 func (s *Shard) loadFormerLeaders(records []Record) {
 	stored, readable := job.FormerLeadersRecord{}, true
 	for _, record := range records {
@@ -48,18 +64,18 @@
 			readable = false
 		}
 	}
-	first := slices.Index(s.options.FormerEpochs, stored.OverBefore)
+	first := slices.IndexFunc(s.options.FormerLeaders, func(leader FormerLeader) bool { return leader.Epoch == stored.OverBefore })
 	if !readable || first < 0 {
-		s.formerLeaders = []formerLeader{s.newFormerLeader(UnknownEpoch, s.options.FormerActsFor)}
+		s.formerLeaders = []formerLeader{s.newFormerLeader(FormerLeader{Epoch: UnknownEpoch}, s.options.FormerActsFor)}
 		return
 	}
-	for _, epoch := range s.options.FormerEpochs[first:] {
-		if epoch != 0 {
-			s.formerLeaders = append(s.formerLeaders, s.newFormerLeader(epoch, s.options.FormerActsFor))
+	for _, leader := range s.options.FormerLeaders[first:] {
+		if leader.Epoch != 0 {
+			s.formerLeaders = append(s.formerLeaders, s.newFormerLeader(leader, s.options.FormerActsFor))
 		}
 	}
 	if last := len(s.formerLeaders) - 1; last >= 0 {
-		s.formerLeaders[last] = s.newFormerLeader(s.formerLeaders[last].epoch, s.options.ReplacedActsFor)
+		s.formerLeaders[last] = s.newFormerLeader(s.formerLeaders[last].FormerLeader, s.options.ReplacedActsFor)
 	}
 }
 
@@ -67,8 +83,8 @@
 // endedAt. It returns the number of unread workers whose lease bound it lowered.
 func (s *Shard) FormerLeaderEnded(epoch int64, endedAt time.Time) int {
 	for i := range s.formerLeaders {
-		if f := &s.formerLeaders[i]; f.epoch == epoch {
-			f.limit(endedAt, endedAt.Add(s.options.FormerLease))
+		if f := &s.formerLeaders[i]; f.Epoch == epoch {
+			f.limit(endedAt, endedAt.Add(s.formerLease(f.FormerLeader)))
 		}
 	}
 	return s.lowerUnreadLeaseEnds()
@@ -108,9 +124,10 @@
 
 // checkFormerLeadersOver schedules the record that no former leader acts any more once that
 // is certain. The times without proof count from Load: by then both partitions of the store
-// had refused the former leaders, so none of them has a later confirmation.
+// had refused the former leaders, so none of them has a later confirmation. The next leader
+// takes their leases for ones that are limited.
 func (s *Shard) checkFormerLeadersOver(now time.Time) {
-	if s.formerLeadersOver || now.Before(s.formerLeadersActUntil()) {
+	if s.formerLeadersOver || now.Before(s.formerLeadersActUntil()) || now.Add(s.options.FormerLease).Before(s.formerLeasesEnd()) {
 		return
 	}
 	s.formerLeadersOver, s.formerLeadersUnrecorded = true, true
--- a/internal/shard/leases.go
+++ b/internal/shard/leases.go
@@ -8,6 +8,12 @@
 	return w.clock + time.Duration(float64(now.Sub(w.clockReadAt))*slowestClockRate) + lease
 }
 
+// SetLeaseBasis sets when the call was sent on which the leases rest that are granted from now
+// on: the last confirmation or, if that is older than Options.MaxUnwitnessedAge, the oldest of
+// the polls that enough witnesses have answered. A successor knows that there is no later basis
+// than its own reads of the store and of the workers, so it waits only for Options.Lease.
+func (s *Shard) SetLeaseBasis(at time.Time) { s.leaseBasis = at }
+
 // leaseLength returns the longest time that a lease granted now can last.
 func (s *Shard) leaseLength() time.Duration {
 	return time.Duration(float64(s.options.Lease)*LeaseDriftFactor) + orderTransitTime
@@ -20,17 +26,28 @@
 	if end.After(w.leaseEnd) {
 		w.leaseEnd = end
 	}
-	if s.needsWitnesses(now) {
-		return w.leaseUntil(now, s.options.WitnessedLease)
+	if s.options.MaxUnwitnessedAge == 0 {
+		return w.leaseUntil(now, s.options.Lease)
+	}
+	return w.leaseUntil(now, max(0, s.options.Lease-now.Sub(s.leaseBasis)))
+}
+
+// longestLeaseLeft returns the longest time that a lease can last on a worker that this leader
+// reads now for the first time. A former leader may have granted one just before.
+func (s *Shard) longestLeaseLeft() time.Duration {
+	for _, f := range s.formerLeaders {
+		if !f.LimitsLeases {
+			return s.leaseLength() + s.restartedLeaseExtension()
+		}
 	}
-	return w.leaseUntil(now, s.options.Lease)
+	return s.leaseLength()
 }
 
-// restartedLeaseExtension returns how much longer than expected a lease of this length can
-// last that was granted by the clock of a former incarnation. The clock of the new one shows
-// less, so it grants the longest lease that it allows.
-func (s *Shard) restartedLeaseExtension(lease time.Duration) time.Duration {
-	return time.Duration(float64(max(0, s.options.MaxWorkerLease-lease)) * LeaseDriftFactor)
+// restartedLeaseExtension returns how much longer than leaseLength a lease can last that was
+// granted by the clock of a former incarnation. The clock of the new one shows less, so it
+// grants the longest lease that it allows.
+func (s *Shard) restartedLeaseExtension() time.Duration {
+	return time.Duration(float64(max(0, s.options.MaxWorkerLease-s.options.Lease)) * LeaseDriftFactor)
 }
 
 // lastLeaseEnd returns the time after which no lease is left on the worker.
@@ -45,11 +62,11 @@
 	if w.Incarnation == w.observedIncarnation {
 		return end
 	}
-	lease := s.options.Lease
-	if !w.listsRead { // a former leader may have granted it with witnesses
-		lease = min(lease, s.options.WitnessedLease)
+	end = end.Add(s.restartedLeaseExtension())
+	if !w.listsRead { // a former leader may have granted it so much later than its basis
+		end = end.Add(s.options.MaxWitnessAge)
 	}
-	return end.Add(s.restartedLeaseExtension(lease))
+	return end
 }
 
 // leasesOver reports whether no lease is left on the worker. Without a confirmation from after
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -226,6 +226,7 @@
 			s.loadWorker(now, id, record.Value)
 		}
 	}
+	s.limitUnwitnessedLeaders()
 	s.loadTrials(now, trials)
 	for id, stored := range progress {
 		if s.jobs[id] == nil && stored.State.Ended() {
@@ -263,7 +264,7 @@
 	}
 	s.workers[id] = w
 	s.workersToRead[id] = true
-	s.recordedWorkers++
+	s.addRecordedWorker(w)
 	s.sortWorkers()
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -97,9 +97,6 @@
 	listRead      bool // SetWorkers was called
 	// formerLeaders are the leaders that may still act at Load.
 	formerLeaders []formerLeader
-	// recordedWorkers is the number of workersToRead at Load, and readRecorded how many of
-	// them this leader has read.
-	recordedWorkers, readRecorded int
 	// formerLeadersOver means that no former leader acts any more, and
 	// formerLeadersUnrecorded that no batch contains the record of it yet.
 	formerLeadersOver       bool
@@ -123,6 +120,7 @@
 	commands         Commands
 	authority        bool      // this process can still prove that it is the leader
 	confirmedAt      time.Time // see SetConfirmed
+	leaseBasis       time.Time // see SetLeaseBasis
 	shortAdviceLimit int
 	shortAdviceCalls int
 	longAdviceLimit  int
--- a/internal/shard/witnesses.go
+++ b/internal/shard/witnesses.go
@@ -10,9 +10,8 @@
 // running work must live on, or whether it has a successor. The workers tell: they refuse a
 // leader once its successor has read them. So a leader without a recent confirmation acts only
 // while more than the witness share of the workers with a record in the store answer it, and a
-// successor that has read more than that share of them knows that the replaced leader soon acts
-// no more. Any two such sets have a worker in common, also if the records differ by up to a
-// fifth.
+// successor that has read more than that share of them knows that the replaced leader soon acts no more.
+// Any two such sets have a worker in common, also if the records differ by up to a fifth.
 
 const (
 	// The witness share is witnessShareNumerator/witnessShareDenominator.
@@ -64,22 +63,45 @@
 	return s.needsWitnesses(now) && w.recordTaken && now.Sub(w.answeredPollSentAt) >= witnessPollInterval
 }
 
+// addRecordedWorker counts a worker that former leaders recorded. The caller has determined
+// them.
+func (s *Shard) addRecordedWorker(w *worker) {
+	if last := len(s.formerLeaders) - 1; last >= 0 {
+		s.formerLeaders[last].recorded++
+	}
+}
+
+// limitUnwitnessedLeaders lowers the bounds of the former leaders that know no worker with a
+// record, and so have no witnesses. Call it after addRecordedWorker.
+func (s *Shard) limitUnwitnessedLeaders() {
+	if last := len(s.formerLeaders) - 1; last >= 0 {
+		if f := &s.formerLeaders[last]; f.LimitsLeases && f.recorded == 0 {
+			f.limit(s.loadedAt.Add(s.options.MaxUnwitnessedAge), s.loadedAt.Add(s.options.FormerLease))
+		}
+	}
+	s.lowerUnreadLeaseEnds()
+}
+
 // countRecordedRead counts a worker that this leader has read for the first time. Once it has
-// read more than the witness share of the recorded ones, the polls of the replaced leader's
-// witnesses were sent before.
+// read more than the witness share of those that a former leader knows to be recorded, the polls
+// of the witnesses of that leader were sent before.
 func (s *Shard) countRecordedRead(now time.Time, w *worker) {
 	if !s.workersToRead[w.ID] {
 		return
 	}
-	before := exceedsWitnessShare(s.readRecorded, s.recordedWorkers)
-	s.readRecorded++
-	last := len(s.formerLeaders) - 1
-	if before || !exceedsWitnessShare(s.readRecorded, s.recordedWorkers) || !s.options.ReplacedNeedsWitnesses || last < 0 || s.formerLeaders[last].epoch == UnknownEpoch {
-		return
+	limited := false
+	for i := range s.formerLeaders {
+		f := &s.formerLeaders[i]
+		if i < len(s.formerLeaders)-1 || !f.LimitsLeases || exceedsWitnessShare(f.read, f.recorded) {
+			continue
+		}
+		f.read++
+		if exceedsWitnessShare(f.read, f.recorded) {
+			f.limit(now.Add(s.options.MaxWitnessAge), now.Add(s.options.FormerLease))
+			limited = true
+		}
+	}
+	if limited {
+		s.lowerUnreadLeaseEnds()
 	}
-	actsUntil := now.Add(s.options.MaxWitnessAge)
-	shorter := time.Duration(float64(s.options.Lease-s.options.WitnessedLease) * LeaseDriftFactor)
-	unwitnessedLeasesEnd := s.loadedAt.Add(s.options.MaxUnwitnessedAge + s.options.FormerLease)
-	s.formerLeaders[last].limit(actsUntil, maxTime(actsUntil.Add(s.options.FormerLease-shorter), unwitnessedLeasesEnd))
-	s.lowerUnreadLeaseEnds()
 }
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -91,7 +91,7 @@
 	pollRetryDelay = 300 * time.Millisecond
 	// urgentLeaseRemaining is the remaining time of a lease below which the worker is
 	// polled to renew it even if handled results aren't stored yet.
-	urgentLeaseRemaining = 3500 * time.Millisecond
+	urgentLeaseRemaining = 3 * time.Second
 	// suspendAfter is the number of consecutive failed polls (1.5 s and more) after
 	// which a worker is recorded as suspended. No leader renews a lease on a
 	// suspended worker, so the next leader knows when its runs are over. When the
@@ -299,7 +299,7 @@
 		if firstAnswer { // a former leader may have granted the last one just now
 			granted = now.Add(s.leaseLength())
 		}
-		w.formerClockEnd = granted.Add(s.restartedLeaseExtension(s.options.Lease))
+		w.formerClockEnd = granted.Add(s.restartedLeaseExtension())
 		s.handleRestart(now, w, report)
 	}
 	if firstAnswer {
@@ -310,8 +310,8 @@
 		s.countRecordedRead(now, w)
 		s.recordIfPlaceable(w)
 		// The worker now refuses the orders of former leaders by their fencing
-		// tokens, so no lease lasts longer than one that is granted now.
-		w.leaseEnd = now.Add(s.leaseLength())
+		// tokens, so no lease lasts longer than one that was granted just now.
+		w.leaseEnd = now.Add(s.longestLeaseLeft())
 	}
 	for _, result := range report.Ended {
 		s.handleResult(now, w, result)
