shard: witnesses bound the wait for every former leader, not only the last (LOST)

Callers saw tasks that last without a run for up to 19 s after two leaders of their shard were lost for good soon after their workers. Cause: a leader that has read enough recorded workers concludes that its predecessor has no witnesses and acts for 2 s more at the most, but concluded nothing for the leaders before that one, as their records may differ from those that it reads.

A record of a worker now says which leader added it, so a leader knows the records of each former leader: all but those that a later one has added. A worker whose record a later leader deleted refuses the former one, as it was read before, or its leases are over.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -288,6 +288,8 @@
 	Unstored []int64 `cbor:"4,keyasint,omitempty"`
 	// Address is where the worker takes orders. It isn't valid in old records.
 	Address netip.AddrPort `cbor:"5,keyasint,omitzero"`
+	// RecordedBy is the epoch of the leader that added the record; 0 in old records.
+	RecordedBy int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // FormerLeadersRecord records that no leader of an epoch before OverBefore, which is that of
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -113,9 +113,12 @@
 		}
 		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
 		w.suspensionTaken = w.suspensionTaken || w.suspended
-		w.recordTaken = true
+		if !w.recordTaken {
+			w.recordTaken, w.recordedBy = true, s.options.Epoch
+		}
 		add(workerKey(w.ID), job.WorkerRecord{
 			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(), Address: w.Address,
+			RecordedBy: w.recordedBy,
 		})
 		s.inFlightWorkers = append(s.inFlightWorkers, w)
 	}
@@ -248,7 +251,7 @@
 	}
 	w := &worker{
 		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended, suspensionTaken: record.Suspended,
-		recordTaken: true, recordConfirmed: true,
+		recordTaken: true, recordConfirmed: true, recordedBy: record.RecordedBy,
 		unlistedAt: now, bestEffortPace: fullPace,
 	}
 	w.loadUnstoredResults(record.Unstored)
--- a/internal/shard/witnesses.go
+++ b/internal/shard/witnesses.go
@@ -10,8 +10,12 @@
 // running work must live on, or whether it has a successor. The workers tell: they refuse a
 // leader once its successor has read them. So a leader without a recent confirmation acts only
 // while more than the witness share of the workers with a record in the store answer it, and a
-// successor that has read more than that share of them knows that the replaced leader soon acts no more.
+// successor that has read more than that share of them knows that the leader soon acts no more.
 // Any two such sets have a worker in common, also if the records differ by up to a fifth.
+//
+// The same holds for each leader before the replaced one that may still act, with the records that
+// no later leader has added. A worker whose record a later leader has deleted refuses it, or its
+// leases are over.
 
 const (
 	// The witness share is witnessShareNumerator/witnessShareDenominator.
@@ -66,16 +70,18 @@
 // addRecordedWorker counts a worker that former leaders recorded. The caller has determined
 // them.
 func (s *Shard) addRecordedWorker(w *worker) {
-	if last := len(s.formerLeaders) - 1; last >= 0 {
-		s.formerLeaders[last].recorded++
+	for i := range s.formerLeaders {
+		if f := &s.formerLeaders[i]; w.recordedBy <= f.Epoch {
+			f.recorded++
+		}
 	}
 }
 
 // limitUnwitnessedLeaders lowers the bounds of the former leaders that know no worker with a
 // record, and so have no witnesses. Call it after addRecordedWorker.
 func (s *Shard) limitUnwitnessedLeaders() {
-	if last := len(s.formerLeaders) - 1; last >= 0 {
-		if f := &s.formerLeaders[last]; f.LimitsLeases && f.recorded == 0 {
+	for i := range s.formerLeaders {
+		if f := &s.formerLeaders[i]; f.LimitsLeases && f.recorded == 0 {
 			f.limit(s.loadedAt.Add(s.options.MaxUnwitnessedAge), s.loadedAt.Add(s.options.FormerLease))
 		}
 	}
@@ -92,7 +98,7 @@
 	limited := false
 	for i := range s.formerLeaders {
 		f := &s.formerLeaders[i]
-		if i < len(s.formerLeaders)-1 || !f.LimitsLeases || exceedsWitnessShare(f.read, f.recorded) {
+		if !f.LimitsLeases || w.recordedBy > f.Epoch || exceedsWitnessShare(f.read, f.recorded) {
 			continue
 		}
 		f.read++
--- a/internal/shard/witnesses_test.go
+++ b/internal/shard/witnesses_test.go
@@ -76,3 +76,62 @@
 		})
 	}
 }
+
+// Guards against tasks that last and wait for 16 s because two leaders were lost for good soon after
+// their workers (issue 47), and against two runs of one if the first leader still acts.
+func TestLeadersLostOneAfterTheOtherEndTheWaitForTheirLeases(t *testing.T) {
+	for name, c := range map[string]struct {
+		firstLost bool          // otherwise it is cut off from the store and from its successors
+		ledFor    time.Duration // by the second leader, which is lost for good
+		reached   int           // number of the six workers that the last leader reaches
+		added     int           // workers that the second leader adds; the last leader reaches them
+		min, max  time.Duration
+	}{
+		"both are lost at once":                         {true, 0, 5, 0, 0, maxWaitForLostLeader},
+		"the second one has read the workers":           {true, time.Second, 5, 0, 0, maxWaitForLostLeader},
+		"the first one acts on one worker":              {false, time.Second, 5, 0, orphanTimeoutAfterCrash, maxWaitForLostLeader},
+		"the first one acts on two workers":             {false, 0, 4, 0, orphanTimeoutAfterCrash, maxWaitForLostLeader},
+		"the first one has witnesses":                   {false, time.Second, 2, 0, orphanTimeout, orphanTimeout + time.Second},
+		"it has witnesses, and many workers were added": {false, 2 * time.Second, 2, 12, orphanTimeout, orphanTimeout + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 92, 6, workerSize)
+			sim.formerLeadersReport, sim.crashesUnknown = true, true
+			sim.advance(time.Second)
+			sim.standingTasks(9000)
+			first, successors := sim.leader, map[*instance]bool{}
+			first.storeUnreachable, first.cutOffFromPeers, first.dead = true, true, c.firstLost
+			replace := func() {
+				sim.replaceLeader()
+				successors[sim.leader] = true
+			}
+			replace()
+			for i, worker := range sim.workers {
+				worker.cutOff, worker.clockRate = map[*instance]bool{first: true}, 0.98
+				if i >= c.reached {
+					worker.cutOff = successors
+					if c.firstLost {
+						worker.crash()
+					}
+				}
+			}
+			for range c.added {
+				sim.addWorker(workerSize).cutOff = map[*instance]bool{first: true}
+			}
+			sim.advance(c.ledFor)
+			sim.leader.dead = true
+			replace()
+			changed, started := sim.now, sim.startCount
+			// The tasks of the other workers fit here.
+			sim.workers[0].capacity.MilliCPU *= 6
+			for sim.startCount == started && sim.now < changed+30*time.Second {
+				sim.advance(tickLength)
+			}
+			restartedAt := sim.now - changed
+			sim.advance(10 * time.Second)
+			require.Empty(t, sim.violations)
+			require.LessOrEqual(t, restartedAt, c.max)
+			require.GreaterOrEqual(t, restartedAt, c.min)
+		})
+	}
+}
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -41,6 +41,7 @@
 	// recordTaken means that the store has a record of it or may have, and recordConfirmed
 	// that it has one.
 	recordTaken, recordConfirmed bool
+	recordedBy                   int64         // epoch of the leader that added its record
 	polledAt                     time.Duration // Report.PolledAt of its last report
 	incarnationChangedAt         time.Time     // when a report last showed another incarnation
 	// suspended means that the worker is recorded as suspended or will be, see
