entry: leadership records name up to eight leaders before their own

A leader that isn't named may act for 10 s. Five leaders that were lost within 2 s of each other were enough for that wait.

TestLeadershipRecordNamesLeadersThatWereLostInARow fails with four names.

--- a/internal/entry/formerleaders_test.go
+++ b/internal/entry/formerleaders_test.go
@@ -18,6 +18,20 @@
 	"yuccalanding.example/yuccalanding/platform"
 )
 
+// Guards against a new leader that doesn't know the leaders before it, and waits for 15 s, because
+// they were lost one after the other.
+func TestLeadershipRecordNamesLeadersThatWereLostInARow(t *testing.T) {
+	const lost = 7
+	leader := election.Leader{}
+	for epoch := range int64(lost + 1) {
+		leader = election.Leader{Epoch: epoch + 1, LimitsLeases: true, Predecessors: formerClaims(leader)}
+	}
+	claims := formerClaims(leader)
+	for i := range lost {
+		require.Contains(t, claims, election.Claim{Epoch: int64(i + 2), LimitsLeases: true})
+	}
+}
+
 // Guards against tasks that last and wait for 16 s because their worker and their leader
 // crashed (review/8): the process of the leader is up again, so it grants no more leases.
 func TestRestartedProcessesBoundTheLeasesOfFormerLeaders(t *testing.T) {
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -149,8 +149,9 @@
 	return former.ReleasedClaim
 }
 
-// maxFormerClaims bounds the claims that a leadership record names.
-const maxFormerClaims = 4
+// maxFormerClaims bounds the claims that a leadership record names. A leader that lasts for 2 s
+// has stored that no leader before it acts.
+const maxFormerClaims = 8
 
 // formerClaims returns the claims of the leaders before the next one, the oldest first.
 func formerClaims(former election.Leader) []election.Claim {
