shard: no wait for leases of leaders that ended before the state was loaded (LOST)

Callers saw tasks that last without a run for longer than the 7 s that the rule leaves after an outage in which all processes were restarted, with no VM lost: the store was found to be back 1.5 s after the outage, and the next leader waited for 5.6 s after it had loaded the state, although its predecessor was known to have ended 3.8 s before.

Cause: the bound for leaders that are known to be over was one lease after the loading, whatever was shown of the leader that stored that they are over. Their leases end no later than those of that leader, which has a bound of its own, so the floor is removed. If no leader was ever recorded, there are no leases.

--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -113,9 +113,10 @@
 }
 
 // formerLeasesEnd returns the time after which no lease of a former leader is left on any
-// worker.
+// worker. Leases of leaders that are known to be over last no longer than those of the first of
+// formerLeaders, which stored that, see checkFormerLeadersOver.
 func (s *Shard) formerLeasesEnd() time.Time {
-	end := s.loadedAt.Add(s.options.FormerLease) // of leaders that are known to be over
+	end := s.loadedAt
 	for _, f := range s.formerLeaders {
 		end = maxTime(end, f.leasesEnd)
 	}
@@ -125,7 +126,7 @@
 // checkFormerLeadersOver schedules the record that no former leader acts any more once that
 // is certain. The times without proof count from Load: by then both partitions of the store
 // had refused the former leaders, so none of them has a later confirmation. The next leader
-// takes their leases for ones that are limited.
+// assumes that their leases last no longer than FormerLease after the record was stored.
 func (s *Shard) checkFormerLeadersOver(now time.Time) {
 	if s.formerLeadersOver || now.Before(s.formerLeadersActUntil()) || now.Add(s.options.FormerLease).Before(s.formerLeasesEnd()) {
 		return
