--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -21,6 +21,7 @@
 	// recorded is the number of workers that it knows to have a record, and read how many
 	// of them this leader has read.
 	recorded, read int
+	evidence       string // why it has these bounds; only logged
 }
 
 func (s *Shard) newFormerLeader(leader FormerLeader, actsFor time.Duration) formerLeader {
@@ -85,6 +86,7 @@
 	for i := range s.formerLeaders {
 		if f := &s.formerLeaders[i]; f.Epoch == epoch {
 			f.limit(endedAt, endedAt.Add(s.formerLease(f.FormerLeader)))
+			f.addEvidence(evidenceEnded)
 		}
 	}
 	return s.lowerUnreadLeaseEnds()
--- a/internal/shard/witnesses.go
+++ b/internal/shard/witnesses.go
@@ -83,6 +83,7 @@
 	for i := range s.formerLeaders {
 		if f := &s.formerLeaders[i]; f.LimitsLeases && f.recorded == 0 {
 			f.limit(s.loadedAt.Add(s.options.MaxUnwitnessedAge), s.loadedAt.Add(s.options.FormerLease))
+			f.addEvidence(evidenceWorkersRead)
 		}
 	}
 	s.lowerUnreadLeaseEnds()
@@ -104,6 +105,7 @@
 		f.read++
 		if exceedsWitnessShare(f.read, f.recorded) {
 			f.limit(now.Add(s.options.MaxWitnessAge), now.Add(s.options.FormerLease))
+			f.addEvidence(evidenceWorkersRead)
 			limited = true
 		}
 	}
