shard: a successor that has read two fifths of the workers ends the wait (LOST)

Callers saw tasks that last without a run for up to 19 s after 45 or 55 percent of the workers fell silent and their leader was lost for good. Cause: a successor concluded that the former leader has no witnesses only if it had read more than three fifths of the recorded workers, although the leader needs more than three fifths itself. The rest was a margin for records that only one of them counts.

A leader now counts exactly what a successor may read: also the workers whose records it has deleted while a partition of the store missed that. So two fifths are enough, and up to three fifths of the workers may be silent. forgetWorkers leaves a worker alone whose record may be under way.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -249,6 +249,7 @@
 	l.appendMu.Lock()
 	defer l.appendMu.Unlock()
 	l.ledger.Begin(batch)
+	l.countPendingDeletions()
 	if !l.appendToEither(0, l.prepareAppend) {
 		return
 	}
@@ -274,6 +275,7 @@
 			l.process.log("partition-changed", "service", l.key, "partition", p)
 		}
 		l.ledger.Confirm(attempt)
+		l.countPendingDeletions()
 		if len(attempt.Records) > 0 { // an empty append doesn't change the partition's end
 			l.recordsStoredAt = time.Now()
 		}
@@ -370,5 +372,11 @@
 	sent := l.process.sinceBoot()
 	if l.handleAppendResult(attempt, "drop", sent, l.send(ctx, attempt)) == nil {
 		l.ledger.Confirm(attempt)
+		l.countPendingDeletions()
 	}
 }
+
+// countPendingDeletions updates pendingDeletions. The caller holds appendMu.
+func (l *shardLeader) countPendingDeletions() {
+	l.pendingDeletions.Store(int64(l.ledger.PendingDeletions(shard.IsWorkerKey)))
+}
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -88,6 +88,9 @@
 	newestEpochs [ledger.Partitions]atomic.Int64
 	// recordsStoredAt is when the last append of records succeeded.
 	recordsStoredAt time.Time
+	// pendingDeletions is the number of worker records that still have to be deleted from a
+	// partition of the store.
+	pendingDeletions atomic.Int64
 	// appendLatency is the time that recent appends took, in ns.
 	appendLatency atomic.Int64
 
@@ -263,6 +266,7 @@
 	age := l.confirmationAge()
 	l.shard.SetConfirmed(now.Add(-age))
 	if age >= election.MaxUnwitnessedAge/2 {
+		l.shard.SetUndeletedWorkerRecords(int(l.pendingDeletions.Load()))
 		l.witnessed.Store(int64(l.shard.WitnessedAt()))
 	}
 	basisAge := age
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -189,6 +189,18 @@
 	return attempt, true
 }
 
+// PendingDeletions returns the number of keys that still have to be deleted from a partition and
+// for which match reports true.
+func (l *Ledger) PendingDeletions(match func(key string) bool) int {
+	count := 0
+	for _, pending := range l.deletions {
+		if match(pending.key) {
+			count++
+		}
+	}
+	return count
+}
+
 // newAttempt returns the next attempt at a partition, with its producer epoch and
 // sequence number. After an unconfirmed attempt it has a new epoch.
 func (l *Ledger) newAttempt(p int) Attempt {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -275,3 +275,20 @@
 		}
 	}
 }
+
+// Guards against a leader that doesn't count the workers that its successor reads although their
+// records were deleted: only one partition has carried that out.
+func TestDeletionsThatAPartitionMissedArePending(t *testing.T) {
+	s := newStore()
+	l, _ := s.load(t, 5)
+	all := func(string) bool { return true }
+	s.write(t, l, put("a", "1"), put("b", "1"))
+	s.writeOther(t, l, put("a", "2"))
+	s.write(t, l, deletion("a"), deletion("b"))
+	require.Equal(t, 2, l.PendingDeletions(all))
+	require.Equal(t, 1, l.PendingDeletions(func(key string) bool { return key == "a" }))
+	s.finishDeletions(t, l)
+	require.Zero(t, l.PendingDeletions(all))
+	_, values := s.load(t, 6)
+	require.Empty(t, values)
+}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -32,6 +32,9 @@
 
 func workerKey(id string) string { return workerPrefix + id }
 
+// IsWorkerKey reports whether a key is that of a worker's record.
+func IsWorkerKey(key string) bool { return strings.HasPrefix(key, workerPrefix) }
+
 // RecordGroup returns the group of a key within which deletions must keep their order:
 // the records of one job, or the record of one worker.
 func RecordGroup(key string) string {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -116,6 +116,7 @@
 	// deletedWorkers and inFlightDeletedWorkers are the numbers of workers whose record is
 	// deleted by the next batch, and by the one that is being stored.
 	deletedWorkers, inFlightDeletedWorkers int
+	undeletedWorkers                       int // see SetUndeletedWorkerRecords
 
 	commands         Commands
 	authority        bool      // this process can still prove that it is the leader
--- a/internal/shard/unsettled.go
+++ b/internal/shard/unsettled.go
@@ -70,7 +70,11 @@
 	if !f.LimitsLeases {
 		return 0
 	}
-	return f.recorded*witnessShareNumerator/witnessShareDenominator + 1
+	needed := 0
+	for !excludesWitnesses(needed, f.recorded) {
+		needed++
+	}
+	return needed
 }
 
 // formerLeaderFields returns log fields of the former leader whose leases end last, and of all
--- a/internal/shard/witnesses.go
+++ b/internal/shard/witnesses.go
@@ -9,13 +9,13 @@
 // A leader that the store doesn't confirm can't know whether the store is down for all, so that
 // running work must live on, or whether it has a successor. The workers tell: they refuse a
 // leader once its successor has read them. So a leader without a recent confirmation acts only
-// while more than the witness share of the workers with a record in the store answer it, and a
-// successor that has read more than that share of them knows that the leader soon acts no more.
-// Any two such sets have a worker in common, also if the records differ by up to a fifth.
+// while more than the witness share of the workers with a record in the store answer it. If a
+// successor has read all the others, or more, some of these refuse the leader, which soon acts no
+// more.
 //
-// The same holds for each leader before the replaced one that may still act, with the records that
-// no later leader has added. A worker whose record a later leader has deleted refuses it, or its
-// leases are over.
+// That holds for each former leader that may still act, with the records that it knows. These are
+// all that no later leader has added. A worker whose record a later leader has deleted refuses it,
+// or its leases are over. For its own records a leader counts each that a successor may read.
 
 const (
 	// The witness share is witnessShareNumerator/witnessShareDenominator.
@@ -32,12 +32,21 @@
 	return witnessShareDenominator*count > witnessShareNumerator*workers
 }
 
+// excludesWitnesses reports whether a leader has no witnesses if so many of the workers refuse it.
+func excludesWitnesses(refusing, workers int) bool {
+	return !exceedsWitnessShare(workers-refusing, workers)
+}
+
+// SetUndeletedWorkerRecords sets the number of records of workers that were deleted in a stored
+// batch, but that a successor may read, as a partition of the store has missed the batch.
+func (s *Shard) SetUndeletedWorkerRecords(count int) { s.undeletedWorkers = count }
+
 // WitnessedAt returns the latest reading of the clock of Report.PolledAt since which more than
 // the witness share of the recorded workers have answered a poll, or one that is an hour before
 // the clock's start. A worker that has restarted since the last confirmation doesn't count, as
 // it doesn't know the fencing token of a successor that read it before.
 func (s *Shard) WitnessedAt() time.Duration {
-	recorded := s.deletedWorkers + s.inFlightDeletedWorkers
+	recorded := s.deletedWorkers + s.inFlightDeletedWorkers + s.undeletedWorkers
 	polledAt := make([]time.Duration, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
 		if !w.recordTaken {
@@ -77,11 +86,11 @@
 	}
 }
 
-// limitUnwitnessedLeaders lowers the bounds of the former leaders that know no worker with a
-// record, and so have no witnesses. Call it after addRecordedWorker.
+// limitUnwitnessedLeaders lowers the bounds of the former leaders that have no witnesses although
+// this leader has read none of the workers that they know. Call it after addRecordedWorker.
 func (s *Shard) limitUnwitnessedLeaders() {
 	for i := range s.formerLeaders {
-		if f := &s.formerLeaders[i]; f.LimitsLeases && f.recorded == 0 {
+		if f := &s.formerLeaders[i]; f.LimitsLeases && excludesWitnesses(0, f.recorded) {
 			f.limit(s.loadedAt.Add(s.options.MaxUnwitnessedAge), s.loadedAt.Add(s.options.FormerLease))
 			f.addEvidence(evidenceWorkersRead)
 		}
@@ -89,9 +98,8 @@
 	s.lowerUnreadLeaseEnds()
 }
 
-// countRecordedRead counts a worker that this leader has read for the first time. Once it has
-// read more than the witness share of those that a former leader knows to be recorded, the polls
-// of the witnesses of that leader were sent before.
+// countRecordedRead counts a worker that this leader has read for the first time. Once a former
+// leader can have no more witnesses, all polls of those that it had were sent before.
 func (s *Shard) countRecordedRead(now time.Time, w *worker) {
 	if !s.workersToRead[w.ID] {
 		return
@@ -99,11 +107,11 @@
 	limited := false
 	for i := range s.formerLeaders {
 		f := &s.formerLeaders[i]
-		if !f.LimitsLeases || w.recordedBy > f.Epoch || exceedsWitnessShare(f.read, f.recorded) {
+		if !f.LimitsLeases || w.recordedBy > f.Epoch || excludesWitnesses(f.read, f.recorded) {
 			continue
 		}
 		f.read++
-		if exceedsWitnessShare(f.read, f.recorded) {
+		if excludesWitnesses(f.read, f.recorded) {
 			f.limit(now.Add(s.options.MaxWitnessAge), now.Add(s.options.FormerLease))
 			f.addEvidence(evidenceWorkersRead)
 			limited = true
--- a/internal/shard/workerlist.go
+++ b/internal/shard/workerlist.go
@@ -62,7 +62,7 @@
 func (s *Shard) forgetWorkers(now time.Time) {
 	kept := s.sortedWorkers[:0]
 	for _, w := range s.sortedWorkers {
-		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) && !w.mayRepeatResults(now) {
+		if !w.listed && len(w.runs) == 0 && !w.pollInFlight && !w.dirty && w.recordTaken == w.recordConfirmed && now.Sub(w.unlistedAt) > forgetWorkerAfter && s.leasesOver(now, w) && !w.mayRepeatResults(now) {
 			delete(s.workers, w.ID)
 			delete(s.workersToRead, w.ID)
 			s.deleteWorkerRecord(w)
