shard: a leader records the end of the wait for former leaders once it is known (LOST)

Callers saw tasks that last without a run for 19 s after an outage in which all processes were killed, if the shard's leader had changed less than 3 s before and the former leader was gone: the next boot of the second leader waited for the first one, although the second had read all workers.

Cause: the record that former leaders need not be considered was stored when they act no more, 2 s after the reads that exclude their witnesses, and each change of leader began that time anew. What the next leader needs is only that their leases end no later than the writer's. Leases end a fixed time after their basis, so that is known with the reads.

--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -152,8 +152,8 @@
 	return former.ReleasedClaim
 }
 
-// maxFormerClaims bounds the claims that a leadership record names. A leader that lasts for 2 s
-// has stored that no leader before it acts.
+// maxFormerClaims bounds the claims that a leadership record names. A leader that has read its
+// workers stores that the ones before it need not be considered.
 const maxFormerClaims = 8
 
 // formerClaims returns the claims of the leaders before the next one, the oldest first.
@@ -179,10 +179,21 @@
 // hasAuthority reports whether this process can still prove that it is the leader.
 func (l *shardLeader) hasAuthority() bool {
 	age := l.confirmationAge()
-	if age >= l.maxConfirmationAge() {
-		return false
+	return l.holdsAt(age, l.leaseBasisAge(age))
+}
+
+// holdsAt reports whether the leader may act with a confirmation and a lease basis of these ages.
+func (l *shardLeader) holdsAt(age, basisAge time.Duration) bool {
+	return age < l.maxConfirmationAge() && (age < election.MaxUnwitnessedAge || basisAge < election.MaxWitnessAge)
+}
+
+// leaseBasisAge is how long ago the call was sent on which leases rest that are granted now, see
+// shard.SetLeaseBasis. The confirmation has the given age.
+func (l *shardLeader) leaseBasisAge(age time.Duration) time.Duration {
+	if age < election.MaxUnwitnessedAge {
+		return age
 	}
-	return age < election.MaxUnwitnessedAge || l.process.sinceBoot()-time.Duration(l.witnessed.Load()) < election.MaxWitnessAge
+	return l.process.sinceBoot() - time.Duration(l.witnessed.Load())
 }
 
 // maxConfirmationAge is the age of its confirmation up to which the leader
@@ -269,12 +280,9 @@
 		l.shard.SetUndeletedWorkerRecords(int(l.pendingDeletions.Load()))
 		l.witnessed.Store(int64(l.shard.WitnessedAt()))
 	}
-	basisAge := age
-	if age >= election.MaxUnwitnessedAge {
-		basisAge = l.process.sinceBoot() - time.Duration(l.witnessed.Load())
-	}
+	basisAge := l.leaseBasisAge(age)
 	l.shard.SetLeaseBasis(now.Add(-basisAge))
-	l.shard.SetAuthority(l.hasAuthority())
+	l.shard.SetAuthority(l.holdsAt(age, basisAge))
 }
 
 // controlLoop runs the enqueued functions and makes all decisions about the
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -292,8 +292,8 @@
 	RecordedBy int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// FormerLeadersRecord records that no leader of an epoch before OverBefore, which is that of
-// its writer, acts any more. Leases that they granted may be left.
+// FormerLeadersRecord records that leases of leaders of an epoch before OverBefore, which is that
+// of its writer, end no later than those of the writer.
 type FormerLeadersRecord struct {
 	OverBefore int64 `cbor:"1,keyasint"`
 }
--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -32,7 +32,7 @@
 	firstTrialDelay = time.Second
 	maxTrialDelay   = 64 * time.Second
 	// maxLongRunningTrialDelay is lower: callers count a long-running task as lost that has
-	// no run for 9 s, of which its last lease may take 5.4 s.
+	// no run for 9 s, of which its last lease may take 4.3 s.
 	maxLongRunningTrialDelay = 3 * time.Second
 )
 
--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -9,14 +9,14 @@
 
 // How the replaced leader ended says nothing of the leaders before it. One that is cut off
 // from the store may act, and renew leases, until its last confirmation is too old. So each
-// leader records when no leader before it acts any more. The next one has to consider only
-// the writer of that record and the leaders after it, each of which may be shown to have
-// ended or to have no witnesses.
+// leader records when the leases of the leaders before it end no later than its own. The next
+// one has to consider only the writer of that record and the leaders after it, each of which
+// may be shown to have ended or to have no witnesses.
 
 // formerLeader is a leader before this one that may still act at Load.
 type formerLeader struct {
 	FormerLeader
-	actsUntil time.Time // it grants no lease later
+	actsUntil time.Time // it grants no lease later; only logged
 	leasesEnd time.Time // no lease that it granted lasts longer
 	// recorded is the number of workers that it knows to have a record, and read how many
 	// of them this leader has read.
@@ -105,18 +105,9 @@
 	return lowered
 }
 
-// formerLeadersActUntil returns the time after which no former leader grants a lease.
-func (s *Shard) formerLeadersActUntil() time.Time {
-	until := s.loadedAt
-	for _, f := range s.formerLeaders {
-		until = maxTime(until, f.actsUntil)
-	}
-	return until
-}
-
 // formerLeasesEnd returns the time after which no lease of a former leader is left on any
-// worker. Leases of leaders that are known to be over last no longer than those of the first of
-// formerLeaders, which stored that, see checkFormerLeadersOver.
+// worker. Leases of the leaders before the first of formerLeaders last no longer than those of
+// that one, which recorded it, see checkFormerLeadersOver.
 func (s *Shard) formerLeasesEnd() time.Time {
 	end := s.loadedAt
 	for _, f := range s.formerLeaders {
@@ -125,12 +116,11 @@
 	return end
 }
 
-// checkFormerLeadersOver schedules the record that no former leader acts any more once that
-// is certain. The times without proof count from Load: by then both partitions of the store
-// had refused the former leaders, so none of them has a later confirmation. The next leader
-// assumes that their leases last no longer than FormerLease after the record was stored.
+// checkFormerLeadersOver schedules the record that the next leader needs to consider no leader
+// before this one, once no lease that one of them grants lasts longer than a lease of this leader.
+// A former leader may still act then, on what it was shown before.
 func (s *Shard) checkFormerLeadersOver(now time.Time) {
-	if s.formerLeadersOver || now.Before(s.formerLeadersActUntil()) || now.Add(s.options.FormerLease).Before(s.formerLeasesEnd()) {
+	if s.formerLeadersOver || now.Add(s.options.FormerLease).Before(s.formerLeasesEnd()) {
 		return
 	}
 	s.formerLeadersOver, s.formerLeadersUnrecorded = true, true
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -16,7 +16,7 @@
 	maxQuarantine = 20 * time.Second
 	// maxQuarantineWait is how long a long-running task waits for a worker that isn't
 	// quarantined. Callers count it as lost after 9 s without a run, of which its last
-	// lease may take 5.4 s.
+	// lease may take 4.3 s.
 	maxQuarantineWait = 3 * time.Second
 	// rejectionPause is how long a worker gets no new tasks after it rejected a
 	// start, for example because it is unhealthy.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -97,7 +97,7 @@
 	listRead      bool // SetWorkers was called
 	// formerLeaders are the leaders that may still act at Load.
 	formerLeaders []formerLeader
-	// formerLeadersOver means that no former leader acts any more, and
+	// formerLeadersOver means that the next leader needs to consider no former leader, and
 	// formerLeadersUnrecorded that no batch contains the record of it yet.
 	formerLeadersOver       bool
 	formerLeadersUnrecorded bool
