--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -41,13 +41,12 @@
 	memberTimeout = 2 * time.Second
 	// adviceTimeout is added to the time that the adviser needs.
 	adviceTimeout = 2 * time.Second
-	// maxLease is the longest lease that a leader grants: one status poll (1.5
-	// s) and twice the replacement of a leader (1.7 s). Tasks of a dead worker
-	// are started elsewhere only after their lease has ended.
-	maxLease = 5 * time.Second
-	// witnessedLease is the longest lease that a leader grants while the store doesn't
-	// confirm its leadership: two status polls and the replacement of a leader.
-	witnessedLease = 3500 * time.Millisecond
+	// maxLease is the longest time from a confirmation to the end of a lease that rests on
+	// it: the age of the confirmation (0.4 s), one status poll (0.8 s) and twice the
+	// replacement of a leader (1.4 s). Tasks of a dead worker are started elsewhere only after
+	// their lease has ended: if its leader is lost too, 4.6 s after the next one has loaded
+	// the state, of the 7 s that the users' platform allows after the last failure.
+	maxLease = 4 * time.Second
 	// leaseMargin covers the travel time of a former leader's last order.
 	leaseMargin = 500 * time.Millisecond
 )
@@ -89,6 +88,9 @@
 	newestEpochs [ledger.Partitions]atomic.Int64
 	// recordsStoredAt is when the last append of records succeeded.
 	recordsStoredAt time.Time
+	// pendingDeletions is the number of worker records that still have to be deleted from a
+	// partition of the store.
+	pendingDeletions atomic.Int64
 	// appendLatency is the time that recent appends took, in ns.
 	appendLatency atomic.Int64
 
@@ -123,15 +125,15 @@
 	bounds := p.settings.Bounds
 	lease := min(bounds.MaxLease, maxLease)
 	longestLease := time.Duration(float64(lease)*shard.LeaseDriftFactor) + leaseMargin
-	l.maxOrphanTimeout = election.MaxConfirmationAge + longestLease
-	epochs := make([]int64, len(l.predecessors))
+	l.maxOrphanTimeout = election.MaxConfirmationAge + time.Duration(float64(bounds.MaxLease)*shard.LeaseDriftFactor) + leaseMargin
+	formerLeaders := make([]shard.FormerLeader, len(l.predecessors))
 	for i, claim := range l.predecessors {
-		epochs[i] = claim.Epoch
+		formerLeaders[i] = shard.FormerLeader{Epoch: claim.Epoch, LimitsLeases: claim.LimitsLeases}
 	}
 	l.shard = shard.New(shard.Options{
 		Service: key, Epoch: epoch, Lease: lease, MaxWorkerLease: bounds.MaxLease,
-		FormerEpochs: epochs, ReplacedActsFor: formerLeaderActsFor, FormerActsFor: election.MaxConfirmationAge, FormerLease: longestLease,
-		ReplacedNeedsWitnesses: former.NeedsWitnesses, WitnessedLease: min(lease, witnessedLease), MaxUnwitnessedAge: election.MaxUnwitnessedAge, MaxWitnessAge: election.MaxWitnessAge,
+		FormerLeaders: formerLeaders, ReplacedActsFor: formerLeaderActsFor, FormerActsFor: election.MaxConfirmationAge, FormerLease: longestLease,
+		MaxUnwitnessedAge: election.MaxUnwitnessedAge, MaxWitnessAge: election.MaxWitnessAge,
 		FinalStateRetention: bounds.StateRetention,
 		Log:                 func(event string, keyvals ...any) { p.log(event, append(keyvals, "epoch", epoch)...) },
 	})
@@ -150,13 +152,14 @@
 	return former.ReleasedClaim
 }
 
-// maxFormerClaims bounds the claims that a leadership record names.
-const maxFormerClaims = 4
+// maxFormerClaims bounds the claims that a leadership record names. A leader that has read its
+// workers stores that the ones before it need not be considered.
+const maxFormerClaims = 8
 
 // formerClaims returns the claims of the leaders before the next one, the oldest first.
 func formerClaims(former election.Leader) []election.Claim {
 	epoch := replacedEpoch(former)
-	last := election.Claim{Epoch: epoch, Node: former.Node, Boot: former.Boot, Address: former.Address}
+	last := election.Claim{Epoch: epoch, Node: former.Node, Boot: former.Boot, Address: former.Address, LimitsLeases: former.LimitsLeases}
 	if epoch == shard.UnknownEpoch {
 		return []election.Claim{last}
 	}
@@ -176,10 +179,21 @@
 // hasAuthority reports whether this process can still prove that it is the leader.
 func (l *shardLeader) hasAuthority() bool {
 	age := l.confirmationAge()
-	if age >= l.maxConfirmationAge() {
-		return false
+	return l.holdsAt(age, l.leaseBasisAge(age))
+}
+
+// holdsAt reports whether the leader may act with a confirmation and a lease basis of these ages.
+func (l *shardLeader) holdsAt(age, basisAge time.Duration) bool {
+	return age < l.maxConfirmationAge() && (age < election.MaxUnwitnessedAge || basisAge < election.MaxWitnessAge)
+}
+
+// leaseBasisAge is how long ago the call was sent on which leases rest that are granted now, see
+// shard.SetLeaseBasis. The confirmation has the given age.
+func (l *shardLeader) leaseBasisAge(age time.Duration) time.Duration {
+	if age < election.MaxUnwitnessedAge {
+		return age
 	}
-	return age < election.MaxUnwitnessedAge || l.process.sinceBoot()-time.Duration(l.witnessed.Load()) < election.MaxWitnessAge
+	return l.process.sinceBoot() - time.Duration(l.witnessed.Load())
 }
 
 // maxConfirmationAge is the age of its confirmation up to which the leader
@@ -263,9 +277,12 @@
 	age := l.confirmationAge()
 	l.shard.SetConfirmed(now.Add(-age))
 	if age >= election.MaxUnwitnessedAge/2 {
+		l.shard.SetUndeletedWorkerRecords(int(l.pendingDeletions.Load()))
 		l.witnessed.Store(int64(l.shard.WitnessedAt()))
 	}
-	l.shard.SetAuthority(l.hasAuthority())
+	basisAge := l.leaseBasisAge(age)
+	l.shard.SetLeaseBasis(now.Add(-basisAge))
+	l.shard.SetAuthority(l.holdsAt(age, basisAge))
 }
 
 // controlLoop runs the enqueued functions and makes all decisions about the
--- a/internal/entry/waitlog_test.go
+++ b/internal/entry/waitlog_test.go
@@ -32,7 +32,7 @@
 	require.Eventually(t, func() bool { return len(c.site.Runs()) == 2 }, 20*time.Second, 5*time.Millisecond, "the task doesn't start again")
 	logs := next.logs.String()
 	require.Regexp(t, `name=rights-read node=\S+ rights=\d+ end=\d+ after=`, logs)
-	require.Regexp(t, `name=right-claimed .* former-boot=[1-9]\d* .* former-needs-witnesses=true predecessors=[1-9]`, logs)
+	require.Regexp(t, `name=right-claimed .* former-boot=[1-9]\d* .* former-limits-leases=true predecessors=[1-9]`, logs)
 	require.Regexp(t, `name=former-silent .* former-epoch=[1-9]\d* cause=`, logs)
 	require.Regexp(t, `name=unsettled .* unread=1 .* worker=i-review-\d lease-left=`, logs)
 	require.Regexp(t, `name=long-running-waiting .* task=0000000000000001\.0\.0\.0 for=.* waiting=1 .* cause=former-holder-unsettled`, logs)
--- a/internal/shard/formerleaders.go
+++ b/internal/shard/formerleaders.go
@@ -9,20 +9,37 @@
 
 // How the replaced leader ended says nothing of the leaders before it. One that is cut off
 // from the store may act, and renew leases, until its last confirmation is too old. So each
-// leader records when no leader before it acts any more. The next one has to consider only
-// the writer of that record and the leaders after it, each of which may be shown to have
-// ended.
+// leader records when the leases of the leaders before it end no later than its own. The next
+// one has to consider only the writer of that record and the leaders after it, each of which
+// may be shown to have ended or to have no witnesses.
 
-// formerLeader is a leader before this one.
+// formerLeader is a leader before this one that may still act at Load.
 type formerLeader struct {
-	epoch     int64
-	actsUntil time.Time // it grants no lease later
+	FormerLeader
+	actsUntil time.Time // it grants no lease later; only logged
 	leasesEnd time.Time // no lease that it granted lasts longer
+	// recorded is the number of workers that it knows to have a record, and read how many
+	// of them this leader has read.
+	recorded, read int
+	evidence       string // why it has these bounds; only logged
 }
 
-func (s *Shard) newFormerLeader(epoch int64, actsFor time.Duration) formerLeader {
-	actsUntil := s.loadedAt.Add(actsFor)
-	return formerLeader{epoch, actsUntil, actsUntil.Add(s.options.FormerLease)}
+func (s *Shard) newFormerLeader(leader FormerLeader, actsFor time.Duration) formerLeader {
+	f := formerLeader{FormerLeader: leader, actsUntil: s.loadedAt.Add(actsFor)}
+	f.leasesEnd = f.actsUntil.Add(s.formerLease(leader))
+	if leader.LimitsLeases && actsFor <= s.options.MaxUnwitnessedAge {
+		// Its leases rest on confirmations, and both partitions had refused it at Load.
+		f.leasesEnd = s.loadedAt.Add(s.options.FormerLease)
+	}
+	return f
+}
+
+// formerLease returns how long a lease of the leader can last after it was granted.
+func (s *Shard) formerLease(leader FormerLeader) time.Duration {
+	if leader.LimitsLeases {
+		return s.options.FormerLease
+	}
+	return s.options.FormerLease + s.restartedLeaseExtension() // it may have used the longest lease
 }
 
 // limit lowers the bounds of the leader.
@@ -36,7 +53,7 @@
 }
 
 // loadFormerLeaders determines the leaders that may still act. If the record names none of
-// FormerEpochs, leaders that aren't known may act too.
+// Options.FormerLeaders, leaders that aren't known may act too.
 func (s *Shard) loadFormerLeaders(records []Record) {
 	stored, readable := job.FormerLeadersRecord{}, true
 	for _, record := range records {
@@ -48,18 +65,18 @@
 			readable = false
 		}
 	}
-	first := slices.Index(s.options.FormerEpochs, stored.OverBefore)
+	first := slices.IndexFunc(s.options.FormerLeaders, func(leader FormerLeader) bool { return leader.Epoch == stored.OverBefore })
 	if !readable || first < 0 {
-		s.formerLeaders = []formerLeader{s.newFormerLeader(UnknownEpoch, s.options.FormerActsFor)}
+		s.formerLeaders = []formerLeader{s.newFormerLeader(FormerLeader{Epoch: UnknownEpoch}, s.options.FormerActsFor)}
 		return
 	}
-	for _, epoch := range s.options.FormerEpochs[first:] {
-		if epoch != 0 {
-			s.formerLeaders = append(s.formerLeaders, s.newFormerLeader(epoch, s.options.FormerActsFor))
+	for _, leader := range s.options.FormerLeaders[first:] {
+		if leader.Epoch != 0 {
+			s.formerLeaders = append(s.formerLeaders, s.newFormerLeader(leader, s.options.FormerActsFor))
 		}
 	}
 	if last := len(s.formerLeaders) - 1; last >= 0 {
-		s.formerLeaders[last] = s.newFormerLeader(s.formerLeaders[last].epoch, s.options.ReplacedActsFor)
+		s.formerLeaders[last] = s.newFormerLeader(s.formerLeaders[last].FormerLeader, s.options.ReplacedActsFor)
 	}
 }
 
@@ -67,11 +84,11 @@
 // endedAt. It returns the number of unread workers whose lease bound it lowered.
 func (s *Shard) FormerLeaderEnded(epoch int64, endedAt time.Time) int {
 	for i := range s.formerLeaders {
-		if f := &s.formerLeaders[i]; f.epoch == epoch {
-			f.limit(endedAt, endedAt.Add(s.options.FormerLease))
+		if f := &s.formerLeaders[i]; f.Epoch == epoch {
+			f.limit(endedAt, endedAt.Add(s.formerLease(f.FormerLeader)))
+			f.addEvidence(evidenceEnded)
 		}
 	}
-	s.recordFormerEvidence(epoch, evidenceEnded)
 	return s.lowerUnreadLeaseEnds()
 }
 
@@ -88,30 +105,22 @@
 	return lowered
 }
 
-// formerLeadersActUntil returns the time after which no former leader grants a lease.
-func (s *Shard) formerLeadersActUntil() time.Time {
-	until := s.loadedAt
-	for _, f := range s.formerLeaders {
-		until = maxTime(until, f.actsUntil)
-	}
-	return until
-}
-
 // formerLeasesEnd returns the time after which no lease of a former leader is left on any
-// worker.
+// worker. Leases of the leaders before the first of formerLeaders last no longer than those of
+// that one, which recorded it, see checkFormerLeadersOver.
 func (s *Shard) formerLeasesEnd() time.Time {
-	end := s.loadedAt.Add(s.options.FormerLease) // of leaders that are known to be over
+	end := s.loadedAt
 	for _, f := range s.formerLeaders {
 		end = maxTime(end, f.leasesEnd)
 	}
 	return end
 }
 
-// checkFormerLeadersOver schedules the record that no former leader acts any more once that
-// is certain. The times without proof count from Load: by then both partitions of the store
-// had refused the former leaders, so none of them has a later confirmation.
+// checkFormerLeadersOver schedules the record that the next leader needs to consider no leader
+// before this one, once no lease that one of them grants lasts longer than a lease of this leader.
+// A former leader may still act then, on what it was shown before.
 func (s *Shard) checkFormerLeadersOver(now time.Time) {
-	if s.formerLeadersOver || now.Before(s.formerLeadersActUntil()) {
+	if s.formerLeadersOver || now.Add(s.options.FormerLease).Before(s.formerLeasesEnd()) {
 		return
 	}
 	s.formerLeadersOver, s.formerLeadersUnrecorded = true, true
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -32,6 +32,9 @@
 
 func workerKey(id string) string { return workerPrefix + id }
 
+// IsWorkerKey reports whether a key is that of a worker's record.
+func IsWorkerKey(key string) bool { return strings.HasPrefix(key, workerPrefix) }
+
 // RecordGroup returns the group of a key within which deletions must keep their order:
 // the records of one job, or the record of one worker.
 func RecordGroup(key string) string {
@@ -113,9 +116,12 @@
 		}
 		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
 		w.suspensionTaken = w.suspensionTaken || w.suspended
-		w.recordTaken = true
+		if !w.recordTaken {
+			w.recordTaken, w.recordedBy = true, s.options.Epoch
+		}
 		add(workerKey(w.ID), job.WorkerRecord{
 			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(), Address: w.Address,
+			RecordedBy: w.recordedBy,
 		})
 		s.inFlightWorkers = append(s.inFlightWorkers, w)
 	}
@@ -226,6 +232,7 @@
 			s.loadWorker(now, id, record.Value)
 		}
 	}
+	s.limitUnwitnessedLeaders()
 	s.loadTrials(now, trials)
 	for id, stored := range progress {
 		if s.jobs[id] == nil && stored.State.Ended() {
@@ -247,7 +254,7 @@
 	}
 	w := &worker{
 		observedIncarnation: record.Incarnation, handledResult: record.HandledResult, recordStored: !record.Suspended, suspended: record.Suspended, suspensionTaken: record.Suspended,
-		recordTaken: true, recordConfirmed: true,
+		recordTaken: true, recordConfirmed: true, recordedBy: record.RecordedBy,
 		unlistedAt: now, bestEffortPace: fullPace,
 	}
 	w.loadUnstoredResults(record.Unstored)
@@ -263,7 +270,7 @@
 	}
 	s.workers[id] = w
 	s.workersToRead[id] = true
-	s.recordedWorkers++
+	s.addRecordedWorker(w)
 	s.sortWorkers()
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -97,10 +97,7 @@
 	listRead      bool // SetWorkers was called
 	// formerLeaders are the leaders that may still act at Load.
 	formerLeaders []formerLeader
-	// recordedWorkers is the number of workersToRead at Load, and readRecorded how many of
-	// them this leader has read.
-	recordedWorkers, readRecorded int
-	// formerLeadersOver means that no former leader acts any more, and
+	// formerLeadersOver means that the next leader needs to consider no former leader, and
 	// formerLeadersUnrecorded that no batch contains the record of it yet.
 	formerLeadersOver       bool
 	formerLeadersUnrecorded bool
@@ -119,10 +116,12 @@
 	// deletedWorkers and inFlightDeletedWorkers are the numbers of workers whose record is
 	// deleted by the next batch, and by the one that is being stored.
 	deletedWorkers, inFlightDeletedWorkers int
+	undeletedWorkers                       int // see SetUndeletedWorkerRecords
 
 	commands         Commands
 	authority        bool      // this process can still prove that it is the leader
 	confirmedAt      time.Time // see SetConfirmed
+	leaseBasis       time.Time // see SetLeaseBasis
 	shortAdviceLimit int
 	shortAdviceCalls int
 	longAdviceLimit  int
@@ -135,9 +134,7 @@
 	evaluations      int // workers that placement passes evaluated for steps
 	runChecks        int // checks of all runs
 	longRunningWaits longRunningWaits
-	// formerEvidence says why the bounds of former leaders were lowered, by epoch, and
 	// unsettledLoggedAt is when that was last logged.
-	formerEvidence    map[int64]string
 	unsettledLoggedAt time.Time
 }
 
--- a/internal/shard/unsettled.go
+++ b/internal/shard/unsettled.go
@@ -13,20 +13,16 @@
 	unsettledLogInterval = 2 * time.Second
 )
 
-// Values of Shard.formerEvidence.
+// Values of formerLeader.evidence.
 const (
 	evidenceEnded       = "ended"        // its process, or a later one at its address, said so
 	evidenceWorkersRead = "workers-read" // more than the witness share of the workers refuses it
 )
 
-// recordFormerEvidence records what bounds the time for which a former leader acts. It is only
-// logged.
-func (s *Shard) recordFormerEvidence(epoch int64, evidence string) {
-	if s.formerEvidence == nil {
-		s.formerEvidence = map[int64]string{}
-	}
-	if s.formerEvidence[epoch] != evidenceEnded {
-		s.formerEvidence[epoch] = evidence
+// addEvidence records what bounds the time for which the leader acts.
+func (f *formerLeader) addEvidence(evidence string) {
+	if f.evidence != evidenceEnded {
+		f.evidence = evidence
 	}
 }
 
@@ -53,7 +49,6 @@
 	}
 	fields := []any{
 		"service", s.options.Service, "for", now.Sub(s.loadedAt), "unread", blocking - incomplete, "incomplete", incomplete,
-		"read", s.readRecorded, "recorded", s.recordedWorkers, "needed", s.readsNeeded(),
 	}
 	fields = append(fields, s.formerLeaderFields(now)...)
 	if last != nil {
@@ -69,14 +64,17 @@
 	return end.After(otherEnd) || end.Equal(otherEnd) && w.ID < other.ID
 }
 
-// readsNeeded returns how many recorded workers this leader has to read to know that the
-// replaced one soon acts no more; 0 if no number shows that.
-func (s *Shard) readsNeeded() int {
-	last := len(s.formerLeaders) - 1
-	if !s.options.ReplacedNeedsWitnesses || last < 0 || s.formerLeaders[last].epoch == UnknownEpoch {
+// readsNeeded returns how many of its recorded workers have to be read to know that the leader
+// soon acts no more; 0 if no number shows that.
+func (f *formerLeader) readsNeeded() int {
+	if !f.LimitsLeases {
 		return 0
 	}
-	return s.recordedWorkers*witnessShareNumerator/witnessShareDenominator + 1
+	needed := 0
+	for !excludesWitnesses(needed, f.recorded) {
+		needed++
+	}
+	return needed
 }
 
 // formerLeaderFields returns log fields of the former leader whose leases end last, and of all
@@ -89,24 +87,24 @@
 		if last == nil || f.leasesEnd.After(last.leasesEnd) {
 			last = f
 		}
-		all = append(all, fmt.Sprintf("%d %s acts %s leases %s", f.epoch, s.evidenceOf(f), timeLeft(now, f.actsUntil), timeLeft(now, f.leasesEnd)))
+		all = append(all, fmt.Sprintf("%d %s acts %s leases %s", f.Epoch, f.logEvidence(), timeLeft(now, f.actsUntil), timeLeft(now, f.leasesEnd)))
 	}
 	if last == nil {
-		return []any{"former-epoch", 0, "former-evidence", evidenceEnded, "former-acts", time.Duration(0), "former-leases", timeLeft(now, s.formerLeasesEnd()), "formers", ""}
+		return []any{"former-epoch", 0, "former-evidence", evidenceEnded, "read", 0, "recorded", 0, "needed", 0, "former-acts", time.Duration(0), "former-leases", timeLeft(now, s.formerLeasesEnd()), "formers", ""}
 	}
 	return []any{
-		"former-epoch", last.epoch, "former-evidence", s.evidenceOf(last), "former-acts", timeLeft(now, last.actsUntil), "former-leases", timeLeft(now, last.leasesEnd),
+		"former-epoch", last.Epoch, "former-evidence", last.logEvidence(), "read", last.read, "recorded", last.recorded, "needed", last.readsNeeded(), "former-acts", timeLeft(now, last.actsUntil), "former-leases", timeLeft(now, last.leasesEnd),
 		"formers", strings.Join(all, ", "),
 	}
 }
 
-// evidenceOf returns why the bounds of a former leader are as they are.
-func (s *Shard) evidenceOf(f *formerLeader) string {
-	switch evidence := s.formerEvidence[f.epoch]; {
-	case f.epoch == UnknownEpoch:
+// logEvidence returns why the bounds of the leader are as they are.
+func (f *formerLeader) logEvidence() string {
+	switch {
+	case f.Epoch == UnknownEpoch:
 		return "unknown-epoch"
-	case evidence != "":
-		return evidence
+	case f.evidence != "":
+		return f.evidence
 	}
 	return "no-answer"
 }
--- a/internal/shard/witnesses.go
+++ b/internal/shard/witnesses.go
@@ -9,10 +9,13 @@
 // A leader that the store doesn't confirm can't know whether the store is down for all, so that
 // running work must live on, or whether it has a successor. The workers tell: they refuse a
 // leader once its successor has read them. So a leader without a recent confirmation acts only
-// while more than the witness share of the workers with a record in the store answer it, and a
-// successor that has read more than that share of them knows that the replaced leader soon acts
-// no more. Any two such sets have a worker in common, also if the records differ by up to a
-// fifth.
+// while more than the witness share of the workers with a record in the store answer it. If a
+// successor has read all the others, or more, some of these refuse the leader, which soon acts no
+// more.
+//
+// That holds for each former leader that may still act, with the records that it knows. These are
+// all that no later leader has added. A worker whose record a later leader has deleted refuses it,
+// or its leases are over. For its own records a leader counts each that a successor may read.
 
 const (
 	// The witness share is witnessShareNumerator/witnessShareDenominator.
@@ -29,12 +32,21 @@
 	return witnessShareDenominator*count > witnessShareNumerator*workers
 }
 
+// excludesWitnesses reports whether a leader has no witnesses if so many of the workers refuse it.
+func excludesWitnesses(refusing, workers int) bool {
+	return !exceedsWitnessShare(workers-refusing, workers)
+}
+
+// SetUndeletedWorkerRecords sets the number of records of workers that were deleted in a stored
+// batch, but that a successor may read, as a partition of the store has missed the batch.
+func (s *Shard) SetUndeletedWorkerRecords(count int) { s.undeletedWorkers = count }
+
 // WitnessedAt returns the latest reading of the clock of Report.PolledAt since which more than
 // the witness share of the recorded workers have answered a poll, or one that is an hour before
 // the clock's start. A worker that has restarted since the last confirmation doesn't count, as
 // it doesn't know the fencing token of a successor that read it before.
 func (s *Shard) WitnessedAt() time.Duration {
-	recorded := s.deletedWorkers + s.inFlightDeletedWorkers
+	recorded := s.deletedWorkers + s.inFlightDeletedWorkers + s.undeletedWorkers
 	polledAt := make([]time.Duration, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
 		if !w.recordTaken {
@@ -64,23 +76,48 @@
 	return s.needsWitnesses(now) && w.recordTaken && now.Sub(w.answeredPollSentAt) >= witnessPollInterval
 }
 
-// countRecordedRead counts a worker that this leader has read for the first time. Once it has
-// read more than the witness share of the recorded ones, the polls of the replaced leader's
-// witnesses were sent before.
+// addRecordedWorker counts a worker that former leaders recorded. The caller has determined
+// them.
+func (s *Shard) addRecordedWorker(w *worker) {
+	for i := range s.formerLeaders {
+		if f := &s.formerLeaders[i]; w.recordedBy <= f.Epoch {
+			f.recorded++
+		}
+	}
+}
+
+// limitUnwitnessedLeaders lowers the bounds of the former leaders that have no witnesses although
+// this leader has read none of the workers that they know. Call it after addRecordedWorker.
+func (s *Shard) limitUnwitnessedLeaders() {
+	for i := range s.formerLeaders {
+		if f := &s.formerLeaders[i]; f.LimitsLeases && excludesWitnesses(0, f.recorded) {
+			f.limit(s.loadedAt.Add(s.options.MaxUnwitnessedAge), s.loadedAt.Add(s.options.FormerLease))
+			f.addEvidence(evidenceWorkersRead)
+		}
+	}
+	s.lowerUnreadLeaseEnds()
+}
+
+// countRecordedRead counts a worker that this leader has read for the first time. Once a former
+// leader can have no more witnesses, all polls of those that it had were sent before.
 func (s *Shard) countRecordedRead(now time.Time, w *worker) {
 	if !s.workersToRead[w.ID] {
 		return
 	}
-	before := exceedsWitnessShare(s.readRecorded, s.recordedWorkers)
-	s.readRecorded++
-	last := len(s.formerLeaders) - 1
-	if before || !exceedsWitnessShare(s.readRecorded, s.recordedWorkers) || !s.options.ReplacedNeedsWitnesses || last < 0 || s.formerLeaders[last].epoch == UnknownEpoch {
-		return
+	limited := false
+	for i := range s.formerLeaders {
+		f := &s.formerLeaders[i]
+		if !f.LimitsLeases || w.recordedBy > f.Epoch || excludesWitnesses(f.read, f.recorded) {
+			continue
+		}
+		f.read++
+		if excludesWitnesses(f.read, f.recorded) {
+			f.limit(now.Add(s.options.MaxWitnessAge), now.Add(s.options.FormerLease))
+			f.addEvidence(evidenceWorkersRead)
+			limited = true
+		}
+	}
+	if limited {
+		s.lowerUnreadLeaseEnds()
 	}
-	actsUntil := now.Add(s.options.MaxWitnessAge)
-	shorter := time.Duration(float64(s.options.Lease-s.options.WitnessedLease) * LeaseDriftFactor)
-	unwitnessedLeasesEnd := s.loadedAt.Add(s.options.MaxUnwitnessedAge + s.options.FormerLease)
-	s.formerLeaders[last].limit(actsUntil, maxTime(actsUntil.Add(s.options.FormerLease-shorter), unwitnessedLeasesEnd))
-	s.recordFormerEvidence(s.formerLeaders[last].epoch, evidenceWorkersRead)
-	s.lowerUnreadLeaseEnds()
 }
