shard: long tasks aren't stopped as stalled while they progress

Cause: a run counted as stalled after 3 s without a higher whole percentage. One percent of a task over 5 min takes longer.

Change: a higher percentage or another checkpoint proves progress. Larger timeouts that a step has shown to need are stored, so that the next leader doesn't stop the runs that it adopts.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -237,8 +237,8 @@
 	State State `cbor:"1,keyasint"`
 	// EndedAt is the wall-clock time at which the final state was reached.
 	EndedAt time.Time `cbor:"2,keyasint,omitempty"`
-	// Tasks holds the tasks that are done, have failed, have a checkpoint or are
-	// suspected to crash workers.
+	// Tasks holds the tasks that are done, have failed, have a checkpoint, are
+	// suspected to crash workers or have a stall timeout.
 	Tasks []TaskProgress `cbor:"3,keyasint,omitempty"`
 	// CompletedOccurrences holds the numbers of the occurrences that are complete.
 	// They have no entries in Tasks.
@@ -272,6 +272,9 @@
 	// TrialCrashes, and LostTrials, count: a gang may lose several workers in one run.
 	CrashedRun int64 `cbor:"14,keyasint,omitempty"`
 	LostTrial  int64 `cbor:"15,keyasint,omitempty"`
+	// StallTimeout is the stall timeout of the step that its runs have shown to be needed.
+	// Only the first task of the step has it.
+	StallTimeout time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // WorkerRecord records that a worker may have tasks, and which of its run results were
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -21,18 +21,10 @@
 	// rejectionPause is how long a worker gets no new tasks after it rejected a
 	// start, for example because it is unhealthy.
 	rejectionPause = 500 * time.Millisecond
-	// stalledAfter is how long a run may make no progress before it counts as
-	// stalled. A healthy run of the longest task (11 s) progresses by one percent
-	// every 110 ms, and within 0.7 s if it is six times slower. Workers report every
-	// 1.5 s.
-	stalledAfter = 3 * time.Second
 	// provenAfter is how long a long-running run must be ready to show that its worker
 	// works. It never ends as done, which shows that for other runs, and may fail at any
 	// time.
 	provenAfter = 5 * time.Second
-	// noStallTimeout is the stall timeout of long-running tasks that are ready. It
-	// is about 146 years, so they never count as stalled.
-	noStallTimeout = 1 << 62 * time.Nanosecond
 )
 
 // health holds what past runs have shown about a worker.
@@ -280,34 +272,3 @@
 		w.isSlow = slow
 	}
 }
-
-// stallTimeout returns how long the run may make no progress before it counts as
-// stalled. At 100 percent a lack of progress is no sign of a fault: a gang member
-// that is ready waits for the others, which may take half as long again on another
-// rack.
-func (r *run) stallTimeout() time.Duration {
-	switch {
-	case r.percent < 100:
-		return stalledAfter
-	case r.task.step.spec.LongRunning:
-		return noStallTimeout
-	}
-	return stalledAfter + r.progressedAt.Sub(r.startedAt)/2
-}
-
-// stopStalledRuns stops runs that have stalled, and quarantines their workers.
-func (s *Shard) stopStalledRuns(now time.Time) {
-	for _, w := range s.sortedWorkers {
-		for _, r := range w.runs {
-			if r.phase != phaseRunning || w.lastReply.Sub(r.progressedAt) < r.stallTimeout() {
-				continue
-			}
-			s.options.Log("run-stalled", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "still-for", now.Sub(r.progressedAt))
-			wasExcluded := w.health.excluded(now)
-			w.health.quarantine(now)
-			s.logQuarantine(now, w, wasExcluded, "stalled")
-			r.task.avoidWorker = w.ID
-			s.stopRun(now, r)
-		}
-	}
-}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -152,12 +152,17 @@
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				trial := t.trialOf()
-				if !t.done && t.failures == 0 && t.checkpoint == "" && !t.suspected && trial == nil {
+				stallTimeout := time.Duration(0)
+				if t.index == 0 && !st.complete {
+					stallTimeout = st.stallTimeout
+				}
+				if stallTimeout == 0 && !t.done && t.failures == 0 && t.checkpoint == "" && !t.suspected && trial == nil {
 					continue
 				}
 				stored := job.TaskProgress{
 					Occurrence: o.number, Step: st.number, Index: t.index, Done: t.done, Failures: t.failures, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
 					Suspected: t.suspected, Crashes: t.crashes, TrialCrashes: t.trialCrashes, LostTrials: t.lostTrials, CrashedRun: t.crashedRun, LostTrial: t.lostTrial,
+					StallTimeout: stallTimeout,
 				}
 				if trial != nil {
 					stored.TrialRun, stored.TrialWorker = trial.number, trial.worker.ID
@@ -304,6 +309,7 @@
 		t.failures, t.failedRuns, t.checkpoint = stored.Failures, stored.FailedRuns, stored.Checkpoint
 		t.suspected, t.crashes, t.trialCrashes, t.lostTrials = stored.Suspected, stored.Crashes, stored.TrialCrashes, stored.LostTrials
 		t.crashedRun, t.lostTrial = stored.CrashedRun, stored.LostTrial
+		t.step.stallTimeout = max(t.step.stallTimeout, stored.StallTimeout)
 		if stored.TrialWorker != "" && !stored.Done {
 			trials = append(trials, storedTrial{t, stored.TrialRun, stored.TrialWorker})
 		}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -50,7 +50,10 @@
 // startRun creates a run of the task on the worker and sends the start order for it, or
 // for a suspected task stores the run first.
 func (s *Shard) startRun(now time.Time, t *task, w *worker, runNumber int64, ticket string) {
-	r := &run{task: t, number: runNumber, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, ticket: ticket, pace: fullPace}
+	r := &run{task: t, number: runNumber, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, provedAt: now, ticket: ticket, pace: fullPace, checkpoint: t.checkpoint, mayJump: t.checkpoint != ""}
+	if !r.mayJump {
+		r.measuredFrom = now
+	}
 	t.lastRunNumber = runNumber
 	s.attachRun(r)
 	if t.isSuspected() {
@@ -77,7 +80,7 @@
 // markRunning records that the worker has started the run. The worker is polled at
 // once unless a poll is in flight.
 func (s *Shard) markRunning(now time.Time, r *run) {
-	r.phase, r.startedAt, r.progressedAt = phaseRunning, now, now
+	r.phase, r.startedAt, r.progressedAt, r.provedAt = phaseRunning, now, now, now
 	s.markJobStarted(r.task.step.occurrence.job)
 	if !r.worker.pollInFlight && r.worker.nextPollAt.After(now) {
 		r.worker.nextPollAt = now
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -184,31 +184,35 @@
 	advice       advice
 	criticalPath time.Duration // estimated duration of the longest chain of steps that begins with this one
 	readyAt      time.Time
+	// stallTimeout is the stall timeout that runs of the step have shown to be needed, see
+	// learnStallTimeout; 0 if none has.
+	stallTimeout time.Duration
 	// lastExplained is when the reason why the step waits was last logged.
 	lastExplained time.Time
 }
 
 // task is the state of one task of a step.
 type task struct {
-	step          *step
-	index         int
-	done          bool
-	failures      int
-	failedRuns    []int64 // of a gang with a limit of attempts: numbers of the runs in failures
-	checkpoint    string
-	lastRunNumber int64 // highest run number so far
-	runs          []*run
-	avoidWorker   string    // ID of the worker on which a run failed, or was stopped as stalled or slow
-	lastWorker    string    // ID of the worker of the last run that is over; only logged
-	notBefore     time.Time // the earliest time of the next start
-	waitingSince  time.Time // when it was last requeued
-	moveCount     int       // number of moves off slow workers
-	suspected     bool      // it may be a poison task, see crash.go
-	crashes       int       // workers that crashed under a run whose start was confirmed
-	trialCrashes  int       // workers that crashed under a trial
-	crashedRun    int64     // number of the last run under which a crash was counted
-	lostTrials    int       // trials whose worker was lost, with or without a crash
-	lostTrial     int64     // run number of the last one
+	step            *step
+	index           int
+	done            bool
+	failures        int
+	failedRuns      []int64 // of a gang with a limit of attempts: numbers of the runs in failures
+	checkpoint      string
+	lastRunNumber   int64 // highest run number so far
+	runs            []*run
+	avoidWorker     string    // ID of the worker on which a run failed, or was stopped as stalled or slow
+	lastWorker      string    // ID of the worker of the last run that is over; only logged
+	notBefore       time.Time // the earliest time of the next start
+	waitingSince    time.Time // when it was last requeued
+	moveCount       int       // number of moves off slow workers
+	unmeasuredStall bool      // a run was stopped as stalled before its speed was measured
+	suspected       bool      // it may be a poison task, see crash.go
+	crashes         int       // workers that crashed under a run whose start was confirmed
+	trialCrashes    int       // workers that crashed under a trial
+	crashedRun      int64     // number of the last run under which a crash was counted
+	lostTrials      int       // trials whose worker was lost, with or without a crash
+	lostTrial       int64     // run number of the last one
 }
 
 // phase is the stage of a run between its start order and its end.
@@ -237,15 +241,26 @@
 	firstPercentAt  time.Time
 	slowness        float64   // projected run time as a multiple of the estimate; 0 if unknown
 	progressedAt    time.Time // last increase of percent
-	ticket          string
-	stopRequested   bool
-	usage           float64 // tail latency or CPU use, see RunStatus.Usage
-	pace            int     // speed in percent that was ordered last, or paceUnknown
-	survivedStart   bool    // it was reported startupPeriod after its start, or adopted
-	trial           bool    // of a suspected task
-	unsent          bool    // a trial whose start order has not been sent
-	loaded          bool    // a trial that a former leader stored and no report has shown
-	lossRecorded    bool    // recordLoss has handled the loss of its worker
+	provedAt        time.Time // last proof of progress: an increase of percent or another checkpoint
+	checkpoint      string    // the one that it started with, or a report showed last
+	// mayJump means that the next increase of percent may be a jump, to what a checkpoint
+	// restored or to the percent of an adopted run.
+	mayJump bool
+	// measuredFrom and measuredFromPercent are the first increase of percent that is no
+	// jump, or the start of a run without a checkpoint, and percentTime is the mean time of
+	// a percent since then. They are zero if unknown.
+	measuredFrom        time.Time
+	measuredFromPercent float64
+	percentTime         time.Duration
+	ticket              string
+	stopRequested       bool
+	usage               float64 // tail latency or CPU use, see RunStatus.Usage
+	pace                int     // speed in percent that was ordered last, or paceUnknown
+	survivedStart       bool    // it was reported startupPeriod after its start, or adopted
+	trial               bool    // of a suspected task
+	unsent              bool    // a trial whose start order has not been sent
+	loaded              bool    // a trial that a former leader stored and no report has shown
+	lossRecorded        bool    // recordLoss has handled the loss of its worker
 	// readyAt is when a report first showed a long-running run at 100 percent, and
 	// provedWorker means that one showed it provenAfter later.
 	readyAt      time.Time
--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -138,7 +138,7 @@
 		if w == nil {
 			continue
 		}
-		r := &run{task: trial.task, number: trial.number, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, pace: paceUnknown, trial: true, loaded: true,
+		r := &run{task: trial.task, number: trial.number, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, provedAt: now, pace: paceUnknown, mayJump: true, trial: true, loaded: true,
 			leaseHeldUntil: now.Add(s.options.Lease), // it was ordered by now
 		}
 		trial.task.lastRunNumber = max(trial.task.lastRunNumber, trial.number)
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -346,7 +346,7 @@
 		case status != nil:
 			s.updateRun(now, r, status)
 		case w.resultsIncomplete: // its result may not be listed yet
-			r.progressedAt = now
+			r.progressedAt, r.provedAt = now, now
 		case r.loaded: // the worker refuses a later order of the former leader
 			s.removeRun(now, r, "not-listed")
 		// A run is over if a report doesn't list it although the poll was sent after
@@ -378,13 +378,7 @@
 	}
 	s.updateSurvival(now, r)
 	r.usage = status.Usage
-	if r.mayBeHalted() {
-		r.progressedAt = now
-	}
-	if status.Percent > r.percent {
-		r.percent, r.progressedAt = status.Percent, now
-		r.updateSlowness(now)
-	}
+	s.updateProgress(now, r, status)
 	r.updateProof(now, status)
 	if status.Checkpoint != "" && status.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint = status.Checkpoint
@@ -410,7 +404,7 @@
 	// When the run started isn't known. Most are beyond their start, and a run that isn't
 	// known to be at it must not make its task suspected.
 	r := &run{
-		task: t, number: status.Run, worker: w, phase: phaseRunning, orderedAt: now, startedAt: now, progressedAt: now, pace: paceUnknown, survivedStart: true,
+		task: t, number: status.Run, worker: w, phase: phaseRunning, orderedAt: now, startedAt: now, progressedAt: now, provedAt: now, pace: paceUnknown, mayJump: true, survivedStart: true,
 	}
 	s.attachRun(r)
 	t.lastRunNumber = max(t.lastRunNumber, status.Run)
