shard: long tasks with low estimates aren't moved as slow

Cause: runs that took 2.8 times their estimates made their worker slow, and were moved up to twice each, however much work was lost. With long tasks whose estimates are too low all workers seem slow.

Change: only runs with estimates up to 30 s count for the speed of a worker. A run of a task with a longer estimate that saves no progress is moved only in its first 30 s.

--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -126,7 +126,7 @@
 		return
 	}
 	r.worker.health.recordSuccess()
-	if estimate := r.task.step.spec.Estimate; estimate > 0 && !r.adopted() {
+	if estimate := r.task.step.spec.Estimate; r.showsSlowness() && !r.adopted() {
 		r.worker.health.addSample(now, r.task.step.occurrence.job.id, float64(duration)/float64(estimate))
 	}
 }
@@ -162,6 +162,9 @@
 	// maxMoves bounds how often a task is moved off slow workers. A task whose
 	// estimate is far too low looks slow on every worker.
 	maxMoves = 2
+	// maxLostWork is how long a run of a long task that saves no progress may have worked
+	// when it is moved. Its estimate may be far too low, so the move may gain nothing.
+	maxLostWork = 30 * time.Second
 	// minMoveGain is the least gain for which a run is moved. The gain is the
 	// remaining time of the run, less moveCost, divided by the expected time of a new
 	// run.
@@ -200,6 +203,20 @@
 	}
 }
 
+// showsSlowness reports whether the slowness of the run counts for its worker. All
+// estimates of long tasks may be far too low.
+func (r *run) showsSlowness() bool {
+	estimate := r.task.step.spec.Estimate
+	return estimate > 0 && estimate <= shortEstimate
+}
+
+// keepsWork reports whether the run isn't moved, as more than maxLostWork of a long task
+// would be lost.
+func (r *run) keepsWork(now time.Time) bool {
+	spec := r.task.step.spec
+	return spec.Estimate > shortEstimate && !spec.SavesProgress && (r.adopted() || now.Sub(r.startedAt) > maxLostWork)
+}
+
 // measuredSlow reports whether the worker's runs take far longer than estimated.
 // The estimate of a single job may be far off, so the runs of several jobs have to be
 // slow.
@@ -216,7 +233,7 @@
 		}
 	}
 	for _, r := range w.runs {
-		if r.slowness > 0 {
+		if r.slowness > 0 && r.showsSlowness() {
 			add(r.task.step.occurrence.job.id, r.slowness)
 		}
 	}
@@ -234,13 +251,15 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.phase != phaseRunning || r.stopRequested || r.task.step.spec.Speculative || r.task.moveCount >= maxMoves || r.slowness < slowFactor || !s.endsSooner(now, r) {
+			if r.phase != phaseRunning || r.stopRequested || r.task.step.spec.Speculative || r.task.moveCount >= maxMoves || r.slowness < slowFactor || r.keepsWork(now) || !s.endsSooner(now, r) {
 				continue
 			}
 			s.options.Log("run-moved", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "slowness", r.slowness)
 			r.task.avoidWorker = w.ID
 			r.task.moveCount++
-			w.health.addSample(now, r.task.step.occurrence.job.id, r.slowness)
+			if r.showsSlowness() {
+				w.health.addSample(now, r.task.step.occurrence.job.id, r.slowness)
+			}
 			s.stopRunOrGang(now, r)
 		}
 	}
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -203,3 +203,27 @@
 		})
 	}
 }
+
+// Guards against long tasks that are moved as slow, and lose their work, because their estimates
+// are far too low: the worker seems slow to the runs of all jobs on it.
+func TestLongTasksWithLowEstimatesAreNotMoved(t *testing.T) {
+	for name, test := range map[string]struct{ estimate, runTime time.Duration }{
+		"10 min, estimated at 1 min": {time.Minute, 10 * time.Minute},
+		"1 h, estimated at 10 min":   {10 * time.Minute, time.Hour},
+		"8 h, estimated at 1 h":      {time.Hour, 8 * time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 124, 3, workerSize)
+			sim.advance(time.Second)
+			for i := range 6 {
+				sim.submit(id(i), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 4000, test.estimate)}}, test.runTime)
+			}
+			sim.advance(time.Second)
+			sim.tickLength = 50 * time.Millisecond
+			sim.advance(test.runTime / 50)
+			sim.addWorker(workerSize)
+			sim.requireAllEnded(test.runTime + time.Minute)
+			require.Equal(t, 6, sim.startCount, "each task runs once")
+		})
+	}
+}
