shard: members of a gang start with one checkpoint

Cause: each member started with the checkpoint that its own runs had reported last, and an order that was sent again with the newest one of that moment.

Change: the checkpoint of a gang is kept and stored with its first task. A run keeps the checkpoint with which it was created. The model worker checks that all members of a run start with one value, and that a run of the gang made it; gangs in the random jobs save their progress.

Before: all 8 cases of TestGangMembersStartWithOneCheckpoint broke that rule (crash of a member, change of leader before, with and after it, a checkpoint that only some members have reached, late ends, lost answers); they hold now, as does TestGangWithSeveralStoredCheckpointsStartsWithOne.

--- a/internal/shard/faults_test.go
+++ b/internal/shard/faults_test.go
@@ -32,7 +32,7 @@
 	terms := job.Terms{Queue: "q", Priority: sim.random.IntN(3), MaxAttempts: 3, Stretch: 3, Target: 2 * time.Second}
 	small := job.Step{Count: 1 + sim.random.IntN(6), Demand: job.Demand{MilliCPU: 1000, MemoryMB: 500}, Estimate: 700 * time.Millisecond}
 	large := job.Step{Count: 1 + sim.random.IntN(4), Demand: job.Demand{MilliCPU: 4000, MemoryMB: 2000}, Estimate: 3 * time.Second, After: []int{0}}
-	gang := job.Step{Count: 2, Demand: job.Demand{MilliCPU: 7000, MemoryMB: 3000}, Estimate: 2 * time.Second, Gang: true}
+	gang := job.Step{Count: 2, Demand: job.Demand{MilliCPU: 7000, MemoryMB: 3000}, Estimate: 2 * time.Second, Gang: true, SavesProgress: true}
 	longRunning := job.Step{Count: 2, Demand: job.Demand{MilliCPU: 500, MemoryMB: 500}, Estimate: 500 * time.Millisecond, LongRunning: true}
 	switch sim.random.IntN(8) {
 	case 0, 1, 2:
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -194,7 +194,7 @@
 	}
 	if r.firstPercentAt.IsZero() {
 		r.firstPercent, r.firstPercentAt = r.percent, now
-		if !r.adopted() && r.task.checkpoint == "" { // it started at 0 percent
+		if !r.adopted() && r.task.newestCheckpoint() == "" { // it started at 0 percent
 			r.firstPercent, r.firstPercentAt = 0, r.startedAt
 		}
 	}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -306,7 +306,8 @@
 		if t == nil {
 			continue
 		}
-		t.failures, t.failedRuns, t.checkpoint = stored.Failures, stored.FailedRuns, stored.Checkpoint
+		t.failures, t.failedRuns = stored.Failures, stored.FailedRuns
+		t.loadCheckpoint(stored.Checkpoint)
 		t.suspected, t.crashes, t.trialCrashes, t.lostTrials = stored.Suspected, stored.Crashes, stored.TrialCrashes, stored.LostTrials
 		t.crashedRun, t.lostTrial = stored.CrashedRun, stored.LostTrial
 		t.step.stallTimeout = max(t.step.stallTimeout, stored.StallTimeout)
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -114,9 +114,7 @@
 	}
 	s.options.Log("run-ended", "task", result.Task, "run", result.Run, "worker", w.ID, "how", result.EndReason, "sequence", result.Sequence, "after", duration,
 		"estimate", t.step.spec.Estimate, "unseen", min(w.replyInterval, duration), "worker-slow", w.isSlow)
-	if result.Checkpoint != "" {
-		t.checkpoint = result.Checkpoint
-	}
+	t.saveCheckpoint(result.Run, result.Checkpoint)
 	if j.state.Ended() {
 		return
 	}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -50,11 +50,12 @@
 // startRun creates a run of the task on the worker and sends the start order for it, or
 // for a suspected task stores the run first.
 func (s *Shard) startRun(now time.Time, t *task, w *worker, runNumber int64, ticket string) {
-	r := &run{task: t, number: runNumber, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, provedAt: now, ticket: ticket, pace: fullPace, checkpoint: t.checkpoint, mayJump: t.checkpoint != ""}
+	checkpoint := t.newestCheckpoint()
+	r := &run{task: t, number: runNumber, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, provedAt: now, ticket: ticket, pace: fullPace, checkpoint: checkpoint, mayJump: checkpoint != ""}
 	if !r.mayJump {
 		r.measuredFrom = now
 	}
-	t.lastRunNumber = runNumber
+	t.lastRunNumber, t.step.checkpointRun = runNumber, runNumber
 	s.attachRun(r)
 	if t.isSuspected() {
 		s.prepareTrial(r)
@@ -73,7 +74,7 @@
 	s.commands.Starts = append(s.commands.Starts, Start{
 		RunKey: RunKey{r.task.name(), r.number}, Target: r.worker.target(),
 		Text: r.task.step.occurrence.job.accepted.Spec.Text, LeaseUntil: until,
-		Checkpoint: r.task.checkpoint, Ticket: r.ticket,
+		Checkpoint: r.checkpoint, Ticket: r.ticket,
 	})
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -184,6 +184,9 @@
 	advice       advice
 	criticalPath time.Duration // estimated duration of the longest chain of steps that begins with this one
 	readyAt      time.Time
+	// checkpointRun is the number of the last run of a gang. Checkpoints of earlier ones
+	// are ignored.
+	checkpointRun int64
 	// stallTimeout is the stall timeout that runs of the step have shown to be needed, see
 	// learnStallTimeout; 0 if none has.
 	stallTimeout time.Duration
@@ -198,8 +201,8 @@
 	done            bool
 	failures        int
 	failedRuns      []int64 // of a gang with a limit of attempts: numbers of the runs in failures
-	checkpoint      string
-	lastRunNumber   int64 // highest run number so far
+	checkpoint      string  // of a gang in its first task, see newestCheckpoint
+	lastRunNumber   int64   // highest run number so far
 	runs            []*run
 	avoidWorker     string    // ID of the worker on which a run failed, or was stopped as stalled or slow
 	lastWorker      string    // ID of the worker of the last run that is over; only logged
@@ -243,6 +246,7 @@
 	progressedAt    time.Time // last increase of percent
 	provedAt        time.Time // last proof of progress: an increase of percent or another checkpoint
 	checkpoint      string    // the one that it started with, or a report showed last
+	madeCheckpoint  bool      // a report has shown another one than it started with, or it was adopted with one
 	// mayJump means that the next increase of percent may be a jump, to what a checkpoint
 	// restored or to the percent of an adopted run.
 	mayJump bool
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -60,6 +60,8 @@
 	handledFailures   map[string]int           // by task name: failed runs whose result the leader acknowledged
 	handledFailedRuns map[shard.RunKey]bool    // the same runs
 	lastStarts        map[string]time.Duration // by task name
+	madeCheckpoints   map[string]bool
+	gangCheckpoints   map[shard.RunKey]string // by step name and run number: what the members of a gang start with
 	// poisonTasks crash each worker that starts them. crashes counts the workers that
 	// crashed under a task, otherCrashes those that no poison task crashed, and
 	// startsAfterCrashes the starts after crashesBeforeBudget crashes.
@@ -307,6 +309,7 @@
 	if submitted == nil {
 		submitted = &modelJob{
 			id: id, spec: spec, terms: terms, runTimes: runTimes, doneTasks: map[string]bool{}, doneHandledAt: map[string]time.Duration{}, handledFailures: map[string]int{}, handledFailedRuns: map[shard.RunKey]bool{}, lastStarts: map[string]time.Duration{},
+			madeCheckpoints: map[string]bool{}, gangCheckpoints: map[shard.RunKey]string{},
 			poisonTasks: map[string]bool{}, crashes: map[string]int{}, otherCrashes: map[string]int{}, startsAfterCrashes: map[string]int{},
 		}
 		sim.jobs[id] = submitted
@@ -380,6 +383,7 @@
 			}
 		}
 	}
+	submitted.checkCheckpoint(sim, start, spec)
 	if used := m.used().Plus(spec.Reserved()); !used.Fits(m.capacity) {
 		sim.addViolation("LIMIT: %s on %s: %v of %v", start.Task, m.id, used, m.capacity)
 	}
@@ -414,6 +418,23 @@
 	}
 }
 
+// checkCheckpoint records a violation if a task starts with a checkpoint that no run of it, or of
+// its gang, made, or a member of a gang with another one than the members before it.
+func (j *modelJob) checkCheckpoint(sim *simulation, start shard.Start, spec *job.Step) {
+	owner := start.Task
+	if spec.Gang {
+		owner = start.Task[:strings.LastIndex(start.Task, ".")+1]
+		key := shard.RunKey{Task: owner, Run: start.Run}
+		if first, known := j.gangCheckpoints[key]; known && first != start.Checkpoint {
+			sim.addViolation("GANG: %s run %d starts with checkpoint %q, another member with %q", start.Task, start.Run, start.Checkpoint, first)
+		}
+		j.gangCheckpoints[key] = start.Checkpoint
+	}
+	if start.Checkpoint != "" && (!j.madeCheckpoints[start.Checkpoint] || !strings.Contains(start.Checkpoint+"-", "-"+owner)) {
+		sim.addViolation("UNASKED: %s run %d starts with checkpoint %q, which isn't its own", start.Task, start.Run, start.Checkpoint)
+	}
+}
+
 // everDone reports whether a run of the task, or of its gang, ended as done, even if the
 // leader has not handled the result.
 func (sim *simulation) everDone(submitted *modelJob, taskName string) bool {
--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -39,7 +39,7 @@
 		r.progressedAt, r.provedAt, r.measuredFrom = now, now, time.Time{}
 	}
 	if status.Checkpoint != "" && status.Checkpoint != r.checkpoint {
-		r.checkpoint, r.provedAt = status.Checkpoint, now
+		r.checkpoint, r.madeCheckpoint, r.provedAt = status.Checkpoint, true, now
 	}
 	if status.Percent <= r.percent {
 		return
--- a/internal/shard/workers.go
+++ b/internal/shard/workers.go
@@ -380,9 +380,7 @@
 	r.usage = status.Usage
 	s.updateProgress(now, r, status)
 	r.updateProof(now, status)
-	if status.Checkpoint != "" && status.Checkpoint != r.task.checkpoint {
-		r.task.checkpoint = status.Checkpoint
-	}
+	r.task.saveCheckpoint(r.number, status.Checkpoint)
 }
 
 // adoptRun takes over a listed run that this leader doesn't know, such as one that a
