shard: short tasks that stand still after their first percents are found as soon as before

Cause: since a run that stood still after one percent seemed to be one of a long task: eight times the time of that percent were allowed, measured between two reports.

Change: three times for tasks with an estimate of at most 30 s.

--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -18,6 +18,9 @@
 	// time after which it is stalled. Workers may become six times slower, and best-effort
 	// tasks be paced to a fifth of their speed.
 	stallPercents = 8
+	// shortStallPercents is the same for tasks with an estimate of at most shortEstimate. A
+	// run that stands still early must not seem to be one of a long task.
+	shortStallPercents = 3
 	// noStallTimeout is the stall timeout of long-running tasks that are ready. It
 	// is about 146 years, so they never count as stalled.
 	noStallTimeout = 1 << 62 * time.Nanosecond
@@ -55,7 +58,16 @@
 		return
 	}
 	r.percentTime = max(1, time.Duration(float64(now.Sub(r.measuredFrom))/(status.Percent-r.measuredFromPercent)))
-	s.learnStallTimeout(r.task.step, stallPercents*r.percentTime)
+	s.learnStallTimeout(r.task.step, r.measuredTimeout())
+}
+
+// measuredTimeout returns the stall timeout of a run whose speed is measured.
+func (r *run) measuredTimeout() time.Duration {
+	percents := time.Duration(stallPercents)
+	if r.task.step.spec.Estimate <= shortEstimate {
+		percents = shortStallPercents
+	}
+	return max(stalledAfter, percents*r.percentTime)
 }
 
 // learnStallTimeout raises the stall timeout of runs of a step whose speed isn't measured.
@@ -87,7 +99,7 @@
 		return stalledAfter + worked/2
 	}
 	if r.percentTime > 0 {
-		return max(stalledAfter, stallPercents*r.percentTime)
+		return r.measuredTimeout()
 	}
 	return max(unmeasuredTimeout(st.spec.Estimate), st.stallTimeout)
 }
--- a/internal/shard/stall_test.go
+++ b/internal/shard/stall_test.go
@@ -163,6 +163,7 @@
 		estimate, runTime, stallsAfter, limit time.Duration
 	}{
 		"short, at the start":                 {11 * time.Second, 11 * time.Second, 0, 3 * time.Second},
+		"short, after a percent":              {11 * time.Second, 11 * time.Second, 150 * time.Millisecond, 3 * time.Second},
 		"short, later":                        {11 * time.Second, 11 * time.Second, 5 * time.Second, 3 * time.Second},
 		"30 s":                                {30 * time.Second, 30 * time.Second, 10 * time.Second, 3 * time.Second},
 		"10 min, at the start":                {10 * time.Minute, 10 * time.Minute, 0, 5 * time.Minute},
