shard: tasks estimated at 30 to 100 s that stand still from their start are found sooner

Change: a tenth of the estimate up to 100 s, so tasks of these may be ten times longer than estimated instead of 50 times.

--- a/internal/shard/stall.go
+++ b/internal/shard/stall.go
@@ -10,9 +10,10 @@
 	// One percent of such a task takes 0.3 s, and 3 s if the task is ten times longer than
 	// estimated.
 	shortEstimate = 30 * time.Second
-	// A run whose speed hasn't been measured is stalled after half its estimate, at most
-	// maxUnmeasuredTime, or after a tenth of it if that is longer. So a task that was
-	// estimated at 10 min may take 8 h.
+	// A run whose speed hasn't been measured is stalled after a tenth of its estimate. Over
+	// longEstimate it is half the estimate, up to maxUnmeasuredTime: a task that was estimated
+	// at 10 min may take 8 h.
+	longEstimate      = 100 * time.Second
 	maxUnmeasuredTime = 5 * time.Minute
 	// stallPercents is the number of percents that a run at its measured speed makes in the
 	// time after which it is stalled. Workers may become six times slower, and best-effort
@@ -29,10 +30,11 @@
 // unmeasuredTimeout returns how long a run with this estimate may show no progress before
 // its speed is measured.
 func unmeasuredTimeout(estimate time.Duration) time.Duration {
-	if estimate <= shortEstimate {
-		return stalledAfter
+	timeout := max(stalledAfter, estimate/10)
+	if estimate > longEstimate {
+		timeout = max(timeout, min(estimate/2, maxUnmeasuredTime))
 	}
-	return max(min(estimate/2, maxUnmeasuredTime), estimate/10)
+	return timeout
 }
 
 // updateProgress updates the proofs of progress of a run: a higher percentage or another
