--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -21,18 +21,10 @@
 	// rejectionPause is how long a worker gets no new tasks after it rejected a
 	// start, for example because it is unhealthy.
 	rejectionPause = 500 * time.Millisecond
-	// stalledAfter is how long a run may make no progress before it counts as
-	// stalled. A healthy run of the longest task (11 s) progresses by one percent
-	// every 110 ms, and within 0.7 s if it is six times slower. Workers report every
-	// 1.5 s.
-	stalledAfter = 3 * time.Second
 	// provenAfter is how long a long-running run must be ready to show that its worker
 	// works. It never ends as done, which shows that for other runs, and may fail at any
 	// time.
 	provenAfter = 5 * time.Second
-	// noStallTimeout is the stall timeout of long-running tasks that are ready. It
-	// is about 146 years, so they never count as stalled.
-	noStallTimeout = 1 << 62 * time.Nanosecond
 )
 
 // health holds what past runs have shown about a worker.
@@ -134,7 +126,7 @@
 		return
 	}
 	r.worker.health.recordSuccess()
-	if estimate := r.task.step.spec.Estimate; estimate > 0 && !r.adopted() {
+	if estimate := r.task.step.spec.Estimate; r.showsSlowness() && !r.adopted() {
 		r.worker.health.addSample(now, r.task.step.occurrence.job.id, float64(duration)/float64(estimate))
 	}
 }
@@ -170,6 +162,9 @@
 	// maxMoves bounds how often a task is moved off slow workers. A task whose
 	// estimate is far too low looks slow on every worker.
 	maxMoves = 2
+	// maxLostWork is how long a run of a long task that saves no progress may have worked
+	// when it is moved. Its estimate may be far too low, so the move may gain nothing.
+	maxLostWork = 30 * time.Second
 	// minMoveGain is the least gain for which a run is moved. The gain is the
 	// remaining time of the run, less moveCost, divided by the expected time of a new
 	// run.
@@ -199,7 +194,7 @@
 	}
 	if r.firstPercentAt.IsZero() {
 		r.firstPercent, r.firstPercentAt = r.percent, now
-		if !r.adopted() && r.task.checkpoint == "" { // it started at 0 percent
+		if !r.adopted() && r.task.newestCheckpoint() == "" { // it started at 0 percent
 			r.firstPercent, r.firstPercentAt = 0, r.startedAt
 		}
 	}
@@ -208,6 +203,20 @@
 	}
 }
 
+// showsSlowness reports whether the slowness of the run counts for its worker. All
+// estimates of long tasks may be far too low.
+func (r *run) showsSlowness() bool {
+	estimate := r.task.step.spec.Estimate
+	return estimate > 0 && estimate <= shortEstimate
+}
+
+// keepsWork reports whether the run isn't moved, as more than maxLostWork of a long task
+// would be lost.
+func (r *run) keepsWork(now time.Time) bool {
+	spec := r.task.step.spec
+	return spec.Estimate > shortEstimate && !spec.SavesProgress && (r.adopted() || now.Sub(r.startedAt) > maxLostWork)
+}
+
 // measuredSlow reports whether the worker's runs take far longer than estimated.
 // The estimate of a single job may be far off, so the runs of several jobs have to be
 // slow.
@@ -224,7 +233,7 @@
 		}
 	}
 	for _, r := range w.runs {
-		if r.slowness > 0 {
+		if r.slowness > 0 && r.showsSlowness() {
 			add(r.task.step.occurrence.job.id, r.slowness)
 		}
 	}
@@ -242,13 +251,15 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.phase != phaseRunning || r.stopRequested || r.task.step.spec.Speculative || r.task.moveCount >= maxMoves || r.slowness < slowFactor || !s.endsSooner(now, r) {
+			if r.phase != phaseRunning || r.stopRequested || r.task.step.spec.Speculative || r.task.moveCount >= maxMoves || r.slowness < slowFactor || r.keepsWork(now) || !s.endsSooner(now, r) {
 				continue
 			}
 			s.options.Log("run-moved", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "slowness", r.slowness)
 			r.task.avoidWorker = w.ID
 			r.task.moveCount++
-			w.health.addSample(now, r.task.step.occurrence.job.id, r.slowness)
+			if r.showsSlowness() {
+				w.health.addSample(now, r.task.step.occurrence.job.id, r.slowness)
+			}
 			s.stopRunOrGang(now, r)
 		}
 	}
@@ -280,34 +291,3 @@
 		w.isSlow = slow
 	}
 }
-
-// stallTimeout returns how long the run may make no progress before it counts as
-// stalled. At 100 percent a lack of progress is no sign of a fault: a gang member
-// that is ready waits for the others, which may take half as long again on another
-// rack.
-func (r *run) stallTimeout() time.Duration {
-	switch {
-	case r.percent < 100:
-		return stalledAfter
-	case r.task.step.spec.LongRunning:
-		return noStallTimeout
-	}
-	return stalledAfter + r.progressedAt.Sub(r.startedAt)/2
-}
-
-// stopStalledRuns stops runs that have stalled, and quarantines their workers.
-func (s *Shard) stopStalledRuns(now time.Time) {
-	for _, w := range s.sortedWorkers {
-		for _, r := range w.runs {
-			if r.phase != phaseRunning || w.lastReply.Sub(r.progressedAt) < r.stallTimeout() {
-				continue
-			}
-			s.options.Log("run-stalled", "task", r.task.name(), "run", r.number, "worker", w.ID, "percent", r.percent, "still-for", now.Sub(r.progressedAt))
-			wasExcluded := w.health.excluded(now)
-			w.health.quarantine(now)
-			s.logQuarantine(now, w, wasExcluded, "stalled")
-			r.task.avoidWorker = w.ID
-			s.stopRun(now, r)
-		}
-	}
-}
--- a/internal/shard/runs.go
+++ b/internal/shard/runs.go
@@ -50,8 +50,12 @@
 // startRun creates a run of the task on the worker and sends the start order for it, or
 // for a suspected task stores the run first.
 func (s *Shard) startRun(now time.Time, t *task, w *worker, runNumber int64, ticket string) {
-	r := &run{task: t, number: runNumber, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, ticket: ticket, pace: fullPace}
-	t.lastRunNumber = runNumber
+	checkpoint := t.newestCheckpoint()
+	r := &run{task: t, number: runNumber, worker: w, phase: phaseStarting, orderedAt: now, progressedAt: now, provedAt: now, ticket: ticket, pace: fullPace, checkpoint: checkpoint, mayJump: checkpoint != ""}
+	if !r.mayJump {
+		r.measuredFrom = now
+	}
+	t.lastRunNumber, t.step.checkpointRun = runNumber, runNumber
 	s.attachRun(r)
 	if t.isSuspected() {
 		s.prepareTrial(r)
@@ -70,14 +74,14 @@
 	s.commands.Starts = append(s.commands.Starts, Start{
 		RunKey: RunKey{r.task.name(), r.number}, Target: r.worker.target(),
 		Text: r.task.step.occurrence.job.accepted.Spec.Text, LeaseUntil: until,
-		Checkpoint: r.task.checkpoint, Ticket: r.ticket,
+		Checkpoint: r.checkpoint, Ticket: r.ticket,
 	})
 }
 
 // markRunning records that the worker has started the run. The worker is polled at
 // once unless a poll is in flight.
 func (s *Shard) markRunning(now time.Time, r *run) {
-	r.phase, r.startedAt, r.progressedAt = phaseRunning, now, now
+	r.phase, r.startedAt, r.progressedAt, r.provedAt = phaseRunning, now, now, now
 	s.markJobStarted(r.task.step.occurrence.job)
 	if !r.worker.pollInFlight && r.worker.nextPollAt.After(now) {
 		r.worker.nextPollAt = now
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -22,6 +22,7 @@
 // virtual time. Whether the shard keeps its rules is checked from their point of view.
 
 const (
+	// tickLength is the usual time of a tick; the longest that a shard allows is 50 ms.
 	tickLength = 10 * time.Millisecond
 	taskLease  = 6 * time.Second
 	// maxWorkerLease is the longest lease that a worker grants itself.
@@ -59,6 +60,8 @@
 	handledFailures   map[string]int           // by task name: failed runs whose result the leader acknowledged
 	handledFailedRuns map[shard.RunKey]bool    // the same runs
 	lastStarts        map[string]time.Duration // by task name
+	madeCheckpoints   map[string]bool
+	gangCheckpoints   map[shard.RunKey]string // by step name and run number: what the members of a gang start with
 	// poisonTasks crash each worker that starts them. crashes counts the workers that
 	// crashed under a task, otherCrashes those that no poison task crashed, and
 	// startsAfterCrashes the starts after crashesBeforeBudget crashes.
@@ -136,6 +139,11 @@
 	// means that its address refuses connections meanwhile.
 	crashLength time.Duration
 	refuses     bool
+	// checkpointInterval is the work after which a run that saves its progress makes a
+	// checkpoint.
+	checkpointInterval time.Duration
+	// tickLength is the time of a tick, of which 400 ms is a multiple.
+	tickLength time.Duration
 	// onStart is called for each start on a worker, unless it is nil.
 	onStart func(start shard.Start)
 }
@@ -143,7 +151,7 @@
 func newSimulation(t testing.TB, seed uint64, workers int, capacity job.Demand) *simulation {
 	sim := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), startTime: time.Unix(1_700_000_000, 0), jobs: map[string]*modelJob{},
-		store: map[string][]byte{}, allowedShare: 0.7, stopTime: 200 * time.Millisecond, crashLength: 3 * time.Second,
+		store: map[string][]byte{}, allowedShare: 0.7, stopTime: 200 * time.Millisecond, crashLength: 3 * time.Second, tickLength: tickLength, checkpointInterval: 500 * time.Millisecond,
 	}
 	for range workers {
 		sim.addWorker(capacity)
@@ -258,7 +266,7 @@
 
 // advance runs the simulation for a time, in ticks.
 func (sim *simulation) advance(length time.Duration) {
-	for end := sim.now + length; sim.now < end; sim.now += tickLength {
+	for end := sim.now + length; sim.now < end; sim.now += sim.tickLength {
 		sort.SliceStable(sim.messages, func(i, j int) bool { return sim.messages[i].at < sim.messages[j].at })
 		due := sim.messages
 		split := sort.Search(len(due), func(i int) bool { return due[i].at > sim.now })
@@ -301,6 +309,7 @@
 	if submitted == nil {
 		submitted = &modelJob{
 			id: id, spec: spec, terms: terms, runTimes: runTimes, doneTasks: map[string]bool{}, doneHandledAt: map[string]time.Duration{}, handledFailures: map[string]int{}, handledFailedRuns: map[shard.RunKey]bool{}, lastStarts: map[string]time.Duration{},
+			madeCheckpoints: map[string]bool{}, gangCheckpoints: map[shard.RunKey]string{},
 			poisonTasks: map[string]bool{}, crashes: map[string]int{}, otherCrashes: map[string]int{}, startsAfterCrashes: map[string]int{},
 		}
 		sim.jobs[id] = submitted
@@ -374,6 +383,7 @@
 			}
 		}
 	}
+	submitted.checkCheckpoint(sim, start, spec)
 	if used := m.used().Plus(spec.Reserved()); !used.Fits(m.capacity) {
 		sim.addViolation("LIMIT: %s on %s: %v of %v", start.Task, m.id, used, m.capacity)
 	}
@@ -408,6 +418,23 @@
 	}
 }
 
+// checkCheckpoint records a violation if a task starts with a checkpoint that no run of it, or of
+// its gang, made, or a member of a gang with another one than the members before it.
+func (j *modelJob) checkCheckpoint(sim *simulation, start shard.Start, spec *job.Step) {
+	owner := start.Task
+	if spec.Gang {
+		owner = start.Task[:strings.LastIndex(start.Task, ".")+1]
+		key := shard.RunKey{Task: owner, Run: start.Run}
+		if first, known := j.gangCheckpoints[key]; known && first != start.Checkpoint {
+			sim.addViolation("GANG: %s run %d starts with checkpoint %q, another member with %q", start.Task, start.Run, start.Checkpoint, first)
+		}
+		j.gangCheckpoints[key] = start.Checkpoint
+	}
+	if start.Checkpoint != "" && (!j.madeCheckpoints[start.Checkpoint] || !strings.Contains(start.Checkpoint+"-", "-"+owner)) {
+		sim.addViolation("UNASKED: %s run %d starts with checkpoint %q, which isn't its own", start.Task, start.Run, start.Checkpoint)
+	}
+}
+
 // everDone reports whether a run of the task, or of its gang, ended as done, even if the
 // leader has not handled the result.
 func (sim *simulation) everDone(submitted *modelJob, taskName string) bool {
