shard, entry: acceptance counts the advice that waiting steps need

Cause: with two of six nodes left the adviser's time is what is short, and acceptance counted only CPU and GPUs. Both nodes made short and long calls, and the adviser serves one call at a time for each node, so that calls of 19 ms waited for 490 ms.

Change: of two nodes one is reserved for short calls. A node may have four short calls in flight, and eight if it also makes long ones. A job that needs advice is refused if the calls that waiting steps of its priority or above still need take so long that it would be late. The rate of the calls is measured, so it includes the calls of other shards.

--- a/internal/entry/export_test.go
+++ b/internal/entry/export_test.go
@@ -21,3 +21,6 @@
 func (p *Process) WrapPeerTransport(wrap func(http.RoundTripper) http.RoundTripper) {
 	p.peerClient.client.Transport = wrap(p.peerClient.client.Transport)
 }
+
+// AdviceSlotsOf is how many calls for advice this number of nodes may have in flight.
+var AdviceSlotsOf = adviceSlotsOf
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -57,12 +57,16 @@
 
 // shortAdviceCallsPerNode is how many short calls for advice a leader may have in
 // flight for each node that makes them: the adviser serves one at a time from
-// each machine, and a second one waits there, so that it begins as soon as the
-// first ends. The leader may have one long call in flight for each node that
+// each machine, and the others wait there, so that each begins as soon as the
+// one before ends, also if the leader is in another region. The leader may have one long call in flight for each node that
 // makes long calls.
-const shortAdviceCallsPerNode = 2
+const shortAdviceCallsPerNode = 4
 
-// shortAdviceNodeDivisor reserves 1 of every 3 nodes for short calls for
+// shortAdviceCallsPerSharedNode is the same for a node that also makes long calls: between
+// two long calls the adviser serves all short calls that wait.
+const shortAdviceCallsPerSharedNode = 8
+
+// shortAdviceNodeDivisor reserves 1 of every 3 nodes, and 1 of 2, for short calls for
 // advice, which take at most shard.MaxShortAdvice. All leaders choose the same
 // nodes, in the order of liveNodes.
 const shortAdviceNodeDivisor = 3
@@ -103,17 +107,32 @@
 	return addresses
 }
 
+// reservedNodes returns how many of the live nodes are reserved for short calls for
+// advice. It is at least one as soon as there are two nodes: where both kinds share a node,
+// each short call waits for a long call of each leader.
+func reservedNodes(nodes int) int {
+	if nodes < 2 {
+		return 0
+	}
+	return max(1, nodes/shortAdviceNodeDivisor)
+}
+
 // adviceSlots is how many calls for advice, short and long, all live nodes
 // together may have in flight.
 func (l *shardLeader) adviceSlots() (short, long int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	addresses := l.liveNodes(time.Now())
-	shortAdviceNodes := len(addresses) / shortAdviceNodeDivisor
-	if shortAdviceNodes == 0 {
-		return len(addresses) * shortAdviceCallsPerNode, len(addresses)
+	return adviceSlotsOf(len(l.liveNodes(time.Now())))
+}
+
+// adviceSlotsOf is how many calls for advice, short and long, this number of nodes may
+// have in flight.
+func adviceSlotsOf(nodes int) (short, long int) {
+	reserved := reservedNodes(nodes)
+	if reserved == 0 {
+		return nodes * shortAdviceCallsPerSharedNode, nodes
 	}
-	return shortAdviceNodes * shortAdviceCallsPerNode, len(addresses) - shortAdviceNodes
+	return reserved * shortAdviceCallsPerNode, nodes - reserved
 }
 
 // leastLoadedNode picks the node for a call for advice: the one with the fewest
@@ -124,7 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	addresses := l.liveNodes(time.Now())
-	shortAdviceNodes := len(addresses) / shortAdviceNodeDivisor
+	shortAdviceNodes := reservedNodes(len(addresses))
 	if short && shortAdviceNodes > 0 {
 		addresses = addresses[:shortAdviceNodes]
 	} else {
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -271,10 +271,14 @@
 	return sum & 0xffff
 }
 
-// adviceTime returns the expected time of an advice call that names this many
-// workers.
+// adviceTime returns the expected time of an advice call for the step that names this
+// many workers.
 func adviceTime(st *step, workers int) time.Duration {
-	terms := &st.occurrence.job.accepted.Terms
+	return adviceTimeFor(&st.occurrence.job.accepted.Terms, workers)
+}
+
+// adviceTimeFor returns the expected time of an advice call for a step of a queue.
+func adviceTimeFor(terms *job.Terms, workers int) time.Duration {
 	return terms.AdviceTime + time.Duration(workers)*terms.AdviceTimePerWorker
 }
 
@@ -330,6 +334,7 @@
 		st.advice.retryAt = now.Add(adviceRetryDelay)
 		return
 	}
+	s.waitingAdvice.recordCall(&st.occurrence.job.accepted.Terms, request.ExpectedTime, now.Sub(st.advice.askedAt))
 	if st.advice.askedWorkers == nil {
 		st.advice.askedWorkers, st.advice.tickets = map[string]int64{}, map[string]ticket{}
 	}
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -248,7 +248,7 @@
 	if sim.dropAdvice {
 		return
 	}
-	sim.schedule(request.ExpectedTime, inst, func(now time.Time) {
+	sim.schedule(sim.serveAdvice(request.ExpectedTime), inst, func(now time.Time) {
 		var allowed []shard.AllowedWorker
 		for _, id := range request.Workers {
 			if sim.adviserAllows(request.Step, id) {
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -46,7 +46,7 @@
 	if !s.authority {
 		return AcceptResult{Outcome: Refused, Reason: "the holder of the service has lost touch with the store", RetryAfter: time.Second}
 	}
-	if reason, after := s.admit(&terms, &spec); reason != "" {
+	if reason, after := s.admit(now, &terms, &spec); reason != "" {
 		s.options.Log("refused", "job", id, "queue", terms.Queue, "reason", reason, "retry-after", after)
 		return AcceptResult{Outcome: Refused, Reason: reason, RetryAfter: after}
 	}
@@ -117,7 +117,7 @@
 }
 
 // admit returns why a job is refused and when to retry, or "" if it is accepted.
-func (s *Shard) admit(terms *job.Terms, spec *job.Spec) (reason string, retryAfter time.Duration) {
+func (s *Shard) admit(now time.Time, terms *job.Terms, spec *job.Spec) (reason string, retryAfter time.Duration) {
 	for i := range spec.Steps {
 		if len(s.seenCapacities) > 0 && !s.fitsSomewhere(&spec.Steps[i]) {
 			return "no worker of the service holds a task of this size", time.Minute
@@ -126,7 +126,7 @@
 	if s.openTasks >= maxOpenTasks {
 		return "the service holds too many tasks", tooManyTasksRetryAfter
 	}
-	return s.checkOverload(terms, spec)
+	return s.checkOverload(now, terms, spec)
 }
 
 const (
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -70,7 +70,7 @@
 		startDeadline time.Time
 	}
 	list := make([]ranked, 0, len(s.readySteps))
-	s.waitingWork = backlog{}
+	s.waitingWork, s.waitingAdvice.waiting = backlog{}, [adviceKinds][priorityLevels]time.Duration{}
 	for st := range s.readySteps {
 		if !st.hasStartable(now) {
 			if !st.hasIdle() {
@@ -84,6 +84,7 @@
 		} else {
 			s.waitingWork.addStep(st)
 		}
+		s.addStepAdvice(st, r.tooLate == 1)
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
--- a/internal/shard/overload.go
+++ b/internal/shard/overload.go
@@ -14,6 +14,9 @@
 	// as estimates are off by half and a job that becomes worthless is placed
 	// after all others.
 	maxWaitFactor = 2.5
+	// maxAdviceWaitFactor is the same for a job that waits for advice. The adviser is fully
+	// used then, and a job accepted beyond its objective would only delay the others.
+	maxAdviceWaitFactor = 1.0
 	// minRetryAfter is the expected wait up to which no job is refused, and the
 	// shortest time after which a refused caller is told to retry.
 	minRetryAfter = time.Second
@@ -77,8 +80,9 @@
 
 // checkOverload returns why a job is refused for lack of capacity and when to retry,
 // or "" if it is accepted. It is refused if the work ahead of it takes so long that
-// the job would be worthless, or nearly so, at its end.
-func (s *Shard) checkOverload(terms *job.Terms, spec *job.Spec) (reason string, retryAfter time.Duration) {
+// the job would be worthless, or nearly so, at its end, or the advice for that work so long
+// that the job would be late.
+func (s *Shard) checkOverload(now time.Time, terms *job.Terms, spec *job.Spec) (reason string, retryAfter time.Duration) {
 	if len(s.sortedWorkers) == 0 || spec.Repeat > 0 {
 		return "", 0
 	}
@@ -89,13 +93,16 @@
 	}
 	criticalPath := criticalPathOf(spec)
 	objective := objectiveOf(terms, criticalPath)
-	wait := s.expectedWait(terms.Priority)
-	if wait <= minRetryAfter || float64(wait+criticalPath) <= maxWaitFactor*float64(objective) {
+	wait, factor, reason := s.expectedWait(terms.Priority), maxWaitFactor, "the work that waits before the job takes longer than the job may"
+	if adviceWait := s.expectedAdviceWait(now, terms); adviceWait > wait {
+		wait, factor, reason = adviceWait, maxAdviceWaitFactor, "the advice for the work that waits before the job takes longer than the job may"
+	}
+	if wait <= minRetryAfter || float64(wait+criticalPath) <= factor*float64(objective) {
 		return "", 0
 	}
 	// After wait + criticalPath - objective the backlog has shrunk so far that the
 	// job would end on time.
-	return "the work that waits before the job takes longer than the job may", min(max(wait+criticalPath-objective, minRetryAfter), maxRetryAfter)
+	return reason, min(max(wait+criticalPath-objective, minRetryAfter), maxRetryAfter)
 }
 
 // addToBacklog adds a job's first steps to the backlog until the next pass
@@ -104,6 +111,7 @@
 	for i := range spec.Steps {
 		if len(spec.Steps[i].After) == 0 {
 			s.waitingWork.addWork(terms, &spec.Steps[i], spec.Steps[i].Count)
+			s.addAdvice(terms, priorityLevel(terms.Priority))
 		}
 	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -85,6 +85,7 @@
 	workers       map[string]*worker
 	sortedWorkers []*worker // by ID
 	waitingWork   backlog
+	waitingAdvice adviceBacklog
 	// allowedShares is the share of workers that the adviser allows, by queue.
 	allowedShares map[string]float64
 	// seenCapacities are the capacities of all workers ever listed, without those that are
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -114,6 +114,9 @@
 	maxListedResults int
 	adviceCalls      int  // number of advice calls
 	dropAdvice       bool // the adviser answers no more calls
+	// adviserNodes holds when the adviser is done with the last call of each node that
+	// makes calls. It is empty if calls don't wait for others.
+	adviserNodes []time.Duration
 	// adviserTime is the total expected time of the advice calls.
 	adviserTime time.Duration
 	// allowedShares are the shares of workers that the adviser allows, by queue name.
