election: the delay of a claim counts from when the confirmation is stale (LOST)

Callers saw a task that lasts without a run for 25 s, as no node replaced a leader that the store alone refused. Cause: the claim was due some time after the last answered heartbeat, and a monitor sends one each 0.25 s. A node that is far from the store (0.35 s), leads a shard (0.5 s) or is small (0.8 s) never claimed.

The delay counts from when the confirmation became stale, or from when the store had served this node for as long, which heartbeats don't move.

Two new cases of TestDecide fail without the change.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -259,7 +259,7 @@
 		return v.RefusedSince.Add(RefusedAfter), ConnectionRefused
 	case v.Now.Sub(v.LastHeard) < SuspectTimeout(v.IsMonitor, v.HeartbeatInterval):
 		if v.ConfirmationAge >= StaleConfirmationAge && v.StoreHealthyFor >= StaleConfirmationAge {
-			return v.LastHeard, Unconfirmed
+			return v.unconfirmedSince(), Unconfirmed
 		}
 		return time.Time{}, Heard
 	case v.HeardByPeer:
@@ -272,6 +272,17 @@
 	return v.LastHeard.Add(SuspectTimeout(v.IsMonitor, v.HeartbeatInterval)), Silent
 }
 
+// unconfirmedSince is the time since which the leader's confirmation has been stale while the
+// store served this node. Heartbeats don't move it, as they come more often than some nodes may
+// claim.
+func (v View) unconfirmedSince() time.Time {
+	stale := v.LastHeard.Add(StaleConfirmationAge - v.ConfirmationAge)
+	if served := v.Now.Add(StaleConfirmationAge - v.StoreHealthyFor); served.After(stale) {
+		return served
+	}
+	return stale
+}
+
 // isolated reports whether the node reaches no other node. Then it is most
 // likely the node that is cut off, and not the leader.
 func (v View) isolated() bool { return v.PeersAsked > 0 && v.PeersReached == 0 }
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -84,6 +84,18 @@
 		"a leader without a recent confirmation is replaced though it answers": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(200 * time.Millisecond), ConfirmationAge: election.StaleConfirmationAge, StoreHealthyFor: election.StaleConfirmationAge, NearStore: true}, true, "without-proof",
 		},
+		"a far node leaves a leader without a recent confirmation to near ones": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(200 * time.Millisecond), ConfirmationAge: election.StaleConfirmationAge, StoreHealthyFor: time.Hour}, false, "without-proof",
+		},
+		"a far node replaces it after FarStoreDelay though it answers a heartbeat more often": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(50 * time.Millisecond), ConfirmationAge: election.StaleConfirmationAge + election.FarStoreDelay, StoreHealthyFor: time.Hour}, true, "without-proof",
+		},
+		"a node that leads another shard replaces it after LeaderLoadDelay": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(50 * time.Millisecond), ConfirmationAge: election.StaleConfirmationAge + election.LeaderLoadDelay, StoreHealthyFor: time.Hour, NearStore: true, ShardsLed: 1}, true, "without-proof",
+		},
+		"a far node that the store serves again waits for near ones": {
+			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(50 * time.Millisecond), ConfirmationAge: 10 * election.StaleConfirmationAge, StoreHealthyFor: election.StaleConfirmationAge}, false, "without-proof",
+		},
 		"a leader without a recent confirmation stays while the store is down": {
 			election.View{IsMonitor: true, Now: now, Leader: leader, LastHeard: ago(200 * time.Millisecond), ConfirmationAge: 3 * election.StaleConfirmationAge, StoreHealthyFor: election.StaleConfirmationAge / 2, NearStore: true}, false, "heard",
 		},
