--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -42,10 +42,8 @@
 	// adviceTimeout is added to the time that the adviser needs.
 	adviceTimeout = 2 * time.Second
 	// maxLease is the longest time from a confirmation to the end of a lease that rests on
-	// it: the age of the confirmation (0.4 s), one status poll (0.8 s) and twice the
-	// replacement of a leader (1.4 s). Tasks of a dead worker are started elsewhere only after
-	// their lease has ended: if its leader is lost too, 4.6 s after the next one has loaded
-	// the state, of the 7 s that the users' platform allows after the last failure.
+	// it. Runs have to outlive the age of the confirmation, a status poll and two changes of
+	// leader in a row, but tasks of a lost worker are started elsewhere only after it.
 	maxLease = 4 * time.Second
 	// leaseMargin covers the travel time of a former leader's last order.
 	leaseMargin = 500 * time.Millisecond
--- a/internal/shard/witnesses.go
+++ b/internal/shard/witnesses.go
@@ -9,13 +9,12 @@
 // A leader that the store doesn't confirm can't know whether the store is down for all, so that
 // running work must live on, or whether it has a successor. The workers tell: they refuse a
 // leader once its successor has read them. So a leader without a recent confirmation acts only
-// while more than the witness share of the workers with a record in the store answer it. If a
-// successor has read all the others, or more, some of these refuse the leader, which soon acts no
-// more.
+// while more than the witness share of the workers with a record in the store answer it. Once a
+// successor has read so many that no such share is left, the leader soon acts no more.
 //
-// That holds for each former leader that may still act, with the records that it knows. These are
-// all that no later leader has added. A worker whose record a later leader has deleted refuses it,
-// or its leases are over. For its own records a leader counts each that a successor may read.
+// A successor concludes this for each former leader, from the records that no later leader has
+// added. A worker whose record a later leader has deleted refuses the former one, or its leases
+// are over. A leader counts every record of its own that a successor may read.
 
 const (
 	// The witness share is witnessShareNumerator/witnessShareDenominator.
