--- a/internal/entry/leaderchange_test.go
+++ b/internal/entry/leaderchange_test.go
@@ -32,7 +32,7 @@
 	worker.SetDown(true)
 	began := time.Now()
 	require.Eventually(t, func() bool { return len(c.site.Runs()) == 2 }, 25*time.Second, 20*time.Millisecond)
-	require.Less(t, time.Since(began), 8*time.Second, "a lease of 5 s on a clock that is 2% slow, and the travel time of an order")
+	require.Less(t, time.Since(began), 8*time.Second, "a lease of 4 s on a clock that is 2% slow, and the travel time of an order")
 	require.NotSame(t, leader, c.leader("review"))
 	worker.SetDown(false)
 	require.Eventually(t, func() bool { return !c.site.Runs()[0].EndedAt.IsZero() }, 5*time.Second, 20*time.Millisecond)
