--- a/internal/shard/lostleaders_test.go
+++ b/internal/shard/lostleaders_test.go
@@ -16,12 +16,8 @@
 // restartedAfter returns the time until a task starts anew. The tasks of lost workers fit on the
 // last one.
 func (sim *simulation) restartedAfter() time.Duration {
-	began, started := sim.now, sim.startCount
 	sim.workers[len(sim.workers)-1].capacity.MilliCPU *= len(sim.workers)
-	for sim.startCount == started && sim.now < began+30*time.Second {
-		sim.advance(tickLength)
-	}
-	return sim.now - began
+	return sim.advanceToStart(sim.now, sim.startCount)
 }
 
 // Guards against tasks that last and wait for 16 s although the next leader has read so many workers
--- a/internal/shard/witnesses_test.go
+++ b/internal/shard/witnesses_test.go
@@ -13,6 +13,15 @@
 // and the time in which the next leader reads the workers.
 const maxWaitForLostLeader = orphanTimeoutAfterCrash + 500*time.Millisecond
 
+// advanceToStart advances until more than so many tasks have been started, or 30 s after the given
+// time. It returns the time since then.
+func (sim *simulation) advanceToStart(since time.Duration, started int) time.Duration {
+	for sim.startCount == started && sim.now < since+30*time.Second {
+		sim.advance(tickLength)
+	}
+	return sim.now - since
+}
+
 // standingTasks submits a job with a task that lasts for each worker, and returns once they run.
 func (sim *simulation) standingTasks(milliCPU int) {
 	sim.t.Helper()
@@ -67,10 +76,7 @@
 			}
 			// The tasks of the other workers fit here.
 			sim.workers[c.restarts].capacity.MilliCPU *= 6
-			for sim.startCount == started && sim.now < changed+30*time.Second {
-				sim.advance(tickLength)
-			}
-			restartedAt := sim.now - changed
+			restartedAt := sim.advanceToStart(changed, started)
 			sim.advance(10 * time.Second)
 			require.Empty(t, sim.violations)
 			require.LessOrEqual(t, restartedAt, c.max)
@@ -126,10 +132,7 @@
 			changed, started := sim.now, sim.startCount
 			// The tasks of the other workers fit here.
 			sim.workers[0].capacity.MilliCPU *= 6
-			for sim.startCount == started && sim.now < changed+30*time.Second {
-				sim.advance(tickLength)
-			}
-			restartedAt := sim.now - changed
+			restartedAt := sim.advanceToStart(changed, started)
 			sim.advance(10 * time.Second)
 			require.Empty(t, sim.violations)
 			require.LessOrEqual(t, restartedAt, c.max)
