--- a/review/standin-3/movedqueue.go
+++ b/review/standin-3/movedqueue.go
@@ -24,6 +24,9 @@
 
 var standardServices = []string{"zigo56a", "gopu72b"}
 
+// movedRoutes are the routes after the first one was replaced by one for another service.
+var movedRoutes = []route{{"r-k3p0v7e", "/lohu930/", "gopu72b"}, {"r-s989anu", "/cufi504/", "gopu72b"}}
+
 // startsAfterDone returns the runs that started after a run of the same task had ended as
 // done, if that end was taken note of.
 func startsAfterDone(runs []run) []run {
@@ -39,8 +42,8 @@
 	return again
 }
 
-// playMovedQueue hands a job in, lets it complete, moves its queue to another service by a
-// new manifest, and sends the same request again, as consumers do seconds after the answer.
+// playMovedQueue hands a job in, lets it complete, replaces its route by one for another
+// service in a new manifest, and sends the same request again, as consumers do seconds after the answer.
 func playMovedQueue(folder, scratch string, trouble bool) (int, error) {
 	const id = "5c0e7a21d94b36f8"
 	before := []route{{"r-ji9n73h", "/lohu930/", "zigo56a"}, {"r-s989anu", "/cufi504/", "gopu72b"}}
@@ -55,8 +58,8 @@
 	}
 	after := before
 	if trouble {
-		after = []route{{"r-ji9n73h", "/lohu930/", "gopu72b"}, {"r-s989anu", "/cufi504/", "gopu72b"}}
-		s.record("operator: version 5 sends the queue r-ji9n73h to gopu72b")
+		after = movedRoutes
+		s.record("operator: version 5 removes the route r-ji9n73h and adds r-k3p0v7e, with the same host and path, for gopu72b")
 	} else {
 		s.record("operator: version 5 changes nothing")
 	}
--- a/review/standin-3/sparepool.go
+++ b/review/standin-3/sparepool.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// playSparePool lets a job complete, moves its queue to another service, empties the
-// former one and sets it to spare. Then it asks for the job.
+// playSparePool lets a job complete, replaces its route by one for another service, empties
+// the former one and sets it to spare. Then it asks for the job.
 func playSparePool(folder, scratch string, trouble bool) (int, error) {
 	const id = "5c0e7a21d94b36f9"
 	before := []route{{"r-ji9n73h", "/lohu930/", "zigo56a"}, {"r-s989anu", "/cufi504/", "gopu72b"}}
@@ -22,9 +22,9 @@
 	acceptedAt := time.Now()
 	after, spare := before, ""
 	if trouble {
-		after, spare = []route{{"r-ji9n73h", "/lohu930/", "gopu72b"}, {"r-s989anu", "/cufi504/", "gopu72b"}}, "zigo56a"
+		after, spare = movedRoutes, "zigo56a"
 	}
-	s.record("operator: version 5 sends the queue r-ji9n73h to %s", after[0].service)
+	s.record("operator: in version 5 the route of /lohu930/ is %s, for %s", after[0].name, after[0].service)
 	s.configure(manifestText(5, after, standardServices, ""))
 	time.Sleep(configApply + time.Second)
 	if trouble {
