--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -32,7 +32,7 @@
 	"moved-queue": playMovedQueue,
 	"spare-pool":  playSparePool,
 	"far-future":  playFarFuture,
-	"crashes":     playCrashes,
+	"standing":    playStanding,
 }
 
 func main() {
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -19,6 +19,10 @@
 	entryLifetime = 3 * heartbeat
 	maxHold       = 6 * time.Second
 	maxListedEnds = 500
+	// standing is the text of a task that lasts. It is at work after startup.
+	standing = "standing"
+	startup  = 300 * time.Millisecond
+	lastsFor = time.Hour
 )
 
 // run is one run of a task, as the worker saw it.
@@ -63,9 +67,22 @@
 type liveRun struct {
 	*run
 	duration time.Duration
+	lasts    bool
 	timer    *time.Timer
 }
 
+// percent is the progress that the worker reports.
+func (r *liveRun) percent() int {
+	age := time.Since(r.startedAt)
+	switch {
+	case !r.lasts:
+		return min(99, int(100*age/max(1, r.duration)))
+	case age < startup:
+		return 0
+	}
+	return 100
+}
+
 type end struct {
 	sequence int64
 	run      *run
@@ -237,17 +254,21 @@
 		return
 	}
 	milliseconds, err := strconv.Atoi(call.Spec)
-	if err != nil {
+	lasts := call.Spec == standing
+	if err != nil && !lasts {
 		answer(response, http.StatusBadRequest, map[string]any{"clock-ms": w.clock()})
 		return
 	}
 	w.extendLease(call.UntilMS)
 	duration := time.Duration(milliseconds) * time.Millisecond
-	live := &liveRun{run: &run{task: call.Task, number: call.Run, worker: w.id, startedAt: time.Now()}, duration: duration}
+	live := &liveRun{run: &run{task: call.Task, number: call.Run, worker: w.id, startedAt: time.Now()}, duration: duration, lasts: lasts}
 	w.running[key] = live
 	w.site.addRun(live.run)
 	w.site.record("worker %s (%s) starts %s run %d", w.id, w.service, call.Task, call.Run)
 	life := w.life
+	if lasts {
+		duration = lastsFor
+	}
 	live.timer = time.AfterFunc(duration, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -340,8 +361,7 @@
 	running, ended := [][]any{}, [][]any{}
 	for _, key := range slices.Sorted(maps.Keys(w.running)) {
 		live := w.running[key]
-		age := time.Since(live.startedAt)
-		running = append(running, []any{live.task, live.number, "", min(99, int(100*age/max(1, live.duration))), 0})
+		running = append(running, []any{live.task, live.number, "", live.percent(), 0})
 	}
 	for _, e := range w.ended[:min(len(w.ended), maxListedEnds)] {
 		ended = append(ended, []any{e.sequence, e.run.task, e.run.number, e.run.how, ""})
