--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -29,10 +29,11 @@
 
 // cases are the cases by name. They return the exit code.
 var cases = map[string]func(folder, scratch string, trouble bool) (int, error){
-	"moved-queue": playMovedQueue,
-	"spare-pool":  playSparePool,
-	"far-future":  playFarFuture,
-	"standing":    playStanding,
+	"lost-leaders": playLostLeaders,
+	"moved-queue":  playMovedQueue,
+	"spare-pool":   playSparePool,
+	"far-future":   playFarFuture,
+	"standing":     playStanding,
 }
 
 func main() {
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -76,6 +77,7 @@
 	log      *os.File
 	command  *exec.Cmd
 	exited   chan struct{}
+	dark     atomic.Bool // it has lost power
 }
 
 // started are the processes that this one has started.
@@ -188,10 +190,6 @@
 		return nil, err
 	}
 	s := &site{store: standin.New().Store, began: time.Now(), out: out, stopped: make(chan struct{})}
-	storeAddress, err := serve(s.store)
-	if err != nil {
-		return nil, err
-	}
 	adviserAddress, err := serve(http.HandlerFunc(standin.Adviser))
 	if err != nil {
 		return nil, err
@@ -214,6 +212,14 @@
 	for i := range count {
 		zone := zones[i%len(zones)]
 		n := &node{site: s, name: fmt.Sprintf("front-%s-%d", zone, 1+i/len(zones)), front: at(i, chosen.front)}
+		view, err := s.storeOf(&n.dark)
+		if err != nil {
+			return nil, err
+		}
+		storeAddress, err := serve(view)
+		if err != nil {
+			return nil, err
+		}
 		n.settings = filepath.Join(scratch, n.name+".json")
 		content := encode(map[string]any{
 			"node": n.name, "role": "entry", "machine-class": "front", "serves": []string{"front"}, "ip": addresses[i],
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -50,6 +50,7 @@
 	life     int
 	address  string
 	server   *http.Server
+	listener *limitedListener
 	born     time.Time
 	fence    int64
 	leaseEnd time.Time
@@ -111,8 +112,8 @@
 	w.address, w.born, w.up = listener.Addr().String(), time.Now(), true
 	w.fence, w.leaseEnd, w.lapsedAt, w.lastEnd, w.ended = 0, time.Time{}, time.Time{}, 0, nil
 	w.running, w.highest, w.changed = map[string]*liveRun{}, map[string]int64{}, make(chan struct{})
-	w.server = &http.Server{Handler: w}
-	go func(server *http.Server) { _ = server.Serve(listener) }(w.server) // ends with its Close
+	w.server, w.listener = &http.Server{Handler: w}, &limitedListener{Listener: listener}
+	go func(server *http.Server, listener net.Listener) { _ = server.Serve(listener) }(w.server, w.listener) // ends with its Close
 	w.writeEntry()
 	return nil
 }
