--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -33,7 +33,18 @@
 
 // sendOrder makes a call that sends an order to a worker. If the worker refuses
 // it because of a newer fencing token, the shard's leader steps down.
-func (l *shardLeader) sendOrder(timeout time.Duration, call func(context.Context) error) error {
+func (l *shardLeader) sendOrder(worker shard.Target, timeout time.Duration, call func(context.Context) error) error {
+	slot, err := l.workerCalls.beginOrder(l.ctx, worker.Address)
+	if err != nil {
+		return err
+	}
+	err = l.callWorker(timeout, call)
+	slot.end(err)
+	return err
+}
+
+// callWorker makes a call to a worker that has a slot.
+func (l *shardLeader) callWorker(timeout time.Duration, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	defer cancel()
 	err := guardedCall(func() error { return call(ctx) })
@@ -48,14 +59,20 @@
 var errNoAuthority = errors.New("the leadership was not confirmed for too long")
 
 func (l *shardLeader) start(start shard.Start) {
-	if !l.hasAuthority() { // the process was paused after the decision
+	sent := time.Now()
+	err := l.sendOrder(start.Target, orderTimeout, func(ctx context.Context) error {
+		if !l.hasAuthority() { // the process was paused after the decision, or the order had to wait
+			return errNoAuthority
+		}
+		sent = time.Now()
+		return l.workers.Start(ctx, start, l.epoch)
+	})
+	if errors.Is(err, errNoAuthority) {
 		l.enqueue(func(now time.Time) {
 			l.shard.StartAnswered(now, start.ID, start.RunKey, shard.WorkerDeclined, errNoAuthority.Error())
 		})
 		return
 	}
-	sent := time.Now()
-	err := l.sendOrder(orderTimeout, func(ctx context.Context) error { return l.process.workers.Start(ctx, start, l.epoch) })
 	result, cause := platform.StartResult(err), ""
 	if err != nil {
 		cause = err.Error()
@@ -65,7 +82,7 @@
 }
 
 func (l *shardLeader) stop(stop shard.Stop) {
-	err := l.sendOrder(orderTimeout, func(ctx context.Context) error { return l.process.workers.Stop(ctx, stop, l.epoch) })
+	err := l.sendOrder(stop.Target, orderTimeout, func(ctx context.Context) error { return l.workers.Stop(ctx, stop, l.epoch) })
 	if err != nil {
 		l.process.log("stop-failed", "task", stop.Task, "run", stop.Run, "worker", stop.ID, "cause", err)
 	}
@@ -73,7 +90,7 @@
 }
 
 func (l *shardLeader) pace(pace shard.Pace) {
-	err := l.sendOrder(orderTimeout, func(ctx context.Context) error { return l.process.workers.Pace(ctx, pace, l.epoch) })
+	err := l.sendOrder(pace.Target, orderTimeout, func(ctx context.Context) error { return l.workers.Pace(ctx, pace, l.epoch) })
 	if err != nil {
 		l.process.log("pace-failed", "task", pace.Task, "run", pace.Run, "worker", pace.ID, "percent", pace.Percent, "cause", err)
 	}
@@ -81,15 +98,23 @@
 }
 
 func (l *shardLeader) poll(poll shard.Poll) {
+	slot, err := l.workerCalls.beginPoll(l.ctx, poll.Address)
+	if err != nil {
+		return // the leadership has ended
+	}
 	if !l.hasAuthority() {
 		poll.LeaseUntil = 0
 	}
+	if slot.sharesConnection() {
+		poll.Wait = min(poll.Wait, sharedPollWait)
+	}
 	sent, sentSinceBoot := time.Now(), l.process.sinceBoot()
 	var report shard.Report
-	err := l.sendOrder(poll.Wait+pollTimeout, func(ctx context.Context) (err error) {
-		report, err = l.process.workers.Poll(ctx, poll, l.epoch)
+	err = l.callWorker(poll.Wait+pollTimeout, func(ctx context.Context) (err error) {
+		report, err = l.workers.Poll(ctx, poll, l.epoch)
 		return err
 	})
+	slot.end(err)
 	l.process.metrics.countPoll(err)
 	if err != nil {
 		l.enqueue(func(now time.Time) { l.shard.PollFailed(now, poll.ID, platform.PollFailure(err), err.Error()) })
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -126,7 +126,6 @@
 	boot       int64          // start of the process, in ns of Unix time; tells restarts apart
 	address    netip.AddrPort // for traffic between nodes
 	store      *platform.Store
-	workers    *platform.Workers
 	adviser    *platform.Adviser
 	peerClient *peerClient
 	recorder   *event.Recorder
@@ -192,7 +191,6 @@
 		settings: settings, startedAt: now, boot: now.UnixNano(),
 		address:          netip.AddrPortFrom(settings.IP, settings.FirstPeerPort),
 		store:            platform.NewStore(settings.Store.Address),
-		workers:          platform.NewWorkers(),
 		peerClient:       newPeerClient(),
 		recorder:         recorder,
 		metrics:          newProcessMetrics(),
--- a/internal/entry/shardleader.go
+++ b/internal/entry/shardleader.go
@@ -11,6 +11,7 @@
 	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/ledger"
 	"yuccalanding.example/yuccalanding/internal/shard"
+	"yuccalanding.example/yuccalanding/platform"
 )
 
 const (
@@ -57,11 +58,14 @@
 	epoch    int64
 	shard    *shard.Shard
 	inputs   chan func(now time.Time)
-	ctx      context.Context
-	cancel   context.CancelFunc
-	ended    chan struct{}
-	lost     atomic.Bool
-	released atomic.Bool // leadership is or may be released; another node may claim it
+	// workers has connections of this leader only, which end with it.
+	workers     *platform.Workers
+	workerCalls *workerCalls
+	ctx         context.Context
+	cancel      context.CancelFunc
+	ended       chan struct{}
+	lost        atomic.Bool
+	released    atomic.Bool // leadership is or may be released; another node may claim it
 	// releasedEpoch is the epoch of the record of the release; 0 if it isn't known.
 	releasedEpoch    atomic.Int64
 	former           election.Leader  // the leader that this one replaced
@@ -118,6 +122,10 @@
 		inputs: make(chan func(time.Time), inputQueueLength), ended: make(chan struct{}),
 		confirmNow: make(chan struct{}, 1), acceptanceWaiters: waiters{}, endWaiters: waiters{}, members: map[netip.AddrPort]*member{},
 	}
+	l.workers = platform.NewWorkers()
+	l.workerCalls = newWorkerCalls(func(worker netip.AddrPort, cause error) {
+		p.log("connection-shared", "service", key, "address", worker, "cause", cause)
+	})
 	l.ledger.Group = shard.RecordGroup
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	bounds := p.settings.Bounds
@@ -207,6 +215,7 @@
 // or the leader steps down.
 func (l *shardLeader) run() {
 	defer close(l.ended)
+	defer l.workers.CloseIdleConnections()
 	defer l.cancel()
 	var records []shard.Record
 	ok := false
--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -53,7 +53,8 @@
 		{746, "worker-restarted", Warn, "The worker restarted; the tasks that it ran before are started again.", noAction, false},
 		{747, "worker-read", Info, "The holder read the worker's lists of runs for the first time.", noAction, false},
 		{748, "worker-entry-bad", Warn, "An entry of the list of workers is invalid and was skipped.", "Correct the entry.", false},
-		{749, "worker-shunned", Warn, "Tasks of several jobs failed or stalled on the worker; it gets no new task for a while.", "Inspect the VM if it repeats.", false},
+		{749, "worker-shunned", Warn, "Tasks of several jobs failed or stalled on the worker, or its orders had no answer while polls had; it gets no new task for a while.", "Inspect the VM if it repeats.", false},
+		{752, "connection-shared", Warn, "A worker reset a new connection, as it has as many as it accepts; all calls to it share the open one for some seconds. The connections of VMs that lost power may take the room.", "Inspect the worker's connections if it lasts.", false},
 		{751, "start-lost", Warn, "A worker was lost while a run on it was at its start; the next run of its task is the only one at its start on its worker. The field crashed says whether the worker is known to have crashed under the run.", "Inspect the VM if it repeats.", false},
 
 		{760, "accepted", Info, "A job was stored and its caller was answered.", noAction, false},
