--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -64,6 +65,8 @@
 	jobID     string
 	ctx       context.Context
 	startedAt time.Time
+	// manifestVersion is the version of the manifest that names the queue.
+	manifestVersion int64
 }
 
 // withQueue returns a handler that finds the request's queue and sets its
@@ -82,7 +85,7 @@
 		}
 		ctx, cancel := context.WithDeadline(c.Request().Context(), startedAt.Add(callerTimeout(c.Request())-answerReserve))
 		defer cancel()
-		return handle(&request{Context: c, queue: queue, jobID: jobID, ctx: ctx, startedAt: startedAt})
+		return handle(&request{Context: c, queue: queue, jobID: jobID, ctx: ctx, startedAt: startedAt, manifestVersion: current.Version})
 	}
 }
 
@@ -138,10 +141,12 @@
 	}
 	var answer submitAnswer
 	var earlierErr error
-	ref, err := p.shardOf(r, r.queue.Service, r.jobID)
+	ref, err := p.shardOf(r.ctx, r.startedAt, r.queue.Service, r.jobID)
 	if err == nil {
-		message := submitRequest{Shard: ref.key(), ID: r.jobID, Terms: r.queue.Terms, Spec: spec}
-		answer, earlierErr, err = forward(p, r, ref, pathSubmit, message, (*shardLeader).submit)
+		message := submitRequest{
+			Shard: ref.key(), ID: r.jobID, Terms: r.queue.Terms, Spec: spec, QueueKey: queueKey(r.queue), ManifestVersion: r.manifestVersion,
+		}
+		answer, earlierErr, err = forward(r.ctx, p, r.startedAt, ref, pathSubmit, message, (*shardLeader).submit)
 	}
 	switch {
 	case errors.Is(err, errNoLeader):
@@ -150,6 +155,8 @@
 		return p.answerOutcomeUnknown(r, name, err)
 	case earlierErr != nil && !answer.Accepted:
 		return p.answerOutcomeUnknown(r, name, fmt.Errorf("%w: an earlier call failed: %w", errOutcomeUnknown, earlierErr))
+	case answer.QueueMoved:
+		return p.answerOutcomeUnknown(r, name, errManifestOutdated)
 	case answer.Unavailable:
 		return p.refuse(r, name, http.StatusServiceUnavailable, answer.Reason, answer.RetryAfter)
 	case !answer.Accepted:
@@ -201,29 +208,45 @@
 	return r.JSONBlob(http.StatusOK, []byte(`{}`))
 }
 
-// countWaiting adds up the queue's waiting jobs in all shards of its service.
+// countWaiting adds up the queue's waiting jobs in all shards of its service, and of the services
+// that it had formerly.
 func (p *Process) countWaiting(r *request) (int, error) {
+	type target struct {
+		ref   shardRef
+		queue string
+	}
+	var targets []target
+	current := servedQueue{Service: r.queue.Service, Queue: r.queue.Terms.Queue}
 	p.mu.Lock()
-	count := p.shardCounts[r.queue.Service]
+	served := p.queueHistories[queueKey(r.queue)].Served
+	if !slices.Contains(served, current) {
+		served = append([]servedQueue{current}, served...)
+	}
+	for _, former := range served {
+		count := p.shardCounts[former.Service]
+		for index := range count {
+			targets = append(targets, target{shardRef{former.Service, index, count}, former.Queue})
+		}
+	}
+	counted := p.shardCounts[current.Service] > 0
 	p.mu.Unlock()
-	if count == 0 {
+	if !counted {
 		return 0, errNoLeader
 	}
 	type result struct {
 		waiting int
 		err     error
 	}
-	results := make(chan result, count)
-	for index := range count {
-		ref := shardRef{r.queue.Service, index, count}
+	results := make(chan result, len(targets))
+	for _, t := range targets {
 		go func() {
-			answer, _, err := forward(p, r, ref, pathWaiting, waitingRequest{ref.key(), r.queue.Terms.Queue}, (*shardLeader).waitingJobs)
+			answer, _, err := forward(r.ctx, p, r.startedAt, t.ref, pathWaiting, waitingRequest{t.ref.key(), t.queue}, (*shardLeader).waitingJobs)
 			results <- result{answer.Waiting, err}
 		}()
 	}
 	total := 0
 	var failure error
-	for range count {
+	for range targets {
 		answered := <-results
 		total += answered.waiting
 		if answered.err != nil {
@@ -255,16 +278,16 @@
 
 // callService makes a call to the shard of a service that the job belongs to.
 func (p *Process) callService(r *request, service, path string, local func(*shardLeader, context.Context, jobRequest) (stateAnswer, error)) (stateAnswer, error) {
-	ref, err := p.shardOf(r, service, r.jobID)
+	ref, err := p.shardOf(r.ctx, r.startedAt, service, r.jobID)
 	if err != nil {
 		return stateAnswer{}, err
 	}
-	answer, _, err := forward(p, r, ref, path, jobRequest{ref.key(), r.jobID}, local)
+	answer, _, err := forward(r.ctx, p, r.startedAt, ref, path, jobRequest{ref.key(), r.jobID}, local)
 	return answer, err
 }
 
 // forward sends a message to the leader of a shard and retries until the
-// caller's deadline. If this process leads the shard, local handles the
+// context ends. It waits for a leader until leaderWait after startedAt. If this process leads the shard, local handles the
 // message. Every message names a job by its identity or only reads, so it may
 // be sent again to the same or the next leader, which knows whether an earlier
 // call took effect.
@@ -275,7 +298,7 @@
 // earlierErr is the error of an earlier call that the leader that answered may
 // still carry out. A call to a former leader can't take effect any more, as the
 // next leader has fenced it.
-func forward[Message, Answer any](p *Process, r *request, ref shardRef, path string, message Message, local func(*shardLeader, context.Context, Message) (Answer, error)) (answer Answer, earlierErr, err error) {
+func forward[Message, Answer any](ctx context.Context, p *Process, startedAt time.Time, ref shardRef, path string, message Message, local func(*shardLeader, context.Context, Message) (Answer, error)) (answer Answer, earlierErr, err error) {
 	var zero Answer
 	var pendingErr error
 	var pendingEpoch int64
@@ -285,15 +308,15 @@
 		called := true
 		switch {
 		case l != nil && !l.lost.Load():
-			answer, err = local(l, r.ctx, message)
+			answer, err = local(l, ctx, message)
 		case leader.Epoch > 0 && leader.Address.IsValid() && leader.Address != p.address && !p.leaderSilent(ref.key(), leader):
-			ctx, cancel := p.untilReplaced(r.ctx, ref.key(), leader)
-			answer, err = callPeer[Answer](ctx, p.peerClient, leader.Address, path, message)
+			callCtx, cancel := p.untilReplaced(ctx, ref.key(), leader)
+			answer, err = callPeer[Answer](callCtx, p.peerClient, leader.Address, path, message)
 			cancel()
 		default:
 			called = false
 		}
-		giveUp := r.ctx.Err() != nil || !called && p.storeHealthyFor() == 0
+		giveUp := ctx.Err() != nil || !called && p.storeHealthyFor() == 0
 		switch {
 		case err == nil && pendingEpoch == leader.Epoch:
 			return answer, pendingErr, nil
@@ -305,13 +328,13 @@
 		switch {
 		case pendingErr != nil && giveUp:
 			return zero, pendingErr, fmt.Errorf("%w: %w", errOutcomeUnknown, pendingErr)
-		case pendingErr == nil && (giveUp || time.Since(r.startedAt) > leaderWait):
+		case pendingErr == nil && (giveUp || time.Since(startedAt) > leaderWait):
 			return zero, nil, errNoLeader
 		}
 		select {
 		case <-leadersChanged:
 		case <-time.After(forwardRetryPause):
-		case <-r.ctx.Done():
+		case <-ctx.Done():
 		}
 	}
 }
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -31,6 +31,10 @@
 		p.applyCountingNode(service, string(record.Value))
 		return
 	}
+	if strings.HasPrefix(record.Key, queueHistoryKey) {
+		p.applyQueueRecord(record)
+		return
+	}
 	var decoded leaderRecord
 	if err := cbor.Unmarshal(record.Value, &decoded); err != nil {
 		p.log("record-unreadable", "key", record.Key, "cause", err)
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -21,6 +21,7 @@
 // Paths of the calls between nodes.
 const (
 	pathSubmit    = "/peer/submit"
+	pathAccepted  = "/peer/accepted"
 	pathState     = "/peer/state"
 	pathCancel    = "/peer/cancel"
 	pathWaiting   = "/peer/waiting"
@@ -54,6 +55,22 @@
 	ID    string    `cbor:"2,keyasint"`
 	Terms job.Terms `cbor:"3,keyasint"`
 	Spec  job.Spec  `cbor:"4,keyasint"`
+	// QueueKey is that of the queue's record. Earlier programs don't send it.
+	QueueKey string `cbor:"5,keyasint,omitempty"`
+	// ManifestVersion is the version of the sender's manifest.
+	ManifestVersion int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// acceptedRequest asks a former service of a queue whether it has accepted a job.
+type acceptedRequest struct {
+	Shard    string       `cbor:"1,keyasint"`
+	ID       string       `cbor:"2,keyasint"`
+	QueueKey string       `cbor:"3,keyasint"`
+	History  queueHistory `cbor:"4,keyasint"` // in which the service is a former one
+}
+
+type acceptedAnswer struct {
+	Accepted bool `cbor:"1,keyasint,omitempty"`
 }
 
 type submitAnswer struct {
@@ -62,6 +79,9 @@
 	RetryAfter time.Duration `cbor:"3,keyasint,omitempty"`
 	// Unavailable is set if a fault of the system is the cause, not the load.
 	Unavailable bool `cbor:"4,keyasint,omitempty"`
+	// QueueMoved is set if the sender's manifest is too old to tell the queue's service. Whether
+	// the job was accepted before isn't known.
+	QueueMoved bool `cbor:"5,keyasint,omitempty"`
 }
 
 // jobRequest names a job and its shard. ID is empty in a call of pathView, which
@@ -234,6 +254,7 @@
 func (p *Process) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	registerLeaderCall(p, mux, pathSubmit, func(r submitRequest) string { return r.Shard }, (*shardLeader).submit)
+	registerLeaderCall(p, mux, pathAccepted, func(r acceptedRequest) string { return r.Shard }, (*shardLeader).acceptedHere)
 	registerLeaderCall(p, mux, pathState, func(r jobRequest) string { return r.Shard }, (*shardLeader).jobState)
 	registerLeaderCall(p, mux, pathCancel, func(r jobRequest) string { return r.Shard }, (*shardLeader).cancelJob)
 	registerLeaderCall(p, mux, pathWaiting, func(r waitingRequest) string { return r.Shard }, (*shardLeader).waitingJobs)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -150,6 +150,7 @@
 	// manifestText is the manifest in force, as the operator wrote it.
 	manifestText   []byte
 	shardCounts    map[string]int             // by service
+	queueHistories map[string]queueHistory    // by queueKey
 	countingNodes  map[string]countingNode    // by service; the node that computes the shard count
 	leaders        map[string]election.Leader // by shard key
 	leadersEnd     int64                      // highest known end offset of the leadership topic
@@ -157,7 +158,7 @@
 	leadersRead    bool                    // the leadership topic has been read once
 	ledShards      map[string]*shardLeader // by shard key
 	leaderViews    map[string]*leaderView  // by shard key
-	leadersChanged chan struct{}           // closed and replaced when leaders or shardCounts change
+	leadersChanged chan struct{}           // closed and replaced when leaders, shardCounts or queueHistories change
 	// endedLeaderships holds the last leadership of each shard that this process has
 	// led and leads no more, by shard key.
 	endedLeaderships map[string]endedLeadership
@@ -196,6 +197,7 @@
 		metrics:          newProcessMetrics(),
 		sinceBoot:        uptime.Now,
 		shardCounts:      map[string]int{},
+		queueHistories:   map[string]queueHistory{},
 		countingNodes:    map[string]countingNode{},
 		leaders:          map[string]election.Leader{},
 		ledShards:        map[string]*shardLeader{},
--- a/internal/entry/shardcount.go
+++ b/internal/entry/shardcount.go
@@ -8,7 +8,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -160,32 +159,15 @@
 
 // appendCountRecord appends a record about the counting of a service. It
 // returns errAlreadyCounted if the service has a shard count. If the append
-// fails, as when another record was appended first, it retries up to the given
-// number of times.
+// fails, it retries up to the given number of times.
 func (p *Process) appendCountRecord(ctx context.Context, service string, record platform.Record, retries int) error {
-	for {
-		p.mu.Lock()
-		expectedEnd, count, leadersChanged := p.leadersEnd, p.shardCounts[service], p.leadersChanged
-		p.mu.Unlock()
-		if count > 0 {
-			return errAlreadyCounted
+	_, err := p.appendToLeadershipTopic(ctx, retries, func() (platform.Record, error) {
+		if p.shardCounts[service] > 0 {
+			return platform.Record{}, errAlreadyCounted
 		}
-		_, end, err := p.appendAtEnd(ctx, record, expectedEnd)
-		if err == nil {
-			p.mu.Lock()
-			p.leadersEnd = max(p.leadersEnd, end)
-			p.mu.Unlock()
-			return nil
-		}
-		if retries--; retries < 0 || ctx.Err() != nil {
-			return err
-		}
-		select {
-		case <-leadersChanged:
-		case <-time.After(election.CheckInterval):
-		case <-ctx.Done():
-		}
-	}
+		return record, nil
+	})
+	return err
 }
 
 // countingNode is the node that counts a service's workers, and since when.
--- a/internal/entry/shardref.go
+++ b/internal/entry/shardref.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"hash/fnv"
 	"io"
 	"strconv"
@@ -55,8 +56,8 @@
 
 // shardOf returns the shard of a job. A process that has just started waits
 // until it has read the service's shard count; the error is errNoLeader if that
-// takes longer than leaderWait.
-func (p *Process) shardOf(r *request, service, id string) (shardRef, error) {
+// takes longer than leaderWait from startedAt.
+func (p *Process) shardOf(ctx context.Context, startedAt time.Time, service, id string) (shardRef, error) {
 	for {
 		p.mu.Lock()
 		count, leadersChanged := p.shardCounts[service], p.leadersChanged
@@ -64,14 +65,14 @@
 		if count > 0 {
 			return shardRef{service, shardIndex(id, count), count}, nil
 		}
-		wait := time.Until(r.startedAt.Add(leaderWait))
-		if wait <= 0 || r.ctx.Err() != nil {
+		wait := time.Until(startedAt.Add(leaderWait))
+		if wait <= 0 || ctx.Err() != nil {
 			return shardRef{}, errNoLeader
 		}
 		select {
 		case <-leadersChanged:
 		case <-time.After(wait):
-		case <-r.ctx.Done():
+		case <-ctx.Done():
 		}
 	}
 }
--- a/internal/entry/shardref_test.go
+++ b/internal/entry/shardref_test.go
@@ -10,7 +10,6 @@
 
 	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/ledger"
-	"yuccalanding.example/yuccalanding/internal/manifest"
 	"yuccalanding.example/yuccalanding/platform"
 )
 
@@ -34,7 +33,7 @@
 	const id = "69a182190bc5620e"
 	wanted := shardRef{"ledger", shardIndex(id, 3), 3}
 	require.NotZero(t, wanted.index)
-	request := &request{queue: manifest.Queue{Service: "ledger"}, ctx: context.Background(), startedAt: time.Now()}
+	startedAt := time.Now()
 	go func() {
 		time.Sleep(50 * time.Millisecond)
 		p.mu.Lock()
@@ -43,12 +42,11 @@
 		close(p.leadersChanged)
 		p.leadersChanged = make(chan struct{})
 	}()
-	got, err := p.shardOf(request, "ledger", id)
+	got, err := p.shardOf(t.Context(), startedAt, "ledger", id)
 	require.NoError(t, err)
 	require.Equal(t, wanted, got)
 
-	request.startedAt = time.Now().Add(-time.Hour)
-	_, err = p.shardOf(request, "unknown", id)
+	_, err = p.shardOf(t.Context(), time.Now().Add(-time.Hour), "unknown", id)
 	require.ErrorIs(t, err, errNoLeader)
 }
 
--- a/internal/entry/vacancy_test.go
+++ b/internal/entry/vacancy_test.go
@@ -122,7 +122,7 @@
 			p.address = netip.MustParseAddrPort("127.0.0.1:1")
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			_, _, err := forward(p, &request{ctx: ctx}, shardRef{"ledger", 0, 1}, pathState, jobRequest{}, (*shardLeader).jobState)
+			_, _, err := forward(ctx, p, time.Time{}, shardRef{"ledger", 0, 1}, pathState, jobRequest{}, (*shardLeader).jobState)
 			require.ErrorIs(t, err, errNoLeader, "nothing was sent")
 		})
 	}
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -34,14 +34,22 @@
 // Knows reports whether the job was accepted, whether or not that is stored.
 func (s *Shard) Knows(id string) bool { return s.jobs[id] != nil }
 
+// Acceptance returns whether the acceptance of a job is Stored, Pending or Unknown.
+func (s *Shard) Acceptance(id string) Outcome {
+	switch j := s.jobs[id]; {
+	case j == nil:
+		return Unknown
+	case j.durable:
+		return Stored
+	}
+	return Pending
+}
+
 // Accept decides whether to accept a job. If a job with this ID was accepted before,
 // the new terms and spec are ignored.
 func (s *Shard) Accept(now time.Time, id string, terms job.Terms, spec job.Spec) AcceptResult {
-	if j := s.jobs[id]; j != nil {
-		if j.durable {
-			return AcceptResult{Outcome: Stored}
-		}
-		return AcceptResult{Outcome: Pending}
+	if outcome := s.Acceptance(id); outcome != Unknown {
+		return AcceptResult{Outcome: outcome}
 	}
 	if !s.authority {
 		return AcceptResult{Outcome: Refused, Reason: "the holder of the service has lost touch with the store", RetryAfter: time.Second}
