shard, job: a job that can't be encoded isn't accepted, and far times can be encoded (LOST)

Records hold times as RFC 3339, which has no years but 0 to 9999. TakeBatch logged record-not-encoded, left the record out of the batch and still counted the acceptance as stored; a node that forwarded such a job answered 504.

A start in another year is encoded as seconds and nanoseconds since 1970 in a field of its own; other records keep their bytes. The acceptance record is encoded before the job is accepted, and a job, worker or leader whose record can't be encoded stays out of the batch, so nobody is told that it is stored.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -310,6 +310,46 @@
 	return mode
 }()
 
+// storedSpec is the encoding of a Spec. It adds FarStart.
+type storedSpec struct {
+	specFields
+	// FarStart replaces FirstStart if its year isn't one of 0 to 9999: a time in RFC 3339 has
+	// no other years.
+	FarStart *instant `cbor:"6,keyasint,omitempty"`
+}
+
+// specFields is a Spec without its methods.
+type specFields Spec
+
+// instant is a time since 1970.
+type instant struct {
+	Seconds     int64 `cbor:"1,keyasint"`
+	Nanoseconds int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// MarshalCBOR encodes the spec.
+func (s Spec) MarshalCBOR() ([]byte, error) {
+	stored := storedSpec{specFields: specFields(s)}
+	if year := s.FirstStart.UTC().Year(); year < 0 || year > 9999 {
+		stored.FarStart = &instant{Seconds: s.FirstStart.Unix(), Nanoseconds: int64(s.FirstStart.Nanosecond())}
+		stored.FirstStart = time.Time{}
+	}
+	return encodeMode.Marshal(stored)
+}
+
+// UnmarshalCBOR decodes the spec.
+func (s *Spec) UnmarshalCBOR(content []byte) error {
+	var stored storedSpec
+	if err := cbor.Unmarshal(content, &stored); err != nil {
+		return fmt.Errorf("decoding a job: %w", err)
+	}
+	*s = Spec(stored.specFields)
+	if stored.FarStart != nil {
+		s.FirstStart = time.Unix(stored.FarStart.Seconds, stored.FarStart.Nanoseconds)
+	}
+	return nil
+}
+
 // Encode returns the CBOR encoding of a record of this package, or of a message that
 // contains one. Times are exact to the nanosecond.
 func Encode(value any) ([]byte, error) { return encodeMode.Marshal(value) }
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -58,9 +59,15 @@
 		s.options.Log("refused", "job", id, "queue", terms.Queue, "reason", reason, "retry-after", after)
 		return AcceptResult{Outcome: Refused, Reason: reason, RetryAfter: after}
 	}
+	accepted := job.Accepted{Terms: terms, Spec: spec, At: now.Round(0)}
+	record, err := encodeAcceptance(accepted)
+	if err != nil {
+		s.options.Log("record-not-encoded", "key", acceptedPrefix+id, "cause", err)
+		return AcceptResult{Outcome: Refused, Reason: err.Error(), RetryAfter: neverFitsRetryAfter}
+	}
 	j := &jobState{
-		id: id, accepted: job.Accepted{Terms: terms, Spec: spec, At: now.Round(0)}, acceptedAt: now,
-		state: job.Queued, storedState: job.Queued, completedOccurrences: map[int]bool{}, acceptanceUnwritten: true,
+		id: id, accepted: accepted, acceptedAt: now,
+		state: job.Queued, storedState: job.Queued, completedOccurrences: map[int]bool{}, unwrittenAcceptance: record,
 	}
 	s.jobs[id] = j
 	s.activeJobs = append(s.activeJobs, j)
@@ -71,6 +78,15 @@
 	return AcceptResult{Outcome: Pending}
 }
 
+// encodeAcceptance returns the acceptance record of a job, or an error if it can't be stored.
+func encodeAcceptance(accepted job.Accepted) ([]byte, error) {
+	record, err := job.Encode(accepted)
+	if err != nil {
+		return nil, fmt.Errorf("the job can't be stored: %w", err)
+	}
+	return record, nil
+}
+
 // Cancel ends a job at the request of its caller.
 func (s *Shard) Cancel(now time.Time, id string) Outcome {
 	j := s.jobs[id]
@@ -128,7 +144,7 @@
 func (s *Shard) admit(now time.Time, terms *job.Terms, spec *job.Spec) (reason string, retryAfter time.Duration) {
 	for i := range spec.Steps {
 		if len(s.seenCapacities) > 0 && !s.fitsSomewhere(&spec.Steps[i]) {
-			return "no worker of the service holds a task of this size", time.Minute
+			return "no worker of the service holds a task of this size", neverFitsRetryAfter
 		}
 	}
 	if s.openTasks >= maxOpenTasks {
@@ -141,6 +157,9 @@
 	// maxOpenTasks bounds the memory for tasks, about 300 bytes each, on the smallest
 	// VMs.
 	maxOpenTasks = 100_000
+	// neverFitsRetryAfter is when the caller of a job that can't be accepted as it is is told to
+	// retry.
+	neverFitsRetryAfter = time.Minute
 	// tooManyTasksRetryAfter is when the caller of a job beyond maxOpenTasks is told to
 	// retry.
 	tooManyTasksRetryAfter = 5 * time.Second
@@ -175,7 +194,7 @@
 // the job.
 func (s *Shard) Withdraw(now time.Time, id, reason string) bool {
 	j := s.jobs[id]
-	if j == nil || j.durable || !j.acceptanceUnwritten || j.state.Ended() {
+	if j == nil || j.durable || j.unwrittenAcceptance == nil || j.state.Ended() {
 		return false
 	}
 	s.options.Log("refused", "job", id, "queue", j.accepted.Terms.Queue, "reason", reason, "after", now.Sub(j.acceptedAt))
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -70,12 +70,7 @@
 	}
 	var batch []Record
 	size := 0
-	add := func(key string, value any) {
-		encoded, err := job.Encode(value)
-		if err != nil {
-			s.options.Log("record-not-encoded", "key", key, "cause", err)
-			return
-		}
+	add := func(key string, encoded []byte) {
 		batch = append(batch, Record{key, encoded})
 		size += len(key) + len(encoded)
 	}
@@ -86,8 +81,10 @@
 	s.deletedKeys = nil
 	s.deletedWorkers, s.inFlightDeletedWorkers = 0, s.deletedWorkers
 	if s.formerLeadersUnrecorded {
-		s.formerLeadersUnrecorded = false
-		add(formerLeadersKey, job.FormerLeadersRecord{OverBefore: s.options.Epoch})
+		if record, encoded := s.encode(formerLeadersKey, job.FormerLeadersRecord{OverBefore: s.options.Epoch}); encoded {
+			s.formerLeadersUnrecorded = false
+			add(formerLeadersKey, record)
+		}
 	}
 	remaining := s.dirtyJobs[:0]
 	for _, j := range s.dirtyJobs {
@@ -95,13 +92,21 @@
 			remaining = append(remaining, j)
 			continue
 		}
+		var progress []byte
+		if j.state != job.Queued {
+			var encoded bool
+			if progress, encoded = s.encode(progressPrefix+j.id, s.progressOf(now, j)); !encoded {
+				remaining = append(remaining, j) // its callers go on waiting
+				continue
+			}
+		}
 		j.dirty = false
-		if j.acceptanceUnwritten {
-			j.acceptanceUnwritten = false
-			add(acceptedPrefix+j.id, j.accepted)
+		if j.unwrittenAcceptance != nil {
+			add(acceptedPrefix+j.id, j.unwrittenAcceptance)
+			j.unwrittenAcceptance = nil
 		}
-		if j.state != job.Queued {
-			add(progressPrefix+j.id, s.progressOf(now, j))
+		if progress != nil {
+			add(progressPrefix+j.id, progress)
 		}
 		j.inFlightState = j.state
 		s.inFlightJobs = append(s.inFlightJobs, j)
@@ -114,15 +119,25 @@
 		if w.dirty {
 			remainingWorkers = append(remainingWorkers, w)
 		}
-		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
-		w.suspensionTaken = w.suspensionTaken || w.suspended
+		recordedBy := w.recordedBy
 		if !w.recordTaken {
-			w.recordTaken, w.recordedBy = true, s.options.Epoch
+			recordedBy = s.options.Epoch
 		}
-		add(workerKey(w.ID), job.WorkerRecord{
+		record, encoded := s.encode(workerKey(w.ID), job.WorkerRecord{
 			Incarnation: w.observedIncarnation, HandledResult: w.handledResult, Suspended: w.suspended, Unstored: w.unstoredDistances(), Address: w.Address,
-			RecordedBy: w.recordedBy,
+			RecordedBy: recordedBy,
 		})
+		if !encoded {
+			if !w.dirty {
+				w.dirty = true
+				remainingWorkers = append(remainingWorkers, w)
+			}
+			continue
+		}
+		w.recordTaken, w.recordedBy = true, recordedBy
+		w.inFlightResult, w.inFlightSuspended = w.resultsStoredThrough(), w.suspended
+		w.suspensionTaken = w.suspensionTaken || w.suspended
+		add(workerKey(w.ID), record)
 		s.inFlightWorkers = append(s.inFlightWorkers, w)
 	}
 	s.dirtyWorkers = remainingWorkers
@@ -133,6 +148,15 @@
 	return batch
 }
 
+// encode encodes the value of a record. What the record says doesn't count as stored if that fails.
+func (s *Shard) encode(key string, value any) (record []byte, encoded bool) {
+	record, err := job.Encode(value)
+	if err != nil {
+		s.options.Log("record-not-encoded", "key", key, "cause", err)
+	}
+	return record, err == nil
+}
+
 // HasChanges reports whether TakeBatch has something to do: state has changed, and no
 // batch is in flight. Some changes need no record, so TakeBatch may still return none.
 func (s *Shard) HasChanges() bool {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -156,7 +156,7 @@
 	completedOccurrences map[int]bool // by number
 	nextOccurrence       int          // number of the next occurrence to create
 	dirty                bool
-	acceptanceUnwritten  bool      // no batch contains its acceptance record yet
+	unwrittenAcceptance  []byte    // the encoded acceptance record until a batch contains it
 	inFlightState        job.State // the state in the batch that is being stored
 	runCount             int       // runs of its tasks that aren't over
 	acceptanceDeleted    bool      // only the final state is kept
