--- a/internal/event/entry.go
+++ b/internal/event/entry.go
@@ -65,6 +65,7 @@
 		{771, "poison-task", Warn, "Workers crashed when they started the task; the job fails, unless it has long-running tasks.", "Tell the team that submitted the job.", false},
 		{773, "queue-moved", Info, "A newer manifest has moved a queue to another service; its accepted jobs stay with the former services.", noAction, false},
 		{774, "accepted-elsewhere", Info, "A job was submitted again after its queue was moved; a former service of the queue has accepted it.", noAction, false},
+		{775, "checkpoints-not-stored", Warn, "The record of a job with its checkpoints is larger than the store takes; it is stored without them, and tasks that start after a change of leader start anew.", "Tell the team that submitted the job.", false},
 		{765, "request-refused", Info, "A caller's request was refused and had no effect.", noAction, false},
 		{766, "request-undecided", Warn, "The holder did not answer a caller's request in time.", noAction, false},
 		{767, "job-unknown", Info, "A caller asked for an unknown job.", noAction, false},
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -22,9 +22,9 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Limits of a job. They keep each record of a job below the record size limit of the
-// platform's log (256 KiB): a task of a progress record takes up to 40 bytes, the
-// trial of a few of them 40 more, and the number of a completed occurrence 3 bytes.
+// Limits of a job. They keep a record of its progress below MaxRecordBytes: a task takes up to 40
+// bytes without its checkpoint, the trial of a few of them 40 more, and the number of a completed
+// occurrence 3 bytes.
 const (
 	MaxSteps       = 64
 	MaxTasksOfStep = 2000
@@ -35,6 +35,9 @@
 	MaxEstimate = 366 * 24 * time.Hour
 	MaxSchedule = 100 * 366 * 24 * time.Hour
 	idLength    = 16 // digits
+	// MaxRecordBytes is the largest record that the platform's log takes (256 KiB), with room for
+	// a key and a ledger's header.
+	MaxRecordBytes = 255 << 10
 )
 
 // State is the state of a job as reported to its caller.
--- a/internal/shard/checkpoint_test.go
+++ b/internal/shard/checkpoint_test.go
@@ -118,3 +118,21 @@
 	}
 	return restored
 }
+
+// Guards against a job whose record with its checkpoints is larger than the store takes, so that
+// nothing of its shard can be stored any more.
+func TestLongCheckpointsDoNotExceedRecord(t *testing.T) {
+	sim := newSimulation(t, 103, 1, job.Demand{MilliCPU: 1500, MemoryMB: 4000})
+	sim.checkpointBytes, sim.allowedShare = 250, 1
+	sim.advance(time.Second)
+	step := tasks(job.MaxTasksOfStep, 1, 5*time.Second)
+	step.Demand.MemoryMB, step.SavesProgress = 1, true
+	sim.submit(id(0), batchTerms, job.Spec{Steps: []job.Step{step}}, 5*time.Second)
+	sim.submit(id(1), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1, 100*time.Millisecond)}}, 100*time.Millisecond)
+	sim.advance(3 * time.Second)
+	sim.submit(id(2), batchTerms, job.Spec{Steps: []job.Step{tasks(1, 1, 100*time.Millisecond)}}, 100*time.Millisecond)
+	leftOut := false
+	sim.onLog = func(event string, _ []any) { leftOut = leftOut || event == "checkpoints-not-stored" }
+	sim.requireAllEnded(time.Minute)
+	require.True(t, leftOut, "the record reaches the limit")
+}
--- a/internal/shard/instance_test.go
+++ b/internal/shard/instance_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"yuccalanding.example/yuccalanding/internal/job"
 	"yuccalanding.example/yuccalanding/internal/shard"
 )
 
@@ -115,6 +116,9 @@
 		}
 		sim.batchCount++
 		for _, record := range batch {
+			if len(record.Value) > job.MaxRecordBytes {
+				sim.addViolation("STORE: the record of %s has %d bytes", record.Key, len(record.Value))
+			}
 			if len(record.Value) == 0 {
 				delete(sim.store, record.Key)
 			} else {
--- a/internal/shard/intake.go
+++ b/internal/shard/intake.go
@@ -84,6 +84,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("the job can't be stored: %w", err)
 	}
+	if len(record) > job.MaxRecordBytes {
+		return nil, fmt.Errorf("the job can't be stored: its record has %d bytes; the limit is %d", len(record), job.MaxRecordBytes)
+	}
 	return record, nil
 }
 
--- a/internal/shard/modelworker_test.go
+++ b/internal/shard/modelworker_test.go
@@ -38,6 +38,9 @@
 func (r *modelRun) saveCheckpoint() {
 	r.savedProgress = r.progress
 	r.checkpoint = fmt.Sprintf("%08x-%s", r.progress.Milliseconds(), r.key.Task)
+	if padding := r.worker.simulation.checkpointBytes - len(r.checkpoint); padding > 0 {
+		r.checkpoint += "-" + strings.Repeat("0", padding)
+	}
 	if submitted := r.worker.simulation.jobs[r.key.Task[:16]]; submitted != nil {
 		submitted.madeCheckpoints[r.checkpoint] = true
 	}
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -95,7 +95,7 @@
 		var progress []byte
 		if j.state != job.Queued {
 			var encoded bool
-			if progress, encoded = s.encode(progressPrefix+j.id, s.progressOf(now, j)); !encoded {
+			if progress, encoded = s.encodeProgress(now, j); !encoded {
 				remaining = append(remaining, j) // its callers go on waiting
 				continue
 			}
@@ -157,6 +157,21 @@
 	return record, err == nil
 }
 
+// encodeProgress encodes the progress record of a job. If it is larger than the store takes, it is
+// stored without checkpoints: after a change of leader, tasks without a run start anew.
+func (s *Shard) encodeProgress(now time.Time, j *jobState) (record []byte, encoded bool) {
+	key, progress := progressPrefix+j.id, s.progressOf(now, j)
+	record, encoded = s.encode(key, progress)
+	if len(record) <= job.MaxRecordBytes {
+		return record, encoded
+	}
+	s.options.Log("checkpoints-not-stored", "job", j.id, "bytes", len(record))
+	for i := range progress.Tasks {
+		progress.Tasks[i].Checkpoint = ""
+	}
+	return s.encode(key, progress)
+}
+
 // HasChanges reports whether TakeBatch has something to do: state has changed, and no
 // batch is in flight. Some changes need no record, so TakeBatch may still return none.
 func (s *Shard) HasChanges() bool {
--- a/internal/shard/simulation_test.go
+++ b/internal/shard/simulation_test.go
@@ -145,6 +145,7 @@
 	// checkpointInterval is the work after which a run that saves its progress makes a
 	// checkpoint.
 	checkpointInterval time.Duration
+	checkpointBytes    int // length of a checkpoint, if that is longer than usual
 	// tickLength is the time of a tick, of which 400 ms is a multiple.
 	tickLength time.Duration
 	// onStart is called for each start on a worker, unless it is nil.
--- a/internal/shard/unencodable_test.go
+++ b/internal/shard/unencodable_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 		"due at once":            {job.Spec{Steps: []job.Step{step}}, false},
 		"due in the year 10000":  {job.Spec{Steps: []job.Step{step}, Repeat: 1, FirstStart: time.UnixMilli(253402318799000)}, false},
 		"due before the year 0":  {job.Spec{Steps: []job.Step{step}, Repeat: 1, FirstStart: time.UnixMilli(-1 << 62)}, false},
+		"larger than a record":   {job.Spec{Text: strings.Repeat("a", job.MaxRecordBytes), Steps: []job.Step{step}}, true},
+		"nearly as large as one": {job.Spec{Text: strings.Repeat("a", job.MaxRecordBytes-1000), Steps: []job.Step{step}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newLoadedShard(now, nil)
