entry: jobs of a disabled or removed service stay known (LOST)

The services that are asked for a job were those of the manifest of the moment, without the spare ones. Shards of such services also had no leader once all processes had started after the change.

All services that ever had a shard count are asked and led, whatever the manifest says. One that doesn't answer makes the answer 503 only if no other one knows the job. New jobs for a disabled service are refused at once: they would have waited for VMs that are off.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -65,8 +67,10 @@
 	jobID     string
 	ctx       context.Context
 	startedAt time.Time
-	// manifestVersion is the version of the manifest that names the queue.
+	// manifestVersion is the version of the manifest that names the queue, and serviceDisabled
+	// means that this manifest disables the queue's service.
 	manifestVersion int64
+	serviceDisabled bool
 }
 
 // withQueue returns a handler that finds the request's queue and sets its
@@ -85,7 +89,10 @@
 		}
 		ctx, cancel := context.WithDeadline(c.Request().Context(), startedAt.Add(callerTimeout(c.Request())-answerReserve))
 		defer cancel()
-		return handle(&request{Context: c, queue: queue, jobID: jobID, ctx: ctx, startedAt: startedAt, manifestVersion: current.Version})
+		return handle(&request{
+			Context: c, queue: queue, jobID: jobID, ctx: ctx, startedAt: startedAt,
+			manifestVersion: current.Version, serviceDisabled: current.Disables(queue.Service),
+		})
 	}
 }
 
@@ -145,6 +152,7 @@
 	if err == nil {
 		message := submitRequest{
 			Shard: ref.key(), ID: r.jobID, Terms: r.queue.Terms, Spec: spec, QueueKey: queueKey(r.queue), ManifestVersion: r.manifestVersion,
+			ServiceDisabled: r.serviceDisabled,
 		}
 		answer, earlierErr, err = forward(r.ctx, p, r.startedAt, ref, pathSubmit, message, (*shardLeader).submit)
 	}
@@ -258,22 +266,41 @@
 
 // callEachService makes a call about the job to the queue's service. While the
 // job is unknown, it calls the other services too: a newer manifest may have
-// moved the queue from one of them.
+// moved the queue from one of them. If one of them can't be asked and no other one
+// knows the job, it returns the error.
 func (p *Process) callEachService(r *request, path string, local func(*shardLeader, context.Context, jobRequest) (stateAnswer, error)) (stateAnswer, error) {
-	answer, err := p.callService(r, r.queue.Service, path, local)
-	if err != nil || answer.Known {
-		return answer, err
+	answer, failure := p.callService(r, r.queue.Service, path, local)
+	if failure != nil || answer.Known {
+		return answer, failure
 	}
-	for _, service := range p.manifest.Load().Services {
-		if service.Name == r.queue.Service || service.Disabled {
+	for _, service := range p.jobServices() {
+		if service == r.queue.Service {
 			continue
 		}
-		answer, err := p.callService(r, service.Name, path, local)
-		if err != nil || answer.Known {
-			return answer, err
+		answer, err := p.callService(r, service, path, local)
+		if err == nil && answer.Known {
+			return answer, nil
 		}
+		failure = cmp.Or(failure, err)
 	}
-	return answer, nil
+	return stateAnswer{}, failure
+}
+
+// jobServices returns the services that may have jobs, sorted: those that were ever in use, also if
+// the manifest has disabled or removed them since, and those that it enables now.
+func (p *Process) jobServices() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	services := slices.Collect(maps.Keys(p.shardCounts))
+	if current := p.manifest.Load(); current != nil {
+		for _, service := range current.Services {
+			if !service.Disabled && p.shardCounts[service.Name] == 0 {
+				services = append(services, service.Name)
+			}
+		}
+	}
+	slices.Sort(services)
+	return services
 }
 
 // callService makes a call to the shard of a service that the job belongs to.
--- a/internal/entry/connections_test.go
+++ b/internal/entry/connections_test.go
@@ -15,6 +15,7 @@
 // Guards against orders that never reach a worker, and tasks that never start, because the worker
 // resets new connections: VMs that lost power hold the others (LOST).
 func TestOrdersReachWorkersWithOneConnection(t *testing.T) {
+	t.Parallel()
 	c := newCell(t, 2)
 	for _, worker := range c.workers["review"] {
 		worker.SetConnectionLimit(1)
@@ -45,6 +46,7 @@
 
 // Guards against former leaders whose idle connections take the room of the present one.
 func TestEndedLeadershipClosesItsConnections(t *testing.T) {
+	t.Parallel()
 	c := newCell(t, 2)
 	c.configure(1)
 	for i := range 4 {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -22,6 +22,10 @@
 	return min(max(2*l.recentAppendLatency(), minStallTimeout), maxStallTimeout)
 }
 
+// disabledRetryAfter is when the caller of a job for a disabled service is told to retry: an operator
+// has to enable it.
+const disabledRetryAfter = time.Minute
+
 // storeStalledReason is the reason that callers get while the store is stalled.
 const storeStalledReason = "the store that keeps accepted jobs doesn't answer"
 
@@ -83,6 +87,8 @@
 		switch {
 		case !known && l.queueMoved(request):
 			return acceptance{queueMoved: true}
+		case !known && request.ServiceDisabled:
+			return acceptance{serviceDisabled: true}
 		case !known && l.storeStalled():
 			return acceptance{storeStalled: true}
 		}
@@ -97,6 +103,8 @@
 		return submitAnswer{}, err
 	case result.queueMoved:
 		return submitAnswer{QueueMoved: true}, nil
+	case result.serviceDisabled:
+		return submitAnswer{Unavailable: true, Reason: "the service of the queue is disabled", RetryAfter: disabledRetryAfter}, nil
 	case result.storeStalled:
 		return storeStalledAnswer(), nil
 	case result.Outcome == shard.Stored:
@@ -110,7 +118,7 @@
 // acceptance is the result of a submission, or why the shard was not asked.
 type acceptance struct {
 	shard.AcceptResult
-	queueMoved, storeStalled bool
+	queueMoved, serviceDisabled, storeStalled bool
 }
 
 func (l *shardLeader) servedQueue(request submitRequest) servedQueue {
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -95,27 +95,23 @@
 	}
 }
 
-// shards returns the shards of the services in force. For a service without a
+// shards returns the shards of all services that may have jobs. For a service without a
 // shard count it calls countShards.
 func (p *Process) shards(ctx context.Context) []shardRef {
-	current := p.manifest.Load()
-	if current == nil {
+	if p.manifest.Load() == nil {
 		return nil
 	}
 	var shards []shardRef
-	for _, service := range current.Services {
-		if service.Disabled {
-			continue
-		}
+	for _, service := range p.jobServices() {
 		p.mu.Lock()
-		count, leadersRead := p.shardCounts[service.Name], p.leadersRead
+		count, leadersRead := p.shardCounts[service], p.leadersRead
 		p.mu.Unlock()
 		if count == 0 && leadersRead {
-			p.countShards(ctx, service.Name)
+			p.countShards(ctx, service)
 			continue
 		}
 		for index := range count {
-			shards = append(shards, shardRef{service.Name, index, count})
+			shards = append(shards, shardRef{service, index, count})
 		}
 	}
 	return shards
--- a/internal/entry/movedqueue_test.go
+++ b/internal/entry/movedqueue_test.go
@@ -48,6 +48,7 @@
 // A repeated submission remains one job. Guards against a job that runs again because its queue was
 // moved to another service between the two, also if the processes know only the newest manifest (TWICE).
 func TestRepeatedSubmissionToMovedQueueRunsOnce(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		taskMS  int
 		state   job.State // before the queue is moved
@@ -99,6 +100,7 @@
 // Guards against a new job of a moved queue that isn't accepted, and against one that is refused
 // as never run although a former service, which doesn't answer, may have accepted it (REFUSED).
 func TestNewJobOfMovedQueue(t *testing.T) {
+	t.Parallel()
 	c := newCell(t, 2)
 	c.configure(1)
 	c.submit(c.nodes[0], "/quick/00000000000000aa", jobWithTaskMS(50))
@@ -122,6 +124,7 @@
 // Guards against waiting jobs that aren't counted once their queue was moved to another service, or
 // has a route of another name (MIXED).
 func TestWaitingJobsOfMovedQueueAreCounted(t *testing.T) {
+	t.Parallel()
 	c := newCell(t, 2)
 	c.configure(1)
 	fill := job.Step{Count: 3, Demand: job.Demand{MilliCPU: 16000, MemoryMB: 10}, Estimate: time.Second}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -59,6 +59,8 @@
 	QueueKey string `cbor:"5,keyasint,omitempty"`
 	// ManifestVersion is the version of the sender's manifest.
 	ManifestVersion int64 `cbor:"6,keyasint,omitempty"`
+	// ServiceDisabled means that this manifest disables the service.
+	ServiceDisabled bool `cbor:"7,keyasint,omitempty"`
 }
 
 // acceptedRequest asks a former service of a queue whether it has accepted a job.
--- a/internal/entry/storedjobs_test.go
+++ b/internal/entry/storedjobs_test.go
@@ -17,6 +17,7 @@
 // Guards against a job that gets 200 although it isn't stored, and is gone after a restart of all
 // processes: it is due at a time that has no RFC 3339 form (LOST).
 func TestJobOfFarTimeOutlivesRestart(t *testing.T) {
+	t.Parallel()
 	c := newCell(t, 2)
 	c.configure(1)
 	const path = "/batch/00000000000000aa"
@@ -33,6 +34,7 @@
 // Guards against one job whose record is larger than the store takes, so that the batch with it, and
 // all later ones, can't be stored.
 func TestJobLargerThanARecordIsRefused(t *testing.T) {
+	t.Parallel()
 	c := newCell(t, 2)
 	terms := job.Terms{Queue: "batch", MaxAttempts: 3, Stretch: 2, Target: 2 * time.Second}
 	c.site.Configure(standin.Manifest(1, []manifest.Queue{{Host: "cell.example", PathPrefix: "/batch/", Service: "review", Terms: terms}}, bothServices, 256<<10))
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -10,6 +10,7 @@
 package manifest
 
 import (
+	"slices"
 	"sort"
 	"strings"
 
@@ -84,6 +85,11 @@
 	return queue, found
 }
 
+// Disables reports whether the manifest contains the service as disabled.
+func (m *Manifest) Disables(service string) bool {
+	return slices.ContainsFunc(m.Services, func(s Service) bool { return s.Name == service && s.Disabled })
+}
+
 // HasService reports whether the manifest contains the service.
 func (m *Manifest) HasService(name string) bool {
 	for _, service := range m.Services {
