soak: queues that move, submissions that are repeated, VMs that lose power

New manifests exchange the services of the queues up to three times a run, callers submit accepted jobs again, some killed processes leave their connections to workers open, and workers accept 64.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,7 @@
 	nodes             = 3
 	workersPerService = 3
 	workerMilliCPU    = 16000
+	workerConnections = 64
 	// faultDuration is how long faults are injected.
 	faultDuration = 8 * time.Second
 	// recoveryTimeout limits how long jobs take to end after the last fault: a
@@ -118,8 +119,10 @@
 	processes []*process
 	workers   []*standin.Worker
 	network   *network
-	mu        sync.Mutex
-	jobs      map[string]*outcome
+	// losesPower means that some killed processes leave their connections to workers open.
+	losesPower bool
+	mu         sync.Mutex
+	jobs       map[string]*outcome
 }
 
 // outcome records the responses to callers about a job.
@@ -140,15 +143,20 @@
 	cancelled bool
 }
 
-func manifestText() string {
+// manifestText returns a manifest. If exchanged is set, each queue has the other one's service.
+func manifestText(version int, exchanged bool) string {
 	terms := job.Terms{MaxAttempts: 3, Stretch: 20, Target: 20 * time.Second}
 	quick, batch := terms, terms
 	quick.Queue, quick.RequiresTicket, quick.AdviceTime, quick.TicketLifetime = "quick", true, time.Millisecond, 2*time.Second
 	quick.AdviceTimePerWorker = 100 * time.Microsecond
 	batch.Queue, batch.Priority = "batch", 2
-	return standin.Manifest(1, []manifest.Queue{
-		{Host: "soak.example", PathPrefix: "/quick/", Service: "ledger", Terms: quick},
-		{Host: "soak.example", PathPrefix: "/batch/", Service: "review", Terms: batch},
+	first, second := services[0], services[1]
+	if exchanged {
+		first, second = second, first
+	}
+	return standin.Manifest(version, []manifest.Queue{
+		{Host: "soak.example", PathPrefix: "/quick/", Service: first, Terms: quick},
+		{Host: "soak.example", PathPrefix: "/batch/", Service: second, Terms: batch},
 	}, services, 65536)
 }
 
@@ -161,6 +169,7 @@
 
 func newRun(t *testing.T, binary string, seed uint64, l layout) *run {
 	r := &run{t: t, random: rand.New(rand.NewPCG(seed, 2)), site: standin.New(), jobs: map[string]*outcome{}}
+	r.losesPower = regressionSeeds[seed] == "" && partitionSeeds[seed] == ""
 	t.Cleanup(r.site.Close)
 	adviserAddress, err := r.site.Serve(http.HandlerFunc(standin.Adviser))
 	require.NoError(t, err)
@@ -172,6 +181,7 @@
 				return address, nil
 			})
 			require.NoError(t, err)
+			worker.SetConnectionLimit(workerConnections)
 			r.workers = append(r.workers, worker)
 		}
 	}
@@ -180,7 +190,7 @@
 		ips = append(ips, loopback.New())
 	}
 	r.network = newNetwork(t, r.site, ips, workerAddresses, l.peerProxies)
-	r.site.Configure(manifestText())
+	r.site.Configure(manifestText(1, false))
 	for i := range l.nodes {
 		ip, proxy := ips[i], r.network.store[i]
 		p := &process{t: t, number: i, folder: filepath.Dir(binary), ip: ip.String(), storeProxy: proxy}
@@ -222,6 +232,10 @@
 	}
 	switch r.random.IntN(9) {
 	case 0:
+		if r.losesPower && restartDelay.Milliseconds()%2 == 0 {
+			r.losePower(p)
+			return fmt.Sprintf("entry-%d loses power", p.number), func() { time.Sleep(restartDelay); r.returnPower(p) }
+		}
 		return fmt.Sprintf("kill entry-%d", p.number), restart(syscall.SIGKILL)
 	case 1:
 		return fmt.Sprintf("stop entry-%d", p.number), restart(syscall.SIGTERM)
@@ -279,9 +293,10 @@
 	queries := rand.New(rand.NewPCG(seed, uint64(100+callerNumber)))
 	cancellations := rand.New(rand.NewPCG(seed, uint64(200+callerNumber)))
 	client := &http.Client{Timeout: 3 * time.Second}
+	repeats := rand.New(rand.NewPCG(seed, uint64(300+callerNumber)))
 	type acceptedJob struct {
-		path   string
-		result *outcome
+		path, body string
+		result     *outcome
 	}
 	var accepted []acceptedJob
 	for i := 0; ; i++ {
@@ -320,7 +335,7 @@
 			}
 		}
 		if result.accepted {
-			accepted = append(accepted, acceptedJob{path, result})
+			accepted = append(accepted, acceptedJob{path, body, result})
 			if status, _ := r.call(client, r.processes[random.IntN(len(r.processes))], http.MethodGet, path, ""); status == http.StatusGone {
 				result.gone = append(result.gone, path)
 			}
@@ -333,6 +348,10 @@
 			_, body := r.call(client, r.processes[queries.IntN(len(r.processes))], http.MethodGet, earlier.path, "")
 			earlier.result.noteState(body)
 		}
+		if len(accepted) > 0 && i%repeatInterval == 0 {
+			again := accepted[repeats.IntN(len(accepted))]
+			r.call(client, r.processes[repeats.IntN(len(r.processes))], http.MethodPost, again.path, again.body)
+		}
 	}
 }
 
@@ -363,7 +382,7 @@
 }
 
 func runSeed(t *testing.T, binary string, seed uint64) {
-	partition, absence := newPartition(seed), newAbsence(seed)
+	partition, absence, moves := newPartition(seed), newAbsence(seed), newQueueMoves(seed)
 	r := newRun(t, binary, seed, layout{nodes: nodes, workers: workersPerService, peerProxies: partition.isolates()})
 	time.Sleep(2 * time.Second)
 	stop := make(chan struct{})
@@ -384,6 +403,7 @@
 			partitionEnded = partition.begin(r)
 		}
 		absence.advance(r, time.Since(started))
+		moves.advance(r, time.Since(started))
 		name, end := r.fault(i)
 		t.Logf("%.1fs: %s", time.Since(started).Seconds(), name)
 		endFaults = append(endFaults, end)
@@ -401,6 +421,7 @@
 		<-partitionEnded
 	}
 	absence.end(r)
+	moves.advance(r, faultDuration)
 	faults := impairment{started, time.Now()}
 	t.Logf("%.1fs: the faults are over", time.Since(started).Seconds())
 	// Callers may have waited for paused processes during most of the fault
