entry: no claim of an unconfirmed leader right after the store was silent for all

A long poll of the store fails only after 1.6 s, so a shorter silence counts as good health. The leader's confirmation gets stale in it, and if the claimant's probe is answered first when the store recovers, the leader hasn't been confirmed yet when it is asked.

A claimant notes when its polls are answered later than they wait, and doesn't use the age of the confirmation while one is overdue and for a second after.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"yuccalanding.example/yuccalanding/internal/election"
 	"yuccalanding.example/yuccalanding/internal/shard"
 	"yuccalanding.example/yuccalanding/platform"
 )
@@ -100,7 +101,22 @@
 	if p.storeHealthyFor() == 0 {
 		p.storeHealthySince.Store(now)
 	}
-	p.storeAnsweredAt.Store(now)
+	if before := p.storeAnsweredAt.Swap(now); before > 0 && now-before > int64(followPollWait) {
+		p.storeGap.Store(now - before)
+		p.storeGapEndedAt.Store(now)
+	}
+}
+
+// storeSilentLately reports whether the store, which now takes storeTime for a read, has left this
+// node's polls unanswered for too long within the last election.StaleConfirmationAge. It may
+// have done so with the calls of a leader too, which needs some time to be confirmed again.
+func (p *Process) storeSilentLately(storeTime time.Duration) bool {
+	longest := followPollWait + pollMargin + appendsPerRead*storeTime
+	now := time.Since(p.startedAt)
+	if now-time.Duration(p.storeAnsweredAt.Load()) > longest {
+		return true
+	}
+	return time.Duration(p.storeGap.Load()) > longest && now-time.Duration(p.storeGapEndedAt.Load()) < election.StaleConfirmationAge
 }
 
 // storeHealthyFor is for how long the store has answered this node's polls. It is 0
--- a/internal/entry/leadership.go
+++ b/internal/entry/leadership.go
@@ -272,7 +272,7 @@
 	}
 	if cause.NeedsProbe() {
 		storeTime, served := p.probeStore(ctx, expectedEnd)
-		if !served || cause == election.Unconfirmed && p.leaderMayBeConfirmed(ctx, key, leader, storeTime) {
+		if !served || cause == election.Unconfirmed && (p.storeSilentLately(storeTime) || p.leaderMayBeConfirmed(ctx, key, leader, storeTime)) {
 			return election.CheckInterval
 		}
 	}
--- a/internal/entry/leadership_test.go
+++ b/internal/entry/leadership_test.go
@@ -45,15 +45,21 @@
 	for name, c := range map[string]struct {
 		silent      bool
 		expectedEnd int64
-		confirmed   bool // the leader answers that it was confirmed meanwhile
-		unanswered  bool // the leader answers no more
+		confirmed   bool          // the leader answers that it was confirmed meanwhile
+		unanswered  bool          // the leader answers no more
+		lastAnswer  time.Duration // age of the store's last answer to a poll
+		gapEnded    time.Duration // age of the answer before which the store was silent for 1.3 s; 0 for none
 		claims      int64
 	}{
-		"the store answers":                  {false, 0, false, false, 1},
-		"the store is silent":                {true, 0, false, false, 0},
-		"another record was appended":        {false, 7, false, false, 0},
-		"the leader was confirmed meanwhile": {false, 0, true, false, 0},
-		"the leader doesn't answer any more": {false, 0, false, true, 0},
+		"the store answers":                  {claims: 1},
+		"the store is silent":                {silent: true},
+		"another record was appended":        {expectedEnd: 7},
+		"the leader was confirmed meanwhile": {confirmed: true},
+		"the leader doesn't answer any more": {unanswered: true},
+		"a poll still waits":                 {lastAnswer: followPollWait, claims: 1},
+		"a poll is overdue":                  {lastAnswer: 1300 * time.Millisecond},
+		"a poll was answered late":           {gapEnded: 100 * time.Millisecond},
+		"a poll was answered late before":    {gapEnded: election.StaleConfirmationAge + 100*time.Millisecond, claims: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, _, claims := newClaimant(t, c.silent)
@@ -61,6 +67,11 @@
 			p.recordStoreAnswer()
 			now := time.Now().Add(election.StaleConfirmationAge)
 			p.storeHealthySince.Add(-2 * int64(election.StaleConfirmationAge))
+			p.storeAnsweredAt.Add(-int64(c.lastAnswer))
+			if c.gapEnded > 0 {
+				p.storeGap.Store(int64(1300 * time.Millisecond))
+				p.storeGapEndedAt.Store(int64(time.Since(p.startedAt) - c.gapEnded))
+			}
 			leader := election.Leader{Epoch: 3, Node: "entry-2", Address: netip.MustParseAddrPort("127.0.0.1:1")}
 			if c.confirmed || c.unanswered {
 				peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -40,6 +40,8 @@
 	// in force.
 	followPollWait = 1000 * time.Millisecond
 	followTimeout  = 1600 * time.Millisecond
+	// pollMargin is how much longer than followPollWait a poll takes at a store that answers.
+	pollMargin = 100 * time.Millisecond
 	// firstReadTimeout bounds the first try to read a topic's newest records.
 	// It doubles up to followTimeout, so that a store that didn't answer when
 	// the process started is read soon after its recovery.
@@ -144,7 +146,10 @@
 	// storeAnsweredAt when it answered last, in ns since startedAt. They are 0 if a poll
 	// has failed since, or none was answered.
 	storeHealthySince, storeAnsweredAt atomic.Int64
-	stopping                           atomic.Bool
+	// storeGap is the last time between two answered polls that was longer than followPollWait,
+	// and storeGapEndedAt when it ended, both in ns; see storeSilentLately.
+	storeGap, storeGapEndedAt atomic.Int64
+	stopping                  atomic.Bool
 
 	mu sync.Mutex
 	// manifestText is the manifest in force, as the operator wrote it.
