--- a/internal/shard/crash.go
+++ b/internal/shard/crash.go
@@ -106,7 +106,7 @@
 			}
 			r.task.notBefore = now.Add(r.task.trialDelay())
 		}
-		s.markJobStarted(j)
+		j.storesProgress = true // also if none of its tasks has begun
 		s.markJobDirty(j)
 		if crashed {
 			s.countCrash(now, r)
--- a/internal/shard/records.go
+++ b/internal/shard/records.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		var progress []byte
-		if j.state != job.Queued {
+		if j.state != job.Queued || j.storesProgress {
 			var encoded bool
 			if progress, encoded = s.encodeProgress(now, j); !encoded {
 				remaining = append(remaining, j) // its callers go on waiting
@@ -330,6 +330,7 @@
 	}
 	j.storedState = j.state
 	j.started = j.state != job.Queued
+	j.storesProgress = progress.State != ""
 	s.jobs[id] = j
 	for _, number := range progress.CompletedOccurrences {
 		j.completedOccurrences[number] = true
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -158,6 +158,7 @@
 	dirty                bool
 	unwrittenAcceptance  []byte    // the encoded acceptance record until a batch contains it
 	inFlightState        job.State // the state in the batch that is being stored
+	storesProgress       bool      // its progress is stored although its state is job.Queued
 	runCount             int       // runs of its tasks that aren't over
 	acceptanceDeleted    bool      // only the final state is kept
 }
--- a/internal/shard/trial.go
+++ b/internal/shard/trial.go
@@ -53,6 +53,7 @@
 	r.trial, r.unsent = true, true
 	r.worker.hold = trialHold{task: r.task.crashOwner(), trial: r}
 	s.unrecordedTrials = append(s.unrecordedTrials, r)
+	r.task.step.occurrence.job.storesProgress = true
 	s.markJobDirty(r.task.step.occurrence.job)
 }
 
