--- a/internal/entry/queuehistory.go
+++ b/internal/entry/queuehistory.go
@@ -26,6 +26,9 @@
 const (
 	// queueHistoryKey is the key prefix of the records of queues.
 	queueHistoryKey = "queues/"
+	// maxFormerNames bounds the names of a queue that are kept for each service. They are only
+	// needed to count its waiting jobs.
+	maxFormerNames = 8
 	// recordQueueTimeout bounds the time to store a queue's record.
 	recordQueueTimeout = time.Second
 	// recordQueueRetries is how often the append of a record is repeated because other records
@@ -78,10 +81,18 @@
 	return services
 }
 
-// movedTo returns the history with another present service and name.
+// movedTo returns the history with another present service and name. Of each former service it keeps
+// the newest names, and always one.
 func (h queueHistory) movedTo(served servedQueue, version int64) queueHistory {
-	former := slices.DeleteFunc(slices.Clone(h.Served), func(s servedQueue) bool { return s == served })
-	return queueHistory{ManifestVersion: version, Served: append([]servedQueue{served}, former...)}
+	next := queueHistory{ManifestVersion: version, Served: []servedQueue{served}}
+	names := map[string]int{served.Service: 1}
+	for _, former := range h.Served {
+		if former != served && names[former.Service] < maxFormerNames {
+			names[former.Service]++
+			next.Served = append(next.Served, former)
+		}
+	}
+	return next
 }
 
 // applyQueueRecord applies a record of a queue's history. The caller holds p.mu.
--- a/internal/entry/queuehistory_test.go
+++ b/internal/entry/queuehistory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +27,12 @@
 	}
 	require.Equal(t, []servedQueue{b, c, renamed, a}, history.Served)
 	require.Equal(t, []string{"scan", "ledger"}, history.formerServices())
+	for i := range 2 * maxFormerNames {
+		history = history.movedTo(servedQueue{"ledger", fmt.Sprint(i)}, 6)
+	}
+	require.Len(t, history.Served, maxFormerNames+2, "the names of one service are bounded, its former services are kept")
+	require.ElementsMatch(t, []string{"review", "scan"}, history.formerServices())
+	history = queueHistory{ManifestVersion: 5, Served: []servedQueue{b, c, renamed, a}}
 	for name, c := range map[string]struct {
 		version int64
 		served  servedQueue
