entry: a node with an older manifest doesn't rename a queue in its history

Read in the diff: a submission from a node whose older manifest has another route name for the same service would have stored that name, with the older version. TestQueueHistory has the case.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -140,7 +140,7 @@
 	}
 	served := l.servedQueue(request)
 	history := l.process.queueHistory(request.QueueKey)
-	if history.isCurrent(served) && len(history.formerServices()) == 0 {
+	if history.covers(served, request.ManifestVersion) && len(history.formerServices()) == 0 {
 		return submitAnswer{}, false, nil
 	}
 	known, err := askControlLoop(ctx, l, errNotLeader, func(time.Time) bool { return l.shard.Knows(request.ID) })
--- a/internal/entry/queuehistory.go
+++ b/internal/entry/queuehistory.go
@@ -60,9 +60,10 @@
 	Offset int64 `cbor:"3,keyasint,omitempty"`
 }
 
-// isCurrent reports whether the present service and name are the given ones.
-func (h queueHistory) isCurrent(served servedQueue) bool {
-	return len(h.Served) > 0 && h.Served[0] == served
+// covers reports whether the present service is the one to which a manifest of this version sends the
+// queue. Only a newer version changes the name.
+func (h queueHistory) covers(served servedQueue, version int64) bool {
+	return len(h.Served) > 0 && h.Served[0].Service == served.Service && (h.Served[0] == served || h.ManifestVersion >= version)
 }
 
 // outdates reports whether a node with this manifest version can't know the present service.
@@ -136,7 +137,7 @@
 	offset, err := p.appendToLeadershipTopic(ctx, recordQueueRetries, func() (platform.Record, error) {
 		history = p.queueHistories[key]
 		switch {
-		case history.isCurrent(served):
+		case history.covers(served, version):
 			return platform.Record{}, errAlreadyStored
 		case history.outdates(version, served):
 			return platform.Record{}, errManifestOutdated
--- a/internal/entry/queuehistory_test.go
+++ b/internal/entry/queuehistory_test.go
@@ -23,7 +23,7 @@
 	require.False(t, history.outdates(1, a), "nothing is known")
 	for i, served := range []servedQueue{a, renamed, b, c, b} {
 		history = history.movedTo(served, int64(i+1))
-		require.True(t, history.isCurrent(served))
+		require.True(t, history.covers(served, int64(i+1)))
 	}
 	require.Equal(t, []servedQueue{b, c, renamed, a}, history.Served)
 	require.Equal(t, []string{"scan", "ledger"}, history.formerServices())
@@ -34,17 +34,22 @@
 	require.ElementsMatch(t, []string{"review", "scan"}, history.formerServices())
 	history = queueHistory{ManifestVersion: 5, Served: []servedQueue{b, c, renamed, a}}
 	for name, c := range map[string]struct {
-		version int64
-		served  servedQueue
-		want    bool
+		version          int64
+		served           servedQueue
+		outdates, covers bool
 	}{
-		"older manifest, former service":  {4, c, true},
-		"same manifest, former service":   {5, a, true},
-		"newer manifest, former service":  {6, a, false},
-		"older manifest, present service": {4, b, false},
-		"older manifest, another name":    {4, servedQueue{"review", "batch"}, false},
+		"older manifest, former service":  {4, c, true, false},
+		"same manifest, former service":   {5, a, true, false},
+		"newer manifest, former service":  {6, a, false, false},
+		"older manifest, present service": {4, b, false, true},
+		"newer manifest, present service": {6, b, false, true},
+		"older manifest, another name":    {4, servedQueue{"review", "batch"}, false, true},
+		"newer manifest, another name":    {6, servedQueue{"review", "batch"}, false, false},
 	} {
-		t.Run(name, func(t *testing.T) { require.Equal(t, c.want, history.outdates(c.version, c.served)) })
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.outdates, history.outdates(c.version, c.served))
+			require.Equal(t, c.covers, history.covers(c.served, c.version))
+		})
 	}
 }
 
