--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -121,14 +121,15 @@
 	queueMoved, serviceDisabled, storeStalled bool
 }
 
-func (l *shardLeader) servedQueue(request submitRequest) servedQueue {
+// ownServedQueue returns this shard's service with the queue's present name.
+func (l *shardLeader) ownServedQueue(request submitRequest) servedQueue {
 	return servedQueue{Service: l.shardRef.service, Queue: request.Terms.Queue}
 }
 
 // queueMoved reports whether a newer manifest than the sender's has moved the queue to another
 // service.
 func (l *shardLeader) queueMoved(request submitRequest) bool {
-	return l.process.queueHistory(request.QueueKey).outdates(request.ManifestVersion, l.servedQueue(request))
+	return l.process.queueHistory(request.QueueKey).outdates(request.ManifestVersion, l.ownServedQueue(request))
 }
 
 // checkFormerServices asks the former services of the job's queue whether they have accepted a job
@@ -138,7 +139,7 @@
 	if request.QueueKey == "" {
 		return submitAnswer{}, false, nil
 	}
-	served := l.servedQueue(request)
+	served := l.ownServedQueue(request)
 	history := l.process.queueHistory(request.QueueKey)
 	if history.covers(served, request.ManifestVersion) && len(history.formerServices()) == 0 {
 		return submitAnswer{}, false, nil
