entry: the test of waiting jobs waits until the workers are full

Under the race detector it failed in 3 of 16 runs: a job is running as soon as one of its tasks is, so a later job took the room of the others. It waits for all three runs now; what it asserts is unchanged.

--- a/internal/entry/movedqueue_test.go
+++ b/internal/entry/movedqueue_test.go
@@ -130,7 +130,7 @@
 	fill := job.Step{Count: 3, Demand: job.Demand{MilliCPU: 16000, MemoryMB: 10}, Estimate: time.Second}
 	body := standin.Submission(job.Spec{Text: "60000", Steps: []job.Step{fill}})
 	c.submit(c.nodes[0], "/quick/00000000000000aa", body)
-	c.requireState(c.nodes[0], "/quick/00000000000000aa", job.Running, 10*time.Second)
+	require.Eventually(t, func() bool { return len(c.site.Runs()) == fill.Count }, 10*time.Second, 10*time.Millisecond, "the workers are full")
 	accepted := 0
 	for i := range 3 {
 		if status, _, _ := c.call(c.nodes[0], http.MethodPost, fmt.Sprintf("/quick/%016x", i), body); status == http.StatusOK {
