--- a/internal/entry/queuehistory.go
+++ b/internal/entry/queuehistory.go
@@ -15,13 +15,14 @@
 	"yuccalanding.example/yuccalanding/platform"
 )
 
-// The jobs of a queue stay with the service that accepted them when a newer manifest sends the queue
-// to another one. A record in the leadership topic names the services that a queue has had, as a
-// process that starts later knows only the newest manifest. A leader accepts jobs of a queue only
-// if the record names its own service as the present one. It first asks the former ones whether they
-// have accepted the job. That call carries the record, so a former leader that has answered no
-// accepts no job from a node with an older manifest any more. A later leader has read the record, as
-// its claim follows it in the topic.
+// A newer manifest may send a queue to another service; the jobs of the queue stay with the service
+// that accepted them. A process that starts later knows only the newest manifest, so a record in the
+// leadership topic names the services that a queue has had. Before a leader accepts a job, that record
+// has to name its own service as the present one, and the former services must not know the job.
+//
+// A caller's repeat may reach a node with an older manifest, which forwards it to a former service.
+// The question to a former service carries the record, so its leader then rejects such submissions. A
+// later leader of that service has read the record, as its claim follows it in the topic.
 
 const (
 	// queueHistoryKey is the key prefix of the records of queues.
--- a/internal/entry/workercalls.go
+++ b/internal/entry/workercalls.go
@@ -102,7 +102,7 @@
 	return time.Now().Before(limit.sharedUntil)
 }
 
-// sharesConnection reports whether other calls wait for the connection of this one.
+// sharesConnection reports whether the call uses the connection that all calls to the worker share.
 func (s *callSlot) sharesConnection() bool { return s.shares }
 
 // end gives the slot back after the call, which returned err.
